Add the workspace, the kernel package and the register interface

Cause: nothing existed; later parts need a shared base before they can be written independently.

The kernel holds the clock in ms, plug-in registry, settings checks, numbered events, tasks, frames over TCP with Cap'n Proto, an in-memory transport with faults, and the state dump. gevent's io_uring loop was ruled out by pinning libev with epoll when the package is imported; a test checks it.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Targets for a new machine with Python 3.11, pip and make.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := kernel coord router ctl testbed
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
+OUT ?= out/bench.json
+
+.PHONY: setup lint format test test-all demo model faults bench slopes
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: constraints.txt requirements-dev.txt \
+		$(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install -q -c constraints.txt --no-build-isolation \
+		$(EDITABLE)
+	touch $@
+
+lint: setup
+	$(BIN)/ruff format --check packages tools
+	$(BIN)/flake8 packages tools
+
+format: setup
+	$(BIN)/ruff format packages tools
+
+test: setup
+	$(BIN)/python tools/run_tests.py
+
+demo: setup
+	$(BIN)/python -m paddle_testbed.demo
+
+model: setup
+	$(BIN)/python -m paddle_testbed.model
+
+faults: setup
+	$(BIN)/python -m paddle_testbed.faults
+
+bench: setup
+	$(BIN)/python -m paddle_testbed.bench --out=$(OUT)
+
+slopes: setup
+	$(BIN)/python -m paddle_testbed.slopes
--- /dev/null
+++ b/packages/kernel/src/paddle_kernel/__init__.py
@@ -0,0 +1,65 @@
+"""Building parts shared by all processes of the system."""
+
+from paddle_kernel._clock import Clock
+from paddle_kernel._clock import FakeClock
+from paddle_kernel._clock import MS_PER_S
+from paddle_kernel._clock import SystemClock
+from paddle_kernel._codec import codec
+from paddle_kernel._codec import UnknownMessageError
+from paddle_kernel._dump import process_state
+from paddle_kernel._dump import StateDump
+from paddle_kernel._events import configure as configure_log
+from paddle_kernel._events import declare as declare_event
+from paddle_kernel._events import declared as declared_events
+from paddle_kernel._events import emit
+from paddle_kernel._events import Event
+from paddle_kernel._findings import Finding
+from paddle_kernel._findings import Findings
+from paddle_kernel._findings import FindingsError
+from paddle_kernel._loop import check as check_loop
+from paddle_kernel._loop import WrongLoopError
+from paddle_kernel._memory import MemoryNetwork
+from paddle_kernel._registry import Registry
+from paddle_kernel._registry import UnknownPluginError
+from paddle_kernel._tasks import Task
+from paddle_kernel._tasks import Ticker
+from paddle_kernel._transport import broadcast
+from paddle_kernel._transport import CallError
+from paddle_kernel._transport import FrameError
+from paddle_kernel._transport import split_address
+from paddle_kernel._transport import TcpServer
+from paddle_kernel._transport import TcpTransport
+from paddle_kernel._transport import Transport
+
+__all__ = [
+    'CallError',
+    'Clock',
+    'Event',
+    'FakeClock',
+    'Finding',
+    'Findings',
+    'FindingsError',
+    'FrameError',
+    'MS_PER_S',
+    'MemoryNetwork',
+    'Registry',
+    'StateDump',
+    'SystemClock',
+    'Task',
+    'TcpServer',
+    'TcpTransport',
+    'Ticker',
+    'Transport',
+    'UnknownMessageError',
+    'UnknownPluginError',
+    'WrongLoopError',
+    'broadcast',
+    'check_loop',
+    'codec',
+    'configure_log',
+    'declare_event',
+    'declared_events',
+    'emit',
+    'process_state',
+    'split_address',
+]
--- /dev/null
+++ b/packages/kernel/src/paddle_kernel/_codec.py
@@ -0,0 +1,116 @@
+"""Conversion between attrs messages and Cap'n Proto structs.
+
+A message class is a frozen attrs class; its struct has the same fields in
+camel case. Field types may be ``int``, ``str``, ``bool``, ``float``,
+``bytes``, another message class, ``tuple[T, ...]`` of these, or one of them
+``| None`` where an unset pointer field stands for ``None``.
+"""
+
+import types
+import typing
+
+import attrs
+
+
+class UnknownMessageError(ValueError):
+    """A frame has a kind that no message class is registered for."""
+
+
+def _camel(name):
+    head, *rest = name.split('_')
+    return head + ''.join(part.capitalize() for part in rest)
+
+
+def _to_wire(value):
+    if attrs.has(type(value)):
+        return {
+            _camel(item.name): _to_wire(getattr(value, item.name))
+            for item in attrs.fields(type(value))
+            if getattr(value, item.name) is not None
+        }
+    if isinstance(value, tuple | list):
+        return [_to_wire(item) for item in value]
+    return value
+
+
+def _split_optional(annotation):
+    if isinstance(annotation, types.UnionType):
+        arms = [arm for arm in annotation.__args__ if arm is not type(None)]
+        return arms[0], True
+    return annotation, False
+
+
+def _field_reader(name, annotation):
+    wire_name = _camel(name)
+    inner, optional = _split_optional(annotation)
+    convert = _converter(inner)
+
+    def read(reader):
+        if optional and not reader._has(wire_name):
+            return None
+        return convert(getattr(reader, wire_name))
+
+    return read
+
+
+def _converter(annotation):
+    if typing.get_origin(annotation) is tuple:
+        item = _converter(typing.get_args(annotation)[0])
+        return lambda values: tuple(item(value) for value in values)
+    if attrs.has(annotation):
+        return _class_reader(annotation)
+    return annotation
+
+
+def _class_reader(cls):
+    hints = typing.get_type_hints(cls)
+    readers = {
+        item.name: _field_reader(item.name, hints[item.name])
+        for item in attrs.fields(cls)
+    }
+
+    def read(reader):
+        return cls(**{name: get(reader) for name, get in readers.items()})
+
+    return read
+
+
+class Codec:
+    """Encodes and decodes the registered message classes."""
+
+    def __init__(self):
+        self._by_class = {}
+        self._by_kind = {}
+
+    def register(self, cls, struct):
+        """Register ``cls`` with its Cap'n Proto ``struct``."""
+        kind = cls.__name__
+        self._by_class[cls] = (kind, struct)
+        self._by_kind[kind] = (struct, _class_reader(cls))
+
+    def register_schema(self, schema, classes):
+        """Register classes whose structs in ``schema`` share their name."""
+        for cls in classes:
+            self.register(cls, getattr(schema, cls.__name__))
+
+    def encode(self, message):
+        """Return ``(kind, bytes)`` for ``message``."""
+        kind, struct = self._by_class[type(message)]
+        return kind, struct.new_message(**_to_wire(message)).to_bytes()
+
+    def decode(self, kind, data):
+        """Return the message of ``kind`` held in ``data``.
+
+        :raises UnknownMessageError: if no class is registered for ``kind``.
+        """
+        try:
+            struct, read = self._by_kind[kind]
+        except KeyError:
+            raise UnknownMessageError(
+                f'no message class for kind {kind!r}; upgrade this process'
+            ) from None
+        with struct.from_bytes(data) as reader:
+            return read(reader)
+
+
+codec = Codec()
--- /dev/null
+++ b/packages/kernel/src/paddle_kernel/_loop.py
@@ -0,0 +1,43 @@
+"""Selection of the event loop.
+
+gevent also ships a loop on io_uring, which the platform forbids; the loop is
+therefore pinned to libev with epoll before gevent is first used.
+"""
+
+import os
+
+import gevent
+
+LOOP_VARIABLE = 'GEVENT_LOOP'
+LOOP_NAME = 'libev-cext'
+BACKEND_NAME = 'epoll'
+
+
+class WrongLoopError(RuntimeError):
+    """gevent runs on another loop than the pinned one."""
+
+
+def pin():
+    """Configure the loop; call before the hub of gevent exists."""
+    os.environ.setdefault(LOOP_VARIABLE, LOOP_NAME)
+    gevent.config.loop = LOOP_NAME
+    gevent.config.libev_backend = BACKEND_NAME
+
+
+def check():
+    """Verify the loop in use.
+
+    :raises WrongLoopError: if it is not libev with epoll.
+    """
+    loop = gevent.get_hub().loop
+    module = type(loop).__module__
+    backend = getattr(loop, 'backend', None)
+    if 'libev' not in module or backend != BACKEND_NAME:
+        raise WrongLoopError(
+            f'event loop is {module} with {backend}; set '
+            f'{LOOP_VARIABLE}={LOOP_NAME} and remove other settings'
+        )
+
+
+# Importing the package is enough to select the loop.
+pin()
--- /dev/null
+++ b/packages/kernel/src/paddle_kernel/_transport.py
@@ -0,0 +1,260 @@
+"""Calls between processes: the interface and its TCP implementation."""
+
+import itertools
+import pathlib
+import struct
+import typing
+
+import attrs
+import capnp
+import gevent
+import gevent.event
+import gevent.lock
+import gevent.queue
+import gevent.server
+import gevent.socket
+import returns.result
+
+from paddle_kernel import _clock
+from paddle_kernel import _codec
+
+FRAME_HEADER = struct.Struct('!I')
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+RECEIVE_BYTES = 65_536
+
+capnp.remove_import_hook()
+_schema = capnp.load(str(pathlib.Path(__file__).with_name('wire.capnp')))
+
+
+@attrs.frozen
+class CallError:
+    """A call without an answer.
+
+    ``kind`` is ``refused`` (the connection could not be opened, so the
+    message was not sent), ``timeout`` or ``closed`` (it may have arrived).
+    """
+
+    kind: str
+    address: str
+
+    @property
+    def was_sent(self):
+        """Whether the message may have reached the other side."""
+        return self.kind != 'refused'
+
+
+class Transport(typing.Protocol):
+    """Sends a message to an address and returns the answer."""
+
+    def call(self, address, message, timeout_ms) -> returns.result.Result:
+        """Return ``Success(answer)`` or ``Failure(CallError)``."""
+
+
+class FrameError(ValueError):
+    """A frame is too long or cannot be decoded."""
+
+
+def pack(call_id, message):
+    """Return the frame that carries ``message``."""
+    kind, body = _codec.codec.encode(message)
+    envelope = _schema.Envelope.new_message(
+        callId=call_id, kind=kind, body=body
+    )
+    data = envelope.to_bytes()
+    return FRAME_HEADER.pack(len(data)) + data
+
+
+def unpack(data):
+    """Return ``(call_id, message)`` from the payload of a frame."""
+    try:
+        with _schema.Envelope.from_bytes(data) as reader:
+            call_id, kind, body = reader.callId, reader.kind, reader.body
+        return call_id, _codec.codec.decode(kind, body)
+    except (capnp.KjException, ValueError) as exc:
+        raise FrameError(f'cannot decode a frame: {exc}') from exc
+
+
+def _receive_exactly(sock, size):
+    parts = []
+    while size:
+        data = sock.recv(min(size, RECEIVE_BYTES))
+        if not data:
+            raise EOFError
+        parts.append(data)
+        size -= len(data)
+    return b''.join(parts)
+
+
+def receive(sock):
+    """Return ``(call_id, message)`` from the next frame of ``sock``."""
+    header = _receive_exactly(sock, FRAME_HEADER.size)
+    (size,) = FRAME_HEADER.unpack(header)
+    if size > MAX_FRAME_BYTES:
+        raise FrameError(f'frame of {size} bytes exceeds {MAX_FRAME_BYTES}')
+    return unpack(_receive_exactly(sock, size))
+
+
+def split_address(address):
+    """Return ``(host, port)`` from ``'host:port'``."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+class TcpServer:
+    """Answers calls with ``handler(message) -> answer``.
+
+    Calls of one connection are handled concurrently. A handler that returns
+    ``None`` sends no answer.
+    """
+
+    def __init__(self, address, handler):
+        self._handler = handler
+        self._server = gevent.server.StreamServer(
+            split_address(address), self._serve
+        )
+        self._connections = set()
+
+    def start(self):
+        """Listen; port 0 lets the system choose."""
+        self._server.start()
+        return self
+
+    @property
+    def address(self):
+        """The address in use as ``'host:port'``."""
+        host, port = self._server.address[:2]
+        return f'{host}:{port}'
+
+    def stop(self):
+        """Stop listening and close all connections."""
+        self._server.stop(timeout=0)
+        for sock in list(self._connections):
+            sock.close()
+
+    def _serve(self, sock, _peer):
+        sock.setsockopt(
+            gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1
+        )
+        lock = gevent.lock.Semaphore()
+        self._connections.add(sock)
+        try:
+            while True:
+                call_id, message = receive(sock)
+                gevent.spawn(self._answer, sock, lock, call_id, message)
+        except (EOFError, OSError, FrameError):
+            pass
+        finally:
+            self._connections.discard(sock)
+            sock.close()
+
+    def _answer(self, sock, lock, call_id, message):
+        answer = self._handler(message)
+        if answer is None:
+            return
+        frame = pack(call_id, answer)
+        with lock:
+            try:
+                sock.sendall(frame)
+            except OSError:
+                sock.close()
+
+
+class _Connection:
+    """One client connection; matches answers to calls by their id."""
+
+    def __init__(self, address, connect_timeout_ms):
+        self._sock = gevent.socket.create_connection(
+            split_address(address), connect_timeout_ms / _clock.MS_PER_S
+        )
+        self._sock.settimeout(None)
+        self._sock.setsockopt(
+            gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1
+        )
+        self._lock = gevent.lock.Semaphore()
+        self._waiting = {}
+        self.closed = False
+        self._reader = gevent.spawn(self._read)
+
+    def call(self, call_id, message, timeout_ms):
+        fut = gevent.event.AsyncResult()
+        self._waiting[call_id] = fut
+        try:
+            frame = pack(call_id, message)
+            with gevent.Timeout(timeout_ms / _clock.MS_PER_S):
+                with self._lock:
+                    self._sock.sendall(frame)
+                return fut.get()
+        finally:
+            self._waiting.pop(call_id, None)
+
+    def close(self):
+        self.closed = True
+        self._sock.close()
+        for fut in list(self._waiting.values()):
+            fut.set_exception(EOFError())
+
+    def _read(self):
+        try:
+            while True:
+                call_id, answer = receive(self._sock)
+                fut = self._waiting.get(call_id)
+                if fut is not None:
+                    fut.set(answer)
+        except (EOFError, OSError, FrameError):
+            self.close()
+
+
+class TcpTransport:
+    """Calls over one persistent TCP connection per address."""
+
+    def __init__(self):
+        self._connections = {}
+        self._locks = {}
+        self._ids = itertools.count(1)
+
+    def call(self, address, message, timeout_ms):
+        """Return ``Success(answer)`` or ``Failure(CallError)``."""
+        try:
+            conn = self._connection(address, timeout_ms)
+        except (OSError, gevent.Timeout):
+            return returns.result.Failure(CallError('refused', address))
+        try:
+            answer = conn.call(next(self._ids), message, timeout_ms)
+        except gevent.Timeout:
+            return returns.result.Failure(CallError('timeout', address))
+        except (EOFError, OSError):
+            conn.close()
+            return returns.result.Failure(CallError('closed', address))
+        return returns.result.Success(answer)
+
+    def close(self):
+        """Close all connections."""
+        for conn in self._connections.values():
+            conn.close()
+        self._connections.clear()
+
+    def _connection(self, address, timeout_ms):
+        lock = self._locks.setdefault(address, gevent.lock.Semaphore())
+        with lock:
+            conn = self._connections.get(address)
+            if conn is None or conn.closed:
+                conn = _Connection(address, timeout_ms)
+                self._connections[address] = conn
+            return conn
+
+
+def broadcast(transport, calls, timeout_ms):
+    """Yield ``(address, result)`` for each call as results arrive.
+
+    ``calls`` maps address to message. The caller may stop iterating early;
+    the remaining calls go on in their own greenlets.
+    """
+    results = gevent.queue.Queue()
+
+    def run(address, message):
+        results.put((address, transport.call(address, message, timeout_ms)))
+
+    for address, message in calls.items():
+        gevent.spawn(run, address, message)
+    for _ in calls:
+        yield results.get()
--- /dev/null
+++ b/packages/router/src/paddle_router/__init__.py
@@ -0,0 +1,1 @@
+"""Package of rosemarypaddle."""
