--- a/packages/kernel/src/paddle_kernel/__init__.py
+++ b/packages/kernel/src/paddle_kernel/__init__.py
@@ -1,4 +1,7 @@
-"""Building parts shared by all processes of the system."""
+"""Building parts shared by all processes of the system.
+
+Checked settings are in the public module :mod:`paddle_kernel.settings`.
+"""
 
 from paddle_kernel._clock import Clock
 from paddle_kernel._clock import FakeClock
@@ -18,7 +21,13 @@
 from paddle_kernel._findings import FindingsError
 from paddle_kernel._loop import check as check_loop
 from paddle_kernel._loop import WrongLoopError
+from paddle_kernel._memory import DELAY
+from paddle_kernel._memory import DELIVER
+from paddle_kernel._memory import DROP
+from paddle_kernel._memory import DUPLICATE
+from paddle_kernel._memory import LOSE_ANSWER
 from paddle_kernel._memory import MemoryNetwork
+from paddle_kernel._memory import Step
 from paddle_kernel._registry import Registry
 from paddle_kernel._registry import UnknownPluginError
 from paddle_kernel._tasks import Task
@@ -34,16 +43,22 @@
 __all__ = [
     'CallError',
     'Clock',
+    'DELAY',
+    'DELIVER',
+    'DROP',
+    'DUPLICATE',
     'Event',
     'FakeClock',
     'Finding',
     'Findings',
     'FindingsError',
     'FrameError',
+    'LOSE_ANSWER',
     'MS_PER_S',
     'MemoryNetwork',
     'Registry',
     'StateDump',
+    'Step',
     'SystemClock',
     'Task',
     'TcpServer',
