Add the lease with fencing number and the guarded send

Ruled out: counting the right from the answer of a change, since a slow change would then extend it past the contender's wait; taking a released lease at once, since a send of the former holder may still be in flight (the contender waits the in-flight bound, 1,000 ms).

--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -3,6 +3,12 @@
 The package knows nothing of routing and can be embedded in other programs.
 """
 
+from paddle_coord._lease import guarded_send
+from paddle_coord._lease import Lease
+from paddle_coord._lease import LEASE_KEY
+from paddle_coord._lease import LeaseTiming
+from paddle_coord._lease import NOT_SENT
+from paddle_coord._lease import SendError
 from paddle_coord._register import Change
 from paddle_coord._register import MemoryRegister
 from paddle_coord._register import NOT_WRITTEN
@@ -13,10 +19,16 @@
 
 __all__ = [
     'Change',
+    'LEASE_KEY',
+    'Lease',
+    'LeaseTiming',
     'MemoryRegister',
+    'NOT_SENT',
     'NOT_WRITTEN',
     'Register',
     'RegisterError',
     'Reject',
+    'SendError',
     'UNKNOWN',
+    'guarded_send',
 ]
