Add fakes of model engine, plain service and platform

Cause: router, control and bench need backend servers that can be slowed, frozen, crashed or made to misreport their load. Ruled out: ready-made mock servers, since none batches with slots, reports load with a lag or reclaims a failure domain. Before: no stand-ins.

--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/fakes/__init__.py
@@ -0,0 +1,17 @@
+"""Stand-ins for model engines, plain services and the platform.
+
+They implement the protocols of ``docs/platform.md`` and serve tests, demo
+and bench only.
+"""
+
+from paddle_testbed.fakes._engine import EngineOptions
+from paddle_testbed.fakes._engine import FakeEngine
+from paddle_testbed.fakes._platform import FakePlatform
+from paddle_testbed.fakes._service import FakeService
+
+__all__ = [
+    'EngineOptions',
+    'FakeEngine',
+    'FakePlatform',
+    'FakeService',
+]
--- /dev/null
+++ b/packages/testbed/tests/test_fakes.py
@@ -0,0 +1,42 @@
+"""Tests of the fakes' own protocol."""
+
+import json
+
+import geventhttpclient
+
+from paddle_testbed import fakes
+
+
+def _client(address):
+    return geventhttpclient.HTTPClient.from_url(f'http://{address}')
+
+
+def _body(**options):
+    messages = [{'role': 'user', 'content': 'hello there'}]
+    return json.dumps({'model': 'small', 'messages': messages, **options})
+
+
+def test_resumed_stream_continues_after_the_received_chunks():
+    # Guards against repeated or missing text after a resume.
+    engine = fakes.FakeEngine(fakes.EngineOptions(inter_token_ms=1)).start()
+    body = _body(stream=True, max_tokens=4)
+    path = '/v1/chat/completions'
+    whole = _client(engine.address).post(path, body).read()
+    rest = _client(engine.address).post(
+        path, body, headers={'Paddle-Resume-From': '2'}
+    )
+    engine.stop()
+    assert rest.read().split(b'\n\n') == whole.split(b'\n\n')[2:]
+
+
+def test_second_usage_report_with_other_bytes_is_a_conflict():
+    # Guards against a fake that would hide a report with other figures.
+    platform = fakes.FakePlatform().start()
+    client = _client(platform.address)
+    headers = {'Paddle-Number': '1'}
+    codes = [
+        client.put('/usage/w1', body, headers=headers).status_code
+        for body in (b'{"a":1}', b'{"a":1}', b'{"a":2}')
+    ]
+    platform.stop()
+    assert codes == [200, 200, 409]
