--- a/packages/coord/src/paddle_coord/_lease.py
+++ b/packages/coord/src/paddle_coord/_lease.py
@@ -79,9 +79,13 @@
         """
         if value is None:
             return 0
-        right_ms = self.duration_ms if value.holder is not None else 0
-        stretched = right_ms * (PERMILLE + self.drift_permille)
-        return -(-stretched // PERMILLE) + self.in_flight_ms
+        if value.holder is None:
+            return self._stretched(self.in_flight_ms) + self.guard_ms
+        return self._stretched(self.duration_ms) + self.in_flight_ms
+
+    def _stretched(self, duration_ms):
+        """Return the reading of a fast clock after ``duration_ms``."""
+        return -(-duration_ms * (PERMILLE + self.drift_permille) // PERMILLE)
 
 
 @attrs.frozen
--- a/packages/coord/tests/test_coord_lease.py
+++ b/packages/coord/tests/test_coord_lease.py
@@ -131,7 +131,7 @@
     first.release()
     assert first.number() is None
     second.tick()
-    clock.advance(TIMING.in_flight_ms - 1)
+    clock.advance(1_010 + TIMING.guard_ms - 1)
     assert second.tick() is None
     clock.advance(1)
     assert second.tick() == 2
