Add the replicated register over TCP

Cause: claims, lease, orders, windows and the configuration log need a durable register; only the in-memory stand-in existed.

An accept round without a clear outcome is resolved by the origins kept with each value: a later prepare round shows whether the attempt is part of the value seen, provably not part of it, or neither, which is reported as unknown.

Ruled out: retrying the change function after any conflict, which applies a change twice when another proposer completed the first attempt; one frame per record, where a crash in a group commit is indistinguishable from damage in an earlier record; a length without its own checksum, where a damaged length looks like a torn record; reporting not_written after a failed sync, since the record may be in the file.

--- /dev/null
+++ b/packages/coord/src/paddle_coord/_acceptor.py
@@ -0,0 +1,86 @@
+"""Transitions of one register at one replica, without I/O.
+
+The rules follow CASPaxos (Rystsov, 2018). The replica and the model checker
+call these same functions.
+"""
+
+import attrs
+
+from paddle_coord import _ballot
+
+# Change attempts remembered with a value, newest first. A proposer whose
+# accept round had no clear outcome finds here whether its value was built on.
+ORIGINS_KEPT = 8
+
+
+@attrs.frozen
+class Record:
+    """A register value: ``None`` is a tombstone.
+
+    ``origins`` are the ballots of the changes that led to the value, newest
+    first, at most :data:`ORIGINS_KEPT`.
+    """
+
+    value: bytes | None
+    origins: tuple[_ballot.Ballot, ...] = ()
+
+
+@attrs.frozen
+class Cell:
+    """State of one key at one replica.
+
+    ``accepted`` is the zero ballot and ``value`` is ``None`` while nothing
+    has been accepted.
+    """
+
+    promised: _ballot.Ballot
+    accepted: _ballot.Ballot
+    value: Record | None
+
+
+def absent(floor):
+    """Return the cell of a key that is not stored.
+
+    It counts as promised at the floor, so that a delayed message from before
+    the key's deletion is rejected.
+    """
+    promised = _ballot.floor_ballot(floor) if floor else _ballot.ZERO
+    return Cell(promised, _ballot.ZERO, None)
+
+
+def prepare(cell, ballot):
+    """Return the cell that promises ``ballot``, ``None`` on a conflict.
+
+    An equal ballot is promised again: the message was duplicated.
+    """
+    if ballot < cell.promised:
+        return None
+    return attrs.evolve(cell, promised=ballot)
+
+
+def accept(cell, ballot, value):
+    """Return the cell that accepted ``value``, ``None`` on a conflict."""
+    if ballot < cell.promised:
+        return None
+    return Cell(ballot, ballot, value)
+
+
+def droppable(cell, ballot):
+    """Return whether a deletion may drop the cell.
+
+    It must hold exactly the tombstone accepted at ``ballot``. A higher
+    promise also prevents it: dropping the cell would forget the promise, and
+    a lower ballot could decide a value that the promised one then overwrites
+    unseen.
+    """
+    return (
+        cell.value is not None
+        and cell.value.value is None
+        and cell.accepted == ballot
+        and cell.promised == ballot
+    )
+
+
+def raised_floor(floor, ballot):
+    """Return the floor after a tombstone accepted at ``ballot`` is dropped."""
+    return max(floor, ballot.counter)
--- /dev/null
+++ b/packages/coord/src/paddle_coord/_proposer.py
@@ -0,0 +1,525 @@
+"""Proposer: changes and reads registers at a quorum of replicas."""
+
+import random
+
+import attrs
+import gevent
+import paddle_kernel as kernel
+import returns.result
+
+from paddle_coord import _acceptor
+from paddle_coord import _ballot
+from paddle_coord import _messages
+from paddle_coord import _register
+from paddle_coord import _view
+
+# Keys of the register's own bookkeeping; hidden from keys().
+RESERVED_PREFIX = '\x00'
+
+
+@attrs.frozen(kw_only=True)
+class ProposerOptions:
+    """Times in milliseconds.
+
+    ``call_timeout_ms`` bounds one message, ``change_limit_ms`` a whole
+    operation with its retries. Before a retry the proposer waits a random
+    time below a limit that doubles from ``backoff_min_ms`` up to
+    ``backoff_max_ms``.
+    """
+
+    call_timeout_ms: int = 500
+    change_limit_ms: int = 3_000
+    backoff_min_ms: int = 4
+    backoff_max_ms: int = 250
+
+
+@attrs.define
+class _Round:
+    """Answers to one message sent to all members of a view."""
+
+    view: _view.View
+    grants: dict = attrs.Factory(dict)
+    possible: set = attrs.Factory(set)
+    conflict: _ballot.Ballot = _ballot.ZERO
+    maybe_sent: bool = False
+
+    @property
+    def granted(self):
+        """Whether a quorum granted."""
+        return _view.has_quorum(self.view, self.grants)
+
+    @property
+    def lost(self):
+        """Whether a quorum cannot be reached any more."""
+        return not _view.has_quorum(self.view, self.possible)
+
+
+@attrs.define
+class _Attempts:
+    """Values sent in accept rounds without a clear outcome.
+
+    ``base`` is the origin of the value that the first one was built on,
+    ``None`` for an absent key.
+    """
+
+    values: dict = attrs.Factory(dict)
+    base: _ballot.Ballot | None = None
+
+    def add(self, ballot, value, seen):
+        if not self.values:
+            origins = seen.origins if seen is not None else ()
+            self.base = origins[0] if origins else None
+        self.values[ballot] = value
+
+    def survivor(self, record):
+        """Return the attempt that ``record`` was built on, or ``None``."""
+        origins = record.origins if record is not None else ()
+        for ballot in origins:
+            if ballot in self.values:
+                return ballot
+        return None
+
+    def superseded(self, record, floor):
+        """Return whether ``record`` provably contains no attempt.
+
+        Its origins must reach back to the value before the first attempt,
+        and no deletion may have cut them since.
+        """
+        if floor >= min(self.values).counter:
+            return False
+        origins = record.origins if record is not None else ()
+        if self.base is None:
+            return len(origins) < _acceptor.ORIGINS_KEPT
+        return self.base in origins
+
+
+@attrs.frozen
+class _Seen:
+    """Outcome of a prepare round."""
+
+    ballot: _ballot.Ballot
+    accepted: _ballot.Ballot
+    record: _acceptor.Record | None
+    floor: int
+    settled: bool
+
+
+class Proposer:
+    """Register whose values are kept by a set of replicas.
+
+    ``addresses`` are replicas to ask for the current view; ``name`` goes
+    into ballots together with a random incarnation.
+    """
+
+    def __init__(
+        self,
+        transport,
+        addresses,
+        clock,
+        name,
+        *,
+        options=None,
+        rng=None,
+    ):
+        self._transport = transport
+        self._addresses = tuple(addresses)
+        self._clock = clock
+        self._options = options or ProposerOptions()
+        self._rng = rng or random.Random()
+        self._id = _ballot.incarnation(name)
+        self._counter = 0
+        self._view = _view.UNFORMED
+
+    @property
+    def view(self):
+        """The newest view this proposer knows."""
+        return self._view
+
+    def change(self, key, function):
+        """See :meth:`paddle_coord.Register.change`."""
+        return _Operation(self, key, function).run()
+
+    def read(self, key):
+        """See :meth:`paddle_coord.Register.read`."""
+        result = self.change(key, lambda _: _register.Reject('read'))
+        return result.map(lambda change: change.value)
+
+    def quick_read(self, key):
+        """See :meth:`paddle_coord.Register.quick_read`."""
+        if not self._view.epoch:
+            self.refresh_view()
+        answers = self.round(
+            lambda member, epoch: _messages.Fetch(member.identity, epoch, key),
+            _messages.Fetched,
+        )
+        if answers.granted:
+            seen = list(answers.grants.values())
+            if all(item == seen[0] for item in seen):
+                return returns.result.Success(_value(seen[0].record))
+        return self.read(key)
+
+    def keys(self, prefix):
+        """Return ``Success(keys)`` that start with ``prefix``, in order.
+
+        Every key with a decided value is included; a key whose deletion or
+        first change is in progress may be.
+        """
+        result = self.stored_keys(prefix, stored=False)
+        return result.map(
+            lambda listed: tuple(
+                key for key in listed[0] if not key.startswith(RESERVED_PREFIX)
+            )
+        )
+
+    def delete(self, key, function=lambda value: None):
+        """Delete ``key`` and free its space at all replicas.
+
+        ``function`` decides on the value as in :meth:`change` and may return
+        :class:`Reject`. Returns ``Success(True)`` when every replica dropped
+        the key, ``Success(False)`` when it is deleted but its tombstone
+        remains, for example because a replica did not answer; call again
+        later. ``Failure`` as for :meth:`change`.
+        """
+        result = self.change(key, function)
+        if not isinstance(result, returns.result.Success):
+            return result
+        change = result.unwrap()
+        if change.value is not None:
+            return returns.result.Success(False)
+        return returns.result.Success(self._drop(key))
+
+    def refresh_view(self):
+        """Ask all known replicas for the current view and return it."""
+        addresses = set(self._addresses) | set(_view.contacts(self._view))
+        calls = {item: _messages.StatusRequest() for item in addresses}
+        for _address, result in kernel.broadcast(
+            self._transport, calls, self._options.call_timeout_ms
+        ):
+            answer = result.value_or(None)
+            if isinstance(answer, _messages.ReplicaStatus):
+                self.learn_view(answer.view)
+        return self._view
+
+    def learn_view(self, view):
+        """Use ``view`` from now on if it is newer."""
+        if view.epoch > self._view.epoch:
+            self._view = view
+
+    def stored_keys(self, prefix, *, stored=True):
+        """Return ``Success((keys, floor))`` as known to a quorum.
+
+        With ``stored``, keys that hold only a promise or a tombstone are
+        included.
+        """
+        if not self._view.epoch:
+            self.refresh_view()
+        view = self._view
+        keys, floor, voters = set(), 0, set()
+        for member in _view.contacts(view).values():
+            listed = self._list_member(view, member, prefix, stored)
+            if listed is not None:
+                voters.add(member.identity)
+                keys |= listed[0]
+                floor = max(floor, listed[1])
+        if not _view.has_quorum(view, voters):
+            return _failure(_register.NOT_WRITTEN, 'no quorum listed keys')
+        return returns.result.Success((sorted(keys), floor))
+
+    def next_ballot(self):
+        """Return a ballot that this process has not used."""
+        self._counter += 1
+        return _ballot.Ballot(self._counter, self._id)
+
+    def round(self, make_message, grant_type, view=None, *, everyone=False):
+        """Send ``make_message(member, epoch)`` to all members.
+
+        Returns when a quorum granted or none is possible; with ``everyone``
+        when all have answered.
+        """
+        view = view or self._view
+        contacts = _view.contacts(view)
+        answers = _Round(
+            view, possible={item.identity for item in contacts.values()}
+        )
+        if not contacts:
+            return answers
+        calls = {
+            address: make_message(member, view.epoch)
+            for address, member in contacts.items()
+        }
+        for address, result in kernel.broadcast(
+            self._transport, calls, self._options.call_timeout_ms
+        ):
+            self._count(answers, contacts[address], result, grant_type)
+            if not everyone and (answers.granted or answers.lost):
+                break
+        return answers
+
+    def _count(self, answers, member, result, grant_type):
+        if not isinstance(result, returns.result.Success):
+            answers.maybe_sent |= result.failure().was_sent
+            answers.possible.discard(member.identity)
+            return
+        answer = result.unwrap()
+        if isinstance(answer, grant_type):
+            answers.grants[member.identity] = answer
+            return
+        answers.possible.discard(member.identity)
+        if isinstance(answer, _messages.Conflict):
+            answers.conflict = max(answers.conflict, answer.promised)
+            self._counter = max(self._counter, answer.promised.counter)
+        elif isinstance(answer, _messages.Refusal):
+            answers.maybe_sent |= _may_be_accepted(answer, answers.view)
+            self._learn_from_refusal(member, answer)
+
+    def _learn_from_refusal(self, member, refusal):
+        self.learn_view(refusal.view)
+        behind = refusal.view.epoch < self._view.epoch
+        if refusal.kind == _view.WRONG_EPOCH and behind:
+            message = _messages.AdoptView(member.identity, self._view)
+            gevent.spawn(
+                self._transport.call,
+                member.address,
+                message,
+                self._options.call_timeout_ms,
+            )
+
+    def _list_member(self, view, member, prefix, stored):
+        keys, after = set(), ''
+        while True:
+            message = _messages.ListKeys(
+                member.identity, view.epoch, prefix, after, stored
+            )
+            answer = self._transport.call(
+                member.address, message, self._options.call_timeout_ms
+            ).value_or(None)
+            if isinstance(answer, _messages.Refusal):
+                self._learn_from_refusal(member, answer)
+            if not isinstance(answer, _messages.KeyList):
+                return None
+            keys.update(answer.keys)
+            if not answer.more:
+                return keys, answer.floor
+            after = answer.keys[-1]
+
+    def _drop(self, key):
+        """Drop the decided tombstone of ``key``; return whether all did."""
+        view = self._view
+        members = {item.identity for item in view.old + view.new}
+        # A conflict on the first try raises the counter for the second.
+        ballot = self._confirm_tombstone(view, key, members)
+        ballot = ballot or self._confirm_tombstone(view, key, members)
+        if ballot is None:
+            return False
+        dropped = self.round(
+            lambda member, epoch: _messages.DropKey(
+                member.identity, epoch, key, ballot
+            ),
+            _messages.KeyDropped,
+            view,
+            everyone=True,
+        )
+        done = [item for item in dropped.grants.values() if item.done]
+        return len(done) == len(members)
+
+    def _confirm_tombstone(self, view, key, members):
+        """Have every member accept the tombstone at one ballot.
+
+        An identity change: if another value is found, it is left alone.
+        """
+        ballot = self.next_ballot()
+        promises = self.round(
+            lambda member, epoch: _messages.Prepare(
+                member.identity, epoch, key, ballot
+            ),
+            _messages.Promise,
+            view,
+            everyone=True,
+        )
+        if set(promises.grants) != members:
+            return None
+        best = max(promises.grants.values(), key=_accepted)
+        if best.record is not None and best.record.value is not None:
+            return None
+        tombstone = best.record or _acceptor.Record(None)
+        accepted = self.round(
+            lambda member, epoch: _messages.Accept(
+                member.identity, epoch, key, ballot, tombstone
+            ),
+            _messages.Accepted,
+            view,
+            everyone=True,
+        )
+        return ballot if set(accepted.grants) == members else None
+
+    # The following are used by _Operation.
+
+    def prepare(self, key, view):
+        """Return ``(round, seen)`` of one prepare round."""
+        ballot = self.next_ballot()
+        promises = self.round(
+            lambda member, epoch: _messages.Prepare(
+                member.identity, epoch, key, ballot
+            ),
+            _messages.Promise,
+            view,
+        )
+        if not promises.granted:
+            return promises, None
+        answers = list(promises.grants.values())
+        best = max(answers, key=_accepted)
+        return promises, _Seen(
+            ballot,
+            best.accepted,
+            best.record,
+            max(item.floor for item in answers),
+            all(item.accepted == best.accepted for item in answers),
+        )
+
+    def accept(self, key, view, ballot, record):
+        """Return the answers of one accept round."""
+        return self.round(
+            lambda member, epoch: _messages.Accept(
+                member.identity, epoch, key, ballot, record
+            ),
+            _messages.Accepted,
+            view,
+        )
+
+    @property
+    def clock(self):
+        """Clock used for the time limit."""
+        return self._clock
+
+    @property
+    def options(self):
+        """Times in use."""
+        return self._options
+
+    def back_off(self, failures):
+        """Wait a random time that grows with the failures in a row."""
+        limit = min(
+            self._options.backoff_max_ms,
+            self._options.backoff_min_ms << min(failures, 16),
+        )
+        self._clock.sleep_ms(self._rng.randint(1, limit))
+
+
+class _Operation:
+    """One change with its retries."""
+
+    def __init__(self, proposer, key, function):
+        self._proposer = proposer
+        self._key = key
+        self._function = function
+        self._attempts = _Attempts()
+
+    def run(self):
+        """Return the result of :meth:`Proposer.change`."""
+        clock = self._proposer.clock
+        limit_ms = self._proposer.options.change_limit_ms
+        deadline_ms = clock.now_ms() + limit_ms
+        failures = 0
+        while True:
+            result = self._attempt()
+            if result is not None:
+                return result
+            if clock.now_ms() >= deadline_ms:
+                return self._time_limit(limit_ms)
+            # The first conflict usually only tells the current counter.
+            if failures:
+                self._proposer.back_off(failures)
+            failures += 1
+
+    def _time_limit(self, limit_ms):
+        kind = _register.NOT_WRITTEN
+        if self._attempts.values:
+            kind = _register.UNKNOWN
+        return _failure(kind, f'no decision within {limit_ms} ms')
+
+    def _attempt(self):
+        """Run both rounds; return a result, or ``None`` to retry."""
+        proposer = self._proposer
+        if not proposer.view.epoch and not proposer.refresh_view().epoch:
+            return None
+        view = proposer.view
+        _round, seen = proposer.prepare(self._key, view)
+        if seen is None:
+            return None
+        if self._attempts.values:
+            survivor = self._attempts.survivor(seen.record)
+            if survivor is not None:
+                return self._confirm(view, seen, survivor)
+            if not self._attempts.superseded(seen.record, seen.floor):
+                return _failure(
+                    _register.UNKNOWN, 'an earlier attempt may have won'
+                )
+        return self._propose(view, seen)
+
+    def _confirm(self, view, seen, survivor):
+        """Decide the seen value, which contains an attempt of ours."""
+        answers = self._proposer.accept(
+            self._key, view, seen.ballot, seen.record
+        )
+        if not answers.granted:
+            return None
+        value = self._attempts.values[survivor]
+        return returns.result.Success(_register.Change(value))
+
+    def _propose(self, view, seen):
+        current = _value(seen.record)
+        new = self._function(current)
+        if isinstance(new, _register.Reject):
+            return self._reject(view, seen, current, new.reason)
+        if new is None and seen.record is None and not self._attempts.values:
+            # No lower ballot can be decided any more: the key is absent.
+            return returns.result.Success(_register.Change(None))
+        record = _successor(seen, new)
+        answers = self._proposer.accept(self._key, view, seen.ballot, record)
+        if answers.granted:
+            return returns.result.Success(_register.Change(new))
+        if answers.grants or answers.possible or answers.maybe_sent:
+            self._attempts.add(seen.ballot, new, seen.record)
+        return None
+
+    def _reject(self, view, seen, current, reason):
+        """Report a rejection once the value it was based on is decided."""
+        if self._attempts.values or not (seen.settled or seen.record is None):
+            record = seen.record or _acceptor.Record(None)
+            answers = self._proposer.accept(
+                self._key, view, seen.ballot, record
+            )
+            if not answers.granted:
+                return None
+        return returns.result.Success(
+            _register.Change(current, rejected=reason)
+        )
+
+
+def _successor(seen, value):
+    origins = seen.record.origins if seen.record is not None else ()
+    kept = (seen.ballot, *origins)[: _acceptor.ORIGINS_KEPT]
+    return _acceptor.Record(value, kept)
+
+
+def _may_be_accepted(refusal, view):
+    """Return whether a refused message may still take effect.
+
+    After a failed sync the record may be in the file, and a replica behind
+    the epoch would accept a duplicate once it has caught up.
+    """
+    if refusal.kind == _view.STORE_FAILED:
+        return True
+    return refusal.view.epoch < view.epoch
+
+
+def _accepted(promise):
+    return promise.accepted
+
+
+def _value(record):
+    return None if record is None else record.value
+
+
+def _failure(kind, detail):
+    return returns.result.Failure(_register.RegisterError(kind, detail))
--- /dev/null
+++ b/packages/coord/src/paddle_coord/_replica.py
@@ -0,0 +1,291 @@
+"""Replica: votes on registers and keeps its votes durable."""
+
+import functools
+import os
+
+import gevent
+import gevent.event
+import paddle_kernel as kernel
+
+from paddle_coord import _acceptor
+from paddle_coord import _events
+from paddle_coord import _messages
+from paddle_coord import _store
+from paddle_coord import _view
+
+KEYS_PER_LIST = 10_000
+
+
+class _GroupCommit:
+    """Lets all waiting greenlets share one write and sync.
+
+    The first waiter writes for all others; the write runs in a thread of the
+    hub's pool, so that a slow disk does not stop the event loop.
+    """
+
+    def __init__(self, store):
+        self._store = store
+        self._queued = 0
+        self._durable = 0
+        self._written = None
+        self.failure = None
+
+    def put(self, record):
+        """Change the state; durable after the next :meth:`wait`."""
+        self._store.put(record)
+        self._queued += 1
+
+    def wait(self):
+        """Return whether everything put so far is durable."""
+        target = self._queued
+        while self._durable < target and self.failure is None:
+            if self._written is None:
+                # A greenlet of its own, because a waiter may be killed.
+                self._written = gevent.event.Event()
+                gevent.spawn(self._write)
+            self._written.wait()
+        return self.failure is None
+
+    def close(self):
+        """Wait for the write in progress and fail all later ones."""
+        while self._written is not None:
+            self._written.wait()
+        self.failure = self.failure or _store.StoreError('stopped')
+
+    def _write(self):
+        queued = self._queued
+        try:
+            self._run_in_thread()
+            self._durable = queued
+        except Exception as exc:
+            # Whatever the cause, memory is now ahead of the disk.
+            self.failure = exc
+            kernel.emit(
+                _events.STORE_FAILED,
+                file=str(self._store.path),
+                error=str(exc),
+            )
+        finally:
+            written, self._written = self._written, None
+            written.set()
+
+    def _run_in_thread(self):
+        pool = gevent.get_hub().threadpool
+        if not self._store.wants_compaction():
+            pool.apply(self._store.write, (self._store.take(),))
+            return
+        before = self._store.size
+        pool.apply(self._store.replace, (self._store.snapshot(),))
+        kernel.emit(
+            _events.STORE_COMPACTED,
+            bytes_before=before,
+            bytes_after=self._store.size,
+        )
+
+
+class Replica:
+    """Answers the messages of proposers; see :mod:`paddle_coord._messages`.
+
+    After a failed write or sync it refuses to vote until it is restarted,
+    because its memory may be ahead of its disk.
+    """
+
+    def __init__(self, store, address, clock):
+        self._store = store
+        self._address = address
+        self._clock = clock
+        self._commit = _GroupCommit(store)
+        self._stopped = False
+        self.votes = 0
+
+    @classmethod
+    def open(cls, data_dir, address, clock, *, sync=os.fdatasync):
+        """Open the replica in ``data_dir``, formatting an empty one.
+
+        :raises StoreError: if the store is damaged or in use.
+        """
+        return cls(_store.Store.open(data_dir, sync=sync), address, clock)
+
+    @property
+    def identity(self):
+        """Random id of this data directory."""
+        return self._store.state.identity
+
+    @property
+    def voting(self):
+        """Whether the replica is a member and can write."""
+        member = self._store.state.view.member(self.identity)
+        return member is not None and self._can_write
+
+    @property
+    def _can_write(self):
+        return not self._stopped and self._commit.failure is None
+
+    def handle(self, message):
+        """Return the answer to ``message``, ``None`` for a foreign one."""
+        return self._answer(message)
+
+    def stop(self):
+        """Finish the write in progress and close the store."""
+        if not self._stopped:
+            self._stopped = True
+            self._commit.close()
+            self._store.close()
+
+    def dump(self):
+        """Return plain data about the replica, without keys or values."""
+        state = self._store.state
+        return {
+            'identity': state.identity,
+            'address': self._address,
+            'epoch': state.view.epoch,
+            'changing': state.view.changing,
+            'members': [item.address for item in state.view.new],
+            'voting': self.voting,
+            'keys': len(state.cells),
+            'floor': state.floor,
+            'file_bytes': self._store.size,
+            'votes': self.votes,
+            'failure': str(self._commit.failure or ''),
+        }
+
+    @functools.singledispatchmethod
+    def _answer(self, message):
+        return None
+
+    @_answer.register
+    def _prepare(self, message: _messages.Prepare):
+        refusal = self._refusal(message)
+        if refusal is not None:
+            return refusal
+        cell = self._store.state.cell(message.key)
+        promised = _acceptor.prepare(cell, message.ballot)
+        if promised is None:
+            return _messages.Conflict(cell.promised)
+        floor = self._store.state.floor
+        return self._vote(
+            message,
+            promised,
+            _messages.Promise(promised.accepted, promised.value, floor),
+        )
+
+    @_answer.register
+    def _accept(self, message: _messages.Accept):
+        refusal = self._refusal(message)
+        if refusal is not None:
+            return refusal
+        cell = self._store.state.cell(message.key)
+        accepted = _acceptor.accept(cell, message.ballot, message.record)
+        if accepted is None:
+            return _messages.Conflict(cell.promised)
+        return self._vote(
+            message, accepted, _messages.Accepted(message.ballot)
+        )
+
+    @_answer.register
+    def _fetch(self, message: _messages.Fetch):
+        refusal = self._refusal(message)
+        if refusal is not None:
+            return refusal
+        cell = self._store.state.cell(message.key)
+        return self._durable(_messages.Fetched(cell.accepted, cell.value))
+
+    @_answer.register
+    def _list(self, message: _messages.ListKeys):
+        refusal = self._refusal(message)
+        if refusal is not None:
+            return refusal
+        state = self._store.state
+        keys = sorted(
+            key
+            for key, cell in state.cells.items()
+            if key > message.after
+            and key.startswith(message.prefix)
+            and (message.stored or _is_live(cell))
+        )
+        page = tuple(keys[:KEYS_PER_LIST])
+        more = len(keys) > len(page)
+        return self._durable(_messages.KeyList(page, more, state.floor))
+
+    @_answer.register
+    def _drop(self, message: _messages.DropKey):
+        refusal = self._refusal(message)
+        if refusal is not None:
+            return refusal
+        state = self._store.state
+        cell = state.cells.get(message.key)
+        if cell is not None:
+            if not _acceptor.droppable(cell, message.ballot):
+                return _messages.KeyDropped(False)
+            floor = _acceptor.raised_floor(state.floor, message.ballot)
+            # Both records are in one frame, the floor first.
+            self._commit.put(_messages.FloorRecord(floor))
+            self._commit.put(_messages.DropRecord(message.key))
+        return self._durable(_messages.KeyDropped(True))
+
+    @_answer.register
+    def _adopt(self, message: _messages.AdoptView):
+        if not self._can_write:
+            return self._refuse(_view.STORE_FAILED)
+        if message.target != self.identity:
+            return self._refuse(_view.WRONG_REPLICA)
+        current = self._store.state.view
+        if _view.adopts(current, message.view):
+            clear = _view.must_clear(current, message.view, self.identity)
+            self._commit.put(_messages.ViewRecord(message.view, clear))
+            kernel.emit(
+                _events.VIEW_ADOPTED,
+                replica=self._address,
+                epoch=message.view.epoch,
+                cleared=clear,
+            )
+        return self._durable(self._report())
+
+    @_answer.register
+    def _status(self, _message: _messages.StatusRequest):
+        return self._report()
+
+    def _report(self):
+        state = self._store.state
+        return _messages.ReplicaStatus(
+            identity=state.identity,
+            address=self._address,
+            view=state.view,
+            voting=self.voting,
+            keys=len(state.cells),
+            floor=state.floor,
+        )
+
+    def _refusal(self, message):
+        if not self._can_write:
+            return self._refuse(_view.STORE_FAILED)
+        kind = _view.refusal(
+            self._store.state.view,
+            self.identity,
+            message.target,
+            message.epoch,
+        )
+        return None if kind is None else self._refuse(kind)
+
+    def _refuse(self, kind):
+        view = self._store.state.view
+        return _messages.Refusal(kind, self.identity, view)
+
+    def _vote(self, message, cell, answer):
+        self.votes += 1
+        self._commit.put(
+            _messages.CellRecord(
+                message.key, cell.promised, cell.accepted, cell.value
+            )
+        )
+        return self._durable(answer)
+
+    def _durable(self, answer):
+        """Return ``answer`` once all it is based on is synced."""
+        if self._commit.wait():
+            return answer
+        return self._refuse(_view.STORE_FAILED)
+
+
+def _is_live(cell):
+    return cell.value is not None and cell.value.value is not None
--- /dev/null
+++ b/packages/coord/src/paddle_coord/_store.py
@@ -0,0 +1,352 @@
+"""Durable state of a replica: an append-only file of checksummed frames.
+
+One frame holds all records of one group commit. A frame is started only
+after the previous one was synced, so only the last frame can be torn by a
+crash; a damaged frame that is followed by another one had been synced.
+"""
+
+import fcntl
+import functools
+import os
+import pathlib
+import secrets
+import struct
+import zlib
+
+import attrs
+import paddle_kernel as kernel
+
+from paddle_coord import _acceptor
+from paddle_coord import _events
+from paddle_coord import _messages
+from paddle_coord import _view
+
+FILE_NAME = 'register.log'
+LOCK_NAME = 'register.lock'
+IDENTITY_BYTES = 16
+
+MARKER = b'PdlFrm\x00\x01'
+# Marker, payload length, CRC of the payload.
+_HEADER = struct.Struct('!8sII')
+# CRC of the header, so that a damaged length is not taken for a torn frame.
+_HEADER_CRC = struct.Struct('!I')
+HEADER_BYTES = _HEADER.size + _HEADER_CRC.size
+# Length of the kind and of the body of one record.
+_RECORD = struct.Struct('!BI')
+
+COMPACT_MIN_BYTES = 4 * 1024 * 1024
+COMPACT_GROWTH = 4
+SNAPSHOT_FRAME_RECORDS = 1_000
+
+
+class StoreError(Exception):
+    """The store cannot be used; the text names the file and the remedy."""
+
+
+class DamagedStoreError(StoreError):
+    """A synced record is damaged."""
+
+    def __init__(self, path, offset):
+        self.path = path
+        self.offset = offset
+        super().__init__(
+            f'{path}: the record at byte {offset} is damaged and later '
+            'records follow it; replace this replica, or inspect the loss '
+            f'with: python -m paddle_coord.repair {path}'
+        )
+
+
+@attrs.define
+class State:
+    """What a replica must not forget."""
+
+    identity: str = ''
+    view: _view.View = _view.UNFORMED
+    floor: int = 0
+    cells: dict = attrs.Factory(dict)
+
+    def cell(self, key):
+        """Return the cell of ``key``, stored or not."""
+        cell = self.cells.get(key)
+        return _acceptor.absent(self.floor) if cell is None else cell
+
+
+@functools.singledispatch
+def apply(record, state):
+    """Change ``state`` by one store record."""
+    raise TypeError(f'{type(record).__name__} is no store record')
+
+
+@apply.register
+def _apply_identity(record: _messages.IdentityRecord, state):
+    state.identity = record.identity
+    state.view = _view.UNFORMED
+
+
+@apply.register
+def _apply_cell(record: _messages.CellRecord, state):
+    state.cells[record.key] = _acceptor.Cell(
+        record.promised, record.accepted, record.record
+    )
+
+
+@apply.register
+def _apply_drop(record: _messages.DropRecord, state):
+    state.cells.pop(record.key, None)
+
+
+@apply.register
+def _apply_floor(record: _messages.FloorRecord, state):
+    state.floor = max(state.floor, record.floor)
+
+
+@apply.register
+def _apply_view(record: _messages.ViewRecord, state):
+    if record.cleared:
+        state.cells.clear()
+    state.view = record.view
+    state.floor = max(state.floor, record.view.floor)
+
+
+def new_identity():
+    """Return a random replica identity."""
+    return secrets.token_hex(IDENTITY_BYTES)
+
+
+def frame(records):
+    """Return the bytes of one frame that holds ``records``."""
+    parts = []
+    for record in records:
+        kind, body = kernel.codec.encode(record)
+        name = kind.encode()
+        parts += [_RECORD.pack(len(name), len(body)), name, body]
+    payload = b''.join(parts)
+    header = _HEADER.pack(MARKER, len(payload), zlib.crc32(payload))
+    return header + _HEADER_CRC.pack(zlib.crc32(header)) + payload
+
+
+def _split(payload):
+    offset = 0
+    while offset < len(payload):
+        kind_size, body_size = _RECORD.unpack_from(payload, offset)
+        start = offset + _RECORD.size
+        middle = start + kind_size
+        offset = middle + body_size
+        kind = payload[start:middle].decode()
+        yield kernel.codec.decode(kind, payload[middle:offset])
+
+
+def _frame_at(data, offset):
+    """Return ``(payload, end)`` of the frame at ``offset`` or ``None``."""
+    header = data[offset : offset + _HEADER.size]
+    checksum = data[offset + _HEADER.size : offset + HEADER_BYTES]
+    if len(checksum) < _HEADER_CRC.size:
+        return None
+    if _HEADER_CRC.unpack(checksum) != (zlib.crc32(header),):
+        return None
+    marker, size, payload_crc = _HEADER.unpack(header)
+    end = offset + HEADER_BYTES + size
+    payload = data[offset + HEADER_BYTES : end]
+    if marker != MARKER or len(payload) != size:
+        return None
+    if zlib.crc32(payload) != payload_crc:
+        return None
+    return payload, end
+
+
+@attrs.frozen
+class Scan:
+    """Result of reading a file.
+
+    ``bad_offset`` is where reading stopped early, ``None`` at a clean end;
+    ``later_frames`` lists the offsets of frame markers behind it.
+    """
+
+    frames: int
+    end: int
+    bad_offset: int | None
+    later_frames: tuple[int, ...]
+
+
+def scan(data, state):
+    """Apply all frames of ``data`` to ``state`` up to the first bad one."""
+    offset, frames = 0, 0
+    while offset < len(data):
+        found = _frame_at(data, offset)
+        if found is None:
+            later = tuple(_markers(data, offset + 1))
+            return Scan(frames, offset, offset, later)
+        payload, offset = found
+        frames += 1
+        for record in _split(payload):
+            apply(record, state)
+    return Scan(frames, offset, None, ())
+
+
+def _markers(data, offset):
+    while (offset := data.find(MARKER, offset)) >= 0:
+        yield offset
+        offset += 1
+
+
+def decode_frame(data, offset):
+    """Return the records of the frame at ``offset``, empty if damaged."""
+    found = _frame_at(data, offset)
+    return tuple(_split(found[0])) if found else ()
+
+
+def sync_directory(path):
+    """Make the entries of the directory ``path`` durable."""
+    fd = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+class Store:
+    """State of one replica with its file.
+
+    :meth:`put` changes the state in memory; the change is durable after the
+    next :meth:`write`, which the caller runs in a thread.
+    """
+
+    def __init__(self, path, state, fd, lock_fd, size, sync):
+        self.path = path
+        self.state = state
+        self.pending = []
+        self._fd = fd
+        self._lock_fd = lock_fd
+        self._size = size
+        self._compacted_size = size
+        self._sync = sync
+
+    @classmethod
+    def open(cls, data_dir, *, sync=os.fdatasync):
+        """Open or format the store in ``data_dir``.
+
+        :raises DamagedStoreError: if a synced record is damaged.
+        :raises StoreError: if another process uses the directory.
+        """
+        data_dir = pathlib.Path(data_dir)
+        data_dir.mkdir(parents=True, exist_ok=True)
+        lock_fd = _lock(data_dir)
+        try:
+            return cls._open_locked(data_dir, lock_fd, sync)
+        except BaseException:
+            os.close(lock_fd)
+            raise
+
+    @classmethod
+    def _open_locked(cls, data_dir, lock_fd, sync):
+        path = data_dir / FILE_NAME
+        data = path.read_bytes() if path.exists() else b''
+        state = State()
+        result = scan(data, state)
+        if result.later_frames:
+            raise DamagedStoreError(path, result.bad_offset)
+        fd = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+        if result.bad_offset is not None:
+            kernel.emit(
+                _events.TORN_RECORD,
+                file=str(path),
+                offset=result.end,
+                dropped_bytes=len(data) - result.end,
+            )
+            os.ftruncate(fd, result.end)
+            os.fsync(fd)
+        store = cls(path, state, fd, lock_fd, result.end, sync)
+        if not state.identity:
+            store.put(_messages.IdentityRecord(new_identity()))
+            store.write(store.take())
+            sync_directory(data_dir)
+        return store
+
+    @property
+    def size(self):
+        """Bytes in the file."""
+        return self._size
+
+    def put(self, record):
+        """Apply ``record`` in memory and queue it for the file."""
+        apply(record, self.state)
+        self.pending.append(record)
+
+    def take(self):
+        """Return the queued records as one frame and clear the queue."""
+        records, self.pending = self.pending, []
+        return frame(records) if records else b''
+
+    def write(self, data):
+        """Append ``data`` and sync it; blocks.
+
+        :raises OSError: if the disk is full or fails.
+        """
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self._fd, view) :]
+        self._sync(self._fd)
+        self._size += len(data)
+
+    def wants_compaction(self):
+        """Return whether the file is much larger than its snapshot."""
+        limit = max(COMPACT_MIN_BYTES, COMPACT_GROWTH * self._compacted_size)
+        return self._size > limit
+
+    def snapshot(self):
+        """Return the state as frames; clears the queue it includes."""
+        self.pending = []
+        state = self.state
+        records = [
+            _messages.IdentityRecord(state.identity),
+            _messages.FloorRecord(state.floor),
+            _messages.ViewRecord(state.view, False),
+        ]
+        records += [
+            _messages.CellRecord(key, cell.promised, cell.accepted, cell.value)
+            for key, cell in state.cells.items()
+        ]
+        return b''.join(
+            frame(records[start : start + SNAPSHOT_FRAME_RECORDS])
+            for start in range(0, len(records), SNAPSHOT_FRAME_RECORDS)
+        )
+
+    def replace(self, data):
+        """Replace the file by ``data`` and sync it; blocks.
+
+        :raises OSError: if the disk is full or fails.
+        """
+        temporary = self.path.with_suffix('.new')
+        flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND
+        fd = os.open(temporary, flags, 0o600)
+        try:
+            view = memoryview(data)
+            while view:
+                view = view[os.write(fd, view) :]
+            self._sync(fd)
+            os.replace(temporary, self.path)
+            sync_directory(self.path.parent)
+        except OSError:
+            os.close(fd)
+            raise
+        os.close(self._fd)
+        self._fd = fd
+        self._size = self._compacted_size = len(data)
+
+    def close(self):
+        """Close the file and release the directory."""
+        os.close(self._fd)
+        os.close(self._lock_fd)
+
+
+def _lock(data_dir):
+    """Lock the directory, since two processes must not share an identity."""
+    fd = os.open(data_dir / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as exc:
+        os.close(fd)
+        raise StoreError(
+            f'{data_dir}: in use by another process; stop it first'
+        ) from exc
+    return fd
--- /dev/null
+++ b/packages/coord/src/paddle_coord/_view.py
@@ -0,0 +1,112 @@
+"""Views: which replicas vote, and which of them make a quorum.
+
+Pure functions, called by replicas, proposers and the model checker.
+"""
+
+import attrs
+
+WRONG_REPLICA = 'wrong_replica'
+WRONG_EPOCH = 'wrong_epoch'
+NOT_A_MEMBER = 'not_a_member'
+STORE_FAILED = 'store_failed'
+
+
+@attrs.frozen
+class Member:
+    """A replica: its identity, address and the epoch it joined in.
+
+    ``since`` is 0 for replicas of the formed set.
+    """
+
+    identity: str
+    address: str
+    since: int = 0
+
+
+@attrs.frozen
+class View:
+    """A replica set; during a change, the old and the new set.
+
+    ``floor`` is the highest deletion floor when the view was decided.
+    """
+
+    epoch: int
+    old: tuple[Member, ...] = ()
+    new: tuple[Member, ...] = ()
+    floor: int = 0
+
+    @property
+    def changing(self):
+        """Whether a change from ``old`` to ``new`` is in progress."""
+        return identities(self.old) != identities(self.new)
+
+    def member(self, identity):
+        """Return the member with ``identity`` or ``None``."""
+        for item in self.old + self.new:
+            if item.identity == identity:
+                return item
+        return None
+
+
+UNFORMED = View(0)
+
+
+def identities(members):
+    """Return the set of identities of ``members``."""
+    return frozenset(item.identity for item in members)
+
+
+def has_majority(members, voters):
+    """Return whether ``voters`` hold a majority of ``members``."""
+    ids = identities(members)
+    return 2 * len(ids & frozenset(voters)) > len(ids)
+
+
+def has_quorum(view, voters):
+    """Return whether ``voters`` are a majority of both sets of ``view``."""
+    return has_majority(view.old, voters) and has_majority(view.new, voters)
+
+
+def contacts(view):
+    """Return ``{address: member}`` of all members that can be reached.
+
+    A new replica may listen at the address of the one it replaces, whose
+    identity is then gone.
+    """
+    return {item.address: item for item in view.old + view.new}
+
+
+def refusal(view, identity, target, epoch):
+    """Return why a replica must not vote on a message, or ``None``."""
+    if target != identity:
+        return WRONG_REPLICA
+    if epoch != view.epoch:
+        return WRONG_EPOCH
+    if view.member(identity) is None:
+        return NOT_A_MEMBER
+    return None
+
+
+def adopts(current, proposed):
+    """Return whether a replica in ``current`` moves to ``proposed``."""
+    return proposed.epoch > current.epoch
+
+
+def must_clear(current, proposed, identity):
+    """Return whether adopting ``proposed`` discards the stored keys.
+
+    A replica that joins, or joins again after it missed its removal, may
+    hold keys that were deleted without it.
+    """
+    member = proposed.member(identity)
+    return member is not None and current.epoch < member.since
+
+
+def transitional(view, new_members):
+    """Return the view that starts the change from ``view``."""
+    return View(view.epoch + 1, view.new, tuple(new_members), view.floor)
+
+
+def final(view, floor):
+    """Return the view that ends the change in ``view``."""
+    return View(view.epoch + 1, view.new, view.new, max(view.floor, floor))
--- /dev/null
+++ b/packages/coord/tests/test_replica.py
@@ -0,0 +1,146 @@
+"""Tests of replicas and proposers over TCP."""
+
+import errno
+
+import gevent
+import paddle_coord as coord
+import paddle_kernel as kernel
+import pytest
+import returns.result
+
+CLOCK = kernel.SystemClock()
+
+
+class Replicas:
+    """Replicas in this process that listen on loopback."""
+
+    def __init__(self, root, count):
+        self.servers, self.replicas = [], []
+        for index in range(count):
+            self.add(root / str(index))
+        self.transport = kernel.TcpTransport()
+        self.admin = coord.ReplicaAdmin(self.transport, CLOCK)
+
+    def add(self, data_dir, address='127.0.0.1:0'):
+        index = len(self.replicas)
+        server = kernel.TcpServer(
+            address, lambda message: self.replicas[index].handle(message)
+        ).start()
+        self.servers.append(server)
+        self.replicas.append(
+            coord.Replica.open(data_dir, server.address, CLOCK)
+        )
+        return server.address
+
+    @property
+    def addresses(self):
+        return [item.address for item in self.servers]
+
+    def proposer(self, name='daemon', **options):
+        return coord.Proposer(
+            self.transport,
+            self.addresses,
+            CLOCK,
+            name,
+            options=coord.ProposerOptions(**options),
+        )
+
+    def stop(self, index):
+        self.servers[index].stop()
+        self.replicas[index].stop()
+
+
+@pytest.fixture
+def three(tmp_path):
+    replicas = Replicas(tmp_path, 3)
+    replicas.admin.form(replicas.addresses).unwrap()
+    yield replicas
+    for index in range(len(replicas.servers)):
+        replicas.stop(index)
+    replicas.transport.close()
+
+
+def increment(value):
+    return str(int(value or b'0') + 1).encode()
+
+
+def test_values_survive_the_loss_of_one_replica(three):
+    # Guards against a write that is reported before a majority has it.
+    first, second = three.proposer('a'), three.proposer('b')
+    assert first.change('k', lambda _: b'') == returns.result.Success(
+        coord.Change(b'')
+    )
+    three.stop(0)
+    assert second.read('k').unwrap() == b''
+    assert second.quick_read('k').unwrap() == b''
+
+
+def test_competing_changes_are_applied_exactly_once(three):
+    # Guards against a retry that applies a change a second time after its
+    # first attempt was completed by another proposer.
+    def work(proposer):
+        results = [proposer.change('k', increment) for _ in range(20)]
+        return [item for item in results if item.value_or(None)]
+
+    jobs = [gevent.spawn(work, three.proposer(name)) for name in 'abc']
+    gevent.joinall(jobs, raise_error=True)
+    applied = sum(len(job.value) for job in jobs)
+    value = int(three.proposer().read('k').unwrap())
+    # A change with an unknown outcome may or may not count.
+    assert applied <= value <= 60
+
+
+def test_no_majority_is_not_written(three):
+    # Guards against "unknown" for a change that was never sent.
+    proposer = three.proposer(change_limit_ms=50)
+    three.stop(0)
+    three.stop(1)
+    result = proposer.change('k', lambda _: b'1')
+    assert result.failure().kind == coord.NOT_WRITTEN
+
+
+def test_delete_frees_the_key_and_its_name_can_be_used_again(three):
+    # Guards against tombstones that stay for ever.
+    proposer = three.proposer()
+    proposer.change('k', lambda _: b'1').unwrap()
+    assert proposer.delete('k').unwrap() is True
+    assert [item.dump()['keys'] for item in three.replicas] == [0, 0, 0]
+    assert proposer.read('k').unwrap() is None
+    assert three.proposer().change('k', lambda _: b'2').unwrap().applied
+
+
+def test_a_replica_that_is_in_no_view_does_not_vote(tmp_path):
+    # Guards against votes of replicas that nobody formed into a set.
+    replicas = Replicas(tmp_path, 3)
+    proposer = replicas.proposer(change_limit_ms=20)
+    assert not isinstance(
+        proposer.change('k', lambda _: b'1'), returns.result.Success
+    )
+    assert replicas.admin.form(replicas.addresses[:2]).value_or(None)
+    other = replicas.admin.form(replicas.addresses)
+    assert 'another set' in str(other.failure())
+
+
+def test_failed_sync_stops_the_votes_of_this_replica(tmp_path):
+    # Guards against an answer that rests on a record that was not synced.
+    fail = []
+
+    def sync(_fd):
+        if fail:
+            raise OSError(errno.ENOSPC, 'no space left')
+
+    network = kernel.MemoryNetwork()
+    replica = coord.Replica.open(tmp_path, 'a:1', CLOCK, sync=sync)
+    network.serve('a:1', replica.handle)
+    admin = coord.ReplicaAdmin(network.transport('admin'), CLOCK)
+    admin.form(['a:1']).unwrap()
+    proposer = coord.Proposer(
+        network.transport('p'), ['a:1'], kernel.FakeClock(), 'p'
+    )
+    assert proposer.change('k', lambda _: b'1').unwrap().applied
+    fail.append(True)
+    result = proposer.change('k', lambda _: b'2')
+    assert result.failure().kind == coord.NOT_WRITTEN
+    fail.clear()
+    assert not replica.voting
+    assert proposer.change('k', lambda _: b'3').value_or(None) is None
--- /dev/null
+++ b/packages/coord/tests/test_store.py
@@ -0,0 +1,76 @@
+"""Tests of the file of a replica."""
+
+import paddle_coord as coord
+from paddle_coord import _ballot
+from paddle_coord import _messages
+from paddle_coord import _store
+import pytest
+
+
+def put(store, key, counter):
+    ballot = _ballot.Ballot(counter, 'p')
+    store.put(_messages.CellRecord(key, ballot, _ballot.ZERO, None))
+    store.write(store.take())
+
+
+def filled(tmp_path):
+    store = _store.Store.open(tmp_path)
+    for counter in range(1, 4):
+        put(store, f'k{counter}', counter)
+    store.close()
+    return store
+
+
+def reopened(tmp_path):
+    store = _store.Store.open(tmp_path)
+    store.close()
+    return store.state
+
+
+@pytest.mark.parametrize('cut', [1, 20, 40])
+def test_torn_last_record_is_dropped(tmp_path, cut):
+    # Guards against a replica that cannot restart after a crash in a write.
+    store = filled(tmp_path)
+    data = store.path.read_bytes()
+    store.path.write_bytes(data[:-cut])
+    state = reopened(tmp_path)
+    assert sorted(state.cells) == ['k1', 'k2']
+    assert state.identity == store.state.identity
+    assert reopened(tmp_path).cells == state.cells
+
+
+@pytest.mark.parametrize('field', [2, 10, 14, 18, 40])
+def test_damaged_earlier_record_is_reported(tmp_path, field):
+    # Guards against forgetting synced promises by taking damage in the
+    # marker, the length, a checksum or the payload for a torn record.
+    store = filled(tmp_path)
+    data = bytearray(store.path.read_bytes())
+    offset = data.index(_store.MARKER, 1)
+    data[offset + field] ^= 0x55
+    store.path.write_bytes(data)
+    with pytest.raises(coord.DamagedStoreError) as caught:
+        _store.Store.open(tmp_path)
+    assert caught.value.offset == offset
+    assert f'paddle_coord.repair {store.path}' in str(caught.value)
+
+
+def test_compaction_keeps_the_state_and_shrinks_the_file(tmp_path):
+    # Guards against a snapshot that leaves out part of the state.
+    store = _store.Store.open(tmp_path)
+    for counter in range(1, 200):
+        put(store, 'k', counter)
+    store.put(_messages.FloorRecord(7))
+    before = store.size
+    store.replace(store.snapshot())
+    put(store, 'l', 1)
+    store.close()
+    assert store.size < before / 10
+    assert reopened(tmp_path) == store.state
+
+
+def test_a_directory_serves_one_process(tmp_path):
+    # Guards against two processes that vote with one identity.
+    store = _store.Store.open(tmp_path)
+    with pytest.raises(coord.StoreError, match='in use'):
+        _store.Store.open(tmp_path)
+    store.close()
