--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications for the model checker, one module per protocol."""
--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/specs/_spec.py
@@ -0,0 +1,18 @@
+"""The form in which specification modules list their models."""
+
+import collections.abc
+
+import attrs
+
+
+@attrs.frozen
+class Spec:
+    """A named model.
+
+    ``build`` returns a new minicheck model; the search stops undecided
+    beyond ``max_states``.
+    """
+
+    name: str
+    build: collections.abc.Callable
+    max_states: int = 500_000
