--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -3,7 +3,6 @@
 The package knows nothing of routing and can be embedded in other programs.
 """
 
-from paddle_coord._admin import AdminError
 from paddle_coord._admin import ReplicaAdmin
 from paddle_coord._ballot import Ballot
 from paddle_coord._proposer import Proposer
@@ -20,6 +19,7 @@
 from paddle_coord._store import StoreError
 from paddle_coord._view import Member
 from paddle_coord._view import View
+from paddle_coord._view_change import AdminError
 
 __all__ = [
     'AdminError',
--- a/packages/coord/src/paddle_coord/_admin.py
+++ b/packages/coord/src/paddle_coord/_admin.py
@@ -4,15 +4,13 @@
 import returns.result
 
 from paddle_coord import _messages
+from paddle_coord import _proposer
 from paddle_coord import _view
+from paddle_coord import _view_change
 
 CALL_TIMEOUT_MS = 2_000
 
 
-class AdminError(Exception):
-    """An operation on the replica set was refused; the text says why."""
-
-
 class ReplicaAdmin:
     """Operator's functions on the set of replicas."""
 
@@ -33,19 +31,41 @@
         found = self.status()
         missing = [item for item in addresses if found[item] is None]
         if missing:
-            return _failure(f'no answer from {", ".join(missing)}')
+            return _view_change.failure(f'no answer from {", ".join(missing)}')
         members = tuple(
             _view.Member(found[item].identity, item) for item in addresses
         )
         view = _view.View(1, members, members)
         for address, status in found.items():
             if status.view not in (_view.UNFORMED, view):
-                return _failure(
+                return _view_change.failure(
                     f'{address} already belongs to another set of replicas; '
                     'use replace, or an empty data directory'
                 )
         return self._push_first(view)
 
+    def replace(self, old_addresses, new_addresses):
+        """Make the replicas at ``new_addresses`` the whole set.
+
+        ``old_addresses`` is the current set, of which a majority must
+        answer. Exchange, growth and shrinking are the same operation. A
+        change found in progress is finished first. Returns
+        ``Success(View)`` or ``Failure(AdminError)``; it may be repeated.
+        """
+        addresses = dict.fromkeys((*old_addresses, *new_addresses))
+        result = self._change(addresses).replace(tuple(new_addresses))
+        if isinstance(result, returns.result.Success):
+            self._addresses = tuple(new_addresses)
+        return result
+
+    def resume(self, addresses):
+        """Finish a change of the set that another process left.
+
+        ``addresses`` are replicas of the set. Returns ``Success(View)`` with
+        the current view or ``Failure(AdminError)``.
+        """
+        return self._change(addresses).resume()
+
     def status(self, addresses=()):
         """Return ``{address: ReplicaStatus | None}``."""
         if addresses:
@@ -56,6 +76,17 @@
         )
         return {item: answers[item].value_or(None) for item in self._addresses}
 
+    def _change(self, addresses):
+        proposer = _proposer.Proposer(
+            self._transport, addresses, self._clock, 'admin'
+        )
+        options = _view_change.ViewChangeOptions(
+            call_timeout_ms=self._call_timeout_ms
+        )
+        return _view_change.ViewChange(
+            proposer, self._transport, self._clock, options=options
+        )
+
     def _push_first(self, view):
         calls = {
             item.address: _messages.AdoptView(item.identity, view)
@@ -70,11 +101,7 @@
                 and answer.view == view
             )
             if not adopted:
-                return _failure(
+                return _view_change.failure(
                     f'{address} did not confirm; repeat the operation'
                 )
         return returns.result.Success(view)
-
-
-def _failure(text):
-    return returns.result.Failure(AdminError(text))
--- a/packages/coord/src/paddle_coord/_proposer.py
+++ b/packages/coord/src/paddle_coord/_proposer.py
@@ -205,15 +205,15 @@
         if view.epoch > self._view.epoch:
             self._view = view
 
-    def stored_keys(self, prefix, *, stored=True):
-        """Return ``Success((keys, floor))`` as known to a quorum.
+    def stored_keys(self, prefix, *, stored=True, view=None):
+        """Return ``Success((keys, floor))`` as known to a quorum of ``view``.
 
         With ``stored``, keys that hold only a promise or a tombstone are
         included.
         """
         if not self._view.epoch:
             self.refresh_view()
-        view = self._view
+        view = view or self._view
         keys, floor, voters = set(), 0, set()
         for member in _view.contacts(view).values():
             listed = self._list_member(view, member, prefix, stored)
--- a/packages/coord/src/paddle_coord/_store.py
+++ b/packages/coord/src/paddle_coord/_store.py
@@ -5,6 +5,7 @@
 crash; a damaged frame that is followed by another one had been synced.
 """
 
+import contextlib
 import fcntl
 import functools
 import os
@@ -339,6 +340,19 @@
         os.close(self._lock_fd)
 
 
+@contextlib.contextmanager
+def locked(data_dir):
+    """Hold the lock of a data directory.
+
+    :raises StoreError: if a replica uses the directory.
+    """
+    fd = _lock(pathlib.Path(data_dir))
+    try:
+        yield
+    finally:
+        os.close(fd)
+
+
 def _lock(data_dir):
     """Lock the directory, since two processes must not share an identity."""
     fd = os.open(data_dir / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
--- /dev/null
+++ b/packages/coord/src/paddle_coord/repair.py
@@ -0,0 +1,111 @@
+"""Command that repairs the file of a replica with a damaged record.
+
+``python -m paddle_coord.repair FILE`` says what is damaged and what a repair
+loses; with ``--truncate`` it cuts the file at the damaged record. The
+replica then has a new identity and is in no view: it may have forgotten
+promises and must not vote as the old one.
+"""
+
+import argparse
+import collections
+import os
+import pathlib
+import sys
+
+from paddle_coord import _messages
+from paddle_coord import _store
+
+EXIT_DONE = 0
+EXIT_DAMAGED = 1
+EXIT_UNUSABLE = 2
+
+
+def describe(data, result):
+    """Return lines that say what a cut at ``result.bad_offset`` loses."""
+    kinds = collections.Counter()
+    keys = set()
+    intact = 0
+    for offset in result.later_frames:
+        records = _store.decode_frame(data, offset)
+        intact += bool(records)
+        for record in records:
+            kinds[type(record).__name__] += 1
+            keys.add(getattr(record, 'key', None))
+    keys.discard(None)
+    counts = ', '.join(f'{count} {kind}' for kind, count in kinds.items())
+    return [
+        f'the record at byte {result.bad_offset} is damaged; '
+        f'{result.frames} records before it are intact',
+        f'a repair loses {len(data) - result.bad_offset} bytes: the damaged '
+        f'record and {intact} readable ones after it '
+        f'({counts or "no entries"}, {len(keys)} keys)',
+        'the replica gets a new identity and is in no view; the other '
+        'replicas must still hold a majority',
+    ]
+
+
+def truncate(path, data, offset):
+    """Cut the file at ``offset`` under a new identity, which is returned.
+
+    The damaged file is kept next to it with the suffix ``.damaged``.
+    """
+    identity = _store.new_identity()
+    record = _messages.IdentityRecord(identity)
+    temporary = path.with_suffix('.new')
+    with open(temporary, 'wb') as out:
+        out.write(data[:offset] + _store.frame([record]))
+        out.flush()
+        os.fsync(out.fileno())
+    os.replace(path, path.with_suffix('.damaged'))
+    os.replace(temporary, path)
+    _store.sync_directory(path.parent)
+    return identity
+
+
+def main(argv=None):
+    """Run the command; return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog='python -m paddle_coord.repair', description=__doc__
+    )
+    parser.add_argument('file', type=pathlib.Path)
+    parser.add_argument(
+        '--truncate',
+        action='store_true',
+        help='cut the file at the damaged record',
+    )
+    args = parser.parse_args(argv)
+    try:
+        with _store.locked(args.file.parent):
+            return _run(args.file, args.truncate)
+    except (OSError, _store.StoreError) as exc:
+        print(f'{args.file}: {exc}', file=sys.stderr)
+        return EXIT_UNUSABLE
+
+
+def _run(path, cut):
+    data = path.read_bytes()
+    result = _store.scan(data, _store.State())
+    if result.bad_offset is None:
+        print(f'{path}: no damage')
+        return EXIT_DONE
+    if not result.later_frames:
+        print(
+            f'{path}: the last record is incomplete; the replica drops it '
+            'when it starts, no repair is needed'
+        )
+        return EXIT_DONE
+    for line in describe(data, result):
+        print(f'{path}: {line}')
+    if not cut:
+        print(f'{path}: not changed; repeat with --truncate to repair')
+        return EXIT_DAMAGED
+    identity = truncate(path, data, result.bad_offset)
+    print(
+        f'{path}: cut; new identity {identity}; start the replica and add '
+        'it with replica replace'
+    )
+    return EXIT_DONE
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/packages/coord/tests/test_replica.py
+++ b/packages/coord/tests/test_replica.py
@@ -144,3 +144,53 @@
     fail.clear()
     assert not replica.voting
     assert proposer.change('k', lambda _: b'3').value_or(None) is None
+
+
+@pytest.mark.parametrize(
+    ('keep', 'added'), [(2, 1), (3, 2), (0, 3), (1, 0), (2, 3)]
+)
+def test_replica_set_changes_while_traffic_runs(tmp_path, keep, added):
+    # Guards against lost updates while replicas are exchanged, added or
+    # removed, and against a set that needs the removed ones.
+    replicas = Replicas(tmp_path, 3)
+    old = replicas.addresses
+    replicas.admin.form(old).unwrap()
+    proposer = replicas.proposer()
+    for index in range(40):
+        proposer.change(f'k{index}', lambda _: b'1').unwrap()
+    stop = []
+
+    def traffic():
+        done = 0
+        while not stop:
+            done += proposer.change('n', increment).unwrap().applied
+        return done
+
+    job = gevent.spawn(traffic)
+    new = [replicas.add(tmp_path / f'new{index}') for index in range(added)]
+    view = replicas.admin.replace(old, old[:keep] + new).unwrap()
+    stop.append(True)
+    job.join()
+    for index in range(keep, 3):
+        replicas.stop(index)
+    reader = replicas.proposer('reader')
+    assert not view.changing
+    assert [item.address for item in view.new] == old[:keep] + new
+    assert reader.read('n').unwrap() == str(job.get()).encode()
+    assert len(reader.keys('k').unwrap()) == 40
+    assert reader.refresh_view() == view
+
+
+def test_lost_disk_is_replaced_at_the_same_address(three, tmp_path):
+    # Guards against a blank disk that votes under the old identity.
+    proposer = three.proposer()
+    proposer.change('k', lambda _: b'1').unwrap()
+    address = three.addresses[0]
+    three.stop(0)
+    three.add(tmp_path / 'blank', address)
+    assert not three.replicas[-1].voting
+    admin = three.admin
+    admin.replace(three.addresses[:3], three.addresses[:3]).unwrap()
+    assert three.replicas[-1].voting
+    three.stop(1)
+    assert proposer.read('k').unwrap() == b'1'
--- a/packages/coord/tests/test_store.py
+++ b/packages/coord/tests/test_store.py
@@ -4,6 +4,8 @@
 from paddle_coord import _ballot
 from paddle_coord import _messages
 from paddle_coord import _store
+from paddle_coord import _view
+from paddle_coord import repair
 import pytest
 
 
@@ -74,3 +76,24 @@
     with pytest.raises(coord.StoreError, match='in use'):
         _store.Store.open(tmp_path)
     store.close()
+
+
+def test_repair_cuts_only_when_asked_and_changes_the_identity(
+    tmp_path, capsys
+):
+    # Guards against a repaired replica that votes under its old identity
+    # although it may have forgotten promises.
+    store = filled(tmp_path)
+    data = bytearray(store.path.read_bytes())
+    data[data.index(_store.MARKER, 1) + 30] ^= 1
+    store.path.write_bytes(data)
+    assert repair.main([str(store.path)]) == repair.EXIT_DAMAGED
+    assert '2 readable ones after it (2 CellRecord, 2 keys)' in (
+        capsys.readouterr().out
+    )
+    assert store.path.read_bytes() == data
+    assert repair.main([str(store.path), '--truncate']) == repair.EXIT_DONE
+    state = reopened(tmp_path)
+    assert state.identity != store.state.identity
+    assert state.view == _view.UNFORMED
+    assert state.cells == {}
