Add the router daemon with the whole path of chat and plain services

The daemon relays chat-completions requests to engines of the platform's instance list in turn and plain service calls by route. A watcher on the caller's socket cuts the engine's connection when the caller leaves. The configuration comes from a local file behind the interface that the configuration log will implement.

Bodies are passed on as received with the tier inserted as priority, so a request is parsed but not encoded again. Streams are passed on by complete events as they arrive, so that an error event can follow a broken stream.

--- /dev/null
+++ b/packages/router/src/paddle_router/_chat_body.py
@@ -0,0 +1,103 @@
+"""Body of a chat-completions request: check, estimate, rewrite."""
+
+import json
+import zlib
+
+import attrs
+
+from paddle_router import _errors
+
+BYTES_PER_TOKEN = 4
+PREFIX_CHARS = 256
+PRIORITY = 'priority'
+
+
+@attrs.frozen(kw_only=True)
+class ChatBody:
+    """The checked parts of a body and its bytes as received."""
+
+    raw: bytes
+    document: dict
+    model: str
+    stream: bool
+    max_tokens: int | None
+
+    @property
+    def prompt_tokens(self):
+        """Estimated number of prompt tokens."""
+        return max(1, len(self.raw) // BYTES_PER_TOKEN)
+
+    @property
+    def prefix(self):
+        """A number that requests with an equal prompt start share."""
+        first = self.document['messages'][0].get('content')
+        text = first if isinstance(first, str) else json.dumps(first)
+        return zlib.crc32(f'{self.model} {text[:PREFIX_CHARS]}'.encode())
+
+    def for_engine(self, tier):
+        """Return the body for an engine, with the tier as priority."""
+        if PRIORITY in self.document:
+            # A caller cannot choose its own priority at the engine.
+            document = {**self.document, PRIORITY: tier}
+            return json.dumps(document).encode()
+        # Inserting keeps the caller's bytes and saves encoding the document.
+        start = self.raw.index(b'{') + 1
+        field = b'"priority":%d,' % tier
+        return self.raw[:start] + field + self.raw[start:]
+
+
+def parse(raw):
+    """Return the :class:`ChatBody` of ``raw``.
+
+    :raises Refusal: if it is not a chat-completions request.
+    """
+    try:
+        document = json.loads(raw.decode())
+    except (ValueError, RecursionError):
+        raise _invalid('malformed_json', 'the body is not JSON') from None
+    if not isinstance(document, dict):
+        raise _invalid('malformed_json', 'the body is not a JSON object')
+    _check_messages(document.get('messages'))
+    return ChatBody(
+        raw=raw,
+        document=document,
+        model=_typed(document, 'model', str, required=True),
+        stream=bool(_typed(document, 'stream', bool)),
+        max_tokens=_max_tokens(document),
+    )
+
+
+def _max_tokens(document):
+    for name in ('max_completion_tokens', 'max_tokens'):
+        value = _typed(document, name, int)
+        if value is not None:
+            if value < 1:
+                raise _invalid('invalid_value', f'{name} is below 1', name)
+            return value
+    return None
+
+
+def _typed(document, name, kind, *, required=False):
+    value = document.get(name)
+    if value is None and not required:
+        return None
+    is_flag = isinstance(value, bool) and kind is not bool
+    if not isinstance(value, kind) or is_flag:
+        raise _invalid(
+            'invalid_value', f'{name} must be of type {kind.__name__}', name
+        )
+    return value
+
+
+def _check_messages(messages):
+    valid = isinstance(messages, list) and messages
+    if not valid or not all(isinstance(item, dict) for item in messages):
+        raise _invalid(
+            'invalid_value',
+            'messages must be a non-empty list of objects',
+            'messages',
+        )
+
+
+def _invalid(code, message, param=None):
+    return _errors.Refusal(400, code, message, param=param)
--- /dev/null
+++ b/packages/router/src/paddle_router/_events.py
@@ -0,0 +1,37 @@
+"""Numbered log events of the router, 3000 to 3099."""
+
+import paddle_kernel
+
+STARTED = paddle_kernel.declare_event(3000, 'INFO', 'daemon is serving')
+STOPPING = paddle_kernel.declare_event(3001, 'INFO', 'graceful stop began')
+STOPPED = paddle_kernel.declare_event(3002, 'INFO', 'daemon has stopped')
+STOP_TIMED_OUT = paddle_kernel.declare_event(
+    3003, 'WARNING', 'requests were still in progress at the stop bound'
+)
+SETTINGS_INVALID = paddle_kernel.declare_event(
+    3004, 'ERROR', 'settings have findings'
+)
+TICK_FAILED = paddle_kernel.declare_event(
+    3005, 'ERROR', 'a periodic task failed and will run again'
+)
+REQUEST_FAILED = paddle_kernel.declare_event(
+    3010, 'ERROR', 'a request failed on an internal error'
+)
+REQUEST_REFUSED = paddle_kernel.declare_event(
+    3011, 'DEBUG', 'a request was refused'
+)
+CALLER_GONE = paddle_kernel.declare_event(
+    3012, 'DEBUG', 'the caller closed its connection'
+)
+STREAM_BROKEN = paddle_kernel.declare_event(
+    3013, 'WARNING', 'a stream ended before its last event'
+)
+BAD_REQUEST = paddle_kernel.declare_event(
+    3014, 'DEBUG', 'a request could not be parsed'
+)
+LIST_UNAVAILABLE = paddle_kernel.declare_event(
+    3020, 'WARNING', 'the instance list of the platform cannot be read'
+)
+LIST_AVAILABLE = paddle_kernel.declare_event(
+    3021, 'INFO', 'the instance list of the platform is readable'
+)
--- /dev/null
+++ b/packages/router/src/paddle_router/_settings.py
@@ -0,0 +1,86 @@
+"""Settings of one daemon, read from a single JSON file."""
+
+import attrs
+
+from paddle_kernel import settings
+
+LONGEST_MS = 3_600_000
+LARGEST_BYTES = 256 * 1024 * 1024
+
+
+def _bound_ms(default):
+    rule = settings.integer(1, LONGEST_MS, 'ms')
+    return settings.field(rule, default=default)
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """Limits on waiting and on sizes.
+
+    ``first_byte_ms`` and ``idle_ms`` limit the silence of a backend server
+    before and after its first byte, ``request_ms`` the time in which a caller
+    sends its request, ``stop_ms`` the time a graceful stop may take.
+    """
+
+    connect_ms: int = _bound_ms(1_000)
+    first_byte_ms: int = _bound_ms(120_000)
+    idle_ms: int = _bound_ms(30_000)
+    request_ms: int = _bound_ms(10_000)
+    queue_ms: int = _bound_ms(30_000)
+    stop_ms: int = _bound_ms(30_000)
+    freshness_ms: int = _bound_ms(3_000)
+    config_poll_ms: int = _bound_ms(200)
+    revoke_grace_ms: int = _bound_ms(2_000)
+    list_poll_ms: int = _bound_ms(300)
+    load_poll_ms: int = _bound_ms(500)
+    usage_flush_ms: int = _bound_ms(1_000)
+    usage_window_ms: int = _bound_ms(60_000)
+    claim_ms: int = _bound_ms(30_000)
+    body_bytes: int = settings.field(
+        settings.integer(1, LARGEST_BYTES, 'bytes'), default=8 * 1024 * 1024
+    )
+    header_bytes: int = settings.field(
+        settings.integer(256, LARGEST_BYTES, 'bytes'), default=32 * 1024
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Log:
+    """Form and level of the log on standard error."""
+
+    style: str = settings.field(
+        settings.choice('text', 'json'), default='text'
+    )
+    level: str = settings.field(
+        settings.choice('DEBUG', 'INFO', 'WARNING', 'ERROR'), default='INFO'
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """Settings of a daemon.
+
+    ``listen`` serves callers, ``operator`` the operators and ``peer`` the
+    other daemons. ``data_dir`` is ``None`` on an instance without a disk;
+    such a daemon hosts no replica. ``replicas`` lists the peer addresses of
+    the replicas; with none the daemon reads ``local_config`` instead.
+    """
+
+    name: str = settings.field(settings.STRING)
+    failure_domain: str = settings.field(settings.STRING)
+    listen: str = settings.field(settings.ADDRESS)
+    operator: str = settings.field(settings.ADDRESS)
+    peer: str = settings.field(settings.ADDRESS)
+    platform: str = settings.field(settings.ADDRESS)
+    operator_token_file: str = settings.field(settings.STRING)
+    data_dir: str | None = settings.field(
+        settings.Optional(settings.STRING), default=None
+    )
+    replicas: tuple = settings.field(
+        settings.ListOf(settings.ADDRESS), default=()
+    )
+    local_config: str | None = settings.field(
+        settings.Optional(settings.STRING), default=None
+    )
+    log: Log = settings.field(settings.Nested(Log), default=Log())
+    bounds: Bounds = settings.field(settings.Nested(Bounds), default=Bounds())
--- /dev/null
+++ b/packages/router/src/paddle_router/daemon.py
@@ -0,0 +1,73 @@
+"""Command ``rosemarypaddled``."""
+
+import signal
+import sys
+
+from absl import app
+from absl import flags
+import gevent.event
+import gevent.signal
+
+import paddle_kernel
+from paddle_kernel import settings
+from paddle_router import _daemon
+from paddle_router import _settings
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_FINDINGS = 2
+
+_SETTINGS = flags.DEFINE_string('settings', None, 'Settings file (JSON).')
+_CHECK = flags.DEFINE_bool('check', False, 'Only check the settings.')
+
+
+def load_settings(file_path):
+    """Return the checked settings and verify the referenced files.
+
+    :raises FindingsError: with all findings.
+    """
+    loaded = settings.load_file(_settings.Settings, file_path)
+    try:
+        settings.read_secret(loaded.operator_token_file)
+    except OSError as exc:
+        finding = paddle_kernel.Finding(
+            '$.operator_token_file',
+            loaded.operator_token_file,
+            f'a readable owner-only file ({exc.strerror})',
+        )
+        raise paddle_kernel.FindingsError([finding]) from exc
+    return loaded
+
+
+def main(argv):
+    """Run until SIGTERM or SIGINT; return the exit code."""
+    if _SETTINGS.value is None:
+        print('the flag --settings=FILE is required', file=sys.stderr)
+        return EXIT_FINDINGS
+    try:
+        loaded = load_settings(_SETTINGS.value)
+    except paddle_kernel.FindingsError as exc:
+        for finding in exc.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_FINDINGS
+    if _CHECK.value:
+        print('settings are valid')
+        return EXIT_OK
+    paddle_kernel.configure_log(style=loaded.log.style, level=loaded.log.level)
+    paddle_kernel.check_loop()
+    return serve(_daemon.Daemon(loaded))
+
+
+def serve(daemon):
+    """Run ``daemon`` until a stop signal; return the exit code."""
+    stopped = gevent.event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal.signal(number, lambda *_: stopped.set())
+    daemon.start()
+    stopped.wait()
+    return EXIT_OK if daemon.stop() else EXIT_FAILED
+
+
+def run():
+    """Entry point of the command."""
+    app.run(main)
--- /dev/null
+++ b/packages/router/tests/conftest.py
@@ -0,0 +1,192 @@
+"""Fakes and a daemon in this process for the router's tests."""
+
+import hashlib
+import json
+
+import gevent
+import pytest
+
+import paddle_kernel
+from paddle_kernel import settings as kernel_settings
+from paddle_router import _config_source
+from paddle_router import _daemon
+from paddle_router import _http_out
+from paddle_router import _settings
+from paddle_testbed import fakes
+
+KEY = 'pk-test-5f0c9a4be1d27783'
+WAIT_S = 5
+TIMEOUT_MS = 5_000
+LIMIT = 1_000_000
+
+
+def key_entry(key, customer='acme', **options):
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return {'digest': digest, 'customer': customer, **options}
+
+
+DOCUMENT = {
+    'keys': [key_entry(KEY)],
+    'classes': [{'name': 'default', 'tier': 2}, {'name': 'bulk', 'tier': 5}],
+    'routes': [
+        {
+            'path': '/bookings',
+            'service': 'booking',
+            'methods': ['POST'],
+            'idempotent': False,
+        },
+        {'path': '/orders', 'service': 'booking', 'open': True},
+    ],
+}
+
+
+def wait_for(condition, timeout_s=WAIT_S):
+    """Let other greenlets run until ``condition()`` is true."""
+    with gevent.Timeout(timeout_s):
+        while not condition():
+            gevent.sleep(0.005)
+
+
+class Reply:
+    """Status, headers and body of an answer."""
+
+    def __init__(self, answer, body):
+        self.status = answer.get_code()
+        self.headers = dict(answer.items())
+        self.body = body
+
+    def json(self):
+        return json.loads(self.body)
+
+    @property
+    def error(self):
+        return self.json()['error']
+
+
+def start_request(address, method, target, *, key=None, body=b'', headers=()):
+    """Send a request; return the connection."""
+    pairs = list(headers)
+    if key is not None:
+        pairs.append(('Authorization', f'Bearer {key}'))
+    if isinstance(body, dict):
+        body = json.dumps(body).encode()
+    conn = _http_out.Pool(paddle_kernel.SystemClock()).open(
+        address, TIMEOUT_MS
+    )
+    conn.send(method, target, pairs, body, timeout_ms=TIMEOUT_MS)
+    return conn
+
+
+def send_request(address, method, target, **options):
+    """Send a request and return its :class:`Reply`."""
+    conn = start_request(address, method, target, **options)
+    answer = conn.read_head(TIMEOUT_MS)
+    body = answer.read_all(LIMIT)
+    conn.close()
+    return Reply(answer, body)
+
+
+def chat_body(stream=False, text='hello there', **fields):
+    """Return the body of a chat request."""
+    message = {'role': 'user', 'content': text}
+    return {
+        'model': 'small',
+        'messages': [message],
+        'stream': stream,
+        **fields,
+    }
+
+
+class Stack:
+    """Daemons in this process in front of fakes."""
+
+    key = KEY
+    limit = LIMIT
+    timeout_ms = TIMEOUT_MS
+    chat_path = '/v1/chat/completions'
+    chat = staticmethod(chat_body)
+    request = staticmethod(send_request)
+    start = staticmethod(start_request)
+    wait_for = staticmethod(wait_for)
+
+    def __init__(self, tmp_path):
+        self.tmp_path = tmp_path
+        self.platform = fakes.FakePlatform(list_lag_ms=0).start()
+        self.service = fakes.FakeService().start()
+        self.platform.add(
+            'service-1',
+            self.service.address,
+            kind='service',
+            service='booking',
+        )
+        self.engines = []
+        self.daemons = []
+        self.config = _config_source.LocalConfig.from_document(DOCUMENT)
+
+    def add_engine(self, **options):
+        options = {'inter_token_ms': 1.0, **options}
+        engine = fakes.FakeEngine(fakes.EngineOptions(**options)).start()
+        self.engines.append(engine)
+        self.platform.add(
+            f'engine-{len(self.engines)}',
+            engine.address,
+            models=['small'],
+            slots=engine.options.slots,
+        )
+        return engine
+
+    def add_daemon(self, **options):
+        token = self.tmp_path / 'operator-token'
+        token.write_text('operator-secret\n')
+        token.chmod(0o600)
+        document = {
+            'name': f'daemon-{len(self.daemons) + 1}',
+            'failure_domain': 'a',
+            'listen': '127.0.0.1:0',
+            'operator': '127.0.0.1:0',
+            'peer': '127.0.0.1:0',
+            'platform': self.platform.address,
+            'operator_token_file': str(token),
+            **options,
+        }
+        loaded = kernel_settings.load(_settings.Settings, document)
+        daemon = _daemon.Daemon(loaded, config=self.config).start()
+        self.daemons.append(daemon)
+        wait_for(lambda: daemon.core.not_ready_reason() is None)
+        return daemon
+
+    def post_chat(self, daemon, *, key=KEY, headers=(), **fields):
+        """Send a chat request and return its reply."""
+        return send_request(
+            daemon.server.bound,
+            'POST',
+            self.chat_path,
+            key=key,
+            headers=headers,
+            body=chat_body(**fields),
+        )
+
+    def open_stream(self, daemon, *, key=KEY, headers=(), **fields):
+        """Start a stream; return the connection and its answer."""
+        conn = start_request(
+            daemon.server.bound,
+            'POST',
+            self.chat_path,
+            key=key,
+            headers=headers,
+            body=chat_body(True, **fields),
+        )
+        return conn, conn.read_head(TIMEOUT_MS)
+
+    def stop(self):
+        for part in (*self.daemons, *self.engines):
+            (part.close if hasattr(part, 'close') else part.stop)()
+        self.service.stop()
+        self.platform.stop()
+
+
+@pytest.fixture
+def stack(tmp_path):
+    built = Stack(tmp_path)
+    yield built
+    built.stop()
