Add the operator's command

Cause: operators need one tool for customers, keys, classes, routes, presets, status and replicas that works against any daemon. Ruled out: retrying a conflicting change under a new version by itself, since the operator has to see that another change came first; sending keys to the daemon, which gets the digest only. Before: none.

--- /dev/null
+++ b/packages/ctl/src/paddle_ctl/command.py
@@ -0,0 +1,117 @@
+"""The operator's command ``rosemarypaddlectl``.
+
+Exit codes: 0 done, 1 no answer or outcome unknown (send again with the same
+``--change_id``), 2 wrong usage or settings, 3 rejected, 4 another change was
+accepted first, 5 the token was refused.
+"""
+
+import sys
+
+from absl import app
+from absl import flags
+
+import paddle_kernel as kernel
+from paddle_kernel import settings
+
+from paddle_ctl import _client
+from paddle_ctl import _output
+from paddle_ctl import _settings
+from paddle_ctl import commands
+
+EXIT_OK = 0
+EXIT_UNKNOWN = 1
+EXIT_USAGE = 2
+EXIT_REJECTED = 3
+EXIT_CONFLICT = 4
+EXIT_UNAUTHORIZED = 5
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string('ctl_settings', 'ctl.json', 'Settings file (JSON).')
+flags.DEFINE_boolean('json', False, 'Print JSON instead of a table.')
+flags.DEFINE_boolean('dry_run', False, 'Show the difference only.')
+flags.DEFINE_string('change_id', None, 'Id of the change, to send it again.')
+flags.DEFINE_integer(
+    'expected_version', None, 'Version that the change builds on.'
+)
+flags.DEFINE_list(
+    'address', None, 'Operator addresses to use instead of the settings.'
+)
+
+# Exceptions and their exit codes; subclasses come before their base.
+EXIT_CODES = (
+    (_client.UnauthorizedError, EXIT_UNAUTHORIZED),
+    (_client.UnreachableError, EXIT_UNKNOWN),
+    (commands.ConflictError, EXIT_CONFLICT),
+    (commands.UnknownOutcomeError, EXIT_UNKNOWN),
+    (commands.RejectedError, EXIT_REJECTED),
+    (commands.UsageError, EXIT_USAGE),
+    (kernel.FindingsError, EXIT_USAGE),
+    (kernel.UnknownPluginError, EXIT_USAGE),
+)
+
+
+def find_command(words):
+    """Return ``(command, rest)`` for the words of the command line.
+
+    :raises UsageError: if no command starts the line.
+    """
+    known = commands.commands.names()
+    for count in (2, 1):
+        name = ' '.join(words[:count])
+        if len(words) >= count and name in known:
+            return commands.commands.create(name), words[count:]
+    listing = '\n  '.join(known)
+    raise commands.UsageError(
+        f'unknown command {" ".join(words)!r}; commands:\n  {listing}'
+    )
+
+
+def split_words(words):
+    """Return ``(names, options)``; a word ``key=value`` is an option."""
+    names = [word for word in words if '=' not in word]
+    pairs = [word.split('=', 1) for word in words if '=' in word]
+    return names, {name: commands.parse_value(value) for name, value in pairs}
+
+
+def execute(words):
+    """Run the command given by ``words`` and return its result."""
+    command, rest = find_command(words)
+    names, options = split_words(rest)
+    return command.run(_context(), names, options)
+
+
+def _context():
+    cfg = settings.load_file(_settings.CtlSettings, FLAGS.ctl_settings)
+    addresses = tuple(FLAGS.address or cfg.addresses)
+    client = _client.OperatorClient(
+        addresses,
+        settings.read_secret(cfg.token_file),
+        timeout_ms=cfg.timeout_ms,
+    )
+    return commands.Context(
+        client=client,
+        change_id=FLAGS.change_id,
+        expected_version=FLAGS.expected_version,
+        dry_run=FLAGS.dry_run,
+    )
+
+
+def main(argv):
+    """Run one command and return the exit code."""
+    render = _output.as_json if FLAGS.json else _output.as_table
+    try:
+        print(render(execute(argv[1:])))
+    except tuple(cls for cls, _ in EXIT_CODES) as exc:
+        body = getattr(exc, 'body', None)
+        print(exc if body is None else render(body), file=sys.stderr)
+        return next(code for cls, code in EXIT_CODES if isinstance(exc, cls))
+    return EXIT_OK
+
+
+def run():
+    """Entry point of the installed command."""
+    app.run(main)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/packages/ctl/src/paddle_ctl/commands/_changes.py
@@ -0,0 +1,73 @@
+"""Sending one change of the configuration."""
+
+import json
+import uuid
+
+from paddle_ctl.commands import _hooks
+
+ACCEPTED = 200
+CONFLICT = 409
+REJECTED = 422
+
+
+def submit(context, op, args):
+    """Send a change and return the daemon's answer.
+
+    The change id makes it safe to send again: the daemons keep the first
+    outcome.
+
+    :raises RejectedError: or one of its subclasses.
+    """
+    version = context.expected_version
+    if version is None:
+        version = context.client.get('/config').body['version']
+    body = {
+        'id': context.change_id or str(uuid.uuid4()),
+        'expected_version': version,
+        'op': op,
+        'args': args,
+    }
+    if context.dry_run:
+        return _dry_run(context, body)
+    answer = context.client.post('/changes', body)
+    return _checked(answer, body)
+
+
+def _checked(answer, body):
+    if answer.status == ACCEPTED:
+        return {**answer.body, 'id': body['id']}
+    problem = {'answer': answer.body, 'id': body['id']}
+    if answer.status == CONFLICT:
+        raise _hooks.ConflictError(problem)
+    if answer.status == REJECTED:
+        raise _hooks.RejectedError(problem)
+    raise _hooks.UnknownOutcomeError(problem)
+
+
+def _dry_run(context, body):
+    before = context.client.get('/config').body
+    answer = context.client.post('/changes', {**body, 'dry_run': True})
+    after = _checked(answer, body)['config']
+    return difference(before, after)
+
+
+def difference(before, after, path='$'):
+    """Return the changed places of two JSON documents as rows."""
+    if isinstance(before, dict) and isinstance(after, dict):
+        rows = []
+        for name in sorted(set(before) | set(after)):
+            rows.extend(
+                difference(before.get(name), after.get(name), f'{path}.{name}')
+            )
+        return rows
+    if before == after:
+        return []
+    return [{'path': path, 'before': before, 'after': after}]
+
+
+def parse_value(text):
+    """Return the JSON value of ``text``, or ``text`` itself."""
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
--- /dev/null
+++ b/packages/ctl/tests/test_ctl_command.py
@@ -0,0 +1,99 @@
+"""Tests of the operator's command against a stub of the interface."""
+
+import json
+
+import gevent.pywsgi
+import pytest
+
+from paddle_ctl import command
+
+KEY_WORDS = ['key', 'issue', 'club']
+
+
+class Daemon:
+    """Answers ``/config`` and collects the changes it is sent."""
+
+    def __init__(self, status=200):
+        self.changes = []
+        self._status = status
+        self._server = gevent.pywsgi.WSGIServer(
+            ('127.0.0.1', 0), self._serve, log=None
+        )
+        self._server.start()
+        self.address = '{}:{}'.format(*self._server.address)
+
+    def close(self):
+        self._server.stop(timeout=0)
+
+    def _serve(self, environ, start_response):
+        status, body = '200 OK', {'version': 7, 'config': {}}
+        if environ['REQUEST_METHOD'] == 'POST':
+            self.changes.append(json.loads(environ['wsgi.input'].read()))
+            status = f'{self._status} X'
+            body = {'outcome': 'accepted', 'version': 8}
+        start_response(status, [('Content-Type', 'application/json')])
+        return [json.dumps(body).encode()]
+
+
+@pytest.fixture
+def run(tmp_path, capsys):
+    """Return a function that runs a command line against addresses."""
+
+    def call(addresses, words, *options):
+        token = tmp_path / 'token'
+        token.write_text('t')
+        token.chmod(0o600)
+        cfg = {'addresses': addresses, 'token_file': str(token)}
+        path = tmp_path / 'ctl.json'
+        path.write_text(json.dumps(cfg))
+        command.FLAGS.unparse_flags()
+        argv = ['ctl', f'--ctl_settings={path}', '--json', *options, *words]
+        code = command.main(command.FLAGS(argv))
+        return code, capsys.readouterr()
+
+    return call
+
+
+def test_issued_key_is_sent_only_as_a_digest(run):
+    # Guards against a key that reaches the configuration in plaintext.
+    daemon = Daemon()
+    code, captured = run([daemon.address], KEY_WORDS)
+    daemon.close()
+    key = json.loads(captured.out)['key']
+    assert code == command.EXIT_OK
+    assert key not in json.dumps(daemon.changes)
+    assert daemon.changes[0]['expected_version'] == 7
+
+
+def test_command_is_sent_to_the_next_daemon_when_one_is_down(run):
+    # Guards against a command that works with one particular daemon only.
+    down, daemon = Daemon(), Daemon()
+    down.close()
+    code, _ = run([down.address, daemon.address], KEY_WORDS)
+    daemon.close()
+    assert code == command.EXIT_OK
+
+
+@pytest.mark.parametrize(
+    ('status', 'expected'),
+    [
+        (409, command.EXIT_CONFLICT),
+        (422, command.EXIT_REJECTED),
+        (503, command.EXIT_UNKNOWN),
+        (401, command.EXIT_UNAUTHORIZED),
+    ],
+)
+def test_exit_code_tells_what_became_of_the_change(run, status, expected):
+    # Guards against scripts that take a lost change for an accepted one.
+    daemon = Daemon(status)
+    code, _ = run([daemon.address], KEY_WORDS, '--change_id=c1')
+    daemon.close()
+    assert code == expected
+    assert daemon.changes[0]['id'] == 'c1'
+
+
+def test_unknown_command_lists_the_known_ones(run):
+    # Guards against an error without a remedy.
+    code, captured = run(['127.0.0.1:1'], ['kee'])
+    assert code == command.EXIT_USAGE
+    assert 'key issue' in captured.err
