Add claims of non-idempotent requests

Cause: a booking may run at most once, and only a provable "not run" may be reported.

A claim whose write has an unknown outcome is never granted; it is reported as not run only after a decided release.

Ruled out: releasing by owner name, because a second claim of the same owner could be released by the first; each claim has its own token. Ruled out: unconditional deletion when claims are collected, because a slower second collector could delete a new claim; the value is removed by a conditional change first.

Before: no claims.

--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -3,6 +3,11 @@
 The package knows nothing of routing and can be embedded in other programs.
 """
 
+from paddle_coord._claims import Answer
+from paddle_coord._claims import Claim
+from paddle_coord._claims import ClaimBook
+from paddle_coord._claims import ClaimError
+from paddle_coord._claims import ClaimOutcome
 from paddle_coord._register import Change
 from paddle_coord._register import MemoryRegister
 from paddle_coord._register import NOT_WRITTEN
@@ -12,7 +17,12 @@
 from paddle_coord._register import UNKNOWN
 
 __all__ = [
+    'Answer',
     'Change',
+    'Claim',
+    'ClaimBook',
+    'ClaimError',
+    'ClaimOutcome',
     'MemoryRegister',
     'NOT_WRITTEN',
     'Register',
