Add the configuration log

Cause: an accepted configuration change takes effect everywhere and is never reverted; of racing changes exactly one is accepted, also across lost responses and restarts.

The state is a fold over write-once slots whose meaning is injected. A writer judges its change by the state after its slot, not by the record, since a late write may land in a deleted slot.

Ruled out: reading head and slot at once, because the slot may be deleted between both reads. Ruled out: time bounds on deletion, because a frozen follower has none. Ruled out: rejecting a version beyond the log, because the log may reach it and a resend would be accepted; it fails as not written. Ruled out: taking an empty read after an unknown write as "not written"; the same change is written again, which the write-once slot makes harmless.

--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -8,6 +8,11 @@
 from paddle_coord._claims import ClaimBook
 from paddle_coord._claims import ClaimError
 from paddle_coord._claims import ClaimOutcome
+from paddle_coord._config_log import ChangeOutcome
+from paddle_coord._config_log import ConfigChange
+from paddle_coord._config_log import ConfigLog
+from paddle_coord._config_log import Fold
+from paddle_coord._config_log import UnfoldableSlotError
 from paddle_coord._register import Change
 from paddle_coord._register import MemoryRegister
 from paddle_coord._register import NOT_WRITTEN
@@ -19,14 +24,19 @@
 __all__ = [
     'Answer',
     'Change',
+    'ChangeOutcome',
     'Claim',
     'ClaimBook',
     'ClaimError',
     'ClaimOutcome',
+    'ConfigChange',
+    'ConfigLog',
+    'Fold',
     'MemoryRegister',
     'NOT_WRITTEN',
     'Register',
     'RegisterError',
     'Reject',
     'UNKNOWN',
+    'UnfoldableSlotError',
 ]
--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -7,3 +7,17 @@
     'WARNING',
     'a claim could not be released; it becomes unknown at its deadline',
 )
+CONFIG_BEHIND = kernel.declare_event(
+    2101,
+    'ERROR',
+    'the configuration log is behind a version served before; not serving',
+)
+SNAPSHOT_FAILED = kernel.declare_event(
+    2102, 'WARNING', 'no configuration snapshot written; next change retries'
+)
+VERSION_FILE_UNREADABLE = kernel.declare_event(
+    2103, 'WARNING', 'the file of the served version is unreadable; ignored'
+)
+VERSION_NOT_KEPT = kernel.declare_event(
+    2104, 'WARNING', 'the served version could not be synced to its file'
+)
--- /dev/null
+++ b/packages/coord/src/paddle_coord/_version_file.py
@@ -0,0 +1,87 @@
+"""File that keeps one version number across restarts.
+
+The file holds ``<version> <CRC-32 in hex>`` and is replaced as a whole; it
+counts only once synced. Writing happens in a thread of the hub's pool.
+"""
+
+import os
+import pathlib
+import zlib
+
+import gevent
+
+from paddle_coord import _events
+import paddle_kernel as kernel
+
+# Bounds the delay that a slow disk adds to a configuration change; it must be
+# well below the freshness bound of 3,000 ms.
+WRITE_TIMEOUT_MS = 1_000
+
+
+class VersionFile:
+    """The number in the file at ``path``.
+
+    A full, slow or lost disk never stops the process: the number is then as
+    good as not kept, which is logged.
+    """
+
+    def __init__(self, path):
+        self._path = pathlib.Path(path)
+        self._pending = None
+
+    def read(self):
+        """Return the number; 0 without a file or with a corrupt one."""
+        try:
+            text = self._path.read_text()
+        except FileNotFoundError:
+            return 0
+        except (OSError, ValueError) as exc:
+            return self._unreadable(str(exc))
+        if not text.endswith('\n') or text != _line(text.split(' ')[0]):
+            return self._unreadable('wrong checksum')
+        return int(text.split(' ')[0])
+
+    def write(self, version):
+        """Keep ``version``; returns once it is synced or given up."""
+        if self._pending is not None and not self._pending.ready():
+            self._not_kept(version, 'the previous write is not finished')
+            return
+        pool = gevent.get_hub().threadpool
+        self._pending = pool.spawn(self._replace, _line(str(version)))
+        try:
+            self._pending.get(timeout=WRITE_TIMEOUT_MS / kernel.MS_PER_S)
+        except gevent.Timeout:
+            self._not_kept(version, f'no answer in {WRITE_TIMEOUT_MS} ms')
+        except OSError as exc:
+            self._not_kept(version, str(exc))
+
+    def _replace(self, text):
+        temporary = self._path.with_name(self._path.name + '.new')
+        with open(temporary, 'w') as out:
+            out.write(text)
+            out.flush()
+            os.fsync(out.fileno())
+        os.replace(temporary, self._path)
+        directory = os.open(self._path.parent, os.O_RDONLY)
+        try:
+            os.fsync(directory)
+        finally:
+            os.close(directory)
+
+    def _unreadable(self, detail):
+        kernel.emit(
+            _events.VERSION_FILE_UNREADABLE, file=self._path, detail=detail
+        )
+        return 0
+
+    def _not_kept(self, version, detail):
+        kernel.emit(
+            _events.VERSION_NOT_KEPT,
+            file=self._path,
+            version=version,
+            detail=detail,
+        )
+
+
+def _line(number):
+    return f'{number} {zlib.crc32(number.encode()):08x}\n'
