--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -13,6 +13,12 @@
 from paddle_coord._config_log import ConfigLog
 from paddle_coord._config_log import Fold
 from paddle_coord._config_log import UnfoldableSlotError
+from paddle_coord._lease import guarded_send
+from paddle_coord._lease import Lease
+from paddle_coord._lease import LEASE_KEY
+from paddle_coord._lease import LeaseTiming
+from paddle_coord._lease import NOT_SENT
+from paddle_coord._lease import SendError
 from paddle_coord._register import Change
 from paddle_coord._register import MemoryRegister
 from paddle_coord._register import NOT_WRITTEN
@@ -32,11 +38,17 @@
     'ConfigChange',
     'ConfigLog',
     'Fold',
+    'LEASE_KEY',
+    'Lease',
+    'LeaseTiming',
     'MemoryRegister',
+    'NOT_SENT',
     'NOT_WRITTEN',
     'Register',
     'RegisterError',
     'Reject',
+    'SendError',
     'UNKNOWN',
     'UnfoldableSlotError',
+    'guarded_send',
 ]
