Add the tiered fair scheduler and the retry decisions

Cause: the router needs an order of service that holds the invariants on tiers and starvation, and a bound on retries. Ruled out: reserving places for low tiers inside the queue bound, because a low tier could then cost a higher one a place; the reserve is outside the bound, and a property test compares refusals with and without lower tiers. Ruled out: measuring the service rate without a backlog, which yields the demand instead of the capacity. Conclusion: offer, next, remove and served are usable by the daemon.

--- /dev/null
+++ b/packages/router/src/paddle_router/policy/_retry.py
@@ -0,0 +1,93 @@
+"""What may be tried again after a backend server failed, and how often."""
+
+import enum
+
+import attrs
+
+# Source: docs/design.md section 4, retries are at most 10% of requests.
+RETRY_RATIO = 0.1
+# Lets a daemon with little traffic retry at all.
+FLOOR_PER_S = 0.5
+MAX_BALANCE = 100.0
+MAX_ATTEMPTS = 3
+MS_PER_S = 1_000
+
+
+class RetryBudget:
+    """Allows retries in proportion to the requests of this daemon."""
+
+    def __init__(
+        self, *, ratio=RETRY_RATIO, floor_per_s=FLOOR_PER_S, now_ms=0
+    ):
+        self._ratio = ratio
+        self._floor_per_s = floor_per_s
+        self._balance = 1.0
+        self._updated_ms = now_ms
+
+    def note_request(self):
+        """Count one first attempt."""
+        self._balance = min(MAX_BALANCE, self._balance + self._ratio)
+
+    def take(self, now_ms):
+        """Spend one retry; false when the budget is exhausted."""
+        passed_ms = max(0, now_ms - self._updated_ms)
+        self._updated_ms = now_ms
+        if self._balance < 1:
+            refill = passed_ms * self._floor_per_s / MS_PER_S
+            self._balance = min(1.0, self._balance + refill)
+        # A tenth added ten times is slightly less than one.
+        if self._balance < 1 - 1e-9:
+            return False
+        self._balance -= 1
+        return True
+
+
+class Action(enum.Enum):
+    """What to do after an attempt failed."""
+
+    RETRY = 'retry'
+    RESUME = 'resume'
+    REFUSE_NOT_RUN = 'refuse_not_run'
+    ANSWER_UNKNOWN = 'answer_unknown'
+    ERROR_EVENT = 'error_event'
+    DROP = 'drop'
+
+
+@attrs.frozen(kw_only=True)
+class Attempt:
+    """A failed attempt as the router knows it.
+
+    ``was_sent`` is true once the first byte may have left for the backend
+    server; ``events_delivered`` counts the events passed on to the caller.
+    """
+
+    idempotent: bool
+    was_sent: bool
+    events_delivered: int = 0
+    engine_can_resume: bool = False
+    attempts: int = 1
+    caller_present: bool = True
+    is_late: bool = False
+
+
+def decide(attempt, budget, now_ms):
+    """Return the :class:`Action` for ``attempt``; may spend ``budget``.
+
+    A request that is not idempotent is never sent twice. A late one (past
+    the useful time of its class) is not tried again, since the work would be
+    wasted.
+    """
+    if not attempt.caller_present:
+        return Action.DROP
+    if not attempt.idempotent and attempt.was_sent:
+        return Action.ANSWER_UNKNOWN
+    may_repeat = attempt.attempts < MAX_ATTEMPTS and not attempt.is_late
+    if attempt.events_delivered:
+        if attempt.engine_can_resume and may_repeat and budget.take(now_ms):
+            return Action.RESUME
+        return Action.ERROR_EVENT
+    if may_repeat and budget.take(now_ms):
+        return Action.RETRY
+    if attempt.was_sent:
+        return Action.ANSWER_UNKNOWN
+    return Action.REFUSE_NOT_RUN
--- /dev/null
+++ b/packages/router/src/paddle_router/policy/_tiered_fair.py
@@ -0,0 +1,384 @@
+"""Scheduler by tier, with guaranteed class shares and fair customers.
+
+Tiers are served in strict order, except that a class that received less than
+its guaranteed share while it was waiting goes first. Within a tier each
+customer has a virtual counter of the tokens it was served, divided by its
+weight; the lowest counter is served next. Source of the counters and of the
+lift of a returning customer: Sheng et al., "Fairness in Serving Large
+Language Models", OSDI 2024.
+"""
+
+import collections
+
+import attrs
+
+from paddle_router.policy import _heap
+from paddle_router.policy import _hooks
+from paddle_router.policy import _meter
+
+DEFAULT_CAPACITY = 1_000
+# A slot is held per generated token, a prompt is processed at once.
+DEFAULT_GENERATED_WEIGHT = 10.0
+# The guarantees together leave this part of service to strict priority.
+MAX_GUARANTEED = 0.5
+MIN_RETRY_AFTER_MS = 1_000
+MAX_RETRY_AFTER_MS = 60_000
+COUNTERS_SLACK = 1_024
+
+
+@attrs.define(eq=False)
+class _ClassQueue:
+    """Waiting tickets of one class, one queue per customer."""
+
+    name: str
+    policy: _hooks.ClassPolicy
+    share: float = 0.0
+    # Guaranteed service not yet received; below 0 when ahead.
+    credit: float = 0.0
+    queued: int = 0
+    cost: float = 0.0
+    reserved: int = 1
+    flows: dict = attrs.field(factory=dict)
+    order: _heap.KeyedHeap = attrs.field(factory=_heap.KeyedHeap)
+    backlog: _heap.KeyedHeap = attrs.field(factory=_heap.KeyedHeap)
+
+    @property
+    def excess(self):
+        return max(0, self.queued - self.reserved)
+
+
+@attrs.define(eq=False)
+class _Flow:
+    """Waiting tickets of one customer in one class, oldest first."""
+
+    tickets: collections.OrderedDict = attrs.field(
+        factory=collections.OrderedDict
+    )
+    cost: float = 0.0
+
+
+@attrs.define(eq=False)
+class _Tier:
+    """Counters of the customers of one tier and its classes."""
+
+    number: int
+    virtual: float = 0.0
+    cost: float = 0.0
+    queued: int = 0
+    classes: dict = attrs.field(factory=dict)
+    counters: dict = attrs.field(factory=dict)
+    active: collections.Counter = attrs.field(factory=collections.Counter)
+    meter: _meter.BusyMeter = attrs.field(factory=_meter.BusyMeter)
+
+
+@attrs.define(eq=False)
+class _Started:
+    tier: _Tier
+    group: _ClassQueue
+    charged: float
+
+
+@_hooks.schedulers.register('tiered_fair')
+class TieredFairScheduler:
+    """See the module; every operation is O(log n) in the queue length.
+
+    ``capacity`` bounds the queue. In addition each class has a reserve of
+    ``min_share * capacity`` places (at least one) outside that bound, so a
+    lower tier's guaranteed share never costs a higher tier a place: the
+    higher tier's refusals are the same with and without the lower tier.
+
+    Each started ticket must end with ``served(ticket, tokens)``.
+    """
+
+    def __init__(
+        self,
+        *,
+        capacity=DEFAULT_CAPACITY,
+        classes=None,
+        customer_weights=None,
+        generated_weight=DEFAULT_GENERATED_WEIGHT,
+    ):
+        self._capacity = capacity
+        self._generated_weight = generated_weight
+        self._tiers = {}
+        self._groups = []
+        self._excess = 0
+        self._meter = _meter.BusyMeter()
+        self._latest_start = _heap.KeyedHeap()
+        self._started = {}
+        self.apply(classes or {}, customer_weights or {})
+
+    # Settings
+
+    def apply(self, classes, customer_weights):
+        self._policies = dict(classes)
+        self._customer_weights = dict(customer_weights)
+        for group in self._groups:
+            group.policy = self._policies.get(group.name, group.policy)
+        self._set_shares()
+
+    def _set_shares(self):
+        shares = {
+            name: policy.min_share for name, policy in self._policies.items()
+        }
+        for group in self._groups:
+            shares.setdefault(group.name, group.policy.min_share)
+        factor = min(1.0, MAX_GUARANTEED / (sum(shares.values()) or 1.0))
+        for group in self._groups:
+            self._excess -= group.excess
+            group.share = shares[group.name] * factor
+            group.reserved = max(1, int(group.share * self._capacity))
+            self._excess += group.excess
+
+    def _place(self, ticket):
+        tier = self._tiers.get(ticket.tier)
+        if tier is None:
+            tier = self._tiers[ticket.tier] = _Tier(number=ticket.tier)
+            self._tiers = dict(sorted(self._tiers.items()))
+        group = tier.classes.get(ticket.class_name)
+        if group is None:
+            policy = self._policies.get(
+                ticket.class_name, _hooks.ClassPolicy(tier=ticket.tier)
+            )
+            group = _ClassQueue(name=ticket.class_name, policy=policy)
+            tier.classes[ticket.class_name] = group
+            self._groups.append(group)
+            self._set_shares()
+        return tier, group
+
+    def _weight(self, ticket, group):
+        weight = self._customer_weights.get(ticket.customer, 1.0)
+        return weight * group.policy.weight
+
+    def _cost(self, ticket, generated_tokens):
+        return max(
+            1.0,
+            ticket.prompt_tokens + self._generated_weight * generated_tokens,
+        )
+
+    # Queue
+
+    def offer(self, ticket, now_ms):
+        tier, group = self._place(ticket)
+        latest_ms = ticket.deadline_ms - ticket.start_up_ms
+        wait_ms = self._wait_ms(tier, group, ticket)
+        if now_ms + wait_ms > latest_ms:
+            return (self._refusal(ticket, _hooks.DEADLINE, now_ms),)
+        self._insert(ticket, tier, group, now_ms)
+        refused = []
+        while self._excess > self._capacity:
+            victim = self._lowest()
+            self.remove(victim, now_ms)
+            refused.append(self._refusal(victim, _hooks.OVERFLOW, now_ms))
+        return refused
+
+    def _insert(self, ticket, tier, group, now_ms):
+        customer = ticket.customer
+        if not tier.active[customer]:
+            tier.counters[customer] = max(
+                tier.counters.get(customer, 0.0), tier.virtual
+            )
+        flow = group.flows.get(customer)
+        if flow is None:
+            flow = group.flows[customer] = _Flow()
+            group.order.set(customer, tier.counters[customer])
+        flow.tickets[ticket] = None
+        self._latest_start.set(ticket, ticket.deadline_ms - ticket.start_up_ms)
+        self._count(ticket, tier, group, flow, 1, now_ms)
+
+    def _count(self, ticket, tier, group, flow, sign, now_ms):
+        """Add (1) or subtract (-1) a ticket everywhere it is counted."""
+        cost = sign * self._cost(ticket, ticket.generated_tokens)
+        self._excess -= group.excess
+        group.queued += sign
+        self._excess += group.excess
+        tier.queued += sign
+        for part in (tier, group, flow):
+            part.cost += cost
+        tier.active[ticket.customer] += sign
+        if not tier.active[ticket.customer]:
+            del tier.active[ticket.customer]
+        weight = self._weight(ticket, group)
+        group.backlog.set(ticket.customer, -flow.cost / weight)
+        tier.meter.set_busy(tier.queued > 0, now_ms)
+        self._meter.set_busy(len(self._latest_start) > 0, now_ms)
+
+    def remove(self, ticket, now_ms=None):
+        if ticket not in self._latest_start:
+            return False
+        tier, group = self._place(ticket)
+        if now_ms is None:
+            now_ms = ticket.arrival_ms
+        flow = group.flows[ticket.customer]
+        del flow.tickets[ticket]
+        self._latest_start.discard(ticket)
+        self._count(ticket, tier, group, flow, -1, now_ms)
+        if not flow.tickets:
+            del group.flows[ticket.customer]
+            group.order.discard(ticket.customer)
+            group.backlog.discard(ticket.customer)
+        return True
+
+    def _lowest(self):
+        """Return the ticket to shed: lowest tier, largest backlog, newest."""
+        for tier in reversed(self._tiers.values()):
+            group = max(tier.classes.values(), key=lambda item: item.excess)
+            if group.excess:
+                _, customer = group.backlog.peek()
+                return next(reversed(group.flows[customer].tickets))
+        raise AssertionError('excess without a class above its reserve')
+
+    # Service
+
+    def next(self, free_slots, now_ms):
+        refused = self._expire(now_ms)
+        started = []
+        while len(started) < free_slots and self._latest_start:
+            started.append(self._take(now_ms))
+        return _hooks.Turn(started, refused)
+
+    def _expire(self, now_ms):
+        refused = []
+        while True:
+            first = self._latest_start.peek()
+            if first is None or first[0] >= now_ms:
+                return refused
+            self.remove(first[1], now_ms)
+            refused.append(self._refusal(first[1], _hooks.DEADLINE, now_ms))
+
+    def _take(self, now_ms):
+        tier, group, is_guaranteed = self._pick()
+        _, customer = group.order.peek()
+        ticket = next(iter(group.flows[customer].tickets))
+        if not is_guaranteed:
+            tier.virtual = max(tier.virtual, tier.counters[customer])
+        cost = self._cost(ticket, ticket.generated_tokens)
+        tier.meter.add(cost, now_ms)
+        self._meter.add(cost, now_ms)
+        self.remove(ticket, now_ms)
+        self._charge(ticket, tier, group, cost)
+        self._started[ticket] = _Started(tier, group, cost)
+        return ticket
+
+    def _pick(self):
+        for tier in self._tiers.values():
+            behind = [
+                group
+                for group in tier.classes.values()
+                if group.queued and group.credit > 0
+            ]
+            if behind:
+                group = max(behind, key=lambda item: item.credit)
+                return tier, group, True
+        for tier in self._tiers.values():
+            if tier.queued:
+                waiting = (
+                    item for item in tier.classes.values() if item.queued
+                )
+                return tier, min(waiting, key=_first_in_group), False
+        raise AssertionError('no ticket is queued')
+
+    def _charge(self, ticket, tier, group, cost):
+        """Charge the customer and account the classes' guarantees."""
+        self._add_to_counter(ticket, tier, group, cost)
+        for other in self._groups:
+            credit = other.credit + other.share * cost
+            other.credit = credit if other.queued else min(0.0, credit)
+        # The debt is bounded, so a class that took much in the past gets its
+        # guarantee again soon after it needs it.
+        group.credit = max(group.credit - cost, -cost)
+
+    def _add_to_counter(self, ticket, tier, group, cost):
+        customer = ticket.customer
+        counter = tier.counters.get(customer, tier.virtual)
+        counter += cost / self._weight(ticket, group)
+        tier.counters[customer] = counter
+        for other in tier.classes.values():
+            if customer in other.flows:
+                other.order.set(customer, counter)
+        if len(tier.counters) > 2 * len(tier.active) + COUNTERS_SLACK:
+            # A counter that would be lifted on return need not be kept.
+            tier.counters = {
+                name: value
+                for name, value in tier.counters.items()
+                if value > tier.virtual or name in tier.active
+            }
+
+    def served(self, ticket, tokens, done=True):
+        entry = self._started.get(ticket)
+        if entry is None:
+            return
+        difference = self._cost(ticket, tokens) - entry.charged
+        if done:
+            del self._started[ticket]
+        elif difference <= 0:
+            return
+        entry.charged += difference
+        self._add_to_counter(ticket, entry.tier, entry.group, difference)
+        entry.group.credit -= difference
+
+    # Estimates
+
+    def _wait_ms(self, tier, group, ticket):
+        """Return the expected wait of a new ticket; 0 when unknown."""
+        rate = self._meter.rate()
+        if not rate:
+            return 0
+        higher = sum(
+            item.cost
+            for item in self._tiers.values()
+            if item.number < tier.number
+        )
+        flow = group.flows.get(ticket.customer)
+        own = flow.cost if flow else 0.0
+        active = len(tier.active) + (ticket.customer not in tier.active)
+        ahead = max(
+            0.0, tier.counters.get(ticket.customer, 0.0) - tier.virtual
+        )
+        # Other customers are served as much as this one until its turn.
+        same = min(tier.cost, own * active + ahead * (active - 1))
+        tier_rate = tier.meter.rate() or rate
+        by_priority = higher / rate + same / tier_rate
+        by_guarantee = (group.cost - min(0.0, group.credit)) / (
+            rate * group.share
+        )
+        return min(by_priority, by_guarantee)
+
+    def _refusal(self, ticket, reason, now_ms):
+        after_ms = self.retry_after_ms(ticket.class_name, ticket.tier)
+        return _hooks.Refusal(ticket, reason, after_ms)
+
+    def retry_after_ms(self, class_name, tier):
+        rate = self._meter.rate()
+        if not rate:
+            return MIN_RETRY_AFTER_MS
+        ahead = sum(
+            item.cost for item in self._tiers.values() if item.number <= tier
+        )
+        return int(
+            min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, ahead / rate))
+        )
+
+    def dump(self):
+        return {
+            'queued': len(self._latest_start),
+            'running': len(self._started),
+            'rate_per_ms': self._meter.rate(),
+            'classes': [
+                {
+                    'name': group.name,
+                    'queued': group.queued,
+                    'customers': len(group.flows),
+                    'credit': group.credit,
+                    'share': group.share,
+                }
+                for group in self._groups
+            ],
+        }
+
+
+def _first_in_group(group):
+    """Sort key of a class with waiting tickets: counter, then deadline."""
+    counter, customer = group.order.peek()
+    ticket = next(iter(group.flows[customer].tickets))
+    return counter, ticket.deadline_ms
--- /dev/null
+++ b/packages/router/tests/test_policy_scheduler.py
@@ -0,0 +1,221 @@
+"""Tests of the schedulers; each names the failure it guards against."""
+
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+from paddle_router import policy
+
+FAR_MS = 10**9
+CLASSES = {
+    'top': policy.ClassPolicy(tier=1, min_share=0.05),
+    'mid': policy.ClassPolicy(tier=2, min_share=0.05),
+    'low': policy.ClassPolicy(tier=3, min_share=0.05),
+}
+arrivals = st.lists(
+    st.tuples(
+        st.sampled_from(sorted(CLASSES)),
+        st.sampled_from('abcd'),
+        st.integers(1, 500),
+    ),
+    max_size=80,
+)
+
+
+def make_ticket(class_name, customer, tokens=100, **more):
+    options = {'arrival_ms': 0, 'deadline_ms': FAR_MS, **more}
+    return policy.Ticket(
+        customer=customer,
+        class_name=class_name,
+        tier=CLASSES[class_name].tier,
+        prompt_tokens=tokens,
+        generated_tokens=tokens,
+        **options,
+    )
+
+
+def make_scheduler(**options):
+    return policy.schedulers.create('tiered_fair', classes=CLASSES, **options)
+
+
+def offer_all(scheduler, tickets):
+    refused = []
+    for ticket in tickets:
+        refused.extend(scheduler.offer(ticket, 0))
+    return [refusal.ticket for refusal in refused]
+
+
+@hypothesis.given(arrivals, st.integers(1, 20))
+def test_lower_tiers_do_not_change_what_a_higher_tier_loses(items, capacity):
+    # Guards against shedding a higher tier for a lower one.
+    tickets = [make_ticket(*item) for item in items]
+    with_all = offer_all(make_scheduler(capacity=capacity), tickets)
+    for tier in (1, 2):
+        upper = [item for item in tickets if item.tier <= tier]
+        alone = offer_all(make_scheduler(capacity=capacity), upper)
+        assert alone == [item for item in with_all if item.tier <= tier]
+
+
+@hypothesis.given(arrivals, st.integers(1, 20))
+def test_overflow_sheds_the_lowest_tier_above_its_reserve(items, capacity):
+    # Guards against keeping lower tiers beyond their guaranteed places.
+    scheduler = make_scheduler(capacity=capacity)
+    reserved = max(1, int(0.05 * capacity))
+    queued = []
+    for item in items:
+        ticket = make_ticket(*item)
+        queued.append(ticket)
+        for refusal in scheduler.offer(ticket, 0):
+            queued.remove(refusal.ticket)
+            for name, settings in CLASSES.items():
+                if settings.tier > refusal.ticket.tier:
+                    kept = [t for t in queued if t.class_name == name]
+                    assert len(kept) <= reserved
+    assert len(queued) <= capacity + len(CLASSES) * reserved
+
+
+@hypothesis.settings(deadline=None, max_examples=30)
+@hypothesis.given(st.integers(0, 10**6), st.sampled_from(sorted(CLASSES)))
+def test_each_class_gets_its_guaranteed_share_at_overload(seed, victim):
+    # Guards against starvation of a class by higher tiers, by its own tier
+    # or by a long history of its own.
+    rng = random.Random(seed)
+    scheduler = make_scheduler(capacity=50)
+    served = dict.fromkeys(CLASSES, 0)
+    for step in range(1500):
+        if step == 700:
+            served = dict.fromkeys(CLASSES, 0)
+        names = [victim] if step < 500 else sorted(CLASSES)
+        for name in names:
+            tokens = rng.randint(10, 200)
+            scheduler.offer(make_ticket(name, 'c', tokens), step)
+        for ticket in scheduler.next(1, step).started:
+            served[ticket.class_name] += ticket.generated_tokens
+            scheduler.served(ticket, ticket.generated_tokens)
+    total = sum(served.values())
+    # One request of 200 tokens may be outstanding at the end.
+    assert all(part >= 0.05 * total - 200 for part in served.values())
+
+
+@hypothesis.given(arrivals, st.randoms(use_true_random=False))
+def test_each_ticket_leaves_exactly_once(items, rng):
+    # Guards against lost or doubled tickets and drifting counts.
+    scheduler = make_scheduler(capacity=10)
+    left = []
+    tickets = [
+        make_ticket(*item, deadline_ms=rng.randint(0, 100)) for item in items
+    ]
+    for now_ms, ticket in enumerate(tickets):
+        left += [item.ticket for item in scheduler.offer(ticket, now_ms)]
+        choice = rng.random()
+        if choice < 0.3:
+            turn = scheduler.next(rng.randint(0, 3), now_ms)
+            left += turn.started
+            left += [item.ticket for item in turn.refused]
+        elif choice < 0.5:
+            ticket = rng.choice(tickets[: now_ms + 1])
+            if scheduler.remove(ticket):
+                left.append(ticket)
+    turn = scheduler.next(len(tickets), FAR_MS // 2)
+    left += turn.started + [item.ticket for item in turn.refused]
+    assert sorted(map(id, left)) == sorted(map(id, tickets))
+    assert scheduler.dump()['queued'] == 0
+
+
+def test_small_customer_is_not_delayed_by_a_burst():
+    # Guards against first come, first served within a tier.
+    scheduler = make_scheduler()
+    offer_all(scheduler, [make_ticket('top', 'large') for _ in range(100)])
+    scheduler.next(20, 0)
+    small = make_ticket('top', 'small')
+    scheduler.offer(small, 0)
+    assert scheduler.next(1, 0).started == [small]
+
+
+def test_idle_time_is_not_credited():
+    # Guards against a returning customer monopolising the engines.
+    scheduler = make_scheduler()
+    offer_all(scheduler, [make_ticket('top', 'a') for _ in range(200)])
+    scheduler.next(100, 0)
+    offer_all(scheduler, [make_ticket('top', 'b') for _ in range(100)])
+    started = scheduler.next(40, 0).started
+    assert 19 <= sum(item.customer == 'a' for item in started) <= 21
+
+
+def test_real_length_corrects_the_counter():
+    # Guards against charging only what was predicted.
+    scheduler = make_scheduler()
+    first = make_ticket('top', 'a', 10)
+    scheduler.offer(first, 0)
+    scheduler.next(1, 0)
+    scheduler.served(first, 1000)
+    offer_all(scheduler, [make_ticket('top', 'a', 10) for _ in range(9)])
+    offer_all(scheduler, [make_ticket('top', 'b', 10) for _ in range(9)])
+    started = scheduler.next(9, 0).started
+    assert [item.customer for item in started] == ['b'] * 9
+
+
+def test_late_requests_are_refused_with_a_time_from_the_queue():
+    # Guards against queueing what can no longer be in time.
+    scheduler = make_scheduler()
+    offer_all(scheduler, [make_ticket('top', 'a') for _ in range(200)])
+    for now_ms in range(0, 2000, 100):
+        scheduler.next(1, now_ms)
+    late = make_ticket('top', 'a', arrival_ms=2000, deadline_ms=3000)
+    (refusal,) = scheduler.offer(late, 2000)
+    assert refusal.reason == policy.DEADLINE
+    # 180 tickets wait and one is served every 100 ms.
+    assert 15_000 <= refusal.retry_after_ms <= 21_000
+    expiring = make_ticket('top', 'b', deadline_ms=2500, start_up_ms=100)
+    assert not scheduler.offer(expiring, 2000)
+    assert not scheduler.next(0, 2400).refused
+    assert scheduler.next(0, 2401).refused[0].ticket is expiring
+
+
+def test_switching_settings_keeps_queued_and_running_requests():
+    # Guards against a preset switch that drops requests.
+    scheduler = make_scheduler(capacity=10)
+    running = make_ticket('mid', 'a')
+    offer_all(scheduler, [running] + [make_ticket('low', 'a')] * 1)
+    scheduler.next(1, 0)
+    heavy = {'low': policy.ClassPolicy(tier=3, weight=5, min_share=0.4)}
+    scheduler.apply(heavy, {'a': 2.0})
+    scheduler.served(running, 50)
+    assert [t.class_name for t in scheduler.next(5, 0).started] == ['low']
+
+
+def test_budget_allows_a_tenth_and_a_small_floor():
+    # Guards against a retry storm and against no retry at low traffic.
+    budget = policy.RetryBudget(now_ms=0)
+    assert budget.take(0)
+    assert not budget.take(0)
+    assert budget.take(2_000)
+    for _ in range(500):
+        budget.note_request()
+    assert sum(budget.take(2_000) for _ in range(500)) == 50
+
+
+def test_bookings_are_never_sent_twice():
+    # Guards against repeating a call that may have run.
+    budget = policy.RetryBudget(now_ms=0)
+    sent = policy.Attempt(idempotent=False, was_sent=True)
+    assert policy.decide_retry(sent, budget, 0) is policy.Action.ANSWER_UNKNOWN
+    unsent = policy.Attempt(idempotent=False, was_sent=False)
+    assert policy.decide_retry(unsent, budget, 0) is policy.Action.RETRY
+    assert (
+        policy.decide_retry(unsent, budget, 0) is policy.Action.REFUSE_NOT_RUN
+    )
+
+
+def test_streams_are_resumed_only_where_supported():
+    # Guards against repeated text after an interruption.
+    budget = policy.RetryBudget(now_ms=0)
+    cut = policy.Attempt(idempotent=True, was_sent=True, events_delivered=3)
+    assert policy.decide_retry(cut, budget, 0) is policy.Action.ERROR_EVENT
+    cut = policy.Attempt(
+        idempotent=True,
+        was_sent=True,
+        events_delivered=3,
+        engine_can_resume=True,
+    )
+    assert policy.decide_retry(cut, budget, 0) is policy.Action.RESUME
