Join the event declarations of two merged branches

Cause: the union merge left two module docstrings. Ruled out: separate event modules per topic, since the catalogue test reads one module per package.

--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -21,9 +21,6 @@
 VERSION_NOT_KEPT = kernel.declare_event(
     2104, 'WARNING', 'the served version could not be synced to its file'
 )
-"""Events of this package; ``docs/events.md`` is the catalogue."""
-
-import paddle_kernel as kernel
 
 # Lease, orders and usage windows: 2200 to 2299.
 LEASE_TAKEN = kernel.declare_event(2200, 'INFO', 'lease taken')
