--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -7,6 +7,22 @@
 from paddle_coord._ballot import Ballot
 from paddle_coord._proposer import Proposer
 from paddle_coord._proposer import ProposerOptions
+from paddle_coord._claims import Answer
+from paddle_coord._claims import Claim
+from paddle_coord._claims import ClaimBook
+from paddle_coord._claims import ClaimError
+from paddle_coord._claims import ClaimOutcome
+from paddle_coord._config_log import ChangeOutcome
+from paddle_coord._config_log import ConfigChange
+from paddle_coord._config_log import ConfigLog
+from paddle_coord._config_log import Fold
+from paddle_coord._config_log import UnfoldableSlotError
+from paddle_coord._lease import guarded_send
+from paddle_coord._lease import Lease
+from paddle_coord._lease import LEASE_KEY
+from paddle_coord._lease import LeaseTiming
+from paddle_coord._lease import NOT_SENT
+from paddle_coord._lease import SendError
 from paddle_coord._register import Change
 from paddle_coord._register import MemoryRegister
 from paddle_coord._register import NOT_WRITTEN
@@ -27,7 +43,21 @@
     'Change',
     'DamagedStoreError',
     'Member',
+    'Answer',
+    'Change',
+    'ChangeOutcome',
+    'Claim',
+    'ClaimBook',
+    'ClaimError',
+    'ClaimOutcome',
+    'ConfigChange',
+    'ConfigLog',
+    'Fold',
+    'LEASE_KEY',
+    'Lease',
+    'LeaseTiming',
     'MemoryRegister',
+    'NOT_SENT',
     'NOT_WRITTEN',
     'Proposer',
     'ProposerOptions',
@@ -39,4 +69,8 @@
     'StoreError',
     'UNKNOWN',
     'View',
+    'SendError',
+    'UNKNOWN',
+    'UnfoldableSlotError',
+    'guarded_send',
 ]
--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -15,3 +15,31 @@
 STORE_COMPACTED = kernel.declare_event(
     2004, 'INFO', 'the store was compacted by a snapshot'
 )
+"""Log events of the coordination parts."""
+
+import paddle_kernel as kernel
+
+CLAIM_NOT_RELEASED = kernel.declare_event(
+    2100,
+    'WARNING',
+    'a claim could not be released; it becomes unknown at its deadline',
+)
+CONFIG_BEHIND = kernel.declare_event(
+    2101,
+    'ERROR',
+    'the configuration log is behind a version served before; not serving',
+)
+SNAPSHOT_FAILED = kernel.declare_event(
+    2102, 'WARNING', 'no configuration snapshot written; next change retries'
+)
+VERSION_FILE_UNREADABLE = kernel.declare_event(
+    2103, 'WARNING', 'the file of the served version is unreadable; ignored'
+)
+VERSION_NOT_KEPT = kernel.declare_event(
+    2104, 'WARNING', 'the served version could not be synced to its file'
+)
+
+# Lease, orders and usage windows: 2200 to 2299.
+LEASE_TAKEN = kernel.declare_event(2200, 'INFO', 'lease taken')
+LEASE_LOST = kernel.declare_event(2201, 'WARNING', 'lease lost')
+LEASE_RELEASED = kernel.declare_event(2202, 'INFO', 'lease released')
