--- a/packages/coord/src/paddle_coord/_claims.py
+++ b/packages/coord/src/paddle_coord/_claims.py
@@ -198,8 +198,8 @@
     """Claims on behalf of one process.
 
     ``owner`` names the incarnation of the process. ``keys(prefix)`` and
-    ``delete(key)`` are those of the replicated register and are only needed
-    by :meth:`collect`.
+    ``delete(key, function)`` are those of the replicated register and are
+    only needed by :meth:`collect`.
     """
 
     def __init__(self, register, clock, owner, *, keys=None, delete=None):
@@ -287,10 +287,9 @@
         """Delete claims whose retention time has passed.
 
         Returns ``Success(number of deleted keys)`` or the first ``Failure``;
-        what is left over is deleted by the next call. The value is removed
-        by a conditional change first, so that a claim taken after another
-        process collected the old one is never deleted; ``delete`` must leave
-        a key alone that has a value again.
+        what is left over is deleted by the next call. ``delete`` is given a
+        change function, so that a claim taken after another process
+        collected the old one is not deleted.
         """
         listed = self._keys(PREFIX)
         if isinstance(listed, returns.result.Failure):
@@ -311,19 +310,14 @@
                 return None
             return _register.Reject('the retention time has not passed')
 
+        # Most claims are not due; a read costs less than a rejected change.
         current = self._register.read(key)
         if isinstance(current, returns.result.Failure):
             return current
         record = decode(current.unwrap())
-        if record is not None:
-            if not is_collectable(record, wall_ms):
-                return returns.result.Success(0)
-            result = self._register.change(key, remove)
-            if isinstance(result, returns.result.Failure):
-                return result
-            if not result.unwrap().applied:
-                return returns.result.Success(0)
-        return self._delete(key).map(lambda _: 1)
+        if record is not None and not is_collectable(record, wall_ms):
+            return returns.result.Success(0)
+        return self._delete(key, remove).map(int)
 
     def _judge(self, claim, wanted, value):
         record = decode(value)
--- a/packages/coord/tests/test_coord_claims.py
+++ b/packages/coord/tests/test_coord_claims.py
@@ -33,9 +33,11 @@
         found = [k for k in self.register.values if k.startswith(prefix)]
         return returns.result.Success(found)
 
-    def delete(self, key):
-        self.deleted.append(key)
-        return returns.result.Success(None)
+    def delete(self, key, function):
+        change = self.register.change(key, function).unwrap()
+        if change.applied:
+            self.deleted.append(key)
+        return returns.result.Success(change.applied)
 
     def claim(self, book, digest='d1'):
         deadline_ms = self.clock.now_ms() + DEADLINE_MS
