Add the balancers and the ejection of slow engines

Cause: load reports lag or lie, so the choice and the ejection of an engine must rest on what this daemon observes itself. Ruled out: judging by the median at the time of each answer alone. Ruled out: rounding the share of each engine up to a slot, because hundreds of daemons would exceed the slots; an offset per engine spreads whole slots. Conclusion: choose, observe, finish, tick and probes are usable by the daemon.

--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -21,10 +21,16 @@
 from paddle_router.policy._hooks import Ticket
 from paddle_router.policy._hooks import Turn
 from paddle_router.policy._hooks import Work
+from paddle_router.policy._observed import Ejection
+from paddle_router.policy._observed import ObservedBalancer
+from paddle_router.policy._plain_balancers import LeastReportedLoadBalancer
+from paddle_router.policy._plain_balancers import RoundRobinBalancer
 from paddle_router.policy._retry import Action
 from paddle_router.policy._retry import Attempt
 from paddle_router.policy._retry import decide as decide_retry
 from paddle_router.policy._retry import RetryBudget
+from paddle_router.policy._slots import own_slots
+from paddle_router.policy._slots import share_of
 from paddle_router.policy._tiered_fair import TieredFairScheduler
 
 __all__ = [
@@ -33,14 +39,18 @@
     'Balancer',
     'ClassPolicy',
     'DEADLINE',
+    'Ejection',
     'Engine',
     'FifoScheduler',
     'Flight',
+    'LeastReportedLoadBalancer',
     'LoadReport',
     'OVERFLOW',
+    'ObservedBalancer',
     'Planner',
     'Refusal',
     'RetryBudget',
+    'RoundRobinBalancer',
     'Scheduler',
     'Ticket',
     'TieredFairScheduler',
@@ -48,6 +58,8 @@
     'Work',
     'balancers',
     'decide_retry',
+    'own_slots',
     'planners',
     'schedulers',
+    'share_of',
 ]
--- a/packages/router/src/paddle_router/policy/_hooks.py
+++ b/packages/router/src/paddle_router/policy/_hooks.py
@@ -191,8 +191,8 @@
     def report(self, engine_id: str, report: LoadReport, now_ms: int) -> None:
         """Note a load report."""
 
-    def tick(self, now_ms: int) -> collections.abc.Sequence[str]:
-        """Judge engines, at least every 100 ms; return those just ejected."""
+    def tick(self, now_ms: int) -> collections.abc.Sequence:
+        """Judge engines, at least every 100 ms; return new ejections."""
 
     def lose_domain(
         self, failure_domain: str, now_ms: int
