Add limits, admission, lengths and the preset switch

Cause: the remaining decisions of a request need no round trip and bounded memory for 38,000 customers. Ruled out: refusing every request of a class whose target between tokens is missed, because it would never see the engines recover; one per second stays. Ruled out: excluding requests larger than a small share of a limit; a bucket may be overdrawn once instead. Conclusion: one call switches scheduler, limits and admission.

--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -4,6 +4,10 @@
 ``planners`` are the registries of the plug-ins.
 """
 
+from paddle_router.policy._admission import Admission
+from paddle_router.policy._admission import FIRST_TOKEN
+from paddle_router.policy._admission import INTER_TOKEN
+from paddle_router.policy._admission import Prediction
 from paddle_router.policy._fifo import FifoScheduler
 from paddle_router.policy._hooks import Balancer
 from paddle_router.policy._hooks import balancers
@@ -21,10 +25,17 @@
 from paddle_router.policy._hooks import Ticket
 from paddle_router.policy._hooks import Turn
 from paddle_router.policy._hooks import Work
+from paddle_router.policy._lengths import LengthEstimator
+from paddle_router.policy._lengths import LengthPrediction
+from paddle_router.policy._limits import LimitExceeded
+from paddle_router.policy._limits import Limits
+from paddle_router.policy._limits import LimitSettings
 from paddle_router.policy._observed import Ejection
 from paddle_router.policy._observed import ObservedBalancer
 from paddle_router.policy._plain_balancers import LeastReportedLoadBalancer
 from paddle_router.policy._plain_balancers import RoundRobinBalancer
+from paddle_router.policy._preset import PolicyPreset
+from paddle_router.policy._preset import PolicySet
 from paddle_router.policy._retry import Action
 from paddle_router.policy._retry import Attempt
 from paddle_router.policy._retry import decide as decide_retry
@@ -35,19 +46,30 @@
 
 __all__ = [
     'Action',
+    'Admission',
     'Attempt',
     'Balancer',
     'ClassPolicy',
     'DEADLINE',
     'Ejection',
     'Engine',
+    'FIRST_TOKEN',
     'FifoScheduler',
     'Flight',
+    'INTER_TOKEN',
     'LeastReportedLoadBalancer',
+    'LengthEstimator',
+    'LengthPrediction',
+    'LimitExceeded',
+    'LimitSettings',
+    'Limits',
     'LoadReport',
     'OVERFLOW',
     'ObservedBalancer',
     'Planner',
+    'PolicyPreset',
+    'PolicySet',
+    'Prediction',
     'Refusal',
     'RetryBudget',
     'RoundRobinBalancer',
