Answer every malformed request in the protocol's error form

Cause: the WSGI server answered bad lines, long headers and bad framing with its own texts and reset the connection before the caller could read them. Ruled out: a front parser of our own, since overriding the handler's reading and error steps is enough. Conclusion: a request with two lengths, or a length and chunks, is refused.

--- a/packages/router/src/paddle_router/_config_source.py
+++ b/packages/router/src/paddle_router/_config_source.py
@@ -146,7 +146,12 @@
     @classmethod
     def from_document(cls, document):
         """Build from parsed JSON."""
-        return cls(settings.load(Document, document))
+        return cls(cls.document_of(document))
+
+    @staticmethod
+    def document_of(document):
+        """Return the checked :class:`Document` of parsed JSON."""
+        return settings.load(Document, document)
 
     def replace(self, document):
         """Put another :class:`Document` into effect."""
--- a/packages/router/src/paddle_router/_http_in.py
+++ b/packages/router/src/paddle_router/_http_in.py
@@ -5,6 +5,8 @@
 chat-completions protocol.
 """
 
+import http
+from http import client
 import socket as plain_socket
 
 import gevent
@@ -57,10 +59,24 @@
         self.rfile = _HeaderReader(rfile, self.server.header_bytes)
         try:
             with gevent.Timeout(self.server.request_s, TimeoutError):
-                return super().read_request(raw_requestline)
+                parsed = super().read_request(raw_requestline)
+                self._check_framing()
+                return parsed
         finally:
             self.rfile = rfile
 
+    def _check_framing(self):
+        # Two lengths, or a length and chunks, allow two readings of where
+        # the request ends.
+        lengths = self.headers.get_all('Content-Length', [])
+        encodings = self.headers.get_all('Transfer-Encoding', [])
+        chunked = [value.strip().lower() for value in encodings]
+        if len(lengths) + len(encodings) > 1 or chunked not in (
+            [],
+            ['chunked'],
+        ):
+            raise ValueError('ambiguous length of the request')
+
     def get_environ(self):
         environ = super().get_environ()
         environ[HANDLER] = self
@@ -96,12 +112,41 @@
         reader.chunked_input = False
         reader.content_length = reader.position
 
+    def handle_one_request(self):
+        result = super().handle_one_request()
+        if not isinstance(result, tuple):
+            return result
+        status, answer = result
+        if status == '414':
+            answer = _raw_response(
+                _errors.Refusal(
+                    414, 'headers_too_large', 'the request line is too long'
+                )
+            )
+        self._send_and_linger(answer)
+        return None
+
+    def _send_and_linger(self, answer):
+        sock = self.socket
+        with gevent.Timeout(DISCARD_S, False):
+            try:
+                sock.sendall(answer)
+                sock.shutdown(plain_socket.SHUT_WR)
+                left = DISCARD_BYTES
+                while left > 0 and (data := sock.recv(READ_BYTES)):
+                    left -= len(data)
+            except OSError:
+                # The caller closed the connection; there is nobody to tell.
+                pass
+
     def _handle_client_error(self, exc):
-        large = isinstance(exc, HeadersTooLargeError)
+        # A line or a number of headers beyond the parser's own limits.
+        large = isinstance(exc, HeadersTooLargeError | client.HTTPException)
+        limit = self.server.header_bytes
         refusal = _errors.Refusal(
             431 if large else 400,
             'headers_too_large' if large else 'malformed_request',
-            f'the headers exceed {self.server.header_bytes} bytes'
+            f'the headers exceed {limit} bytes or are too many'
             if large
             else 'the request is not valid HTTP',
         )
@@ -118,7 +163,8 @@
 
 def _raw_response(refusal):
     body = refusal.body()
-    lines = [f'HTTP/1.1 {refusal.status} Error']
+    phrase = http.HTTPStatus(refusal.status).phrase
+    lines = [f'HTTP/1.1 {refusal.status} {phrase}']
     lines.extend(f'{name}: {value}' for name, value in refusal.headers())
     lines.extend(['Connection: close', f'Content-Length: {len(body)}'])
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
--- a/packages/router/src/paddle_router/_http_out.py
+++ b/packages/router/src/paddle_router/_http_out.py
@@ -20,7 +20,7 @@
 HEADERS_ONLY = 199
 
 
-class BrokenAnswerError(OSError):
+class BrokenAnswerError(ConnectionError):
     """The backend server closed the connection or broke the protocol."""
 
 
--- a/packages/router/src/paddle_router/_relay.py
+++ b/packages/router/src/paddle_router/_relay.py
@@ -31,19 +31,33 @@
 
         :raises OSError: if the engine does not answer.
         """
-        bounds = self._core.bounds
         self.request.advance(State.CONNECTING)
+        self._connect(watch)
+        self.request.advance(State.SENT)
+        try:
+            self._exchange(body, headers)
+        except ConnectionError:
+            # The engine may close an idle connection just as it is taken
+            # from the pool; the work is idempotent, so it may be sent anew.
+            if not self.conn.reused or watch.gone:
+                raise
+            self.conn.close()
+            self._connect(watch, fresh=True)
+            self._exchange(body, headers)
+        return self.answer
+
+    def _connect(self, watch, *, fresh=False):
         self.conn = self._core.pool.open(
-            self.instance.address, bounds.connect_ms
+            self.instance.address, self._core.bounds.connect_ms, fresh=fresh
         )
         watch.on_gone(self.conn.cancel)
-        self.request.advance(State.SENT)
+
+    def _exchange(self, body, headers):
+        bounds = self._core.bounds
         self.conn.send(
             'POST', CHAT_TARGET, headers, body, timeout_ms=bounds.idle_ms
         )
         self.answer = self.conn.read_head(bounds.first_byte_ms)
-        self.conn.set_timeout(bounds.first_byte_ms)
-        return self.answer
 
     def close(self, *, reusable=False):
         """Give back connection and slot; may be called more than once."""
--- a/packages/router/tests/conftest.py
+++ b/packages/router/tests/conftest.py
@@ -155,6 +155,14 @@
         wait_for(lambda: daemon.core.not_ready_reason() is None)
         return daemon
 
+    def set_key(self, **options):
+        """Replace the key's record in the configuration."""
+        self.config.replace(
+            _config_source.LocalConfig.document_of(
+                {**DOCUMENT, 'keys': [key_entry(KEY, **options)]}
+            )
+        )
+
     def post_chat(self, daemon, *, key=KEY, headers=(), **fields):
         """Send a chat request and return its reply."""
         return send_request(
--- /dev/null
+++ b/packages/router/tests/test_http_errors.py
@@ -0,0 +1,167 @@
+"""Errors of callers: clear answers, and nothing reaches a backend server."""
+
+import gevent.socket
+import pytest
+
+import paddle_kernel
+
+
+def raw(daemon, data, *, half_close=False):
+    """Send bytes and return everything received."""
+    sock = gevent.socket.create_connection(
+        paddle_kernel.split_address(daemon.server.bound)
+    )
+    sock.sendall(data)
+    if half_close:
+        sock.shutdown(gevent.socket.SHUT_WR)
+    parts = []
+    with gevent.Timeout(5):
+        while part := sock.recv(65_536):
+            parts.append(part)
+    return b''.join(parts)
+
+
+def head(stack, length, *extra):
+    lines = [
+        'POST /v1/chat/completions HTTP/1.1',
+        'Host: router',
+        f'Authorization: Bearer {stack.key}',
+        f'Content-Length: {length}',
+        'Connection: close',
+        *extra,
+    ]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n'
+
+
+def check(stack, reply, status, code):
+    assert (reply.status, reply.error['code']) == (status, code)
+    assert reply.error['outcome'] == 'not_run'
+    assert reply.headers['paddle-outcome'] == 'not_run'
+    assert stack.engines[0].seen == []
+
+
+@pytest.mark.parametrize(
+    ('body', 'code'),
+    [
+        (b'{"model": ', 'malformed_json'),
+        (b'[1]', 'malformed_json'),
+        (b'\xff\xfe{', 'malformed_json'),
+        (b'[' * 100_000, 'malformed_json'),
+        (b'{"model": "small"}', 'invalid_value'),
+        (b'{"model": 3, "messages": [{}]}', 'invalid_value'),
+        (b'{"model": "small", "messages": [1]}', 'invalid_value'),
+    ],
+)
+def test_malformed_body_is_refused(stack, body, code):
+    """Guards against a parser error that ends the request without answer."""
+    stack.add_engine()
+    daemon = stack.add_daemon()
+    address = daemon.server.bound
+    reply = stack.request(
+        address, 'POST', stack.chat_path, key=stack.key, body=body
+    )
+    check(stack, reply, 400, code)
+
+
+def test_unknown_model_and_class_are_refused(stack):
+    """Guards against a request that waits for a model nobody has."""
+    stack.add_engine()
+    daemon = stack.add_daemon()
+    reply = stack.post_chat(daemon, model='huge')
+    check(stack, reply, 404, 'model_not_found')
+    reply = stack.post_chat(daemon, headers=[('Paddle-Class', 'none')])
+    check(stack, reply, 400, 'unknown_class')
+
+
+def test_bad_keys_are_refused(stack):
+    """Guards against work for a caller without a valid key."""
+    stack.add_engine()
+    daemon = stack.add_daemon()
+    check(stack, stack.post_chat(daemon, key=None), 401, 'missing_key')
+    check(stack, stack.post_chat(daemon, key='other'), 401, 'invalid_key')
+    stack.set_key(expires_wall_ms=1)
+    check(stack, stack.post_chat(daemon), 401, 'expired_key')
+    stack.set_key(revoked=True)
+    check(stack, stack.post_chat(daemon), 401, 'revoked_key')
+
+
+def test_oversized_body_is_refused(stack):
+    """Guards against memory use by one caller, by length or by chunks."""
+    stack.add_engine()
+    daemon = stack.add_daemon(bounds={'body_bytes': 1_000})
+    check(
+        stack,
+        stack.post_chat(daemon, text='x' * 2_000),
+        413,
+        ('body_too_large'),
+    )
+    chunked = head(stack, 0).replace(
+        b'Content-Length: 0', b'Transfer-Encoding: chunked'
+    )
+    answer = raw(
+        daemon, chunked + b'fff\r\n' + b'x' * 0xFFF + b'\r\n0\r\n\r\n'
+    )
+    assert answer.startswith(b'HTTP/1.1 413') and b'not_run' in answer
+    assert stack.engines[0].seen == []
+
+
+def test_oversized_headers_are_refused(stack):
+    """Guards against memory use and against an answer without outcome."""
+    stack.add_engine()
+    daemon = stack.add_daemon()
+    for extra in ('X-Long: ' + 'y' * 40_000, 'X-A: 1\r\n' * 9_000 + 'X: 1'):
+        answer = raw(daemon, head(stack, 0, extra))
+        assert answer.startswith(b'HTTP/1.1 431')
+        assert b'paddle-outcome: not_run' in answer.lower()
+    line = b'GET /' + b'a' * 10_000 + b' HTTP/1.1\r\n\r\n'
+    answer = raw(daemon, line)
+    assert answer.startswith(b'HTTP/1.1 414')
+    assert b'paddle-outcome: not_run' in answer.lower()
+    assert stack.engines[0].seen == []
+    assert stack.post_chat(daemon, max_tokens=1).status == 200
+
+
+def test_truncated_body_is_refused(stack):
+    """Guards against a body cut by the caller that is relayed anyway."""
+    stack.add_engine()
+    daemon = stack.add_daemon()
+    answer = raw(daemon, head(stack, 500) + b'{"model":', half_close=True)
+    assert answer.startswith(b'HTTP/1.1 400')
+    assert b'truncated_body' in answer and b'not_run' in answer
+    assert stack.engines[0].seen == []
+
+
+def test_bad_protocol_is_refused(stack):
+    """Guards against a process that ends on a line that is not HTTP."""
+    stack.add_engine()
+    daemon = stack.add_daemon()
+    for data in (
+        b'\x00\x01\x02\r\n\r\n',
+        b'POST / HTTP/9.9\r\n\r\n',
+        head(stack, -5),
+        head(stack, 'x'),
+        head(stack, 5, 'Content-Length: 9'),
+        head(stack, 5, 'Transfer-Encoding: chunked') + b'5\r\nabcde\r\n0\r\n',
+        head(stack, 0, 'Bad Header'),
+    ):
+        answer = raw(daemon, data, half_close=True)
+        assert answer.startswith(b'HTTP/1.1 400'), (data, answer)
+        assert b'paddle-outcome: not_run' in answer.lower()
+    assert stack.engines[0].seen == []
+    assert stack.post_chat(daemon, max_tokens=1).status == 200
+
+
+def test_wrong_method_is_refused_in_the_error_form(stack):
+    """Guards against an error body of the HTTP library's own form."""
+    daemon = stack.add_daemon()
+    reply = stack.request(daemon.server.bound, 'DELETE', stack.chat_path)
+    assert reply.status == 405
+    assert reply.error['outcome'] == 'not_run'
+
+
+def test_key_outside_of_its_header_is_refused(stack):
+    """Guards against a key that reaches an engine within the body."""
+    stack.add_engine()
+    daemon = stack.add_daemon()
+    reply = stack.post_chat(daemon, user=stack.key)
+    check(stack, reply, 400, 'key_in_request')
--- /dev/null
+++ b/packages/router/tests/test_http_out.py
@@ -0,0 +1,183 @@
+"""Connections to backend servers: arrivals, partial reads, event endings."""
+
+import gevent
+import gevent.event
+import gevent.server
+import pytest
+
+import paddle_kernel
+from paddle_router import _headers
+from paddle_router import _http_out
+from paddle_router import _sse
+
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+
+
+class ScriptedServer:
+    """Accepts connections and counts the requests that arrive.
+
+    ``script(sock, number)`` handles each arrival, numbered from 1.
+    """
+
+    def __init__(self, script):
+        self.arrivals = 0
+        self._script = script
+        self._server = gevent.server.StreamServer(
+            ('127.0.0.1', 0), self._serve
+        )
+        self._server.start()
+        self.address = f'127.0.0.1:{self._server.address[1]}'
+
+    def _serve(self, sock, _peer):
+        while sock.recv(65_536):
+            self.arrivals += 1
+            if not self._script(sock, self.arrivals):
+                break
+        sock.close()
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+
+@pytest.fixture
+def scripted():
+    servers = []
+
+    def build(script):
+        servers.append(ScriptedServer(script))
+        return servers[-1]
+
+    yield build
+    for server in servers:
+        server.stop()
+
+
+def close_at(*numbers):
+    """Answer each arrival, but close without an answer at ``numbers``."""
+
+    def script(sock, number):
+        if number in numbers:
+            return False
+        sock.sendall(OK)
+        return True
+
+    return script
+
+
+def test_booking_is_not_sent_twice_on_a_dead_connection(stack, scripted):
+    """Guards against a doubled booking after a keep-alive race."""
+    server = scripted(close_at(2))
+    stack.platform.add(
+        'service-1', server.address, kind='service', service='booking'
+    )
+    daemon = stack.add_daemon()
+    options = {'key': stack.key, 'body': {'slot': 1}}
+    address = daemon.server.bound
+    replies = [
+        stack.request(
+            address,
+            'POST',
+            '/bookings',
+            headers=[('Idempotency-Key', f'b{index}')],
+            **options,
+        )
+        for index in range(3)
+    ]
+    assert [reply.status for reply in replies] == [200, 502, 200]
+    assert replies[1].error['outcome'] == 'unknown'
+    assert server.arrivals == 3
+
+
+def test_idempotent_call_survives_a_dead_pooled_connection(stack, scripted):
+    """Guards against errors when an engine closes idle connections."""
+    server = scripted(close_at(2))
+    stack.platform.add('engine-1', server.address, models=['small'])
+    daemon = stack.add_daemon()
+    replies = [stack.post_chat(daemon) for _ in range(2)]
+    assert [reply.status for reply in replies] == [200, 200]
+    assert server.arrivals == 3
+
+
+def test_body_is_read_as_it_arrives(scripted):
+    """Guards against waiting for a full buffer, for both framings."""
+    go_on = gevent.event.Event()
+
+    def script(sock, number):
+        sock.sendall(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst'
+        )
+        go_on.wait(5)
+        sock.sendall(b'\r\n4\r\nlast\r\n0\r\n\r\n')
+        return True
+
+    pool = _http_out.Pool(paddle_kernel.SystemClock())
+    conn = pool.open(scripted(script).address, 1_000)
+    conn.send('GET', '/', (), timeout_ms=1_000)
+    answer = conn.read_head(1_000)
+    assert answer.read_some() == b'first'
+    go_on.set()
+    assert answer.read_all(100) == b'last'
+    assert conn.reusable
+
+
+def test_truncated_answer_is_an_error(scripted):
+    """Guards against a cut body that passes as complete."""
+
+    def script(sock, number):
+        sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc')
+        return False
+
+    pool = _http_out.Pool(paddle_kernel.SystemClock())
+    conn = pool.open(scripted(script).address, 1_000)
+    conn.send('GET', '/', (), timeout_ms=1_000)
+    with pytest.raises(_http_out.BrokenAnswerError):
+        conn.read_head(1_000).read_all(100)
+
+
+@pytest.mark.parametrize('end', [b'\n', b'\r\n'])
+@pytest.mark.parametrize('step', [1, 2, 3, 7, 1_000])
+def test_events_are_split_at_any_byte(end, step):
+    """Guards against events lost or joined at packet borders."""
+    events = [b'data: a' + end + end, b'event: x' + end + b'data: b' + 2 * end]
+    whole = b''.join(events) + b'data: cut'
+    splitter = _sse.EventSplitter()
+    found = []
+    for start in range(0, len(whole), step):
+        found.extend(splitter.feed(whole[start : start + step]))
+    assert found == events
+    assert splitter.rest == b'data: cut'
+    assert [_sse.payload(event) for event in found] == [b'a', b'b']
+
+
+def test_query_keeps_only_parameters_without_keys():
+    """Guards against a key in the query that reaches a service."""
+    query = 'a=1&API_KEY=x&access%5Ftoken=y&token=z&b=2&key'
+    assert _headers.clean_query(query) == 'a=1&b=2'
+
+
+def test_credentials_never_reach_a_backend_server(stack):
+    """Guards against a key passed on in any header or in the query."""
+    engine = stack.add_engine()
+    daemon = stack.add_daemon()
+    secrets = [
+        ('Proxy-Authorization', 'Basic secret-1'),
+        ('X-Api-Key', 'secret-2'),
+        ('Api-Key', 'secret-3'),
+        ('Cookie', 'session=secret-4'),
+        ('Traceparent', f'00-{stack.key}-01'),
+        ('Paddle-Customer', 'other'),
+    ]
+    assert stack.post_chat(daemon, headers=secrets, max_tokens=1).status == 200
+    stack.request(
+        daemon.server.bound,
+        'GET',
+        '/orders/5?api_key=secret-5&view=full',
+        key=stack.key,
+        headers=secrets,
+    )
+    path = stack.service.seen[0][1]
+    assert path == '/orders/5?view=full'
+    seen = repr(engine.seen) + repr(stack.service.seen)
+    assert 'secret-' not in seen
+    assert stack.key not in seen and 'Authorization' not in seen
+    assert 'other' not in seen
