--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -3,6 +3,22 @@
 The package knows nothing of routing and can be embedded in other programs.
 """
 
+from paddle_coord._claims import Answer
+from paddle_coord._claims import Claim
+from paddle_coord._claims import ClaimBook
+from paddle_coord._claims import ClaimError
+from paddle_coord._claims import ClaimOutcome
+from paddle_coord._config_log import ChangeOutcome
+from paddle_coord._config_log import ConfigChange
+from paddle_coord._config_log import ConfigLog
+from paddle_coord._config_log import Fold
+from paddle_coord._config_log import UnfoldableSlotError
+from paddle_coord._lease import guarded_send
+from paddle_coord._lease import Lease
+from paddle_coord._lease import LEASE_KEY
+from paddle_coord._lease import LeaseTiming
+from paddle_coord._lease import NOT_SENT
+from paddle_coord._lease import SendError
 from paddle_coord._register import Change
 from paddle_coord._register import MemoryRegister
 from paddle_coord._register import NOT_WRITTEN
@@ -12,11 +28,27 @@
 from paddle_coord._register import UNKNOWN
 
 __all__ = [
+    'Answer',
     'Change',
+    'ChangeOutcome',
+    'Claim',
+    'ClaimBook',
+    'ClaimError',
+    'ClaimOutcome',
+    'ConfigChange',
+    'ConfigLog',
+    'Fold',
+    'LEASE_KEY',
+    'Lease',
+    'LeaseTiming',
     'MemoryRegister',
+    'NOT_SENT',
     'NOT_WRITTEN',
     'Register',
     'RegisterError',
     'Reject',
+    'SendError',
     'UNKNOWN',
+    'UnfoldableSlotError',
+    'guarded_send',
 ]
--- a/packages/ctl/src/paddle_ctl/commands/__init__.py
+++ b/packages/ctl/src/paddle_ctl/commands/__init__.py
@@ -1,8 +1,8 @@
 """Commands of the operator; each registers itself when imported."""
 
-from paddle_ctl.commands import _config
 from paddle_ctl.commands._changes import difference
 from paddle_ctl.commands._changes import parse_value
+from paddle_ctl.commands import _config
 from paddle_ctl.commands._hooks import commands
 from paddle_ctl.commands._hooks import ConflictError
 from paddle_ctl.commands._hooks import Context
