Meter requests and usage, and record what became of each request

Cause: attainment, token latencies and usage must be visible per class. Ruled out: label values from requests, since callers could make them grow without bound; classes come from the configuration, at most 64.

--- /dev/null
+++ b/packages/router/src/paddle_router/_account.py
@@ -0,0 +1,80 @@
+"""Bookkeeping at the end of a request: metrics and usage."""
+
+from paddle_router import _metrics
+from paddle_router import _request
+
+State = _request.State
+
+
+class Account:
+    """Records what became of each request."""
+
+    def __init__(self, clock, metrics, usage):
+        self._clock = clock
+        self.metrics = metrics
+        self.usage = usage
+
+    def chunk(self, request, count):
+        """Note that ``count`` content chunks go to the caller now."""
+        now_ms = self._clock.now_ms()
+        of_class = self.metrics.of_class(request.request_class.name)
+        if request.first_chunk_ms is None:
+            request.first_chunk_ms = now_ms
+            of_class.first_token.observe(
+                (now_ms - request.received_ms) * _metrics.S_PER_MS
+            )
+        else:
+            gap_ms = (now_ms - request.last_chunk_ms) / count
+            of_class.inter_token.observe(gap_ms * _metrics.S_PER_MS)
+        request.last_chunk_ms = now_ms
+        request.chunks += count
+
+    def ended(self, request, usage=None):
+        """Record an ended request.
+
+        ``usage`` is the engine's usage object or ``None`` when the answer
+        had none or was cut; then the chunks passed on are counted.
+        """
+        name = request.request_class.name
+        label = self.metrics.label_of(name)
+        self.metrics.requests.labels(label, request.outcome).inc()
+        if not request.was_sent or not request.model:
+            return
+        prompt, generated = _tokens(request, usage)
+        of_class = self.metrics.of_class(name)
+        of_class.prompt_tokens.inc(prompt)
+        of_class.generated_tokens.inc(generated)
+        if request.state is not State.FINISHED:
+            of_class.wasted_tokens.inc(generated)
+        elif self._is_attained(request, generated):
+            of_class.attained.inc()
+        if request.customer is not None:
+            self.usage.add(request.customer, name, prompt, generated)
+
+    def _is_attained(self, request, generated):
+        targets = request.request_class
+        if not request.stream:
+            # Without a stream the targets bound the time of the whole.
+            limit_ms = targets.first_token_ms + (
+                generated * targets.inter_token_ms
+            )
+            return self._clock.now_ms() - request.received_ms <= limit_ms
+        first_ms = request.first_chunk_ms
+        if first_ms is None:
+            return False
+        gaps = max(1, request.chunks - 1)
+        mean_ms = (request.last_chunk_ms - first_ms) / gaps
+        return (
+            first_ms - request.received_ms <= targets.first_token_ms
+            and mean_ms <= targets.inter_token_ms
+        )
+
+
+def _tokens(request, usage):
+    try:
+        return (
+            max(0, int(usage['prompt_tokens'])),
+            max(0, int(usage['completion_tokens'])),
+        )
+    except (KeyError, TypeError, ValueError):
+        return request.prompt_tokens, request.chunks
--- a/packages/router/src/paddle_router/_core.py
+++ b/packages/router/src/paddle_router/_core.py
@@ -13,6 +13,7 @@
     instances: object
     pool: object
     dispatcher: object
+    account: object
     active: set = attrs.field(factory=set)
     draining: bool = False
 
--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -3,6 +3,7 @@
 import gevent
 
 import paddle_kernel
+from paddle_router import _account
 from paddle_router import _config_source
 from paddle_router import _core
 from paddle_router import _dispatch
@@ -10,7 +11,9 @@
 from paddle_router import _http_in
 from paddle_router import _http_out
 from paddle_router import _instances
+from paddle_router import _metrics
 from paddle_router import _resources
+from paddle_router import _usage
 
 STOP_POLL_S = 0.02
 
@@ -25,6 +28,10 @@
         self.instances = _instances.InstanceList(
             self.pool, settings.platform, clock=self.clock
         )
+        self.metrics = _metrics.Metrics()
+        self.usage = _usage.UsageMeter(
+            self.clock, settings.bounds.usage_window_ms
+        )
         self.core = _core.Core(
             settings=settings,
             clock=self.clock,
@@ -32,6 +39,7 @@
             or _config_source.LocalConfig.from_file(settings.local_config),
             instances=self.instances,
             pool=self.pool,
+            account=_account.Account(self.clock, self.metrics, self.usage),
             dispatcher=_dispatch.RoundRobin(self.instances),
         )
         self.server = _http_in.CallerServer(
--- a/packages/router/src/paddle_router/_events.py
+++ b/packages/router/src/paddle_router/_events.py
@@ -35,3 +35,6 @@
 LIST_AVAILABLE = paddle_kernel.declare_event(
     3021, 'INFO', 'the instance list of the platform is readable'
 )
+USAGE_NOT_FLUSHED = paddle_kernel.declare_event(
+    3030, 'WARNING', 'usage counts could not be written and are kept'
+)
--- /dev/null
+++ b/packages/router/src/paddle_router/_metrics.py
@@ -0,0 +1,122 @@
+"""Metrics of a daemon in the Prometheus text format.
+
+Label values are bounded: classes come from the configuration, at most
+``MAX_CLASSES`` of them; reasons and outcomes are constants of the code.
+"""
+
+import prometheus_client
+
+MAX_CLASSES = 64
+OTHER = 'other'
+S_PER_MS = 0.001
+FIRST_TOKEN_BUCKETS = (
+    *(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 4.0, 8.0),
+    *(15.0, 30.0, 60.0),
+)
+INTER_TOKEN_BUCKETS = (
+    *(0.002, 0.005, 0.01, 0.02, 0.03, 0.04, 0.053, 0.08, 0.12, 0.25),
+    *(0.5, 1.0, 4.0),
+)
+
+
+class ClassMetrics:
+    """The children of one class, looked up once."""
+
+    def __init__(self, metrics, name):
+        self.first_token = metrics.first_token.labels(name)
+        self.inter_token = metrics.inter_token.labels(name)
+        self.queue_depth = metrics.queue_depth.labels(name)
+        self.prompt_tokens = metrics.prompt_tokens.labels(name)
+        self.generated_tokens = metrics.generated_tokens.labels(name)
+        self.wasted_tokens = metrics.wasted_tokens.labels(name)
+        self.attained = metrics.attained.labels(name)
+
+
+class Metrics:
+    """All metrics, in a registry of their own."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self._classes = {}
+        self.requests = self._counter(
+            'requests', 'Ended requests.', 'class', 'outcome'
+        )
+        self.refusals = self._counter(
+            'refusals', 'Refusals and failures by code.', 'reason'
+        )
+        self.retries = self._counter(
+            'retries', 'Attempts after the first one.', 'kind'
+        )
+        self.attained = self._counter(
+            'attained_requests', 'Requests within their targets.', 'class'
+        )
+        self.prompt_tokens = self._counter(
+            'prompt_tokens', 'Prompt tokens of ended requests.', 'class'
+        )
+        self.generated_tokens = self._counter(
+            'generated_tokens', 'Tokens passed on to callers.', 'class'
+        )
+        self.wasted_tokens = self._counter(
+            'wasted_tokens', 'Tokens of answers that were cut.', 'class'
+        )
+        self.queue_depth = self._gauge(
+            'queue_depth', 'Requests that wait for a slot.', 'class'
+        )
+        self.first_token = self._histogram(
+            'time_to_first_token_seconds',
+            'Time from the request to its first token.',
+            FIRST_TOKEN_BUCKETS,
+        )
+        self.inter_token = self._histogram(
+            'inter_token_seconds',
+            'Time between two tokens.',
+            INTER_TOKEN_BUCKETS,
+        )
+        self.propagation = prometheus_client.Histogram(
+            'paddle_config_poll_seconds',
+            'Time of one poll of the configuration.',
+            registry=self.registry,
+        )
+
+    def of_class(self, name):
+        """Return the :class:`ClassMetrics` of a configured class."""
+        known = self._classes.get(name)
+        if known is None:
+            label = name if len(self._classes) < MAX_CLASSES else OTHER
+            known = ClassMetrics(self, label)
+            if label == name:
+                self._classes[name] = known
+        return known
+
+    def label_of(self, name):
+        """Return the label value that stands for class ``name``."""
+        self.of_class(name)
+        return name if name in self._classes else OTHER
+
+    def observe_gauge(self, name, text, function):
+        """Add a gauge that reads ``function()`` at each scrape."""
+        gauge = self._gauge(name, text)
+        gauge.set_function(function)
+
+    def render(self):
+        """Return all metrics as bytes."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _counter(self, name, text, *labels):
+        return prometheus_client.Counter(
+            f'paddle_{name}', text, labels, registry=self.registry
+        )
+
+    def _gauge(self, name, text, *labels):
+        return prometheus_client.Gauge(
+            f'paddle_{name}', text, labels, registry=self.registry
+        )
+
+    def _histogram(self, name, text, buckets):
+        return prometheus_client.Histogram(
+            f'paddle_{name}',
+            text,
+            ['class'],
+            buckets=buckets,
+            registry=self.registry,
+        )
--- a/packages/router/src/paddle_router/_relay.py
+++ b/packages/router/src/paddle_router/_relay.py
@@ -1,5 +1,6 @@
 """Relaying one chat request to an engine and its answer back."""
 
+import json
 import re
 
 from paddle_router import _errors
@@ -13,6 +14,7 @@
 
 # Quotes within text are escaped, so these match JSON fields only.
 _CONTENT = re.compile(rb'"(?:content|reasoning_content|arguments)":\s*"(?!")')
+_USAGE = re.compile(rb'"usage":\s*\{')
 
 
 class Upstream:
@@ -85,6 +87,7 @@
         self._splitter = _sse.EventSplitter()
         self._ending = None
         self._saw_done = False
+        self._usage = None
         self.request = request
         core.active.add(self)
 
@@ -122,6 +125,7 @@
         except OSError:
             raise self._failure() from None
         self.request.advance(State.FINISHED)
+        self._usage = _usage_of(data, is_event=False)
         return data
 
     def end_with(self, refusal):
@@ -149,12 +153,24 @@
                 return self._pass_on(events)
         raise StopIteration
 
+    def fail(self, exc):
+        """End after ``exc``, which becomes the answer to the caller."""
+        if not self.request.ended:
+            refused = isinstance(exc, _errors.Refusal) and (
+                exc.outcome == _errors.NOT_RUN
+            )
+            self.request.advance(State.REFUSED if refused else State.BROKEN)
+        self.close()
+
     def close(self):
         """End the exchange; called by the server in every case."""
         self._watch.stop()
+        if self not in self._core.active:
+            return
         self._core.active.discard(self)
         if not self.request.ended:
             self.request.advance(State.CANCELLED)
+        self._core.account.ended(self.request, self._usage)
         self._drop_upstream(reusable=self.request.state is State.FINISHED)
 
     def _pass_on(self, events):
@@ -162,11 +178,16 @@
         if request.state is State.SENT:
             request.advance(State.STREAMING)
             self._upstream.conn.set_timeout(self._core.bounds.idle_ms)
+        count = 0
         for event in events:
             if _CONTENT.search(event):
-                request.chunks += 1
+                count += 1
             elif _sse.DONE in event and _sse.payload(event) == _sse.DONE:
                 self._saw_done = True
+            if _USAGE.search(event):
+                self._usage = _usage_of(event) or self._usage
+        if count:
+            self._core.account.chunk(request, count)
         return events[0] if len(events) == 1 else b''.join(events)
 
     def _finish(self):
@@ -205,3 +226,13 @@
         return _errors.broken_answer(
             'engine_error', f'the engine answered with status {status}'
         )
+
+
+def _usage_of(data, *, is_event=True):
+    """Return the usage object of an event or body, or ``None``."""
+    try:
+        document = json.loads(_sse.payload(data) if is_event else data)
+        usage = document['usage']
+    except (KeyError, TypeError, ValueError):
+        return None
+    return usage if isinstance(usage, dict) else None
--- a/packages/router/src/paddle_router/_resources.py
+++ b/packages/router/src/paddle_router/_resources.py
@@ -98,8 +98,8 @@
             resp.data = relay.whole()
             resp.content_type = falcon.MEDIA_JSON
             resp.set_header(_errors.OUTCOME_HEADER, _errors.DONE)
-        except BaseException:
-            relay.close()
+        except BaseException as exc:
+            relay.fail(exc)
             raise
         relay.close()
 
@@ -158,35 +158,41 @@
     app.add_route('/healthz', Health())
     app.add_route('/readyz', Ready(core))
     app.add_sink(_services.Services(core, admission).on_request, '/')
-    app.add_error_handler(Exception, _on_error)
-    app.add_error_handler(_errors.Refusal, _on_refusal)
-    app.add_error_handler(falcon.HTTPError, _on_http_error)
+    errors = ErrorAnswers(core.account.metrics)
+    app.add_error_handler(Exception, errors.on_error)
+    app.add_error_handler(_errors.Refusal, errors.on_refusal)
+    app.add_error_handler(falcon.HTTPError, errors.on_http_error)
     return app
 
 
-def _on_refusal(req, resp, refusal, params):
-    resp.status = refusal.status
-    resp.data = refusal.body()
-    for name, value in refusal.headers():
-        resp.set_header(name, value)
-    paddle_kernel.emit(_events.REQUEST_REFUSED, code=refusal.code)
+class ErrorAnswers:
+    """Turns exceptions into answers in the protocol's error form."""
 
+    def __init__(self, metrics):
+        self._metrics = metrics
 
-def _on_http_error(req, resp, exc, params):
-    refusal = _errors.Refusal(
-        exc.status_code, 'invalid_request', exc.title or 'invalid request'
-    )
-    _on_refusal(req, resp, refusal, params)
-
-
-def _on_error(req, resp, exc, params):
-    # The text of an unexpected error may quote the request.
-    paddle_kernel.emit(_events.REQUEST_FAILED, error=type(exc).__name__)
-    refusal = _errors.Refusal(
-        500,
-        'internal_error',
-        'internal error',
-        kind=_errors.SERVER,
-        outcome=_errors.UNKNOWN,
-    )
-    _on_refusal(req, resp, refusal, params)
+    def on_refusal(self, req, resp, refusal, params):
+        resp.status = refusal.status
+        resp.data = refusal.body()
+        for name, value in refusal.headers():
+            resp.set_header(name, value)
+        self._metrics.refusals.labels(refusal.code).inc()
+        paddle_kernel.emit(_events.REQUEST_REFUSED, code=refusal.code)
+
+    def on_http_error(self, req, resp, exc, params):
+        refusal = _errors.Refusal(
+            exc.status_code, 'invalid_request', exc.title or 'invalid request'
+        )
+        self.on_refusal(req, resp, refusal, params)
+
+    def on_error(self, req, resp, exc, params):
+        # The text of an unexpected error may quote the request.
+        paddle_kernel.emit(_events.REQUEST_FAILED, error=type(exc).__name__)
+        refusal = _errors.Refusal(
+            500,
+            'internal_error',
+            'internal error',
+            kind=_errors.SERVER,
+            outcome=_errors.UNKNOWN,
+        )
+        self.on_refusal(req, resp, refusal, params)
