--- a/packages/testbed/src/paddle_testbed/demo.py
+++ b/packages/testbed/src/paddle_testbed/demo.py
@@ -176,7 +176,7 @@
             'put',
             'bookings',
             'path_prefix=/bookings',
-            'methods=["POST"]',
+            'method=POST',
             'kind=service',
             'service=desk',
             'idempotent=false',
