--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -5,8 +5,6 @@
 
 from paddle_coord._admin import ReplicaAdmin
 from paddle_coord._ballot import Ballot
-from paddle_coord._proposer import Proposer
-from paddle_coord._proposer import ProposerOptions
 from paddle_coord._claims import Answer
 from paddle_coord._claims import Claim
 from paddle_coord._claims import ClaimBook
@@ -23,6 +21,8 @@
 from paddle_coord._lease import LeaseTiming
 from paddle_coord._lease import NOT_SENT
 from paddle_coord._lease import SendError
+from paddle_coord._proposer import Proposer
+from paddle_coord._proposer import ProposerOptions
 from paddle_coord._register import Change
 from paddle_coord._register import MemoryRegister
 from paddle_coord._register import NOT_WRITTEN
@@ -39,11 +39,8 @@
 
 __all__ = [
     'AdminError',
-    'Ballot',
-    'Change',
-    'DamagedStoreError',
-    'Member',
     'Answer',
+    'Ballot',
     'Change',
     'ChangeOutcome',
     'Claim',
@@ -52,10 +49,12 @@
     'ClaimOutcome',
     'ConfigChange',
     'ConfigLog',
+    'DamagedStoreError',
     'Fold',
     'LEASE_KEY',
     'Lease',
     'LeaseTiming',
+    'Member',
     'MemoryRegister',
     'NOT_SENT',
     'NOT_WRITTEN',
@@ -66,11 +65,10 @@
     'Reject',
     'Replica',
     'ReplicaAdmin',
-    'StoreError',
-    'UNKNOWN',
-    'View',
     'SendError',
+    'StoreError',
     'UNKNOWN',
     'UnfoldableSlotError',
+    'View',
     'guarded_send',
 ]
