--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -3,6 +3,10 @@
 The package knows nothing of routing and can be embedded in other programs.
 """
 
+from paddle_coord._admin import ReplicaAdmin
+from paddle_coord._ballot import Ballot
+from paddle_coord._proposer import Proposer
+from paddle_coord._proposer import ProposerOptions
 from paddle_coord._claims import Answer
 from paddle_coord._claims import Claim
 from paddle_coord._claims import ClaimBook
@@ -13,6 +17,12 @@
 from paddle_coord._config_log import ConfigLog
 from paddle_coord._config_log import Fold
 from paddle_coord._config_log import UnfoldableSlotError
+from paddle_coord._lease import guarded_send
+from paddle_coord._lease import Lease
+from paddle_coord._lease import LEASE_KEY
+from paddle_coord._lease import LeaseTiming
+from paddle_coord._lease import NOT_SENT
+from paddle_coord._lease import SendError
 from paddle_coord._register import Change
 from paddle_coord._register import MemoryRegister
 from paddle_coord._register import NOT_WRITTEN
@@ -28,8 +38,19 @@
 from paddle_coord._soft_state import DemandTotals
 from paddle_coord._soft_state import Share
 from paddle_coord._soft_state import SoftState
+from paddle_coord._replica import Replica
+from paddle_coord._store import DamagedStoreError
+from paddle_coord._store import StoreError
+from paddle_coord._view import Member
+from paddle_coord._view import View
+from paddle_coord._view_change import AdminError
 
 __all__ = [
+    'AdminError',
+    'Ballot',
+    'Change',
+    'DamagedStoreError',
+    'Member',
     'Answer',
     'Change',
     'ChangeOutcome',
@@ -44,8 +65,14 @@
     'DemandReport',
     'DemandTotals',
     'Fold',
+    'LEASE_KEY',
+    'Lease',
+    'LeaseTiming',
     'MemoryRegister',
+    'NOT_SENT',
     'NOT_WRITTEN',
+    'Proposer',
+    'ProposerOptions',
     'Register',
     'RegisterError',
     'Reject',
@@ -55,4 +82,13 @@
     'UnfoldableSlotError',
     'choose_totals',
     'compute_share',
+    'Replica',
+    'ReplicaAdmin',
+    'StoreError',
+    'UNKNOWN',
+    'View',
+    'SendError',
+    'UNKNOWN',
+    'UnfoldableSlotError',
+    'guarded_send',
 ]
--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -1,3 +1,20 @@
+"""Numbered log events of this package."""
+
+import paddle_kernel as kernel
+
+STORE_FAILED = kernel.declare_event(
+    2000, 'ERROR', 'a write or sync failed; this replica stops voting'
+)
+TORN_RECORD = kernel.declare_event(
+    2001, 'WARNING', 'the last record was incomplete and is dropped'
+)
+VIEW_ADOPTED = kernel.declare_event(2002, 'INFO', 'a view is adopted')
+VIEW_CHANGE = kernel.declare_event(
+    2003, 'INFO', 'a step of a view change is complete'
+)
+STORE_COMPACTED = kernel.declare_event(
+    2004, 'INFO', 'the store was compacted by a snapshot'
+)
 """Log events of the coordination parts."""
 
 import paddle_kernel as kernel
@@ -21,3 +38,8 @@
 VERSION_NOT_KEPT = kernel.declare_event(
     2104, 'WARNING', 'the served version could not be synced to its file'
 )
+
+# Lease, orders and usage windows: 2200 to 2299.
+LEASE_TAKEN = kernel.declare_event(2200, 'INFO', 'lease taken')
+LEASE_LOST = kernel.declare_event(2201, 'WARNING', 'lease lost')
+LEASE_RELEASED = kernel.declare_event(2202, 'INFO', 'lease released')
