--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -5,8 +5,6 @@
 
 from paddle_coord._admin import ReplicaAdmin
 from paddle_coord._ballot import Ballot
-from paddle_coord._proposer import Proposer
-from paddle_coord._proposer import ProposerOptions
 from paddle_coord._claims import Answer
 from paddle_coord._claims import Claim
 from paddle_coord._claims import ClaimBook
@@ -23,6 +21,8 @@
 from paddle_coord._lease import LeaseTiming
 from paddle_coord._lease import NOT_SENT
 from paddle_coord._lease import SendError
+from paddle_coord._proposer import Proposer
+from paddle_coord._proposer import ProposerOptions
 from paddle_coord._register import Change
 from paddle_coord._register import MemoryRegister
 from paddle_coord._register import NOT_WRITTEN
@@ -30,6 +30,7 @@
 from paddle_coord._register import RegisterError
 from paddle_coord._register import Reject
 from paddle_coord._register import UNKNOWN
+from paddle_coord._replica import Replica
 from paddle_coord._soft_state import choose_totals
 from paddle_coord._soft_state import ClassDemand
 from paddle_coord._soft_state import ClassTotal
@@ -38,7 +39,6 @@
 from paddle_coord._soft_state import DemandTotals
 from paddle_coord._soft_state import Share
 from paddle_coord._soft_state import SoftState
-from paddle_coord._replica import Replica
 from paddle_coord._store import DamagedStoreError
 from paddle_coord._store import StoreError
 from paddle_coord._view import Member
@@ -47,11 +47,8 @@
 
 __all__ = [
     'AdminError',
-    'Ballot',
-    'Change',
-    'DamagedStoreError',
-    'Member',
     'Answer',
+    'Ballot',
     'Change',
     'ChangeOutcome',
     'Claim',
@@ -62,12 +59,14 @@
     'ClassTotal',
     'ConfigChange',
     'ConfigLog',
+    'DamagedStoreError',
     'DemandReport',
     'DemandTotals',
     'Fold',
     'LEASE_KEY',
     'Lease',
     'LeaseTiming',
+    'Member',
     'MemoryRegister',
     'NOT_SENT',
     'NOT_WRITTEN',
@@ -76,19 +75,16 @@
     'Register',
     'RegisterError',
     'Reject',
+    'Replica',
+    'ReplicaAdmin',
+    'SendError',
     'Share',
     'SoftState',
+    'StoreError',
     'UNKNOWN',
     'UnfoldableSlotError',
+    'View',
     'choose_totals',
     'compute_share',
-    'Replica',
-    'ReplicaAdmin',
-    'StoreError',
-    'UNKNOWN',
-    'View',
-    'SendError',
-    'UNKNOWN',
-    'UnfoldableSlotError',
     'guarded_send',
 ]
--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -15,10 +15,8 @@
 STORE_COMPACTED = kernel.declare_event(
     2004, 'INFO', 'the store was compacted by a snapshot'
 )
-"""Log events of the coordination parts."""
-
-import paddle_kernel as kernel
 
+# Claims and configuration log: 2100 to 2199.
 CLAIM_NOT_RELEASED = kernel.declare_event(
     2100,
     'WARNING',
