Add the planner, its baseline and the offline reference

Cause: servers must follow the demand at low cost, and no loss of a failure domain may cost the top tiers their targets. Ruled out: a greedy choice of the next cheapest server; for a given number of servers the condition on domains is a cap per domain, so filling by price is optimal, checked against all mixes of two domains. Ruled out: following every forecast down; a surplus must last for a hold time.

--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -34,6 +34,21 @@
 from paddle_router.policy._observed import ObservedBalancer
 from paddle_router.policy._plain_balancers import LeastReportedLoadBalancer
 from paddle_router.policy._plain_balancers import RoundRobinBalancer
+from paddle_router.policy._plan_view import DemandForecast
+from paddle_router.policy._plan_view import DRAINING
+from paddle_router.policy._plan_view import LEAVING
+from paddle_router.policy._plan_view import LIVE
+from paddle_router.policy._plan_view import Load
+from paddle_router.policy._plan_view import Offer
+from paddle_router.policy._plan_view import Order
+from paddle_router.policy._plan_view import PlanView
+from paddle_router.policy._plan_view import Server
+from paddle_router.policy._plan_view import STARTING
+from paddle_router.policy._plan_view import StartUpTime
+from paddle_router.policy._planners import BoundedCheapPlanner
+from paddle_router.policy._planners import cheapest_mix
+from paddle_router.policy._planners import offline_cost
+from paddle_router.policy._planners import StaticPeakPlanner
 from paddle_router.policy._preset import PolicyPreset
 from paddle_router.policy._preset import PolicySet
 from paddle_router.policy._retry import Action
@@ -49,23 +64,32 @@
     'Admission',
     'Attempt',
     'Balancer',
+    'BoundedCheapPlanner',
     'ClassPolicy',
     'DEADLINE',
+    'DRAINING',
+    'DemandForecast',
     'Ejection',
     'Engine',
     'FIRST_TOKEN',
     'FifoScheduler',
     'Flight',
     'INTER_TOKEN',
+    'LEAVING',
+    'LIVE',
     'LeastReportedLoadBalancer',
     'LengthEstimator',
     'LengthPrediction',
     'LimitExceeded',
     'LimitSettings',
     'Limits',
+    'Load',
     'LoadReport',
     'OVERFLOW',
     'ObservedBalancer',
+    'Offer',
+    'Order',
+    'PlanView',
     'Planner',
     'PolicyPreset',
     'PolicySet',
@@ -73,13 +97,19 @@
     'Refusal',
     'RetryBudget',
     'RoundRobinBalancer',
+    'STARTING',
     'Scheduler',
+    'Server',
+    'StartUpTime',
+    'StaticPeakPlanner',
     'Ticket',
     'TieredFairScheduler',
     'Turn',
     'Work',
     'balancers',
+    'cheapest_mix',
     'decide_retry',
+    'offline_cost',
     'own_slots',
     'planners',
     'schedulers',
