--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -3,6 +3,8 @@
 The package knows nothing of routing and can be embedded in other programs.
 """
 
+from paddle_coord._admin import ReplicaAdmin
+from paddle_coord._ballot import Ballot
 from paddle_coord._claims import Answer
 from paddle_coord._claims import Claim
 from paddle_coord._claims import ClaimBook
@@ -19,6 +21,8 @@
 from paddle_coord._lease import LeaseTiming
 from paddle_coord._lease import NOT_SENT
 from paddle_coord._lease import SendError
+from paddle_coord._proposer import Proposer
+from paddle_coord._proposer import ProposerOptions
 from paddle_coord._register import Change
 from paddle_coord._register import MemoryRegister
 from paddle_coord._register import NOT_WRITTEN
@@ -26,9 +30,17 @@
 from paddle_coord._register import RegisterError
 from paddle_coord._register import Reject
 from paddle_coord._register import UNKNOWN
+from paddle_coord._replica import Replica
+from paddle_coord._store import DamagedStoreError
+from paddle_coord._store import StoreError
+from paddle_coord._view import Member
+from paddle_coord._view import View
+from paddle_coord._view_change import AdminError
 
 __all__ = [
+    'AdminError',
     'Answer',
+    'Ballot',
     'Change',
     'ChangeOutcome',
     'Claim',
@@ -37,18 +49,26 @@
     'ClaimOutcome',
     'ConfigChange',
     'ConfigLog',
+    'DamagedStoreError',
     'Fold',
     'LEASE_KEY',
     'Lease',
     'LeaseTiming',
+    'Member',
     'MemoryRegister',
     'NOT_SENT',
     'NOT_WRITTEN',
+    'Proposer',
+    'ProposerOptions',
     'Register',
     'RegisterError',
     'Reject',
+    'Replica',
+    'ReplicaAdmin',
     'SendError',
+    'StoreError',
     'UNKNOWN',
     'UnfoldableSlotError',
+    'View',
     'guarded_send',
 ]
