--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/slope_parts.py
@@ -0,0 +1,233 @@
+"""The measured parts of :mod:`paddle_testbed.slopes`."""
+
+import hashlib
+import json
+import pathlib
+import random
+import tempfile
+
+import gevent
+
+import paddle_coord as coord
+import paddle_kernel as kernel
+from paddle_router import _config_model
+from paddle_router import policy
+from paddle_testbed import _slope
+
+CUSTOMERS = (1_000, 4_000, 16_000)
+DAEMONS = (8, 32, 128, 390)
+OPERATIONS = (200, 400, 800)
+REPLICAS = 3
+CLASSES = ('chat', 'tagging', 'reports', 'questions', 'describe', 'bulk')
+
+
+def _key_operation(index):
+    digest = hashlib.sha256(str(index).encode()).hexdigest()
+    name = f'customer-{index}'
+    key = _config_model.Key(digest=digest, customer=name)
+    return key, _config_model.Customer(name=name)
+
+
+@_slope.part('configuration', sizes=CUSTOMERS, unit='customer with a key')
+def configuration(size):
+    """State, snapshot and change of a configuration of ``size`` customers."""
+    fold = _config_model.ConfigFold()
+    state = fold.initial()
+    before = _slope.resident_bytes()
+    pairs = [_key_operation(index) for index in range(size)]
+    state.customers.update({item.name: item for _, item in pairs})
+    state.keys.update({key.digest: key for key, _ in pairs})
+    del pairs
+    memory = _slope.resident_bytes() - before
+    begin = _slope.cpu_s()
+    data = json_bytes(fold.dump(state))
+    encode_s = _slope.cpu_s() - begin
+    begin = _slope.cpu_s()
+    fold.load(fold.dump(state))
+    load_s = _slope.cpu_s() - begin
+    begin = _slope.cpu_s()
+    rounds = 20
+    for index in range(rounds):
+        name = f'customer-{index}'
+        operation = {'op': 'put_customer', 'args': {'name': name}}
+        state = fold.apply(state, operation).unwrap()
+    return {
+        'memory bytes': memory,
+        'snapshot bytes': len(data),
+        'encode CPU ms': encode_s * kernel.MS_PER_S,
+        'load CPU ms': load_s * kernel.MS_PER_S,
+        'change CPU ms': (_slope.cpu_s() - begin) / rounds * kernel.MS_PER_S,
+    }
+
+
+def json_bytes(data):
+    """Return the JSON text of ``data``."""
+    return json.dumps(data).encode()
+
+
+@_slope.part('policy', sizes=CUSTOMERS, unit='customer seen')
+def policies(size):
+    """Scheduler accounts and learned lengths of ``size`` customers."""
+    scheduler = policy.schedulers.create('tiered_fair')
+    scheduler.apply({name: policy.ClassPolicy() for name in CLASSES}, {})
+    lengths = policy.LengthEstimator()
+    rng = random.Random(1)
+    before = _slope.resident_bytes()
+    begin = _slope.cpu_s()
+    for index in range(size):
+        customer = f'customer-{index}'
+        name = CLASSES[index % len(CLASSES)]
+        lengths.observe(customer, name, rng.randint(1, 900))
+        ticket = policy.Ticket(
+            customer=customer,
+            class_name=name,
+            tier=1,
+            prompt_tokens=100,
+            generated_tokens=200,
+            arrival_ms=index,
+            deadline_ms=index + 1_400,
+        )
+        scheduler.offer(ticket, index)
+        scheduler.next(1, index)
+        scheduler.served(ticket, 150)
+    cpu = _slope.cpu_s() - begin
+    return {
+        'memory bytes': _slope.resident_bytes() - before,
+        'CPU us per request': cpu / size * 1e6,
+    }
+
+
+@_slope.part('soft state', sizes=DAEMONS, unit='daemon')
+def soft_state(size):
+    """One replica's work for one period of reports of ``size`` daemons."""
+    clock = kernel.FakeClock()
+    table = coord.SoftState(clock)
+    classes = tuple(coord.ClassDemand(name, 40) for name in CLASSES)
+    reports = [
+        coord.DemandReport(f'd{index}', 'a', 'live', classes)
+        for index in range(size)
+    ]
+    for report in reports:
+        table.report(report)
+    rounds = 5
+    begin = _slope.cpu_s()
+    for _ in range(rounds):
+        clock.advance(1_000)
+        for report in reports:
+            answer = table.report(report)
+    cpu_ms = (_slope.cpu_s() - begin) / rounds * kernel.MS_PER_S
+    kind, data = kernel.codec.encode(reports[0])
+    _, back = kernel.codec.encode(answer)
+    return {
+        'CPU ms per period': cpu_ms,
+        'bytes per report and answer': len(data) + len(back),
+    }
+
+
+class _Replicas:
+    """Replicas in this process behind TCP servers, formed."""
+
+    def __init__(self, folder):
+        clock = kernel.SystemClock()
+        self.replicas, self._servers = [], []
+        for index in range(REPLICAS):
+            path = pathlib.Path(folder) / str(index)
+            replica = coord.Replica.open(path, f'r{index}', clock)
+            server = kernel.TcpServer('127.0.0.1:0', replica.handle)
+            self._servers.append(server.start())
+            self.replicas.append(replica)
+        self.addresses = [server.address for server in self._servers]
+        transport = kernel.TcpTransport()
+        formed = coord.ReplicaAdmin(transport, clock).form(self.addresses)
+        formed.unwrap()
+        self.register = coord.Proposer(
+            transport, self.addresses, clock, 'slopes'
+        )
+
+    def file_bytes(self):
+        """Return the size of the first replica's file."""
+        return self.replicas[0].dump()['file_bytes']
+
+    def close(self):
+        """Stop servers and replicas."""
+        for server in self._servers:
+            server.stop()
+        for replica in self.replicas:
+            replica.stop()
+
+
+@_slope.part('register change', sizes=OPERATIONS, unit='change')
+def register_change(size):
+    """Changes at three replicas; the CPU is of all four parts together."""
+    with tempfile.TemporaryDirectory() as folder:
+        system = _Replicas(folder)
+        system.register.change('warm', lambda value: b'0').unwrap()
+        disk = system.file_bytes()
+        begin = _slope.cpu_s()
+        for index in range(size):
+            system.register.change(
+                f'key/{index}', lambda value: b'x' * 200
+            ).unwrap()
+        cpu_ms = (_slope.cpu_s() - begin) * kernel.MS_PER_S
+        result = {
+            'CPU ms, proposer and 3 replicas': cpu_ms,
+            'file bytes at one replica': system.file_bytes() - disk,
+        }
+        system.close()
+    return result
+
+
+@_slope.part('poll', sizes=OPERATIONS, unit='poll')
+def poll(size):
+    """Configuration polls without a change; CPU of all parts together."""
+    with tempfile.TemporaryDirectory() as folder:
+        system = _Replicas(folder)
+        log = coord.ConfigLog(
+            system.register,
+            kernel.SystemClock(),
+            fold=_config_model.ConfigFold(),
+        )
+        log.refresh().unwrap()
+        begin = _slope.cpu_s()
+        for _ in range(size):
+            log.refresh().unwrap()
+        cpu_ms = (_slope.cpu_s() - begin) * kernel.MS_PER_S
+        system.close()
+    return {'CPU ms, follower and 3 replicas': cpu_ms}
+
+
+@_slope.part('claim', sizes=OPERATIONS, unit='claim')
+def claim(size):
+    """Claims completed with a small answer."""
+    with tempfile.TemporaryDirectory() as folder:
+        system = _Replicas(folder)
+        clock = kernel.SystemClock()
+        book = coord.ClaimBook(system.register, clock, 'slopes')
+        disk = system.file_bytes()
+        memory = _slope.resident_bytes()
+        begin = _slope.cpu_s()
+        for index in range(size):
+            deadline_ms = clock.now_ms() + 30_000
+            granted = book.claim('club', f'k{index}', 'd', deadline_ms).claim
+            book.may_send(granted)
+            answer = coord.Answer.from_response(201, (), b'x' * 100)
+            book.complete(granted, answer).unwrap()
+            gevent.sleep(0)
+        result = {
+            'CPU ms, daemon and 3 replicas': (_slope.cpu_s() - begin)
+            * kernel.MS_PER_S,
+            'file bytes at one replica': system.file_bytes() - disk,
+            'memory bytes, 3 replicas': _slope.resident_bytes() - memory,
+        }
+        system.close()
+    return result
+
+
+ORDER = (
+    'configuration',
+    'policy',
+    'soft state',
+    'poll',
+    'register change',
+    'claim',
+)
