Prune the scheduler's counters in amortised constant time

Cause: once more counters were kept than twice the active customers plus 1,024, every charge walked all of them, because a counter above the virtual time is never dropped. Ruled out: the length estimator (0.3 s of 27.6 s in the profile of 8,000 customers; the walk took 23.7 s).

--- a/packages/router/src/paddle_router/policy/_tiered_fair.py
+++ b/packages/router/src/paddle_router/policy/_tiered_fair.py
@@ -67,6 +67,7 @@
     queued: int = 0
     classes: dict = attrs.field(factory=dict)
     counters: dict = attrs.field(factory=dict)
+    prune_at: int = COUNTERS_SLACK
     active: collections.Counter = attrs.field(factory=collections.Counter)
     meter: _meter.BusyMeter = attrs.field(factory=_meter.BusyMeter)
 
@@ -296,13 +297,19 @@
         for other in tier.classes.values():
             if customer in other.flows:
                 other.order.set(customer, counter)
-        if len(tier.counters) > 2 * len(tier.active) + COUNTERS_SLACK:
-            # A counter that would be lifted on return need not be kept.
-            tier.counters = {
-                name: value
-                for name, value in tier.counters.items()
-                if value > tier.virtual or name in tier.active
-            }
+        if len(tier.counters) > tier.prune_at:
+            self._prune(tier)
+
+    def _prune(self, tier):
+        # A counter that would be lifted on return need not be kept.
+        tier.counters = {
+            name: value
+            for name, value in tier.counters.items()
+            if value > tier.virtual or name in tier.active
+        }
+        # Twice what is left, so that the cost per charge stays constant when
+        # most counters are kept.
+        tier.prune_at = 2 * len(tier.counters) + COUNTERS_SLACK
 
     def served(self, ticket, tokens, done=True):
         entry = self._started.get(ticket)
