--- /dev/null
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -0,0 +1,117 @@
+"""Policies of the router: pure decisions without I/O.
+
+The hook specifications are in ``_hooks``; ``schedulers``, ``balancers`` and
+``planners`` are the registries of the plug-ins.
+"""
+
+from paddle_router.policy._admission import Admission
+from paddle_router.policy._admission import FIRST_TOKEN
+from paddle_router.policy._admission import INTER_TOKEN
+from paddle_router.policy._admission import Prediction
+from paddle_router.policy._fifo import FifoScheduler
+from paddle_router.policy._hooks import Balancer
+from paddle_router.policy._hooks import balancers
+from paddle_router.policy._hooks import ClassPolicy
+from paddle_router.policy._hooks import DEADLINE
+from paddle_router.policy._hooks import Engine
+from paddle_router.policy._hooks import Flight
+from paddle_router.policy._hooks import LoadReport
+from paddle_router.policy._hooks import OVERFLOW
+from paddle_router.policy._hooks import Planner
+from paddle_router.policy._hooks import planners
+from paddle_router.policy._hooks import Refusal
+from paddle_router.policy._hooks import Scheduler
+from paddle_router.policy._hooks import schedulers
+from paddle_router.policy._hooks import Ticket
+from paddle_router.policy._hooks import Turn
+from paddle_router.policy._hooks import Work
+from paddle_router.policy._lengths import LengthEstimator
+from paddle_router.policy._lengths import LengthPrediction
+from paddle_router.policy._limits import LimitExceeded
+from paddle_router.policy._limits import Limits
+from paddle_router.policy._limits import LimitSettings
+from paddle_router.policy._observed import Ejection
+from paddle_router.policy._observed import ObservedBalancer
+from paddle_router.policy._plain_balancers import LeastReportedLoadBalancer
+from paddle_router.policy._plain_balancers import RoundRobinBalancer
+from paddle_router.policy._plan_view import DemandForecast
+from paddle_router.policy._plan_view import DRAINING
+from paddle_router.policy._plan_view import LEAVING
+from paddle_router.policy._plan_view import LIVE
+from paddle_router.policy._plan_view import Load
+from paddle_router.policy._plan_view import Offer
+from paddle_router.policy._plan_view import Order
+from paddle_router.policy._plan_view import PlanView
+from paddle_router.policy._plan_view import Server
+from paddle_router.policy._plan_view import STARTING
+from paddle_router.policy._plan_view import StartUpTime
+from paddle_router.policy._planners import BoundedCheapPlanner
+from paddle_router.policy._planners import cheapest_mix
+from paddle_router.policy._planners import offline_cost
+from paddle_router.policy._planners import StaticPeakPlanner
+from paddle_router.policy._preset import PolicyPreset
+from paddle_router.policy._preset import PolicySet
+from paddle_router.policy._retry import Action
+from paddle_router.policy._retry import Attempt
+from paddle_router.policy._retry import decide as decide_retry
+from paddle_router.policy._retry import RetryBudget
+from paddle_router.policy._slots import own_slots
+from paddle_router.policy._slots import share_of
+from paddle_router.policy._tiered_fair import TieredFairScheduler
+
+__all__ = [
+    'Action',
+    'Admission',
+    'Attempt',
+    'Balancer',
+    'BoundedCheapPlanner',
+    'ClassPolicy',
+    'DEADLINE',
+    'DRAINING',
+    'DemandForecast',
+    'Ejection',
+    'Engine',
+    'FIRST_TOKEN',
+    'FifoScheduler',
+    'Flight',
+    'INTER_TOKEN',
+    'LEAVING',
+    'LIVE',
+    'LeastReportedLoadBalancer',
+    'LengthEstimator',
+    'LengthPrediction',
+    'LimitExceeded',
+    'LimitSettings',
+    'Limits',
+    'Load',
+    'LoadReport',
+    'OVERFLOW',
+    'ObservedBalancer',
+    'Offer',
+    'Order',
+    'PlanView',
+    'Planner',
+    'PolicyPreset',
+    'PolicySet',
+    'Prediction',
+    'Refusal',
+    'RetryBudget',
+    'RoundRobinBalancer',
+    'STARTING',
+    'Scheduler',
+    'Server',
+    'StartUpTime',
+    'StaticPeakPlanner',
+    'Ticket',
+    'TieredFairScheduler',
+    'Turn',
+    'Work',
+    'balancers',
+    'cheapest_mix',
+    'decide_retry',
+    'offline_cost',
+    'own_slots',
+    'planners',
+    'schedulers',
+    'share_of',
+]
--- a/packages/testbed/src/paddle_testbed/specs/_spec.py
+++ b/packages/testbed/src/paddle_testbed/specs/_spec.py
@@ -1,4 +1,4 @@
-"""A specification that the model runner checks."""
+"""The form in which specification modules list their models."""
 
 import collections.abc
 
@@ -9,8 +9,8 @@
 class Spec:
     """A named model.
 
-    ``build()`` returns a minicheck model. The search ends without a proof
-    after ``max_states`` states.
+    ``build`` returns a new minicheck model; the search stops undecided
+    beyond ``max_states``.
     """
 
     name: str
