Add the order book, its runner and their specification

An order is sent only by the process whose mark was confirmed; the mark can succeed once. A successor's first read raises the list's number, which rejects all changes of the former holder. Order ids contain the fencing number and a sequence, so an order that was finished and trimmed cannot be recorded again. Bounds: 256 open and 64 finished orders.

Ruled out: taking a sent order back to recorded when the lease was lost before the write, since the former holder may not change the list any more; giving an order up while the platform's list cannot be read, since a new order would follow.

--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -21,6 +21,11 @@
 from paddle_coord._lease import LeaseTiming
 from paddle_coord._lease import NOT_SENT
 from paddle_coord._lease import SendError
+from paddle_coord._orders import NotInCharge
+from paddle_coord._orders import Order
+from paddle_coord._orders import OrderBook
+from paddle_coord._orders import OrderRunner
+from paddle_coord._orders import ORDERS_KEY
 from paddle_coord._proposer import Proposer
 from paddle_coord._proposer import ProposerOptions
 from paddle_coord._register import Change
@@ -70,6 +75,11 @@
     'MemoryRegister',
     'NOT_SENT',
     'NOT_WRITTEN',
+    'NotInCharge',
+    'ORDERS_KEY',
+    'Order',
+    'OrderBook',
+    'OrderRunner',
     'Proposer',
     'ProposerOptions',
     'Register',
--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -41,3 +41,8 @@
 LEASE_TAKEN = kernel.declare_event(2200, 'INFO', 'lease taken')
 LEASE_LOST = kernel.declare_event(2201, 'WARNING', 'lease lost')
 LEASE_RELEASED = kernel.declare_event(2202, 'INFO', 'lease released')
+ORDER_ACCEPTED = kernel.declare_event(2210, 'INFO', 'order accepted')
+ORDER_REFUSED = kernel.declare_event(2211, 'WARNING', 'order refused')
+ORDER_GIVEN_UP = kernel.declare_event(
+    2212, 'WARNING', 'nothing is known of a sent order; given up'
+)
