Write message fields directly into Cap'n Proto builders

Cause: encoding built nested dicts and converted field names for every message; it was the largest own cost in the profile of a register change. Ruled out: caching the names but keeping the dicts (57 us instead of 82 us for an accept message with a 200-byte value). What remains is spread over sockets, greenlets and the thread pool (95 us per empty call, 225 us with the sync).

--- a/packages/kernel/src/paddle_kernel/_codec.py
+++ b/packages/kernel/src/paddle_kernel/_codec.py
@@ -6,6 +6,7 @@
 ``| None`` where an unset pointer field stands for ``None``.
 """
 
+import functools
 import types
 import typing
 
@@ -21,16 +22,32 @@
     return head + ''.join(part.capitalize() for part in rest)
 
 
-def _to_wire(value):
-    if attrs.has(type(value)):
-        return {
-            _camel(item.name): _to_wire(getattr(value, item.name))
-            for item in attrs.fields(type(value))
-            if getattr(value, item.name) is not None
-        }
-    if isinstance(value, tuple | list):
-        return [_to_wire(item) for item in value]
-    return value
+@functools.cache
+def _writer(cls):
+    """Return a function that copies a message into a struct builder."""
+    names = [(item.name, _camel(item.name)) for item in attrs.fields(cls)]
+
+    def write(message, builder):
+        for name, wire_name in names:
+            value = getattr(message, name)
+            if value is None:
+                continue
+            if isinstance(value, tuple):
+                _write_list(builder.init(wire_name, len(value)), value)
+            elif attrs.has(type(value)):
+                _writer(type(value))(value, builder.init(wire_name))
+            else:
+                setattr(builder, wire_name, value)
+
+    return write
+
+
+def _write_list(builder, values):
+    for index, value in enumerate(values):
+        if attrs.has(type(value)):
+            _writer(type(value))(value, builder[index])
+        else:
+            builder[index] = value
 
 
 def _split_optional(annotation):
@@ -96,7 +113,9 @@
     def encode(self, message):
         """Return ``(kind, bytes)`` for ``message``."""
         kind, struct = self._by_class[type(message)]
-        return kind, struct.new_message(**_to_wire(message)).to_bytes()
+        builder = struct.new_message()
+        _writer(type(message))(message, builder)
+        return kind, builder.to_bytes()
 
     def decode(self, kind, data):
         """Return the message of ``kind`` held in ``data``.
