--- a/packages/coord/src/paddle_coord/_claims.py
+++ b/packages/coord/src/paddle_coord/_claims.py
@@ -166,19 +166,24 @@
 
 
 def describe(record, wanted, wall_ms):
-    """Return the outcome that a record means for a request ``wanted``."""
+    """Return the outcome that a record means for a request ``wanted``.
+
+    Only a recorded unknown outcome is reported as final. A claim past its
+    deadline that nobody has marked yet may still be completed or released by
+    its owner, so the caller is told to ask again.
+    """
     if record.request_digest != wanted.request_digest:
         return ClaimOutcome(outcome=NOT_RUN, reason=OTHER_REQUEST)
     if record.state == DONE:
         return ClaimOutcome(
             outcome=DONE, reason=RECORDED, answer=record.answer
         )
-    if record.state == UNKNOWN or is_expired(record, wall_ms):
+    if record.state == UNKNOWN:
         return ClaimOutcome(outcome=UNKNOWN, reason=EXPIRED)
     return ClaimOutcome(
         outcome=UNKNOWN,
         reason=IN_PROGRESS,
-        retry_after_ms=record.deadline_wall_ms - wall_ms + 1,
+        retry_after_ms=max(record.deadline_wall_ms - wall_ms, 0) + 1,
     )
 
 
--- a/packages/coord/tests/test_coord_claims.py
+++ b/packages/coord/tests/test_coord_claims.py
@@ -103,6 +103,17 @@
     assert pair.claim(pair.second).reason == 'expired'
 
 
+def test_claim_past_its_deadline_is_final_only_once_marked(pair):
+    # Guards against "unknown" for good while the owner can still complete.
+    claim = pair.claim(pair.first).claim
+    assert pair.first.may_send(claim)
+    pair.clock.advance(DEADLINE_MS + 1)
+    pair.register.failures = ['unknown_lost']
+    resend = pair.claim(pair.second)
+    assert (resend.reason, resend.retry_after_ms) == ('in_progress', 1)
+    assert pair.claim(pair.second).reason == 'expired'
+
+
 def test_late_answer_is_recorded_as_unknown(pair):
     # Guards against "done" after a resend was told "unknown" for good.
     claim = pair.claim(pair.first).claim
