--- a/packages/router/src/paddle_router/policy/_admission.py
+++ b/packages/router/src/paddle_router/policy/_admission.py
@@ -9,6 +9,8 @@
 # A class over its target between tokens still gets this many requests, so
 # that it neither starves nor stays refused after the engines recovered.
 TRIAL_INTERVAL_MS = 1_000
+# Mean deviations above the mean, so that few requests start too late.
+SPREADS = 2.0
 
 FIRST_TOKEN = 'first_token'
 INTER_TOKEN = 'inter_token'
@@ -32,6 +34,7 @@
     def __init__(self, classes=None):
         self._classes = dict(classes or {})
         self._first = None
+        self._spread = 0.0
         self._inter = None
         self._trials_ms = {}
 
@@ -43,13 +46,17 @@
         """Note times measured at an engine, without the wait for it."""
         if first_token_ms is not None:
             value = first_token_ms / (PROMPT_BASE_TOKENS + prompt_tokens)
+            if self._first is not None:
+                deviation = abs(value - self._first)
+                self._spread = _decayed(self._spread, deviation)
             self._first = _decayed(self._first, value)
         if inter_token_ms is not None:
             self._inter = _decayed(self._inter, inter_token_ms)
 
     def predict(self, prompt_tokens, wait_ms=0):
         """Return the :class:`Prediction` after a wait of ``wait_ms``."""
-        start_up = (self._first or 0.0) * (PROMPT_BASE_TOKENS + prompt_tokens)
+        per_token = (self._first or 0.0) + SPREADS * self._spread
+        start_up = per_token * (PROMPT_BASE_TOKENS + prompt_tokens)
         return Prediction(
             int(wait_ms + start_up), self._inter or 0.0, int(start_up)
         )
--- a/packages/router/src/paddle_router/policy/_fifo.py
+++ b/packages/router/src/paddle_router/policy/_fifo.py
@@ -34,7 +34,7 @@
     def remove(self, ticket):
         return self._queue.pop(ticket, self) is not self
 
-    def served(self, ticket, tokens, done=True):
+    def served(self, ticket, tokens, done=True, now_ms=None):
         pass
 
     def apply(self, classes, customer_weights):
--- a/packages/router/src/paddle_router/policy/_hooks.py
+++ b/packages/router/src/paddle_router/policy/_hooks.py
@@ -88,10 +88,17 @@
     def remove(self, ticket: Ticket) -> bool:
         """Forget a queued ticket whose caller left; tell if it was queued."""
 
-    def served(self, ticket: Ticket, tokens: int, done: bool = True) -> None:
+    def served(
+        self,
+        ticket: Ticket,
+        tokens: int,
+        done: bool = True,
+        now_ms: int | None = None,
+    ) -> None:
         """Correct the account of a started ticket.
 
         ``tokens`` is the number generated so far; with ``done`` it is final.
+        Without ``now_ms`` the time of the last other call is used.
         """
 
     def apply(
--- a/packages/router/src/paddle_router/policy/_meter.py
+++ b/packages/router/src/paddle_router/policy/_meter.py
@@ -1,60 +1,57 @@
-"""Service rate measured while work is waiting."""
+"""Decayed rates of arrivals and of service."""
 
 import math
 
-# A change of capacity shows within a few seconds, single requests do not.
-TIME_CONSTANT_MS = 5_000
+ARRIVAL_MS = 2_000
+# Weight of a completed request in the decayed averages.
+GAIN = 0.02
 # Below this evidence no rate is given, so that nothing is refused by guess.
-MIN_BUSY_MS = 300
-MIN_EVENTS = 5
+MIN_COMPLETED = 5
 
 
-class BusyMeter:
-    """Amount served per ms, counting only the time with a backlog.
+class ArrivalRate:
+    """Amount per ms that arrived during the last seconds."""
 
-    Without a backlog the amount served equals the demand and would
-    understate the capacity.
+    def __init__(self):
+        self._amount = 0.0
+        self._updated_ms = 0
+
+    def add(self, amount, now_ms):
+        """Note ``amount`` that arrived."""
+        self._amount = self._decayed(now_ms) + amount
+        self._updated_ms = max(self._updated_ms, now_ms)
+
+    def rate(self, now_ms):
+        """Return the amount per ms."""
+        return self._decayed(now_ms) / ARRIVAL_MS
+
+    def _decayed(self, now_ms):
+        passed_ms = max(0, now_ms - self._updated_ms)
+        return self._amount * math.exp(-passed_ms / ARRIVAL_MS)
+
+
+class ServiceRate:
+    """Amount per ms that a running request is served.
+
+    Measured from completed requests. Unlike the rate at which slots become
+    free, it does not swing for the length of a response when a backlog
+    begins or an engine is lost.
     """
 
     def __init__(self):
+        self._completed = 0
         self._amount = 0.0
-        self._busy_ms = 0.0
-        self._events = 0
-        self._since_ms = None
-        self._updated_ms = 0
+        self._duration_ms = 0.0
 
-    def set_busy(self, is_busy, now_ms):
-        """Note whether work is waiting from ``now_ms`` on."""
-        if self._since_ms is not None:
-            self._advance(now_ms)
-        if is_busy and self._since_ms is None:
-            self._since_ms = self._updated_ms = now_ms
-        elif not is_busy:
-            self._since_ms = None
-
-    def _advance(self, now_ms):
-        passed_ms = now_ms - self._updated_ms
-        if passed_ms <= 0:
-            return
-        factor = math.exp(-passed_ms / TIME_CONSTANT_MS)
-        self._amount *= factor
-        # The integral of the decay over the interval.
-        self._busy_ms = self._busy_ms * factor + TIME_CONSTANT_MS * (
-            1 - factor
-        )
-        self._updated_ms = now_ms
+    def add(self, amount, duration_ms):
+        """Note a request that was served ``amount`` in ``duration_ms``."""
+        self._completed += 1
+        gain = max(GAIN, 1 / self._completed)
+        self._amount += gain * (amount - self._amount)
+        self._duration_ms += gain * (duration_ms - self._duration_ms)
 
-    def add(self, amount, now_ms):
-        """Note ``amount`` taken from the queue."""
-        # Work that did not wait says nothing about the rate.
-        if self._since_ms is None or now_ms <= self._since_ms:
-            return
-        self._advance(now_ms)
-        self._amount += amount
-        self._events += 1
-
-    def rate(self):
+    def per_request(self):
         """Return the amount per ms, or None without enough evidence."""
-        if self._events < MIN_EVENTS or self._busy_ms < MIN_BUSY_MS:
+        if self._completed < MIN_COMPLETED:
             return None
-        return self._amount / self._busy_ms
+        return self._amount / max(1.0, self._duration_ms)
--- a/packages/router/src/paddle_router/policy/_tiered_fair.py
+++ b/packages/router/src/paddle_router/policy/_tiered_fair.py
@@ -24,6 +24,9 @@
 MIN_RETRY_AFTER_MS = 1_000
 MAX_RETRY_AFTER_MS = 60_000
 COUNTERS_SLACK = 1_024
+# The expected wait varies; without a margin half of the requests admitted at
+# the limit would expire in the queue.
+OFFER_MARGIN = 0.8
 
 
 @attrs.define(eq=False)
@@ -68,7 +71,15 @@
     classes: dict = attrs.field(factory=dict)
     counters: dict = attrs.field(factory=dict)
     active: collections.Counter = attrs.field(factory=collections.Counter)
-    meter: _meter.BusyMeter = attrs.field(factory=_meter.BusyMeter)
+    arrivals: _meter.ArrivalRate = attrs.field(factory=_meter.ArrivalRate)
+
+    def floor(self):
+        """Return the lowest counter of a waiting customer.
+
+        Without one, the lowest when a request was last taken.
+        """
+        tops = [group.order.peek() for group in self.classes.values()]
+        return min((top[0] for top in tops if top), default=self.virtual)
 
 
 @attrs.define(eq=False)
@@ -76,6 +87,7 @@
     tier: _Tier
     group: _ClassQueue
     charged: float
+    started_ms: int
 
 
 @_hooks.schedulers.register('tiered_fair')
@@ -103,7 +115,8 @@
         self._tiers = {}
         self._groups = []
         self._excess = 0
-        self._meter = _meter.BusyMeter()
+        self._service = _meter.ServiceRate()
+        self._now_ms = 0
         self._latest_start = _heap.KeyedHeap()
         self._started = {}
         self.apply(classes or {}, customer_weights or {})
@@ -159,20 +172,23 @@
     # Queue
 
     def offer(self, ticket, now_ms):
+        self._now_ms = max(self._now_ms, now_ms)
         tier, group = self._place(ticket)
         latest_ms = ticket.deadline_ms - ticket.start_up_ms
         wait_ms = self._wait_ms(tier, group, ticket)
-        if now_ms + wait_ms > latest_ms:
+        if wait_ms > OFFER_MARGIN * (latest_ms - now_ms):
             return (self._refusal(ticket, _hooks.DEADLINE, now_ms),)
-        self._insert(ticket, tier, group, now_ms)
+        self._insert(ticket, tier, group)
+        cost = self._cost(ticket, ticket.generated_tokens)
+        tier.arrivals.add(cost, now_ms)
         refused = []
         while self._excess > self._capacity:
             victim = self._lowest()
-            self.remove(victim, now_ms)
+            self.remove(victim)
             refused.append(self._refusal(victim, _hooks.OVERFLOW, now_ms))
         return refused
 
-    def _insert(self, ticket, tier, group, now_ms):
+    def _insert(self, ticket, tier, group):
         customer = ticket.customer
         if not tier.active[customer]:
             tier.counters[customer] = max(
@@ -184,9 +200,9 @@
             group.order.set(customer, tier.counters[customer])
         flow.tickets[ticket] = None
         self._latest_start.set(ticket, ticket.deadline_ms - ticket.start_up_ms)
-        self._count(ticket, tier, group, flow, 1, now_ms)
+        self._count(ticket, tier, group, flow, 1)
 
-    def _count(self, ticket, tier, group, flow, sign, now_ms):
+    def _count(self, ticket, tier, group, flow, sign):
         """Add (1) or subtract (-1) a ticket everywhere it is counted."""
         cost = sign * self._cost(ticket, ticket.generated_tokens)
         self._excess -= group.excess
@@ -200,19 +216,15 @@
             del tier.active[ticket.customer]
         weight = self._weight(ticket, group)
         group.backlog.set(ticket.customer, -flow.cost / weight)
-        tier.meter.set_busy(tier.queued > 0, now_ms)
-        self._meter.set_busy(len(self._latest_start) > 0, now_ms)
 
-    def remove(self, ticket, now_ms=None):
+    def remove(self, ticket):
         if ticket not in self._latest_start:
             return False
         tier, group = self._place(ticket)
-        if now_ms is None:
-            now_ms = ticket.arrival_ms
         flow = group.flows[ticket.customer]
         del flow.tickets[ticket]
         self._latest_start.discard(ticket)
-        self._count(ticket, tier, group, flow, -1, now_ms)
+        self._count(ticket, tier, group, flow, -1)
         if not flow.tickets:
             del group.flows[ticket.customer]
             group.order.discard(ticket.customer)
@@ -231,6 +243,7 @@
     # Service
 
     def next(self, free_slots, now_ms):
+        self._now_ms = max(self._now_ms, now_ms)
         refused = self._expire(now_ms)
         started = []
         while len(started) < free_slots and self._latest_start:
@@ -243,21 +256,18 @@
             first = self._latest_start.peek()
             if first is None or first[0] >= now_ms:
                 return refused
-            self.remove(first[1], now_ms)
+            self.remove(first[1])
             refused.append(self._refusal(first[1], _hooks.DEADLINE, now_ms))
 
     def _take(self, now_ms):
-        tier, group, is_guaranteed = self._pick()
+        tier, group = self._pick()
         _, customer = group.order.peek()
         ticket = next(iter(group.flows[customer].tickets))
-        if not is_guaranteed:
-            tier.virtual = max(tier.virtual, tier.counters[customer])
+        tier.virtual = max(tier.virtual, tier.floor())
         cost = self._cost(ticket, ticket.generated_tokens)
-        tier.meter.add(cost, now_ms)
-        self._meter.add(cost, now_ms)
-        self.remove(ticket, now_ms)
+        self.remove(ticket)
         self._charge(ticket, tier, group, cost)
-        self._started[ticket] = _Started(tier, group, cost)
+        self._started[ticket] = _Started(tier, group, cost, now_ms)
         return ticket
 
     def _pick(self):
@@ -269,13 +279,13 @@
             ]
             if behind:
                 group = max(behind, key=lambda item: item.credit)
-                return tier, group, True
+                return tier, group
         for tier in self._tiers.values():
             if tier.queued:
                 waiting = (
                     item for item in tier.classes.values() if item.queued
                 )
-                return tier, min(waiting, key=_first_in_group), False
+                return tier, min(waiting, key=_first_in_group)
         raise AssertionError('no ticket is queued')
 
     def _charge(self, ticket, tier, group, cost):
@@ -304,13 +314,16 @@
                 if value > tier.virtual or name in tier.active
             }
 
-    def served(self, ticket, tokens, done=True):
+    def served(self, ticket, tokens, done=True, now_ms=None):
+        self._now_ms = max(self._now_ms, now_ms or 0)
         entry = self._started.get(ticket)
         if entry is None:
             return
         difference = self._cost(ticket, tokens) - entry.charged
         if done:
             del self._started[ticket]
+            duration_ms = self._now_ms - entry.started_ms
+            self._service.add(entry.charged + difference, duration_ms)
         elif difference <= 0:
             return
         entry.charged += difference
@@ -319,29 +332,32 @@
 
     # Estimates
 
+    def _rate(self):
+        """Return the cost served per ms by all running requests, or None."""
+        per_request = self._service.per_request()
+        return per_request and per_request * max(1, len(self._started))
+
     def _wait_ms(self, tier, group, ticket):
         """Return the expected wait of a new ticket; 0 when unknown."""
-        rate = self._meter.rate()
+        rate = self._rate()
         if not rate:
             return 0
-        higher = sum(
-            item.cost
-            for item in self._tiers.values()
-            if item.number < tier.number
-        )
+        higher = [
+            item for item in self._tiers.values() if item.number < tier.number
+        ]
+        taken = sum(item.arrivals.rate(self._now_ms) for item in higher)
+        tier_rate = max(rate * group.share, rate - taken)
+        queued = sum(item.cost for item in higher)
         flow = group.flows.get(ticket.customer)
         own = flow.cost if flow else 0.0
-        active = len(tier.active) + (ticket.customer not in tier.active)
-        ahead = max(
-            0.0, tier.counters.get(ticket.customer, 0.0) - tier.virtual
-        )
+        counter = tier.counters.get(ticket.customer, 0.0)
+        own += max(0.0, counter - tier.floor())
         # Other customers are served as much as this one until its turn.
-        same = min(tier.cost, own * active + ahead * (active - 1))
-        tier_rate = tier.meter.rate() or rate
-        by_priority = higher / rate + same / tier_rate
-        by_guarantee = (group.cost - min(0.0, group.credit)) / (
-            rate * group.share
-        )
+        same = min(tier.cost, own * len(tier.active))
+        by_priority = queued / rate + same / tier_rate
+        same = min(group.cost, own * len(group.flows))
+        debt = -min(0.0, group.credit)
+        by_guarantee = (same + debt) / (rate * group.share)
         return min(by_priority, by_guarantee)
 
     def _refusal(self, ticket, reason, now_ms):
@@ -349,7 +365,7 @@
         return _hooks.Refusal(ticket, reason, after_ms)
 
     def retry_after_ms(self, class_name, tier):
-        rate = self._meter.rate()
+        rate = self._rate()
         if not rate:
             return MIN_RETRY_AFTER_MS
         ahead = sum(
@@ -363,7 +379,7 @@
         return {
             'queued': len(self._latest_start),
             'running': len(self._started),
-            'rate_per_ms': self._meter.rate(),
+            'rate_per_ms': self._rate(),
             'classes': [
                 {
                     'name': group.name,
--- a/packages/router/tests/test_policy_scheduler.py
+++ b/packages/router/tests/test_policy_scheduler.py
@@ -159,8 +159,11 @@
     # Guards against queueing what can no longer be in time.
     scheduler = make_scheduler()
     offer_all(scheduler, [make_ticket('top', 'a') for _ in range(200)])
+    running = []
     for now_ms in range(0, 2000, 100):
-        scheduler.next(1, now_ms)
+        for ticket in running:
+            scheduler.served(ticket, 100, now_ms=now_ms)
+        running = scheduler.next(1, now_ms).started
     late = make_ticket('top', 'a', arrival_ms=2000, deadline_ms=3000)
     (refusal,) = scheduler.offer(late, 2000)
     assert refusal.reason == policy.DEADLINE
