--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -31,6 +31,14 @@
 from paddle_coord._register import Reject
 from paddle_coord._register import UNKNOWN
 from paddle_coord._replica import Replica
+from paddle_coord._soft_state import choose_totals
+from paddle_coord._soft_state import ClassDemand
+from paddle_coord._soft_state import ClassTotal
+from paddle_coord._soft_state import compute_share
+from paddle_coord._soft_state import DemandReport
+from paddle_coord._soft_state import DemandTotals
+from paddle_coord._soft_state import Share
+from paddle_coord._soft_state import SoftState
 from paddle_coord._store import DamagedStoreError
 from paddle_coord._store import StoreError
 from paddle_coord._view import Member
@@ -47,9 +55,13 @@
     'ClaimBook',
     'ClaimError',
     'ClaimOutcome',
+    'ClassDemand',
+    'ClassTotal',
     'ConfigChange',
     'ConfigLog',
     'DamagedStoreError',
+    'DemandReport',
+    'DemandTotals',
     'Fold',
     'LEASE_KEY',
     'Lease',
@@ -66,9 +78,13 @@
     'Replica',
     'ReplicaAdmin',
     'SendError',
+    'Share',
+    'SoftState',
     'StoreError',
     'UNKNOWN',
     'UnfoldableSlotError',
     'View',
+    'choose_totals',
+    'compute_share',
     'guarded_send',
 ]
--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -16,6 +16,7 @@
     2004, 'INFO', 'the store was compacted by a snapshot'
 )
 
+# Claims and configuration log: 2100 to 2199.
 CLAIM_NOT_RELEASED = kernel.declare_event(
     2100,
     'WARNING',
