--- a/packages/router/src/paddle_router/_account.py
+++ b/packages/router/src/paddle_router/_account.py
@@ -9,8 +9,9 @@
 class Account:
     """Records what became of each request."""
 
-    def __init__(self, clock, metrics, usage):
+    def __init__(self, clock, metrics, usage, policies):
         self._clock = clock
+        self._policies = policies
         self.metrics = metrics
         self.usage = usage
 
@@ -29,18 +30,19 @@
         request.last_chunk_ms = now_ms
         request.chunks += count
 
-    def ended(self, request, usage=None):
-        """Record an ended request.
+    def ended(self, request, usage=None, outcome=None):
+        """Record an ended request; ``outcome`` is what the caller was told.
 
         ``usage`` is the engine's usage object or ``None`` when the answer
         had none or was cut; then the chunks passed on are counted.
         """
         name = request.request_class.name
         label = self.metrics.label_of(name)
-        self.metrics.requests.labels(label, request.outcome).inc()
+        self.metrics.requests.labels(label, outcome or request.outcome).inc()
         if not request.was_sent or not request.model:
             return
         prompt, generated = _tokens(request, usage)
+        self._teach(request, usage, prompt, generated)
         of_class = self.metrics.of_class(name)
         of_class.prompt_tokens.inc(prompt)
         of_class.generated_tokens.inc(generated)
@@ -51,12 +53,37 @@
         if request.customer is not None:
             self.usage.add(request.customer, name, prompt, generated)
 
+    def retried(self, kind):
+        """Count a further attempt of ``kind`` retry or resume."""
+        self.metrics.retries.labels(kind).inc()
+
+    def _teach(self, request, usage, prompt, generated):
+        """Correct the limits and the learned lengths and times."""
+        policies = self._policies
+        now_ms = self._clock.now_ms()
+        name = request.request_class.name
+        difference = prompt + generated - request.charged_tokens
+        policies.tokens.correct(request.customer, name, now_ms, difference)
+        if request.state is not State.FINISHED:
+            return
+        policies.lengths.observe(request.customer, name, generated)
+        if usage is not None:
+            policies.lengths.observe_prompt(name, request.prompt_chars, prompt)
+        if request.first_chunk_ms is not None:
+            gaps = request.chunks - 1
+            span_ms = request.last_chunk_ms - request.first_chunk_ms
+            policies.admission.observe(
+                prompt,
+                request.first_chunk_ms - request.sent_ms,
+                span_ms / gaps if gaps else None,
+            )
+
     def _is_attained(self, request, generated):
         targets = request.request_class
         if not request.stream:
             # Without a stream the targets bound the time of the whole.
-            limit_ms = targets.first_token_ms + (
-                generated * targets.inter_token_ms
+            limit_ms = targets.first_token_target_ms + (
+                generated * targets.inter_token_target_ms
             )
             return self._clock.now_ms() - request.received_ms <= limit_ms
         first_ms = request.first_chunk_ms
@@ -65,8 +92,8 @@
         gaps = max(1, request.chunks - 1)
         mean_ms = (request.last_chunk_ms - first_ms) / gaps
         return (
-            first_ms - request.received_ms <= targets.first_token_ms
-            and mean_ms <= targets.inter_token_ms
+            first_ms - request.received_ms <= targets.first_token_target_ms
+            and mean_ms <= targets.inter_token_target_ms
         )
 
 
--- a/packages/router/src/paddle_router/_chat_body.py
+++ b/packages/router/src/paddle_router/_chat_body.py
@@ -7,8 +7,8 @@
 
 from paddle_router import _errors
 
-BYTES_PER_TOKEN = 4
-PREFIX_CHARS = 256
+# Requests with an equal start share the digests of these many characters.
+PREFIX_CHARS = (256, 1_024, 4_096)
 PRIORITY = 'priority'
 
 
@@ -23,16 +23,32 @@
     max_tokens: int | None
 
     @property
-    def prompt_tokens(self):
-        """Estimated number of prompt tokens."""
-        return max(1, len(self.raw) // BYTES_PER_TOKEN)
+    def prompt_chars(self):
+        """Number of characters that stand for the length of the prompt."""
+        return len(self.raw)
 
     @property
     def prefix(self):
-        """A number that requests with an equal prompt start share."""
-        first = self.document['messages'][0].get('content')
-        text = first if isinstance(first, str) else json.dumps(first)
-        return zlib.crc32(f'{self.model} {text[:PREFIX_CHARS]}'.encode())
+        """Digests of the prompt's leading blocks, shortest first."""
+        text = self._leading_text()
+        return tuple(
+            zlib.crc32(text[:size].encode())
+            for size in PREFIX_CHARS
+            if len(text) >= size
+        )
+
+    def _leading_text(self):
+        parts = []
+        left = PREFIX_CHARS[-1]
+        for message in self.document['messages']:
+            content = message.get('content')
+            if not isinstance(content, str):
+                break
+            parts.append(content[:left])
+            left -= len(content)
+            if left <= 0:
+                break
+        return ''.join(parts)
 
     def for_engine(self, tier):
         """Return the body for an engine, with the tier as priority."""
--- /dev/null
+++ b/packages/router/src/paddle_router/_claimed.py
@@ -0,0 +1,165 @@
+"""Non-idempotent calls: claim, connect, check the deadline, send.
+
+The first byte leaves only after the claim is durable. Outcomes: ``not_run``
+when provably nothing was sent, ``done`` with the answer, which is kept and
+replayed, ``unknown`` for anything else.
+"""
+
+import hashlib
+
+import returns.result
+
+import paddle_coord
+import paddle_kernel
+from paddle_router import _dispatch
+from paddle_router import _errors
+from paddle_router import _events
+from paddle_router import _request
+
+MAX_KEY_CHARS = 256
+CONNECT_ATTEMPTS = 3
+COMPLETE_ATTEMPTS = 3
+# Reason of a claim outcome: the key was used for another request.
+OTHER_REQUEST = 'other_request'
+REPLAYED = ('Paddle-Replayed', 'true')
+State = _request.State
+
+
+class ClaimedCalls:
+    """Runs each call at most once.
+
+    ``choose(service)`` returns a live instance or raises a refusal.
+    """
+
+    def __init__(self, core, choose):
+        self._core = core
+        self._choose = choose
+
+    def run(self, call):
+        """Fill ``call`` with its answer, new or replayed.
+
+        :raises Refusal: if there is none.
+        """
+        key = call.idempotency_key
+        if not key or len(key) > MAX_KEY_CHARS:
+            raise _errors.Refusal(
+                400,
+                'missing_idempotency_key',
+                f'this call needs an Idempotency-Key of 1 to {MAX_KEY_CHARS} '
+                'characters',
+            )
+        core = self._core
+        call.request.advance(State.QUEUED)
+        outcome = core.claims.claim(
+            call.request.customer or '',
+            key,
+            digest_of(call),
+            core.clock.now_ms() + core.bounds.claim_ms,
+        )
+        if outcome.claim is not None:
+            self._run_granted(call, outcome.claim)
+        else:
+            _replay(call, outcome)
+
+    def _run_granted(self, call, claim):
+        try:
+            self._connect(call)
+            self._core.admission.recheck(call.request)
+            if call.watch.gone:
+                raise _errors.Refusal(499, 'caller_gone', 'the caller left')
+            if not self._core.claims.may_send(claim):
+                raise _errors.unavailable(
+                    'claim_expired', 'the call could not be sent in time'
+                )
+        except BaseException:
+            # Nothing was sent, so the claim may be taken again.
+            call.close()
+            self._core.claims.release(claim)
+            raise
+        self._send(call, claim)
+
+    def _connect(self, call):
+        for attempt in range(1, CONNECT_ATTEMPTS + 1):
+            try:
+                call.connect(self._choose(call.route.service))
+                return
+            except OSError:
+                call.request.advance(State.QUEUED)
+                if attempt == CONNECT_ATTEMPTS:
+                    raise _errors.service_failure(was_sent=False) from None
+
+    def _send(self, call, claim):
+        left_ms = max(1, claim.deadline_ms - self._core.clock.now_ms())
+        answer = None
+        try:
+            call.send(left_ms)
+            answer = paddle_coord.Answer.from_response(
+                call.status, call.answer_headers, call.data
+            )
+        except OSError:
+            raise _errors.service_failure(was_sent=True) from None
+        finally:
+            call.close()
+            self._complete(claim, answer)
+
+    def _complete(self, claim, answer):
+        for _ in range(COMPLETE_ATTEMPTS):
+            result = self._core.claims.complete(claim, answer)
+            if isinstance(result, returns.result.Success):
+                return
+        # A resend then finds the claim open and, later, an unknown outcome.
+        paddle_kernel.emit(_events.CLAIM_NOT_COMPLETED, key=claim.key)
+
+
+def digest_of(call):
+    """Return the digest that tells calls under one key apart."""
+    head = f'{call.method} {call.target}\n'.encode()
+    return hashlib.sha256(head + call.body).hexdigest()
+
+
+def _replay(call, outcome):
+    """Answer a call whose key was used before.
+
+    :raises Refusal: unless the first call's answer is kept.
+    """
+    answer = outcome.answer
+    if answer is not None and answer.body is not None:
+        call.request.advance(State.CONNECTING)
+        call.request.advance(State.FINISHED)
+        call.status = answer.status
+        call.answer_headers = (*answer.headers, REPLAYED)
+        call.data = answer.body
+        return
+    call.request.advance(State.REFUSED)
+    raise _refusal_of(outcome)
+
+
+def _refusal_of(outcome):
+    retry_after_s = None
+    if outcome.retry_after_ms is not None:
+        retry_after_s = _dispatch.seconds(outcome.retry_after_ms)
+    if outcome.answer is not None:
+        return _errors.Refusal(
+            409,
+            'answer_not_kept',
+            'the call ran; its answer was too long to be kept',
+            outcome=_errors.DONE,
+        )
+    if outcome.outcome == _errors.UNKNOWN:
+        return _errors.Refusal(
+            409,
+            'outcome_unknown',
+            'an earlier call with this key may have run',
+            kind=_errors.SERVER,
+            outcome=_errors.UNKNOWN,
+            retry_after_s=retry_after_s,
+        )
+    if outcome.reason == OTHER_REQUEST:
+        return _errors.Refusal(
+            422,
+            'idempotency_key_reused',
+            'this Idempotency-Key was used for another request',
+        )
+    return _errors.unavailable(
+        'claim_unavailable', 'the call cannot be recorded at present'
+    )
--- a/packages/router/src/paddle_router/_config_source.py
+++ b/packages/router/src/paddle_router/_config_source.py
@@ -1,168 +1,175 @@
-"""The configuration as the request path sees it, and a local source.
+"""The configuration as the request path sees it.
 
-:class:`ConfigView` is one immutable version. :class:`ConfigSource` is the
-interface behind which the configuration log and the local file stand.
+:class:`ConfigView` is one immutable version with fast look-ups;
+:class:`ConfigSource` follows the configuration log. A daemon without replicas
+keeps the log in its own memory.
 """
 
 import json
 import pathlib
-import typing
 
-import attrs
+import returns.result
 
-from paddle_kernel import settings
+import paddle_coord
+import paddle_kernel
+from paddle_router import _config_model
+from paddle_router import _errors
 
 CHAT_PATH = '/v1/chat/completions'
-DEFAULT_CLASS = 'default'
-
-
-@attrs.frozen(kw_only=True)
-class Key:
-    """A caller's key; ``digest`` is its SHA-256 in hexadecimal."""
-
-    digest: str = settings.field(settings.STRING)
-    customer: str = settings.field(settings.STRING)
-    expires_wall_ms: int | None = settings.field(
-        settings.Optional(settings.integer(0, 2**62, 'ms')), default=None
-    )
-    revoked: bool = settings.field(settings.BOOLEAN, default=False)
-
-
-@attrs.frozen(kw_only=True)
-class RequestClass:
-    """A class of requests with its targets; tier 1 is the highest."""
-
-    name: str = settings.field(settings.STRING)
-    tier: int = settings.field(settings.integer(1, 100), default=3)
-    weight: float = settings.field(settings.number(0.001, 1000), default=1.0)
-    first_token_ms: int = settings.field(
-        settings.integer(1, 3_600_000, 'ms'), default=1_400
-    )
-    inter_token_ms: int = settings.field(
-        settings.integer(1, 3_600_000, 'ms'), default=53
-    )
-
-
-@attrs.frozen(kw_only=True)
-class Route:
-    """A path prefix served by the plain service ``service``.
-
-    ``idempotent`` calls may be repeated; ``open`` ones need no key.
-    """
-
-    path: str = settings.field(settings.STRING)
-    service: str = settings.field(settings.STRING)
-    methods: tuple = settings.field(
-        settings.ListOf(settings.STRING), default=('GET',)
-    )
-    idempotent: bool = settings.field(settings.BOOLEAN, default=True)
-    open: bool = settings.field(settings.BOOLEAN, default=False)
-    default_class: str = settings.field(settings.STRING, default=DEFAULT_CLASS)
-
-
-@attrs.frozen(kw_only=True)
-class Document:
-    """Content of a local configuration file."""
-
-    keys: tuple = settings.field(
-        settings.ListOf(settings.Nested(Key)), default=()
-    )
-    classes: tuple = settings.field(
-        settings.ListOf(settings.Nested(RequestClass)),
-        default=(RequestClass(name=DEFAULT_CLASS),),
-    )
-    routes: tuple = settings.field(
-        settings.ListOf(settings.Nested(Route)), default=()
-    )
-    chat_default_class: str = settings.field(
-        settings.STRING, default=DEFAULT_CLASS
-    )
+VERSION_FILE = 'served-version'
 
 
 class ConfigView:
-    """One version of the configuration with fast look-ups."""
+    """One version of the configuration."""
 
-    def __init__(self, *, version, keys, classes, routes, chat_default_class):
+    def __init__(self, version, state):
         self.version = version
-        self.chat_default_class = chat_default_class
-        self._keys = {key.digest: key for key in keys}
-        self._classes = {item.name: item for item in classes}
-        self._routes = sorted(routes, key=lambda route: -len(route.path))
+        self.state = state
+        self._classes = {
+            name: state.effective_class(name) for name in state.classes
+        }
+        # The longest prefix decides.
+        self._routes = sorted(
+            state.routes.values(), key=lambda route: -len(route.path_prefix)
+        )
 
     def key(self, digest):
-        """Return the :class:`Key` of ``digest`` or ``None``."""
-        return self._keys.get(digest)
+        """Return the key record of ``digest`` or ``None``."""
+        return self.state.keys.get(digest)
 
     def request_class(self, name):
-        """Return the :class:`RequestClass` called ``name`` or ``None``."""
+        """Return the effective class called ``name`` or ``None``."""
         return self._classes.get(name)
 
     @property
     def classes(self):
-        """All classes."""
-        return tuple(self._classes.values())
+        """All effective classes by name."""
+        return self._classes
 
     def route(self, method, path):
-        """Return the longest matching :class:`Route` or ``None``."""
+        """Return the matching route or ``None``."""
         for route in self._routes:
-            inside = path == route.path or path.startswith(
-                route.path.rstrip('/') + '/'
-            )
-            if inside and method in route.methods:
+            if route.method == method and _is_below(path, route.path_prefix):
                 return route
         return None
 
+    def has_path(self, path):
+        """Return whether some method is routed at ``path``."""
+        return any(_is_below(path, item.path_prefix) for item in self._routes)
 
-class ConfigSource(typing.Protocol):
-    """Supplies the configuration in effect."""
 
-    @property
-    def view(self) -> ConfigView:
-        """The latest version known."""
+def _is_below(path, prefix):
+    return path == prefix or path.startswith(prefix.rstrip('/') + '/')
 
-    def age_ms(self) -> int:
-        """Return the time since ``view`` was last confirmed."""
 
-    def submit(self, change) -> dict:
-        """Propose an operator's change; return its outcome."""
+class ConfigSource:
+    """Follows the configuration log and tells others about changes."""
 
+    def __init__(self, log):
+        self._log = log
+        self._listeners = []
+        self.view = ConfigView(log.version, log.state)
 
-class LocalConfig:
-    """Configuration from a file, for a daemon without replicas."""
+    @classmethod
+    def from_register(cls, register, clock, data_dir=None):
+        """Follow the log in a replicated ``register``."""
+        path = pathlib.Path(data_dir) / VERSION_FILE if data_dir else None
+        log = paddle_coord.ConfigLog(
+            register,
+            clock,
+            fold=_config_model.ConfigFold(),
+            version_path=path,
+            keys=register.keys,
+            delete=register.delete,
+        )
+        return cls(log)
 
-    def __init__(self, document):
-        self.replace(document)
+    def on_change(self, function):
+        """Call ``function(view)`` now and after each change."""
+        self._listeners.append(function)
+        function(self.view)
 
-    @classmethod
-    def from_file(cls, file_path):
-        """Read ``file_path``; ``None`` means an empty configuration.
+    def poll(self):
+        """Follow the log; return whether the version is confirmed."""
+        result = self._log.refresh()
+        self._notice()
+        return isinstance(result, returns.result.Success)
 
-        :raises FindingsError: if the file has findings.
+    def age_ms(self):
+        """Return the time since the version was last confirmed."""
+        return self._log.age_ms()
+
+    def submit(self, change):
+        """Decide an operator's change; see :class:`ConfigLog`."""
+        result = self._log.submit(change)
+        self._notice()
+        return result
+
+    def change(self, op, **args):
+        """Submit one operation at the present version.
+
+        :raises ValueError: if it is not accepted.
         """
-        if file_path is None:
-            return cls(Document())
-        return cls(settings.load_file(Document, file_path))
+        version = self._log.version
+        change = paddle_coord.ConfigChange(
+            f'local-{version}', version, {'op': op, 'args': args}
+        )
+        outcome = self.submit(change).unwrap()
+        if not outcome.accepted:
+            raise ValueError(f'{op}: {outcome.reason} {outcome.findings}')
 
-    @classmethod
-    def from_document(cls, document):
-        """Build from parsed JSON."""
-        return cls(cls.document_of(document))
-
-    @staticmethod
-    def document_of(document):
-        """Return the checked :class:`Document` of parsed JSON."""
-        return settings.load(Document, document)
-
-    def replace(self, document):
-        """Put another :class:`Document` into effect."""
-        self.view = ConfigView(
-            version=0, **attrs.asdict(document, recurse=False)
+    def describe(self):
+        """Return the version and the configuration as JSON data."""
+        return _describe(self.view.version, self.view.state)
+
+    def preview(self, change):
+        """Return what :meth:`describe` would return after ``change``.
+
+        :raises Refusal: if the change would not be accepted.
+        """
+        if change.expected_version != self._log.version:
+            raise _errors.Refusal(
+                409, 'conflict', f'the version is {self._log.version}'
+            )
+        result = _config_model.ConfigFold().apply(
+            self._log.state, change.operation
         )
+        if not isinstance(result, returns.result.Success):
+            findings = '; '.join(str(item) for item in result.failure())
+            raise _errors.Refusal(422, 'invalid', findings)
+        return _describe(self._log.version + 1, result.unwrap())
+
+    def collect(self):
+        """Delete slots that a snapshot covers."""
+        return self._log.collect()
+
+    def dump(self):
+        """Return plain data for the state dump."""
+        return self._log.dump()
+
+    def _notice(self):
+        if self._log.version == self.view.version:
+            return
+        self.view = ConfigView(self._log.version, self._log.state)
+        for function in self._listeners:
+            function(self.view)
 
-    def age_ms(self):
-        return 0
 
+def _describe(version, state):
+    return {'version': version, 'config': _config_model.to_json(state)}
 
-def write_document(file_path, document):
-    """Write a local configuration as JSON, for tests and the demo."""
-    pathlib.Path(file_path).write_text(json.dumps(document))
+
+def apply_file(source, file_path):
+    """Apply the operations of a JSON list in the file at ``file_path``.
+
+    :raises FindingsError: if the file is unreadable or an operation is not
+        accepted.
+    """
+    try:
+        for operation in json.loads(pathlib.Path(file_path).read_text()):
+            source.change(operation['op'], **operation['args'])
+    except (OSError, ValueError, KeyError, TypeError) as exc:
+        finding = paddle_kernel.Finding(
+            '$.local_config', file_path, f'a list of operations ({exc})'
+        )
+        raise paddle_kernel.FindingsError([finding]) from exc
--- a/packages/router/src/paddle_router/_core.py
+++ b/packages/router/src/paddle_router/_core.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from paddle_router import policy
+
 
 @attrs.define(kw_only=True)
 class Core:
@@ -12,8 +14,12 @@
     config: object
     instances: object
     pool: object
+    policies: object
     dispatcher: object
     account: object
+    claims: object
+    admission: object = None
+    retry_budget: object = attrs.field(factory=policy.RetryBudget)
     active: set = attrs.field(factory=set)
     draining: bool = False
 
@@ -28,4 +34,6 @@
             return 'draining'
         if self.instances.received_ms is None:
             return 'no instance list yet'
+        if self.config.age_ms() > self.bounds.freshness_ms:
+            return 'configuration not confirmed'
         return None
--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -1,72 +1,92 @@
 """Assembly of a daemon from its settings."""
 
-import gevent
-
+import paddle_coord
 import paddle_kernel
+from paddle_kernel import settings as kernel_settings
 from paddle_router import _account
+from paddle_router import _admission
 from paddle_router import _config_source
 from paddle_router import _core
 from paddle_router import _dispatch
+from paddle_router import _engine_watch
 from paddle_router import _events
+from paddle_router import _followers
+from paddle_router import _hosting
 from paddle_router import _http_in
 from paddle_router import _http_out
 from paddle_router import _instances
 from paddle_router import _metrics
+from paddle_router import _operator
+from paddle_router import _policies
 from paddle_router import _resources
+from paddle_router import _status
 from paddle_router import _usage
 
-STOP_POLL_S = 0.02
+STOP_POLL_MS = 20
 
 
 class Daemon:
-    """One running daemon."""
+    """One running daemon.
+
+    ``register`` replaces the register of the settings in tests.
+    """
 
-    def __init__(self, settings, *, clock=None, config=None):
+    def __init__(self, settings, *, clock=None, register=None):
         self.settings = settings
         self.clock = clock or paddle_kernel.SystemClock()
-        self.pool = _http_out.Pool(self.clock)
-        self.instances = _instances.InstanceList(
-            self.pool, settings.platform, clock=self.clock
+        self.transport = paddle_kernel.TcpTransport()
+        self.hosting = _hosting.Hosting(settings, self.clock)
+        self.register = register or _hosting.open_register(
+            settings, self.clock, self.transport
         )
         self.metrics = _metrics.Metrics()
         self.usage = _usage.UsageMeter(
             self.clock, settings.bounds.usage_window_ms
         )
-        self.core = _core.Core(
-            settings=settings,
-            clock=self.clock,
-            config=config
-            or _config_source.LocalConfig.from_file(settings.local_config),
-            instances=self.instances,
-            pool=self.pool,
-            account=_account.Account(self.clock, self.metrics, self.usage),
-            dispatcher=_dispatch.RoundRobin(self.instances),
-        )
-        self.server = _http_in.CallerServer(
-            settings.listen,
-            _resources.application(self.core),
-            header_bytes=settings.bounds.header_bytes,
-            request_ms=settings.bounds.request_ms,
-        )
+        self.core = self._build_core()
+        self.dump = paddle_kernel.StateDump()
+        self.status = _status.Status(self)
+        self.server = self._caller_server()
+        self.operator = self._operator_server()
         self._tickers = []
+        self._connect_parts()
 
     def start(self):
         """Start serving."""
+        bounds = self.settings.bounds
+        core = self.core
+        self.hosting.start()
+        poll = _followers.ConfigPoll(core, self.metrics)
+        self._tick(poll.poll, bounds.config_poll_ms)
+        self._tick(core.instances.poll, bounds.list_poll_ms)
+        self._tick(core.dispatcher.tick, _dispatch.TICK_MS)
+        self._tick(self._engine_watch.poll, bounds.load_poll_ms)
+        self._tick(self.usage.flush, bounds.usage_flush_ms)
         self.server.start()
-        self._tick(self.instances.poll, self.settings.bounds.list_poll_ms)
+        self.operator.start()
         paddle_kernel.emit(
             _events.STARTED,
             name=self.settings.name,
             listen=self.server.bound,
+            operator=self.operator.bound,
         )
         return self
 
+    def drain(self, undo=False):
+        """Report not ready, so that no new callers are sent here."""
+        self.core.draining = not undo
+        paddle_kernel.emit(_events.DRAINING, undo=undo)
+
     def stop(self):
         """Stop gracefully; return whether all requests could finish."""
         paddle_kernel.emit(_events.STOPPING)
-        self.core.draining = True
-        self.server.draining = True
-        finished = self._await_requests()
+        self.drain()
+        deadline_ms = self.clock.now_ms() + self.settings.bounds.stop_ms
+        # Load balancers see /readyz fail before the listener closes.
+        self.clock.sleep_ms(self.settings.bounds.notice_ms)
+        self.server.begin_stop()
+        finished = self._await_requests(deadline_ms)
+        self.usage.flush()
         self.close()
         paddle_kernel.emit(_events.STOPPED)
         return finished
@@ -76,17 +96,108 @@
         for ticker in self._tickers:
             ticker.stop()
         self.server.stop(timeout=0)
-        self.pool.close()
+        self.operator.stop(timeout=0)
+        self.hosting.stop()
+        self.transport.close()
+        self.core.pool.close()
 
-    def _await_requests(self):
-        deadline_ms = self.clock.now_ms() + self.settings.bounds.stop_ms
+    def _build_core(self):
+        pool = _http_out.Pool(self.clock)
+        policies = _policies.Policies()
+        register = self.register
+        core = _core.Core(
+            settings=self.settings,
+            clock=self.clock,
+            config=_config_source.ConfigSource.from_register(
+                register, self.clock, self.settings.data_dir
+            ),
+            instances=_instances.InstanceList(
+                pool, self.settings.platform, clock=self.clock
+            ),
+            pool=pool,
+            policies=policies,
+            dispatcher=_dispatch.Dispatcher(
+                self.clock, policies, self.metrics
+            ),
+            account=_account.Account(
+                self.clock, self.metrics, self.usage, policies
+            ),
+            claims=paddle_coord.ClaimBook(
+                register,
+                self.clock,
+                f'{self.settings.name}-{self.usage.incarnation}',
+                keys=register.keys,
+                delete=register.delete,
+            ),
+        )
+        core.admission = _admission.Admission(core)
+        return core
+
+    def _connect_parts(self):
+        core = self.core
+        self._engine_watch = _engine_watch.EngineWatch(core)
+        core.dispatcher.on_probe(self._engine_watch.probe)
+        core.instances.on_change(core.dispatcher.sync)
+        core.instances.on_change(
+            lambda items: core.pool.keep_only(item.address for item in items)
+        )
+        core.config.on_change(core.dispatcher.apply)
+        core.config.on_change(_followers.KeyWatch(core).on_view)
+        for name, part in (
+            ('config', core.config),
+            ('instances', core.instances),
+            ('dispatcher', core.dispatcher),
+            ('usage', self.usage),
+            ('hosting', self.hosting),
+        ):
+            self.dump.register(name, part.dump)
+        self.dump.register('requests', self.status.requests)
+        self.status.install_gauges(self.metrics)
+
+    def _caller_server(self):
+        return _http_in.CallerServer(
+            self.settings.listen,
+            _resources.application(self.core),
+            header_bytes=self.settings.bounds.header_bytes,
+            request_ms=self.settings.bounds.request_ms,
+        )
+
+    def _operator_server(self):
+        token = kernel_settings.read_secret(self.settings.operator_token_file)
+        admin = _operator.ReplicaResources(
+            paddle_coord.ReplicaAdmin(self.transport, self.clock)
+        )
+        resources = {
+            '/status': _operator.Get(self.status.collect),
+            '/dump': _operator.Get(self.dump.collect),
+            '/config': _operator.Get(self.core.config.describe),
+            '/metrics': _operator.MetricsText(self.metrics),
+            '/changes': _operator.Changes(self.core.config),
+            '/replicas/form': _operator.Post(admin.form),
+            '/replicas/replace': _operator.Post(admin.replace),
+            '/drain': _operator.Post(self._drain_request),
+        }
+        return _http_in.CallerServer(
+            self.settings.operator,
+            _operator.application(
+                token, resources, _resources.ErrorAnswers(self.metrics)
+            ),
+            header_bytes=self.settings.bounds.header_bytes,
+            request_ms=self.settings.bounds.request_ms,
+        )
+
+    def _drain_request(self, document):
+        self.drain(undo=bool(document.get('undo')))
+        return _operator.success({'draining': self.core.draining})
+
+    def _await_requests(self, deadline_ms):
         while self.server.busy:
             if self.clock.now_ms() >= deadline_ms:
                 paddle_kernel.emit(
                     _events.STOP_TIMED_OUT, left=self.server.busy
                 )
                 return False
-            gevent.sleep(STOP_POLL_S)
+            self.clock.sleep_ms(STOP_POLL_MS)
         return True
 
     def _tick(self, function, period_ms):
--- a/packages/router/src/paddle_router/_dispatch.py
+++ b/packages/router/src/paddle_router/_dispatch.py
@@ -1,38 +1,351 @@
-"""Choice of a backend server for each request."""
+"""Owner of the queues and of the engine slots.
 
-import itertools
+All changes happen in functions that do not switch greenlets, so they are as
+atomic as the handling of a message by a task, without the cost of one switch
+per request. Callers wait on their :class:`Waiter` only when no slot is free.
+"""
+
+import math
 
 import attrs
+import gevent
+import gevent.event
 
+import paddle_kernel
 from paddle_router import _errors
+from paddle_router import _pools
+from paddle_router import policy
+
+TICK_MS = 100
+MS_PER_S = paddle_kernel.MS_PER_S
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class Slot:
-    """Permission to use one backend server for one request."""
+    """Permission to use one engine for one request.
+
+    ``on_ejected`` is called when the engine is ejected while this request is
+    overdue there.
+    """
 
+    pool: object
+    ticket: object
+    flight: object
     instance: object
+    started_ms: int
+    on_ejected: object = None
+
+
+class Waiter:
+    """One queued request; ``outcome`` is a :class:`Slot` or a refusal."""
+
+    def __init__(self, request, work, *, needs_resume=False):
+        self.request = request
+        self.work = work
+        self.needs_resume = needs_resume
+        self.ticket = None
+        self.outcome = None
+        self._event = None
+
+    def resolve(self, outcome):
+        """Set the outcome and wake the waiting greenlet."""
+        self.outcome = outcome
+        if self._event is not None:
+            self._event.set()
+
+    def wait(self):
+        """Return the outcome, waiting only when there is none yet."""
+        if self.outcome is None:
+            self._event = gevent.event.Event()
+            self._event.wait()
+        return self.outcome
+
+
+class Dispatcher:
+    """Queues requests and gives them slots on engines."""
+
+    def __init__(self, clock, policies, metrics):
+        self._clock = clock
+        self._policies = policies
+        self._metrics = metrics
+        self._pools = {}
+        self._share = (0.0, 1.0)
+        self._send_probe = None
 
+    def on_probe(self, function):
+        """Send probes with ``function(pool, flight, instance)``."""
+        self._send_probe = function
 
-class RoundRobin:
-    """Takes the candidates in turn; no queue."""
+    # Settings and engines
 
-    def __init__(self, instances):
-        self._instances = instances
-        self._turn = itertools.count()
+    def apply(self, view):
+        """Use another version of the configuration."""
+        self._policies.apply(view)
+        for pool in self._pools.values():
+            pool.scheduler.apply(
+                self._policies.classes, self._policies.customer_weights
+            )
+
+    def set_share(self, low, high):
+        """Own the part [low, high) of all slots and limits."""
+        self._share = (low, high)
+        self._policies.set_share(high - low)
+        for pool in self._pools.values():
+            pool.balancer.set_share(low, high)
+            self._fill(pool)
+
+    def sync(self, instances):
+        """Use another list of backend servers."""
+        now_ms = self._clock.now_ms()
+        found = _pools.engines_by_model(instances, self._demand_of)
+        for model in set(found) | set(self._pools):
+            pairs = found.get(model, [])
+            pool = self._pool(model)
+            engines = [engine for engine, _ in pairs]
+            pool.sync(engines, {item.id: item for _, item in pairs}, now_ms)
+            self._fill(pool)
+        for model, pool in list(self._pools.items()):
+            if not pool.engines and not pool.demand:
+                del self._pools[model]
+
+    def models(self):
+        """Return the names of all models that engines hold."""
+        return self._pools.keys()
+
+    def can_resume(self, model):
+        """Return whether some engine of ``model`` can resume streams."""
+        pool = self._pools.get(model)
+        return pool is not None and any(
+            item.can_resume for item in pool.engines
+        )
+
+    def demand(self):
+        """Return the number of requests waiting and running by class."""
+        result = {}
+        for pool in self._pools.values():
+            for holder in (*pool.waiting, *pool.running):
+                name = holder.ticket.class_name
+                result[name] = result.get(name, 0) + 1
+        return result
 
-    def acquire(self, request, watch, *, exclude=()):
-        """Return a :class:`Slot` on an engine that holds the model.
+    # Requests
 
-        :raises Refusal: if there is none.
+    def acquire(self, request, watch, *, avoid=frozenset(), resumed=False):
+        """Return a :class:`Slot` for ``request``, waiting in the queue.
+
+        ``avoid`` names engines of earlier attempts; a request that is
+        ``resumed`` has its first token already.
+
+        :raises Refusal: if it gets no slot in time.
         """
-        engines = self._instances.engines(request.model)
-        engines = [e for e in engines if e.id not in exclude] or engines
-        if not engines:
+        pool = self._pools.get(request.model)
+        if pool is None or not pool.engines:
             raise _errors.unavailable(
                 'no_engine', 'no engine serves this model at present'
             )
-        return Slot(engines[next(self._turn) % len(engines)])
+        now_ms = self._clock.now_ms()
+        waiter = self._enqueue(pool, request, avoid, resumed, now_ms)
+        if waiter.outcome is None:
+            watch.on_gone(lambda: self._abandon(pool, waiter))
+            waiter.wait()
+            watch.on_gone(None)
+        if isinstance(waiter.outcome, Slot):
+            return waiter.outcome
+        raise waiter.outcome
+
+    def release(self, slot, *, ok, tokens):
+        """Free ``slot``; ``ok`` is false only for a fault of the engine."""
+        pool = slot.pool
+        now_ms = self._clock.now_ms()
+        pool.running.discard(slot)
+        pool.balancer.finish(slot.flight, now_ms, ok)
+        pool.scheduler.served(slot.ticket, tokens)
+        if pool.waiting:
+            self._fill(pool)
+
+    def progress(self, slot, tokens):
+        """Note that the answer has ``tokens`` tokens so far."""
+        slot.pool.balancer.observe(slot.flight, self._clock.now_ms(), tokens)
+        slot.pool.scheduler.served(slot.ticket, tokens, done=False)
+
+    def refuse_waiting(self, refusal_for):
+        """Refuse each queued request for which there is a refusal.
+
+        ``refusal_for(request)`` returns one or ``None``.
+        """
+        for pool in self._pools.values():
+            for waiter in list(pool.waiting):
+                refusal = refusal_for(waiter.request)
+                if refusal is not None:
+                    self._withdraw(pool, waiter)
+                    waiter.resolve(refusal)
+
+    def tick(self):
+        """Refuse late requests, judge engines and send probes."""
+        now_ms = self._clock.now_ms()
+        for pool in self._pools.values():
+            for ejection in pool.balancer.tick(now_ms):
+                self._eject(pool, ejection)
+            for flight in pool.balancer.probes(now_ms):
+                instance = pool.instances.get(flight.engine_id)
+                if instance is not None and self._send_probe is not None:
+                    gevent.spawn(self._send_probe, pool, flight, instance)
+            self._fill(pool)
+        self._publish_depth()
+
+    def report(self, instance_id, report):
+        """Note a load report of an engine."""
+        now_ms = self._clock.now_ms()
+        for pool in self._pools.values():
+            if instance_id in pool.instances:
+                pool.balancer.report(instance_id, report, now_ms)
+
+    def dump(self):
+        """Return plain data for the state dump."""
+        return {
+            model: {
+                'scheduler': pool.scheduler.dump(),
+                'balancer': pool.balancer.dump(),
+                'waiting': len(pool.waiting),
+                'running': len(pool.running),
+            }
+            for model, pool in self._pools.items()
+        }
+
+    # Internals
+
+    def _pool(self, model):
+        pool = self._pools.get(model)
+        if pool is None:
+            pool = _pools.Pool(
+                model,
+                self._policies.new_scheduler(),
+                self._policies.new_balancer(),
+            )
+            pool.balancer.set_share(*self._share)
+            self._pools[model] = pool
+        return pool
+
+    def _demand_of(self, model):
+        pool = self._pools.get(model)
+        return pool.demand if pool is not None else 0
+
+    def _enqueue(self, pool, request, avoid, resumed, now_ms):
+        work = policy.Work(
+            prompt_tokens=request.prompt_tokens,
+            prefix=request.prefix,
+            avoid=avoid,
+        )
+        waiter = Waiter(request, work, needs_resume=resumed)
+        waiter.ticket = self._ticket(request, resumed, now_ms, waiter)
+        pool.waiting.add(waiter)
+        for refused in pool.scheduler.offer(waiter.ticket, now_ms):
+            self._refuse(pool, refused)
+        if waiter.outcome is None:
+            self._fill(pool)
+        return waiter
+
+    def _ticket(self, request, resumed, now_ms, waiter):
+        start_ms = now_ms if resumed else request.received_ms
+        start_up = self._policies.admission.predict(request.prompt_tokens)
+        targets = request.request_class
+        return policy.Ticket(
+            customer=request.customer or '',
+            class_name=targets.name,
+            tier=targets.tier,
+            prompt_tokens=request.prompt_tokens,
+            generated_tokens=request.expected_tokens,
+            arrival_ms=now_ms,
+            deadline_ms=start_ms + targets.first_token_target_ms,
+            start_up_ms=start_up.start_up_ms,
+            payload=waiter,
+        )
+
+    def _fill(self, pool):
+        """Start queued requests while slots are free; refuse late ones."""
+        now_ms = self._clock.now_ms()
+        pool.unplaced = [
+            ticket
+            for ticket in pool.unplaced
+            if not self._place(pool, ticket, now_ms)
+        ]
+        free = max(0, pool.balancer.free_slots() - len(pool.unplaced))
+        turn = pool.scheduler.next(free, now_ms)
+        for refused in turn.refused:
+            self._refuse(pool, refused)
+        for ticket in turn.started:
+            if not self._place(pool, ticket, now_ms):
+                pool.unplaced.append(ticket)
+
+    def _place(self, pool, ticket, now_ms):
+        """Return whether ``ticket`` needs no further attempt."""
+        waiter = ticket.payload
+        if waiter not in pool.waiting:
+            return True
+        engines = pool.engines
+        if waiter.needs_resume:
+            engines = [item for item in engines if item.can_resume]
+        flight = pool.balancer.choose(engines, waiter.work, now_ms)
+        if flight is None and waiter.work.avoid:
+            # Better the same engine again than none.
+            waiter.work = attrs.evolve(waiter.work, avoid=frozenset())
+            flight = pool.balancer.choose(engines, waiter.work, now_ms)
+        if flight is None:
+            return False
+        instance = pool.instances[flight.engine_id]
+        slot = Slot(pool, ticket, flight, instance, now_ms)
+        pool.waiting.discard(waiter)
+        pool.running.add(slot)
+        waiter.resolve(slot)
+        return True
+
+    def _refuse(self, pool, refused):
+        waiter = refused.ticket.payload
+        pool.waiting.discard(waiter)
+        waiter.resolve(refusal_of(refused))
+
+    def _abandon(self, pool, waiter):
+        if waiter in pool.waiting:
+            self._withdraw(pool, waiter)
+            waiter.resolve(
+                _errors.Refusal(499, 'caller_gone', 'the caller left')
+            )
+
+    def _withdraw(self, pool, waiter):
+        pool.waiting.discard(waiter)
+        if not pool.scheduler.remove(waiter.ticket):
+            # The scheduler had started it, but it was not placed.
+            pool.scheduler.served(waiter.ticket, 0)
+
+    def _eject(self, pool, ejection):
+        overdue = set(ejection.overdue)
+        for slot in list(pool.running):
+            if slot.flight in overdue and slot.on_ejected is not None:
+                slot.on_ejected()
+
+    def _publish_depth(self):
+        depth = {}
+        for pool in self._pools.values():
+            for waiter in pool.waiting:
+                name = waiter.ticket.class_name
+                depth[name] = depth.get(name, 0) + 1
+        for name in self._policies.classes:
+            gauge = self._metrics.of_class(name).queue_depth
+            gauge.set(depth.get(name, 0))
+
+
+def refusal_of(refused):
+    """Return the caller's answer to a refusal by the scheduler."""
+    late = refused.reason == policy.DEADLINE
+    return _errors.unavailable(
+        'too_late' if late else 'queue_full',
+        'no engine would be free in time for the target of this class'
+        if late
+        else 'the queue is full',
+        retry_after_s=seconds(refused.retry_after_ms),
+    )
+
 
-    def release(self, slot):
-        """Return ``slot`` after the request has ended there."""
+def seconds(duration_ms):
+    """Return whole seconds for a ``Retry-After`` header, at least one."""
+    return max(1, math.ceil(duration_ms / MS_PER_S))
--- /dev/null
+++ b/packages/router/src/paddle_router/_engine_watch.py
@@ -0,0 +1,91 @@
+"""Load reports of engines and probes of ejected ones."""
+
+import json
+
+from paddle_router import _http_out
+from paddle_router import _instances
+from paddle_router import policy
+
+REPORT_BYTES = 65_536
+REPORT_TIMEOUT_MS = 1_000
+PROBE_TIMEOUT_MS = 5_000
+PROBE_BYTES = 1024 * 1024
+# Bounds the control traffic of a daemon in front of many engines: reports
+# only correct the daemon's own observations.
+REPORTS_PER_TICK = 10
+OK = 200
+JSON_HEADERS = (('Content-Type', 'application/json'),)
+
+
+class EngineWatch:
+    """Reads load reports and sends probes to the dispatcher's order."""
+
+    def __init__(self, core):
+        self._core = core
+        self._next = 0
+
+    def poll(self):
+        """Read the load reports of the next few engines."""
+        engines = self._core.instances.live(_instances.ENGINE)
+        count = min(REPORTS_PER_TICK, len(engines))
+        for offset in range(count):
+            self._read(engines[(self._next + offset) % len(engines)])
+        self._next += count
+
+    def probe(self, pool, flight, instance):
+        """Send a one-token request to an ejected engine."""
+        body = {
+            'model': pool.model,
+            'messages': [{'role': 'user', 'content': 'ping'}],
+            'max_tokens': 1,
+        }
+        core = self._core
+        try:
+            status, _ = _http_out.exchange(
+                core.pool,
+                instance.address,
+                'POST',
+                '/v1/chat/completions',
+                timeout_ms=PROBE_TIMEOUT_MS,
+                limit=PROBE_BYTES,
+                headers=JSON_HEADERS,
+                body=json.dumps(body).encode(),
+            )
+        except OSError:
+            status = 0
+        now_ms = core.clock.now_ms()
+        if status == OK:
+            pool.balancer.observe(flight, now_ms, 1)
+        else:
+            pool.balancer.finish(flight, now_ms, False)
+
+    def _read(self, engine):
+        try:
+            status, body = _http_out.exchange(
+                self._core.pool,
+                engine.address,
+                'GET',
+                '/load',
+                timeout_ms=REPORT_TIMEOUT_MS,
+                limit=REPORT_BYTES,
+            )
+            if status == OK:
+                self._core.dispatcher.report(engine.id, _report_of(body))
+        except (OSError, ValueError):
+            # Without a report the daemon's own observations decide alone.
+            pass
+
+
+def _report_of(body):
+    """Return the :class:`LoadReport` in an answer.
+
+    :raises ValueError: if it has another form.
+    """
+    document = json.loads(body)
+    names = ('running', 'waiting', 'slots', 'age_ms')
+    try:
+        return policy.LoadReport(
+            **{name: int(document[name]) for name in names}
+        )
+    except (KeyError, TypeError) as exc:
+        raise ValueError(f'malformed load report: {exc}') from exc
--- a/packages/router/src/paddle_router/_errors.py
+++ b/packages/router/src/paddle_router/_errors.py
@@ -86,3 +86,12 @@
 def broken_answer(code, message, *, outcome=UNKNOWN):
     """Return the failure of a request that reached a backend server."""
     return Refusal(502, code, message, kind=SERVER, outcome=outcome)
+
+
+def service_failure(*, was_sent):
+    """Return the failure of a service call without a complete answer."""
+    if was_sent:
+        return broken_answer(
+            'service_failed', 'the service broke off its answer'
+        )
+    return unavailable('service_unreachable', 'the service cannot be reached')
--- a/packages/router/src/paddle_router/_events.py
+++ b/packages/router/src/paddle_router/_events.py
@@ -38,3 +38,24 @@
 USAGE_NOT_FLUSHED = paddle_kernel.declare_event(
     3030, 'WARNING', 'usage counts could not be written and are kept'
 )
+CHANGE_DECIDED = paddle_kernel.declare_event(
+    3040, 'INFO', 'an operator submitted a change of the configuration'
+)
+DRAINING = paddle_kernel.declare_event(
+    3041, 'INFO', 'an operator asked this daemon to drain'
+)
+CONFIG_STALE = paddle_kernel.declare_event(
+    3042, 'WARNING', 'the configuration is not confirmed; refusing requests'
+)
+CONFIG_FRESH = paddle_kernel.declare_event(
+    3043, 'INFO', 'the configuration is confirmed again'
+)
+STREAM_ENDED_BY_KEY = paddle_kernel.declare_event(
+    3044, 'INFO', 'a stream was ended because its key is no longer valid'
+)
+REPLICA_UNAVAILABLE = paddle_kernel.declare_event(
+    3045, 'ERROR', 'the replica of this daemon cannot be opened'
+)
+CLAIM_NOT_COMPLETED = paddle_kernel.declare_event(
+    3046, 'WARNING', 'the outcome of a call could not be recorded'
+)
--- a/packages/router/src/paddle_router/_http_in.py
+++ b/packages/router/src/paddle_router/_http_in.py
@@ -47,6 +47,11 @@
 
     busy = False
 
+    @property
+    def in_progress(self):
+        """Whether a request is being read or answered, or has arrived."""
+        return self.busy or bool(peek(self.socket))
+
     def handle(self):
         self.server.handlers.add(self)
         try:
@@ -55,6 +60,7 @@
             self.server.handlers.discard(self)
 
     def read_request(self, raw_requestline):
+        self.busy = True
         rfile = self.rfile
         self.rfile = _HeaderReader(rfile, self.server.header_bytes)
         try:
@@ -82,13 +88,6 @@
         environ[HANDLER] = self
         return environ
 
-    def handle_one_response(self):
-        self.busy = True
-        try:
-            super().handle_one_response()
-        finally:
-            self.busy = False
-
     def finalize_headers(self):
         super().finalize_headers()
         if self.server.draining and not self.close_connection:
@@ -113,7 +112,10 @@
         reader.content_length = reader.position
 
     def handle_one_request(self):
-        result = super().handle_one_request()
+        try:
+            result = super().handle_one_request()
+        finally:
+            self.busy = False
         if not isinstance(result, tuple):
             return result
         status, answer = result
@@ -195,7 +197,13 @@
     @property
     def busy(self):
         """Number of requests in progress."""
-        return sum(handler.busy for handler in self.handlers)
+        return sum(handler.in_progress for handler in self.handlers)
+
+    def begin_stop(self):
+        """Close the listener; connections end after their request."""
+        self.draining = True
+        self.stop_accepting()
+        self.close()
 
 
 def read_body(environ, *, limit, timeout_ms):
@@ -231,6 +239,20 @@
     )
 
 
+def peek(sock):
+    """Return what can be read now, up to one byte; ``None`` if nothing.
+
+    ``b''`` means that the other side closed the connection.
+    """
+    flags = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
+    try:
+        return sock._sock.recv(1, flags)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b''
+
+
 class CallerWatch:
     """Notices that the caller closed its connection.
 
@@ -258,13 +280,9 @@
             self._io = None
 
     def _on_readable(self):
-        flags = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
-        try:
-            data = self._sock._sock.recv(1, flags)
-        except BlockingIOError:
+        data = peek(self._sock)
+        if data is None:
             return
-        except OSError:
-            data = b''
         # Data is the start of a pipelined request; it hides the end of the
         # connection, which the next write then shows.
         self.stop()
--- a/packages/router/src/paddle_router/_metrics.py
+++ b/packages/router/src/paddle_router/_metrics.py
@@ -72,7 +72,7 @@
             'Time between two tokens.',
             INTER_TOKEN_BUCKETS,
         )
-        self.propagation = prometheus_client.Histogram(
+        self.config_poll = prometheus_client.Histogram(
             'paddle_config_poll_seconds',
             'Time of one poll of the configuration.',
             registry=self.registry,
--- a/packages/router/src/paddle_router/_relay.py
+++ b/packages/router/src/paddle_router/_relay.py
@@ -1,92 +1,54 @@
-"""Relaying one chat request to an engine and its answer back."""
+"""Relaying one chat request to engines and the answer back.
+
+An attempt that fails before a byte reached the caller is repeated elsewhere,
+a stream that breaks off later is resumed where an engine supports it, both
+within the retry budget.
+"""
 
 import json
 import re
 
+import paddle_kernel
 from paddle_router import _errors
+from paddle_router import _events
 from paddle_router import _headers
 from paddle_router import _request
 from paddle_router import _sse
+from paddle_router import _upstream
+from paddle_router import policy
 
-CHAT_TARGET = '/v1/chat/completions'
 ANSWER_BYTES = 64 * 1024 * 1024
+OK = 200
+# An engine that answers so did not refuse the request itself.
+REPEATABLE_STATUS = frozenset({429, 500, 502, 503, 504})
+# The policies hear of a stream's progress at its first chunk and then at
+# every so many chunks, which is as fine as the balancer judges engines.
+REPORT_EVERY = 16
 State = _request.State
+Action = policy.Action
 
 # Quotes within text are escaped, so these match JSON fields only.
 _CONTENT = re.compile(rb'"(?:content|reasoning_content|arguments)":\s*"(?!")')
 _USAGE = re.compile(rb'"usage":\s*\{')
 
 
-class Upstream:
-    """One exchange with an engine on a slot of the dispatcher."""
-
-    def __init__(self, core, request, slot):
-        self._core = core
-        self._slot = slot
-        self.request = request
-        self.instance = slot.instance
-        self.conn = None
-        self.answer = None
-
-    def open(self, body, headers, watch):
-        """Connect, send and read the head of the answer.
-
-        :raises OSError: if the engine does not answer.
-        """
-        self.request.advance(State.CONNECTING)
-        self._connect(watch)
-        self.request.advance(State.SENT)
-        try:
-            self._exchange(body, headers)
-        except ConnectionError:
-            # The engine may close an idle connection just as it is taken
-            # from the pool; the work is idempotent, so it may be sent anew.
-            if not self.conn.reused or watch.gone:
-                raise
-            self.conn.close()
-            self._connect(watch, fresh=True)
-            self._exchange(body, headers)
-        return self.answer
-
-    def _connect(self, watch, *, fresh=False):
-        self.conn = self._core.pool.open(
-            self.instance.address, self._core.bounds.connect_ms, fresh=fresh
-        )
-        watch.on_gone(self.conn.cancel)
-
-    def _exchange(self, body, headers):
-        bounds = self._core.bounds
-        self.conn.send(
-            'POST', CHAT_TARGET, headers, body, timeout_ms=bounds.idle_ms
-        )
-        self.answer = self.conn.read_head(bounds.first_byte_ms)
-
-    def close(self, *, reusable=False):
-        """Give back connection and slot; may be called more than once."""
-        conn, self.conn = self.conn, None
-        if conn is not None:
-            if reusable:
-                self._core.pool.give_back(conn)
-            else:
-                conn.close()
-        slot, self._slot = self._slot, None
-        if slot is not None:
-            self._core.dispatcher.release(slot)
-
-
 class ChatRelay:
     """Carries one chat request; iterating yields the stream's bytes."""
 
     def __init__(self, core, request, body, environ, key, watch):
         self._core = core
-        self._body = body
-        self._environ = environ
-        self._key = key
+        self._body = body.for_engine(request.request_class.tier)
+        self._headers = _headers.to_backend(environ, key)
+        self._headers.append(('Paddle-Request-Id', request.id))
         self._watch = watch
         self._upstream = None
         self._splitter = _sse.EventSplitter()
         self._ending = None
         self._saw_done = False
+        self._events_out = 0
+        self._next_report = 1
+        self._attempts = 0
+        self._avoid = frozenset()
         self._usage = None
         self.request = request
         core.active.add(self)
@@ -96,43 +58,30 @@
 
         :raises Refusal: if there is none.
         """
-        request = self.request
-        request.advance(State.QUEUED)
-        slot = self._core.dispatcher.acquire(request, self._watch)
-        upstream = Upstream(self._core, request, slot)
-        self._upstream = upstream
-        headers = _headers.to_backend(self._environ, self._key)
-        headers.append(('Paddle-Request-Id', request.id))
-        tier = request.request_class.tier
-        try:
-            answer = upstream.open(
-                self._body.for_engine(tier), headers, self._watch
-            )
-        except OSError:
-            raise self._failure() from None
-        if answer.get_code() != 200:
-            raise self._engine_error(answer)
-        return answer
+        self._core.retry_budget.note_request()
+        return self._attempt()
 
     def whole(self):
         """Return the complete answer of a request without streaming.
 
-        :raises Refusal: if the engine breaks off.
+        :raises Refusal: if no engine completes it.
         """
-        answer = self._upstream.answer
-        try:
-            data = answer.read_all(ANSWER_BYTES)
-        except OSError:
-            raise self._failure() from None
-        self.request.advance(State.FINISHED)
-        self._usage = _usage_of(data, is_event=False)
-        return data
+        while True:
+            try:
+                data = self._upstream.answer.read_all(ANSWER_BYTES)
+            except OSError:
+                self._after_failure()
+                self._attempt()
+                continue
+            self.request.advance(State.FINISHED)
+            self._usage = _usage_of(data, is_event=False)
+            return data
 
     def end_with(self, refusal):
         """End a running stream with an error event."""
         self._ending = refusal
-        if self._upstream is not None and self._upstream.conn is not None:
-            self._upstream.conn.cancel()
+        if self._upstream is not None:
+            self._upstream.cancel()
 
     def __iter__(self):
         return self
@@ -142,15 +91,17 @@
             try:
                 data = self._upstream.answer.read_some()
             except OSError:
-                return self._broken_event()
-            if not data:
-                if self._saw_done:
-                    self._finish()
-                    break
-                return self._broken_event()
-            events = self._splitter.feed(data)
-            if events:
-                return self._pass_on(events)
+                data = b''
+            if data:
+                events = self._splitter.feed(data)
+                if events:
+                    return self._pass_on(events)
+            elif self._saw_done:
+                self._finish()
+            else:
+                event = self._recover()
+                if event is not None:
+                    return event
         raise StopIteration
 
     def fail(self, exc):
@@ -170,8 +121,123 @@
         self._core.active.discard(self)
         if not self.request.ended:
             self.request.advance(State.CANCELLED)
+        finished = self.request.state is State.FINISHED
+        self._drop_upstream(reusable=finished)
         self._core.account.ended(self.request, self._usage)
-        self._drop_upstream(reusable=self.request.state is State.FINISHED)
+
+    # Attempts
+
+    def _attempt(self):
+        """Return the head of an answer, trying several engines."""
+        while True:
+            self._open_slot()
+            try:
+                answer = self._send()
+            except OSError:
+                self._after_failure()
+                continue
+            status = answer.get_code()
+            if status == OK:
+                return answer
+            if status not in REPEATABLE_STATUS:
+                raise _engine_refusal(status)
+            self._after_failure()
+
+    def _open_slot(self):
+        request = self.request
+        request.advance(State.QUEUED)
+        self._attempts += 1
+        slot = self._core.dispatcher.acquire(
+            request,
+            self._watch,
+            avoid=self._avoid,
+            resumed=self._events_out > 0,
+        )
+        self._upstream = _upstream.Upstream(self._core, request, slot)
+        # The key may have been revoked while the request waited.
+        self._core.admission.recheck(request)
+
+    def _send(self):
+        headers = self._headers
+        if self._events_out:
+            resume = ('Paddle-Resume-From', str(self.request.chunks))
+            headers = [*headers, resume]
+        request = self.request
+        request.sent_ms = self._core.clock.now_ms()
+        return self._upstream.open(self._body, headers, self._watch)
+
+    def _after_failure(self):
+        """Prepare another attempt.
+
+        :raises Refusal: if there is none.
+        """
+        upstream = self._upstream
+        was_ejected = upstream.ejected
+        self._avoid |= {upstream.instance.id}
+        self._drop_upstream(ok=self._watch.gone or was_ejected)
+        action = self._decide()
+        if action in (Action.RETRY, Action.RESUME):
+            self._core.account.retried(action.value)
+            self._splitter = _sse.EventSplitter()
+            return
+        raise self._refusal_for(action)
+
+    def _decide(self):
+        request = self.request
+        now_ms = self._core.clock.now_ms()
+        attempt = policy.Attempt(
+            idempotent=True,
+            was_sent=request.was_sent,
+            events_delivered=self._events_out,
+            engine_can_resume=self._core.dispatcher.can_resume(request.model),
+            attempts=self._attempts,
+            caller_present=not self._watch.gone and self._ending is None,
+            is_late=not self._events_out and now_ms >= request.deadline_ms,
+        )
+        return policy.decide_retry(attempt, self._core.retry_budget, now_ms)
+
+    def _refusal_for(self, action):
+        if self._ending is not None:
+            return self._ending
+        if action is Action.DROP:
+            return _errors.Refusal(
+                499,
+                'caller_gone',
+                'the caller closed the connection',
+                outcome=self.request.outcome,
+            )
+        if action is Action.REFUSE_NOT_RUN:
+            return _errors.unavailable(
+                'engine_unreachable', 'no engine can be reached'
+            )
+        if action is Action.ERROR_EVENT:
+            paddle_kernel.emit(_events.STREAM_BROKEN, id=self.request.id)
+            return _errors.broken_answer(
+                'stream_broken', 'the engine broke off the stream'
+            )
+        return _errors.broken_answer(
+            'engine_failed', 'the engine broke off before its answer'
+        )
+
+    # Streaming
+
+    def _recover(self):
+        """Go on after a broken stream; return an event if that fails."""
+        try:
+            self._after_failure()
+            self._attempt()
+        except _errors.Refusal as refusal:
+            self._drop_upstream()
+            gone = self._watch.gone
+            self.request.advance(State.CANCELLED if gone else State.BROKEN)
+            return None if gone else self._last_event(refusal)
+        return None
+
+    def _last_event(self, refusal):
+        if self._events_out or refusal.outcome != _errors.NOT_RUN:
+            # The answer has begun, so the request has run in part.
+            refusal.outcome = _errors.UNKNOWN
+        return refusal.event()
 
     def _pass_on(self, events):
         request = self.request
@@ -188,44 +254,28 @@
                 self._usage = _usage_of(event) or self._usage
         if count:
             self._core.account.chunk(request, count)
+            if request.chunks >= self._next_report:
+                self._next_report = request.chunks + REPORT_EVERY
+                self._upstream.progress(request.chunks)
+        self._events_out += len(events)
         return events[0] if len(events) == 1 else b''.join(events)
 
     def _finish(self):
         self.request.advance(State.FINISHED)
         self._drop_upstream(reusable=True)
 
-    def _broken_event(self):
-        if self._watch.gone:
-            self.request.advance(State.CANCELLED)
-            self._drop_upstream()
-            raise StopIteration
-        self.request.advance(State.BROKEN)
-        self._drop_upstream()
-        refusal = self._ending or _errors.broken_answer(
-            'stream_broken', 'the engine broke off the stream'
-        )
-        return refusal.event()
-
-    def _drop_upstream(self, *, reusable=False):
+    def _drop_upstream(self, *, ok=True, reusable=False):
         if self._upstream is not None:
-            self._upstream.close(reusable=reusable)
+            self._upstream.close(
+                ok=ok, tokens=self.request.chunks, reusable=reusable
+            )
             self._upstream = None
 
-    def _failure(self):
-        was_sent = self.request.was_sent
-        if not was_sent:
-            return _errors.unavailable(
-                'engine_unreachable', 'the engine cannot be reached'
-            )
-        return _errors.broken_answer(
-            'engine_failed', 'the engine broke off before its answer'
-        )
 
-    def _engine_error(self, answer):
-        status = answer.get_code()
-        return _errors.broken_answer(
-            'engine_error', f'the engine answered with status {status}'
-        )
+def _engine_refusal(status):
+    return _errors.broken_answer(
+        'engine_error', f'the engine answered with status {status}'
+    )
 
 
 def _usage_of(data, *, is_event=True):
--- a/packages/router/src/paddle_router/_request.py
+++ b/packages/router/src/paddle_router/_request.py
@@ -26,7 +26,8 @@
 _NEXT = {
     State.RECEIVED: {State.QUEUED} | _ENDS,
     State.QUEUED: {State.CONNECTING} | _ENDS,
-    State.CONNECTING: {State.SENT, State.QUEUED} | _ENDS,
+    # Finished without being sent: the kept answer of a claim is replayed.
+    State.CONNECTING: {State.SENT, State.QUEUED, State.FINISHED} | _ENDS,
     # Back to the queue: idempotent work is retried elsewhere.
     State.SENT: {State.STREAMING, State.FINISHED, State.QUEUED} | _ENDS,
     State.STREAMING: {State.FINISHED, State.QUEUED} | _ENDS,
@@ -41,6 +42,8 @@
 class Request:
     """A request; times are monotonic ms.
 
+    ``deadline_ms`` is the time by which the first token is due.
+
     ``was_sent`` tells whether a byte of it may have left for a backend
     server; ``chunks`` counts the content chunks passed on to the caller.
     """
@@ -52,9 +55,13 @@
     stream: bool = False
     idempotent: bool = True
     received_ms: int = 0
+    deadline_ms: int = 0
+    sent_ms: int | None = None
+    prompt_chars: int = 0
     prompt_tokens: int = 0
-    max_tokens: int | None = None
-    prefix: int = 0
+    expected_tokens: int = 0
+    charged_tokens: int = 0
+    prefix: tuple = ()
     id: str = attrs.field(factory=lambda: uuid.uuid4().hex)
     state: State = State.RECEIVED
     was_sent: bool = False
--- a/packages/router/src/paddle_router/_resources.py
+++ b/packages/router/src/paddle_router/_resources.py
@@ -5,7 +5,7 @@
 import paddle_kernel
 from paddle_router import _auth
 from paddle_router import _chat_body
-from paddle_router import _config_source
+from paddle_router import _config_model
 from paddle_router import _errors
 from paddle_router import _events
 from paddle_router import _http_in
@@ -16,79 +16,24 @@
 EVENT_STREAM = 'text/event-stream'
 
 
-class Admission:
-    """Steps that every request passes before it is relayed."""
-
-    def __init__(self, core):
-        self._core = core
-
-    def key_record(self, environ, key):
-        """Return the valid key record of a request.
-
-        :raises Refusal: if there is none or if the key is also elsewhere.
-        """
-        record = _auth.authenticate(
-            self._core.config.view, key, self._core.clock.wall_ms()
-        )
-        target = environ['PATH_INFO'] + '?' + environ['QUERY_STRING']
-        if key in target:
-            raise key_elsewhere('path or query')
-        return record
-
-    def read_body(self, environ):
-        """Return the body within the bounds.
-
-        :raises Refusal: if it exceeds them.
-        """
-        bounds = self._core.bounds
-        return _http_in.read_body(
-            environ, limit=bounds.body_bytes, timeout_ms=bounds.request_ms
-        )
-
-    def request_class(self, environ, default):
-        """Return the class named in the request, or the default one.
-
-        :raises Refusal: if it is unknown.
-        """
-        name = environ.get('HTTP_PADDLE_CLASS') or default
-        found = self._core.config.view.request_class(name)
-        if found is None:
-            raise _errors.Refusal(
-                400, 'unknown_class', 'the class is unknown', param='class'
-            )
-        return found
-
-
-def key_elsewhere(place):
-    """Return the refusal of a request that would leak its own key."""
-    return _errors.Refusal(
-        400,
-        'key_in_request',
-        f'the {place} contains the key; send it in Authorization only',
-    )
-
-
 class Chat:
-    """``POST /v1/chat/completions``."""
+    """Chat-completions requests."""
 
-    def __init__(self, core, admission):
+    def __init__(self, core):
         self._core = core
-        self._admission = admission
 
-    def on_post(self, req, resp):
+    def on_request(self, req, resp, route, record, key):
+        """Relay one request."""
         environ = req.env
-        key = _auth.presented_key(environ)
-        record = self._admission.key_record(environ, key)
-        raw = self._admission.read_body(environ)
-        if key.encode() in raw:
-            raise key_elsewhere('body')
-        body = _chat_body.parse(raw)
-        request = self._request(environ, record, body)
+        body = _chat_body.parse(self._core.admission.read_body(environ, key))
+        request = self._request(environ, route, record, body)
         watch = _http_in.CallerWatch(environ)
         relay = _relay.ChatRelay(
             self._core, request, body, environ, key, watch
         )
         try:
+            self._core.admission.check_limits(request)
+            self._core.admission.check_targets(request)
             relay.start()
             if body.stream:
                 resp.content_type = EVENT_STREAM
@@ -103,9 +48,9 @@
             raise
         relay.close()
 
-    def _request(self, environ, record, body):
-        view = self._core.config.view
-        if body.model not in self._core.instances.models():
+    def _request(self, environ, route, record, body):
+        core = self._core
+        if body.model not in core.dispatcher.models():
             raise _errors.Refusal(
                 404,
                 'model_not_found',
@@ -113,21 +58,63 @@
                 kind=_errors.NOT_FOUND,
                 param='model',
             )
+        found = core.admission.request_class(environ, route.default_class)
+        customer = record.customer if record else None
+        lengths = core.policies.lengths
+        expected = lengths.predict(customer, found.name).mean
+        now_ms = core.clock.now_ms()
         return _request.Request(
             model=body.model,
-            request_class=self._admission.request_class(
-                environ, view.chat_default_class
-            ),
-            customer=record.customer,
-            key_digest=record.digest,
+            request_class=found,
+            customer=customer,
+            key_digest=record.digest if record else None,
             stream=body.stream,
-            received_ms=self._core.clock.now_ms(),
-            prompt_tokens=body.prompt_tokens,
-            max_tokens=body.max_tokens,
+            received_ms=now_ms,
+            deadline_ms=now_ms + found.first_token_target_ms,
+            prompt_chars=body.prompt_chars,
+            prompt_tokens=lengths.predict_prompt(
+                found.name, body.prompt_chars
+            ),
+            expected_tokens=min(expected, body.max_tokens or expected),
             prefix=body.prefix,
         )
 
 
+class Entry:
+    """Finds the route of a request and the customer of its key."""
+
+    def __init__(self, core):
+        self._core = core
+        self._handlers = {
+            _config_model.MODEL: Chat(core),
+            _config_model.SERVICE: _services.Services(core),
+        }
+
+    def on_request(self, req, resp, **params):
+        """Serve one request, or refuse an unknown path."""
+        environ = req.env
+        core = self._core
+        core.admission.check_fresh()
+        route = core.config.view.route(req.method, environ['PATH_INFO'])
+        if route is None:
+            raise self._no_route(environ['PATH_INFO'])
+        key = _auth.presented_key(environ)
+        record = None
+        if not route.open:
+            record = core.admission.key_record(environ, key)
+        handler = self._handlers[route.kind]
+        handler.on_request(req, resp, route, record, key)
+
+    def _no_route(self, path):
+        if self._core.config.view.has_path(path):
+            return _errors.Refusal(
+                405, 'method_not_allowed', 'this method has no route here'
+            )
+        return _errors.Refusal(
+            404, 'not_found', 'no such route', kind=_errors.NOT_FOUND
+        )
+
+
 class Health:
     """``GET /healthz``: the process answers."""
 
@@ -153,15 +140,10 @@
     app = falcon.App()
     # Falcon's own form parsing would consume the body.
     app.req_options.auto_parse_form_urlencoded = False
-    admission = Admission(core)
-    app.add_route(_config_source.CHAT_PATH, Chat(core, admission))
     app.add_route('/healthz', Health())
     app.add_route('/readyz', Ready(core))
-    app.add_sink(_services.Services(core, admission).on_request, '/')
-    errors = ErrorAnswers(core.account.metrics)
-    app.add_error_handler(Exception, errors.on_error)
-    app.add_error_handler(_errors.Refusal, errors.on_refusal)
-    app.add_error_handler(falcon.HTTPError, errors.on_http_error)
+    app.add_sink(Entry(core).on_request, '/')
+    ErrorAnswers(core.account.metrics).install(app)
     return app
 
 
@@ -171,6 +153,12 @@
     def __init__(self, metrics):
         self._metrics = metrics
 
+    def install(self, app):
+        """Answer all exceptions of ``app``."""
+        app.add_error_handler(Exception, self.on_error)
+        app.add_error_handler(_errors.Refusal, self.on_refusal)
+        app.add_error_handler(falcon.HTTPError, self.on_http_error)
+
     def on_refusal(self, req, resp, refusal, params):
         resp.status = refusal.status
         resp.data = refusal.body()
--- a/packages/router/src/paddle_router/_services.py
+++ b/packages/router/src/paddle_router/_services.py
@@ -1,100 +1,96 @@
-"""Requests to plain services by configured routes."""
+"""Requests to plain services by configured routes.
+
+Idempotent calls may be repeated. Every other call is claimed first, and after
+its first byte may have left there is no second attempt anywhere.
+"""
 
 import itertools
 
-from paddle_router import _auth
+from paddle_router import _claimed
 from paddle_router import _errors
 from paddle_router import _headers
 from paddle_router import _http_in
 from paddle_router import _request
+from paddle_router import policy
 
 ANSWER_BYTES = 64 * 1024 * 1024
 State = _request.State
+Action = policy.Action
 
 
 class Services:
-    """Handles every path that is not a resource of its own."""
+    """Handles requests of routes to plain services."""
 
-    def __init__(self, core, admission):
+    def __init__(self, core):
         self._core = core
-        self._admission = admission
+        self._claimed = _claimed.ClaimedCalls(core, self.choose)
         self._turn = itertools.count()
 
-    def on_request(self, req, resp, **params):
-        """Serve one request, or refuse an unknown path."""
+    def on_request(self, req, resp, route, record, key):
+        """Relay one request."""
+        core = self._core
         environ = req.env
-        view = self._core.config.view
-        route = view.route(req.method, environ['PATH_INFO'])
-        if route is None:
-            raise _errors.Refusal(
-                404, 'not_found', 'no such route', kind=_errors.NOT_FOUND
-            )
-        key = _auth.presented_key(environ)
-        record = None
-        if not route.open:
-            record = self._admission.key_record(environ, key)
-        body = self._admission.read_body(environ)
+        body = core.admission.read_body(environ, key)
+        found = core.admission.request_class(environ, route.default_class)
+        now_ms = core.clock.now_ms()
         request = _request.Request(
             model='',
-            request_class=self._admission.request_class(
-                environ, route.default_class
-            ),
+            request_class=found,
             customer=record.customer if record else None,
             key_digest=record.digest if record else None,
             idempotent=route.idempotent,
-            received_ms=self._core.clock.now_ms(),
+            received_ms=now_ms,
+            deadline_ms=now_ms + found.first_token_target_ms,
         )
-        self._relay(req, resp, request, route, body, key)
-
-    def _relay(self, req, resp, request, route, body, key):
-        request.advance(State.QUEUED)
-        watch = _http_in.CallerWatch(req.env)
+        call = ServiceCall(core, request, route, environ, body, key)
         try:
-            answer, data = self._exchange(
-                req, request, route, body, key, watch
-            )
+            core.admission.check_limits(request)
+            if route.idempotent:
+                self._repeat(call)
+            else:
+                self._claimed.run(call)
+        except BaseException as exc:
+            if not request.ended:
+                request.advance(State.BROKEN)
+            told = getattr(exc, 'outcome', _errors.UNKNOWN)
+            core.account.ended(request, outcome=told)
+            raise
         finally:
-            watch.stop()
-        resp.status = answer.get_code()
-        resp.data = data
-        for name, value in _headers.to_caller(answer):
-            resp.set_header(name, value)
-        resp.set_header(_errors.OUTCOME_HEADER, request.outcome)
-
-    def _exchange(self, req, request, route, body, key, watch):
-        instance = self._choose(route.service)
-        headers = _headers.to_backend(req.env, key)
-        headers.append(('Paddle-Request-Id', request.id))
-        bounds = self._core.bounds
-        conn = None
-        try:
-            request.advance(State.CONNECTING)
-            conn = self._core.pool.open(
-                instance.address,
-                bounds.connect_ms,
-                fresh=not request.idempotent,
+            call.watch.stop()
+        core.account.ended(request)
+        call.fill(resp)
+
+    def _repeat(self, call):
+        """Send an idempotent call, repeatedly within the budget."""
+        core = self._core
+        core.retry_budget.note_request()
+        for attempts in itertools.count(1):
+            call.request.advance(State.QUEUED)
+            try:
+                call.connect(self.choose(call.route.service))
+                call.watch.on_gone(call.conn.cancel)
+                call.send(core.bounds.first_byte_ms)
+                return
+            except OSError:
+                call.close()
+            attempt = policy.Attempt(
+                idempotent=True,
+                was_sent=call.request.was_sent,
+                attempts=attempts,
+                caller_present=not call.watch.gone,
             )
-            if request.idempotent:
-                watch.on_gone(conn.cancel)
-            request.advance(State.SENT)
-            conn.send(
-                req.method,
-                _target(req.env),
-                headers,
-                body,
-                timeout_ms=bounds.idle_ms,
+            action = policy.decide_retry(
+                attempt, core.retry_budget, core.clock.now_ms()
             )
-            answer = conn.read_head(bounds.first_byte_ms)
-            data = answer.read_all(ANSWER_BYTES)
-        except OSError:
-            if conn is not None:
-                conn.close()
-            raise self._failure(request) from None
-        request.advance(State.FINISHED)
-        self._core.pool.give_back(conn)
-        return answer, data
+            if action is not Action.RETRY:
+                raise _errors.service_failure(was_sent=call.request.was_sent)
+            core.account.retried(action.value)
+
+    def choose(self, service):
+        """Return a live instance of ``service``.
 
-    def _choose(self, service):
+        :raises Refusal: if there is none.
+        """
         found = self._core.instances.services(service)
         if not found:
             raise _errors.unavailable(
@@ -102,15 +98,74 @@
             )
         return found[next(self._turn) % len(found)]
 
-    def _failure(self, request):
-        if request.was_sent:
-            return _errors.broken_answer(
-                'service_failed', 'the service broke off its answer'
-            )
-        return _errors.unavailable(
-            'service_unreachable', 'the service cannot be reached'
+
+class ServiceCall:
+    """One call: connection, bytes and answer."""
+
+    def __init__(self, core, request, route, environ, body, key):
+        self._core = core
+        self._environ = environ
+        self._headers = _headers.to_backend(environ, key)
+        self._headers.append(('Paddle-Request-Id', request.id))
+        self.body = body
+        self.request = request
+        self.route = route
+        self.method = environ['REQUEST_METHOD']
+        self.target = _target(environ)
+        self.idempotency_key = environ.get('HTTP_IDEMPOTENCY_KEY')
+        self.watch = _http_in.CallerWatch(environ)
+        self.conn = None
+        self.status = None
+        self.answer_headers = ()
+        self.data = b''
+
+    def connect(self, instance):
+        """Open a connection to ``instance``.
+
+        :raises OSError: if that fails; nothing was sent.
+        """
+        self.request.advance(State.CONNECTING)
+        self.conn = self._core.pool.open(
+            instance.address,
+            self._core.bounds.connect_ms,
+            fresh=not self.request.idempotent,
         )
 
+    def send(self, timeout_ms):
+        """Send the request and read the whole answer.
+
+        :raises OSError: if there is no complete answer.
+        """
+        self.request.advance(State.SENT)
+        self.conn.send(
+            self.method,
+            self.target,
+            self._headers,
+            self.body,
+            timeout_ms=timeout_ms,
+        )
+        answer = self.conn.read_head(timeout_ms)
+        self.data = answer.read_all(ANSWER_BYTES)
+        self.status = answer.get_code()
+        self.answer_headers = tuple(_headers.to_caller(answer))
+        self.request.advance(State.FINISHED)
+        conn, self.conn = self.conn, None
+        self._core.pool.give_back(conn)
+
+    def close(self):
+        """Close the connection if it is open."""
+        conn, self.conn = self.conn, None
+        if conn is not None:
+            conn.close()
+
+    def fill(self, resp):
+        """Put the answer into the falcon response."""
+        resp.status = self.status
+        resp.data = self.data
+        for name, value in self.answer_headers:
+            resp.set_header(name, value)
+        resp.set_header(_errors.OUTCOME_HEADER, _errors.DONE)
+
 
 def _target(environ):
     handler = environ[_http_in.HANDLER]
--- a/packages/router/src/paddle_router/_settings.py
+++ b/packages/router/src/paddle_router/_settings.py
@@ -19,14 +19,16 @@
 
     ``first_byte_ms`` and ``idle_ms`` limit the silence of a backend server
     before and after its first byte, ``request_ms`` the time in which a caller
-    sends its request, ``stop_ms`` the time a graceful stop may take.
+    sends its request, ``stop_ms`` the time a graceful stop may take, of
+    which ``notice_ms`` pass between the failing of ``/readyz`` and the end of
+    listening.
     """
 
     connect_ms: int = _bound_ms(1_000)
     first_byte_ms: int = _bound_ms(120_000)
     idle_ms: int = _bound_ms(30_000)
     request_ms: int = _bound_ms(10_000)
-    queue_ms: int = _bound_ms(30_000)
+    notice_ms: int = _bound_ms(1_000)
     stop_ms: int = _bound_ms(30_000)
     freshness_ms: int = _bound_ms(3_000)
     config_poll_ms: int = _bound_ms(200)
@@ -63,7 +65,8 @@
     ``listen`` serves callers, ``operator`` the operators and ``peer`` the
     other daemons. ``data_dir`` is ``None`` on an instance without a disk;
     such a daemon hosts no replica. ``replicas`` lists the peer addresses of
-    the replicas; with none the daemon reads ``local_config`` instead.
+    the replicas; with none the daemon keeps the configuration in its own
+    memory and starts with the operations in the file ``local_config``.
     """
 
     name: str = settings.field(settings.STRING)
--- a/packages/router/tests/conftest.py
+++ b/packages/router/tests/conftest.py
@@ -10,12 +10,14 @@
 from paddle_kernel import settings as kernel_settings
 from paddle_router import _config_source
 from paddle_router import _daemon
+from paddle_router import _hosting
 from paddle_router import _http_out
 from paddle_router import _settings
 from paddle_testbed import fakes
 
 KEY = 'pk-test-5f0c9a4be1d27783'
 WAIT_S = 5
+FAST = {'notice_ms': 10, 'list_poll_ms': 50, 'config_poll_ms': 50}
 TIMEOUT_MS = 5_000
 LIMIT = 1_000_000
 
@@ -25,19 +27,33 @@
     return {'digest': digest, 'customer': customer, **options}
 
 
-DOCUMENT = {
-    'keys': [key_entry(KEY)],
-    'classes': [{'name': 'default', 'tier': 2}, {'name': 'bulk', 'tier': 5}],
-    'routes': [
+OPERATIONS = (
+    ('put_customer', {'name': 'acme'}),
+    ('issue_key', key_entry(KEY)),
+    ('put_class', {'name': 'bulk', 'tier': 5}),
+    (
+        'put_route',
         {
-            'path': '/bookings',
+            'name': 'bookings',
+            'path_prefix': '/bookings',
+            'method': 'POST',
+            'kind': 'service',
             'service': 'booking',
-            'methods': ['POST'],
             'idempotent': False,
         },
-        {'path': '/orders', 'service': 'booking', 'open': True},
-    ],
-}
+    ),
+    (
+        'put_route',
+        {
+            'name': 'orders',
+            'path_prefix': '/orders',
+            'method': 'GET',
+            'kind': 'service',
+            'service': 'booking',
+            'open': True,
+        },
+    ),
+)
 
 
 def wait_for(condition, timeout_s=WAIT_S):
@@ -121,7 +137,13 @@
         )
         self.engines = []
         self.daemons = []
-        self.config = _config_source.LocalConfig.from_document(DOCUMENT)
+        self.register = _hosting.LocalRegister()
+        self.config = _config_source.ConfigSource.from_register(
+            self.register, paddle_kernel.SystemClock()
+        )
+        self.config.poll()
+        for op, args in OPERATIONS:
+            self.config.change(op, **args)
 
     def add_engine(self, **options):
         options = {'inter_token_ms': 1.0, **options}
@@ -148,20 +170,21 @@
             'platform': self.platform.address,
             'operator_token_file': str(token),
             **options,
+            'bounds': {**FAST, **options.get('bounds', {})},
         }
         loaded = kernel_settings.load(_settings.Settings, document)
-        daemon = _daemon.Daemon(loaded, config=self.config).start()
+        daemon = _daemon.Daemon(loaded, register=self.register).start()
         self.daemons.append(daemon)
         wait_for(lambda: daemon.core.not_ready_reason() is None)
         return daemon
 
-    def set_key(self, **options):
-        """Replace the key's record in the configuration."""
-        self.config.replace(
-            _config_source.LocalConfig.document_of(
-                {**DOCUMENT, 'keys': [key_entry(KEY, **options)]}
-            )
-        )
+    def issue(self, key, **options):
+        """Issue ``key`` to the customer."""
+        self.config.change('issue_key', **key_entry(key, **options))
+
+    def revoke(self, key=KEY):
+        """Revoke ``key``."""
+        self.config.change('revoke_key', digest=key_entry(key)['digest'])
 
     def post_chat(self, daemon, *, key=KEY, headers=(), **fields):
         """Send a chat request and return its reply."""
--- a/packages/router/tests/test_http_errors.py
+++ b/packages/router/tests/test_http_errors.py
@@ -79,9 +79,17 @@
     daemon = stack.add_daemon()
     check(stack, stack.post_chat(daemon, key=None), 401, 'missing_key')
     check(stack, stack.post_chat(daemon, key='other'), 401, 'invalid_key')
-    stack.set_key(expires_wall_ms=1)
-    check(stack, stack.post_chat(daemon), 401, 'expired_key')
-    stack.set_key(revoked=True)
+    stack.issue('old-key-1', expires_wall_ms=1)
+    stack.wait_for(
+        lambda: (
+            stack.post_chat(daemon, key='old-key-1').error['code']
+            == 'expired_key'
+        )
+    )
+    check(stack, stack.post_chat(daemon, key='old-key-1'), 401, 'expired_key')
+    stack.revoke()
+    version = stack.config.view.version
+    stack.wait_for(lambda: daemon.core.config.view.version == version)
     check(stack, stack.post_chat(daemon), 401, 'revoked_key')
 
 
