--- a/packages/router/src/paddle_router/_settings.py
+++ b/packages/router/src/paddle_router/_settings.py
@@ -67,6 +67,7 @@
     such a daemon hosts no replica. ``replicas`` lists the peer addresses of
     the replicas; with none the daemon keeps the configuration in its own
     memory and starts with the operations in the file ``local_config``.
+    SIGUSR1 writes the state dump to ``dump_file``.
     """
 
     name: str = settings.field(settings.STRING)
@@ -82,6 +83,9 @@
     replicas: tuple = settings.field(
         settings.ListOf(settings.ADDRESS), default=()
     )
+    dump_file: str | None = settings.field(
+        settings.Optional(settings.STRING), default=None
+    )
     local_config: str | None = settings.field(
         settings.Optional(settings.STRING), default=None
     )
--- a/packages/router/src/paddle_router/daemon.py
+++ b/packages/router/src/paddle_router/daemon.py
@@ -10,6 +10,7 @@
 
 import paddle_kernel
 from paddle_kernel import settings
+from paddle_router import _config_source
 from paddle_router import _daemon
 from paddle_router import _settings
 
@@ -47,15 +48,37 @@
     try:
         loaded = load_settings(_SETTINGS.value)
     except paddle_kernel.FindingsError as exc:
-        for finding in exc.findings:
-            print(finding, file=sys.stderr)
-        return EXIT_FINDINGS
+        return _print_findings(exc)
     if _CHECK.value:
         print('settings are valid')
         return EXIT_OK
     paddle_kernel.configure_log(style=loaded.log.style, level=loaded.log.level)
     paddle_kernel.check_loop()
-    return serve(_daemon.Daemon(loaded))
+    try:
+        daemon = build(loaded)
+    except paddle_kernel.FindingsError as exc:
+        return _print_findings(exc)
+    return serve(daemon)
+
+
+def build(loaded):
+    """Return the daemon of checked settings.
+
+    :raises FindingsError: if the local configuration is not accepted.
+    """
+    daemon = _daemon.Daemon(loaded)
+    if loaded.local_config is not None:
+        daemon.core.config.poll()
+        _config_source.apply_file(daemon.core.config, loaded.local_config)
+    if loaded.dump_file is not None:
+        daemon.dump.write_on_signal(loaded.dump_file)
+    return daemon
+
+
+def _print_findings(exc):
+    for finding in exc.findings:
+        print(finding, file=sys.stderr)
+    return EXIT_FINDINGS
 
 
 def serve(daemon):
@@ -71,3 +94,7 @@
 def run():
     """Entry point of the command."""
     app.run(main)
+
+
+if __name__ == '__main__':
+    run()
