--- a/packages/router/src/paddle_router/_relay.py
+++ b/packages/router/src/paddle_router/_relay.py
@@ -24,6 +24,8 @@
 # The policies hear of a stream's progress at its first chunk and then at
 # every so many chunks, which is as fine as the balancer judges engines.
 REPORT_EVERY = 16
+# Attempts of one request, whether or not they reached an engine.
+MAX_ATTEMPTS = 4
 State = _request.State
 Action = policy.Action
 
@@ -175,15 +177,18 @@
         was_ejected = upstream.ejected
         self._avoid |= {upstream.instance.id}
         self._drop_upstream(ok=self._watch.gone or was_ejected)
-        action = self._decide()
+        action = self._decide(upstream.was_sent)
         if action in (Action.RETRY, Action.RESUME):
             self._core.account.retried(action.value)
             self._splitter = _sse.EventSplitter()
             return
         raise self._refusal_for(action)
 
-    def _decide(self):
+    def _decide(self, was_sent):
         request = self.request
+        if not was_sent and self._may_reconnect():
+            # Nothing reached the engine, so another attempt adds no work.
+            return Action.RESUME if self._events_out else Action.RETRY
         now_ms = self._core.clock.now_ms()
         attempt = policy.Attempt(
             idempotent=True,
@@ -196,6 +201,10 @@
         )
         return policy.decide_retry(attempt, self._core.retry_budget, now_ms)
 
+    def _may_reconnect(self):
+        present = not self._watch.gone and self._ending is None
+        return present and self._attempts < MAX_ATTEMPTS
+
     def _refusal_for(self, action):
         if self._ending is not None:
             return self._ending
--- a/packages/router/src/paddle_router/_upstream.py
+++ b/packages/router/src/paddle_router/_upstream.py
@@ -16,6 +16,7 @@
         self.instance = slot.instance
         self.conn = None
         self.answer = None
+        self.was_sent = False
         # Set when the engine was ejected while this attempt was overdue.
         self.ejected = False
         slot.on_ejected = self._on_ejected
@@ -28,6 +29,7 @@
         self.request.advance(State.CONNECTING)
         self._connect(watch)
         self.request.advance(State.SENT)
+        self.was_sent = True
         try:
             self._exchange(body, headers)
         except ConnectionError:
--- a/packages/router/tests/conftest.py
+++ b/packages/router/tests/conftest.py
@@ -4,6 +4,7 @@
 import json
 
 import gevent
+import gevent.server
 import pytest
 
 import paddle_kernel
@@ -113,6 +114,32 @@
     }
 
 
+class ScriptedServer:
+    """Accepts connections and counts the requests that arrive.
+
+    ``script(sock, number)`` handles each arrival, numbered from 1.
+    """
+
+    def __init__(self, script):
+        self.arrivals = 0
+        self._script = script
+        self._server = gevent.server.StreamServer(
+            ('127.0.0.1', 0), self._serve
+        )
+        self._server.start()
+        self.address = f'127.0.0.1:{self._server.address[1]}'
+
+    def _serve(self, sock, _peer):
+        while sock.recv(65_536):
+            self.arrivals += 1
+            if not self._script(sock, self.arrivals):
+                break
+        sock.close()
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+
 class Stack:
     """Daemons in this process in front of fakes."""
 
@@ -178,6 +205,10 @@
         wait_for(lambda: daemon.core.not_ready_reason() is None)
         return daemon
 
+    def chats(self, engine):
+        """Return what reached ``engine`` besides polls of its load."""
+        return [item for item in engine.seen if item[1] != '/load']
+
     def issue(self, key, **options):
         """Issue ``key`` to the customer."""
         self.config.change('issue_key', **key_entry(key, **options))
@@ -221,3 +252,16 @@
     built = Stack(tmp_path)
     yield built
     built.stop()
+
+
+@pytest.fixture
+def scripted():
+    servers = []
+
+    def build(script):
+        servers.append(ScriptedServer(script))
+        return servers[-1]
+
+    yield build
+    for server in servers:
+        server.stop()
--- a/packages/router/tests/test_http_out.py
+++ b/packages/router/tests/test_http_out.py
@@ -2,7 +2,6 @@
 
 import gevent
 import gevent.event
-import gevent.server
 import pytest
 
 import paddle_kernel
@@ -13,45 +12,6 @@
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
 
 
-class ScriptedServer:
-    """Accepts connections and counts the requests that arrive.
-
-    ``script(sock, number)`` handles each arrival, numbered from 1.
-    """
-
-    def __init__(self, script):
-        self.arrivals = 0
-        self._script = script
-        self._server = gevent.server.StreamServer(
-            ('127.0.0.1', 0), self._serve
-        )
-        self._server.start()
-        self.address = f'127.0.0.1:{self._server.address[1]}'
-
-    def _serve(self, sock, _peer):
-        while sock.recv(65_536):
-            self.arrivals += 1
-            if not self._script(sock, self.arrivals):
-                break
-        sock.close()
-
-    def stop(self):
-        self._server.stop(timeout=0)
-
-
-@pytest.fixture
-def scripted():
-    servers = []
-
-    def build(script):
-        servers.append(ScriptedServer(script))
-        return servers[-1]
-
-    yield build
-    for server in servers:
-        server.stop()
-
-
 def close_at(*numbers):
     """Answer each arrival, but close without an answer at ``numbers``."""
 
