--- a/packages/router/tests/test_http_errors.py
+++ b/packages/router/tests/test_http_errors.py
@@ -37,7 +37,7 @@
     assert (reply.status, reply.error['code']) == (status, code)
     assert reply.error['outcome'] == 'not_run'
     assert reply.headers['paddle-outcome'] == 'not_run'
-    assert stack.engines[0].seen == []
+    assert stack.chats(stack.engines[0]) == []
 
 
 @pytest.mark.parametrize(
@@ -79,9 +79,17 @@
     daemon = stack.add_daemon()
     check(stack, stack.post_chat(daemon, key=None), 401, 'missing_key')
     check(stack, stack.post_chat(daemon, key='other'), 401, 'invalid_key')
-    stack.set_key(expires_wall_ms=1)
-    check(stack, stack.post_chat(daemon), 401, 'expired_key')
-    stack.set_key(revoked=True)
+    stack.issue('old-key-1', expires_wall_ms=1)
+    stack.wait_for(
+        lambda: (
+            stack.post_chat(daemon, key='old-key-1').error['code']
+            == 'expired_key'
+        )
+    )
+    check(stack, stack.post_chat(daemon, key='old-key-1'), 401, 'expired_key')
+    stack.revoke()
+    version = stack.config.view.version
+    stack.wait_for(lambda: daemon.core.config.view.version == version)
     check(stack, stack.post_chat(daemon), 401, 'revoked_key')
 
 
@@ -102,7 +110,7 @@
         daemon, chunked + b'fff\r\n' + b'x' * 0xFFF + b'\r\n0\r\n\r\n'
     )
     assert answer.startswith(b'HTTP/1.1 413') and b'not_run' in answer
-    assert stack.engines[0].seen == []
+    assert stack.chats(stack.engines[0]) == []
 
 
 def test_oversized_headers_are_refused(stack):
@@ -117,7 +125,7 @@
     answer = raw(daemon, line)
     assert answer.startswith(b'HTTP/1.1 414')
     assert b'paddle-outcome: not_run' in answer.lower()
-    assert stack.engines[0].seen == []
+    assert stack.chats(stack.engines[0]) == []
     assert stack.post_chat(daemon, max_tokens=1).status == 200
 
 
@@ -128,7 +136,7 @@
     answer = raw(daemon, head(stack, 500) + b'{"model":', half_close=True)
     assert answer.startswith(b'HTTP/1.1 400')
     assert b'truncated_body' in answer and b'not_run' in answer
-    assert stack.engines[0].seen == []
+    assert stack.chats(stack.engines[0]) == []
 
 
 def test_bad_protocol_is_refused(stack):
@@ -147,7 +155,7 @@
         answer = raw(daemon, data, half_close=True)
         assert answer.startswith(b'HTTP/1.1 400'), (data, answer)
         assert b'paddle-outcome: not_run' in answer.lower()
-    assert stack.engines[0].seen == []
+    assert stack.chats(stack.engines[0]) == []
     assert stack.post_chat(daemon, max_tokens=1).status == 200
 
 
