Add usage windows: ledger, sealer, reporter and their specification

The register windows/head agrees on the order of sealing before a window is sealed, so windows without usage can be left out. Every sealer starts from the same billed usage; late usage is the difference to it. Usage that arrives after the retention is not billed and logged as an error.

Ruled out: sealing without the head, because a window left out by one process and sealed by another is billed twice (counterexample of 10 steps); holding back later windows after a conflict at the platform, since one disputed window would stop all reports: it is logged and kept in the register instead.

Conclusion: sealing is safe without the lease, which only guards reports.

--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -36,6 +36,7 @@
 from paddle_coord._register import Reject
 from paddle_coord._register import UNKNOWN
 from paddle_coord._replica import Replica
+from paddle_coord._seal import report_totals
 from paddle_coord._soft_state import choose_totals
 from paddle_coord._soft_state import ClassDemand
 from paddle_coord._soft_state import ClassTotal
@@ -49,6 +50,10 @@
 from paddle_coord._view import Member
 from paddle_coord._view import View
 from paddle_coord._view_change import AdminError
+from paddle_coord._windows import UsageLedger
+from paddle_coord._windows import WindowReporter
+from paddle_coord._windows import WindowSealer
+from paddle_coord._windows import WindowTiming
 
 __all__ = [
     'AdminError',
@@ -92,9 +97,14 @@
     'SoftState',
     'StoreError',
     'UNKNOWN',
+    'UsageLedger',
     'UnfoldableSlotError',
     'View',
+    'WindowReporter',
+    'WindowSealer',
+    'WindowTiming',
     'choose_totals',
     'compute_share',
     'guarded_send',
+    'report_totals',
 ]
--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -46,3 +46,12 @@
 ORDER_GIVEN_UP = kernel.declare_event(
     2212, 'WARNING', 'nothing is known of a sent order; given up'
 )
+WINDOW_SEALED = kernel.declare_event(2220, 'INFO', 'usage window sealed')
+USAGE_TOO_LATE = kernel.declare_event(
+    2221, 'ERROR', 'usage arrived after the retention and is not billed'
+)
+REPORT_CONFLICT = kernel.declare_event(
+    2222,
+    'ERROR',
+    'the platform has another report of this window; check it by hand',
+)
--- /dev/null
+++ b/packages/coord/src/paddle_coord/_seal.py
@@ -0,0 +1,268 @@
+"""Usage counts and sealed windows as pure functions.
+
+Counts are ``{customer: {class: {field: int}}}`` with the fields ``requests``,
+``prompt_tokens`` and ``generated_tokens``, cumulative per window and daemon
+incarnation. Windows are named by their start in ms since the Unix epoch.
+Usage is a mapping ``{(window, daemon): counts}``.
+"""
+
+import collections
+import json
+
+import attrs
+
+from paddle_coord import _register
+
+
+def canonical(value):
+    """Return JSON text that is the same for equal values."""
+    return json.dumps(value, separators=(',', ':'), sort_keys=True)
+
+
+def _combine(left, right, function):
+    """Apply ``function`` to each pair of numbers; absent ones are 0."""
+    result = {}
+    for customer in left.keys() | right.keys():
+        classes = left.get(customer, {}), right.get(customer, {})
+        for name in classes[0].keys() | classes[1].keys():
+            fields = classes[0].get(name, {}), classes[1].get(name, {})
+            combined = {
+                field: function(
+                    fields[0].get(field, 0), fields[1].get(field, 0)
+                )
+                for field in fields[0].keys() | fields[1].keys()
+            }
+            if any(combined.values()):
+                result.setdefault(customer, {})[name] = combined
+    return result
+
+
+def add(left, right):
+    """Return the sum of two counts."""
+    return _combine(left, right, lambda a, b: a + b)
+
+
+def subtract(counts, billed):
+    """Return what of ``counts`` is not in ``billed``; empty for nothing."""
+    return _combine(counts, billed, lambda a, b: max(0, a - b))
+
+
+def merge(data, counts):
+    """Return the bytes of the larger of the stored and the new counts.
+
+    A delayed older flush therefore changes nothing.
+    """
+    stored = {} if data is None else json.loads(data)
+    return canonical(_combine(stored, counts, max)).encode()
+
+
+@attrs.frozen(kw_only=True)
+class Seal:
+    """Value of the write-once register of a window.
+
+    ``report`` is the text of the report. ``included`` has the cumulative
+    counts of this window by daemon, and ``late`` those of earlier windows by
+    ``<window>/<daemon>``, both as of sealing. ``previous`` is the window
+    sealed before this one.
+    """
+
+    window: int
+    previous: int | None
+    report: str
+    included: dict
+    late: dict
+
+    def to_bytes(self):
+        """Return the register's bytes."""
+        return canonical(attrs.asdict(self)).encode()
+
+    @classmethod
+    def from_bytes(cls, data):
+        """Return the seal in ``data``, ``None`` for an absent key."""
+        return None if data is None else cls(**json.loads(data))
+
+
+@attrs.frozen
+class Head:
+    """The window sealed last or being sealed, and the one before it."""
+
+    previous: int | None
+    window: int
+
+    def to_bytes(self):
+        """Return the register's bytes."""
+        return canonical([self.previous, self.window]).encode()
+
+    @classmethod
+    def from_bytes(cls, data):
+        """Return the head in ``data``, ``None`` before the first window."""
+        return None if data is None else cls(*json.loads(data))
+
+
+def advance_head(data, expected, window):
+    """Return the bytes of the next head if ``expected`` is the head.
+
+    This agrees on the order of sealing, also when windows are left out.
+    Without it a window without usage could be left out by one process and
+    sealed by another, and its late usage would be billed in both.
+    """
+    head = Head.from_bytes(data)
+    if head != expected:
+        return _register.Reject('another process advanced the head')
+    previous = None if head is None else head.window
+    if previous is not None and window <= previous:
+        return _register.Reject(f'window {window} is not after {previous}')
+    return Head(previous, window).to_bytes()
+
+
+def write_once(data, seal):
+    """Return the bytes of ``seal`` unless the window is sealed."""
+    if data is not None:
+        return _register.Reject('the window is sealed')
+    return seal.to_bytes()
+
+
+def late_id(window, daemon):
+    """Return the key of late usage within :attr:`Seal.late`."""
+    return f'{window}/{daemon}'
+
+
+def split_late_id(name):
+    """Return ``(window, daemon)`` of a key made by :func:`late_id`."""
+    window, _, daemon = name.partition('/')
+    return int(window), daemon
+
+
+def billed_by(seals):
+    """Return the cumulative usage that ``seals`` have billed."""
+    billed = {}
+    for seal in seals:
+        own = {
+            (seal.window, daemon): counts
+            for daemon, counts in seal.included.items()
+        }
+        late = {
+            split_late_id(name): counts for name, counts in seal.late.items()
+        }
+        for place, counts in {**own, **late}.items():
+            billed[place] = _combine(billed.get(place, {}), counts, max)
+    return billed
+
+
+def unbilled(window, usage, billed):
+    """Return the earlier usage that is not billed yet."""
+    rest = {
+        place: subtract(counts, billed.get(place, {}))
+        for place, counts in usage.items()
+        if place[0] < window
+    }
+    return {place: counts for place, counts in rest.items() if counts}
+
+
+def build_seal(window, window_ms, previous, usage, billed):
+    """Return the seal of ``window`` for the usage read.
+
+    ``billed`` is what the seals up to ``previous`` have billed.
+    """
+    included = {
+        daemon: counts
+        for (start, daemon), counts in usage.items()
+        if start == window
+    }
+    late = unbilled(window, usage, billed)
+    return Seal(
+        window=window,
+        previous=previous,
+        report=_report(window, window_ms, included, late),
+        included=included,
+        late={late_id(*place): usage[place] for place in late},
+    )
+
+
+def _report(window, window_ms, included, late):
+    total = {}
+    for counts in included.values():
+        total = add(total, counts)
+    return canonical(
+        {
+            'window': str(window),
+            'start_ms': window,
+            'end_ms': window + window_ms,
+            'usage': _rows(total),
+            'late': [
+                {
+                    'id': f'late/{late_id(start, daemon)}',
+                    'window': str(start),
+                    'usage': _rows(counts),
+                }
+                for (start, daemon), counts in sorted(late.items())
+            ],
+        }
+    )
+
+
+def _rows(counts):
+    """Return counts as a sorted list of one row per customer and class."""
+    return [
+        {'customer': customer, 'class': name, **fields}
+        for customer, classes in sorted(counts.items())
+        for name, fields in sorted(classes.items())
+    ]
+
+
+def report_totals(reports):
+    """Return the sum of all rows of ``reports``, by customer and class.
+
+    Each value is ``(requests, prompt tokens, generated tokens)``.
+    """
+    totals = collections.defaultdict(lambda: (0, 0, 0))
+    for data in reports:
+        report = json.loads(data)
+        rows = list(report['usage'])
+        for entry in report['late']:
+            rows.extend(entry['usage'])
+        for row in rows:
+            place = row['customer'], row['class']
+            counts = (
+                row.get('requests', 0),
+                row.get('prompt_tokens', 0),
+                row.get('generated_tokens', 0),
+            )
+            totals[place] = tuple(
+                map(sum, zip(totals[place], counts, strict=True))
+            )
+    return dict(totals)
+
+
+@attrs.frozen
+class Reported:
+    """The last reported window, and windows refused as conflicting."""
+
+    window: int | None = None
+    conflicts: tuple = ()
+
+    def to_bytes(self):
+        """Return the register's bytes."""
+        return canonical([self.window, self.conflicts]).encode()
+
+    @classmethod
+    def from_bytes(cls, data):
+        """Return the value in ``data``; nothing for an absent key."""
+        if data is None:
+            return cls()
+        window, conflicts = json.loads(data)
+        return cls(window, tuple(conflicts))
+
+
+def mark_reported(data, window, conflict, kept):
+    """Return the bytes with ``window`` reported.
+
+    Keeps the last ``kept`` conflicts.
+    """
+    reported = Reported.from_bytes(data)
+    if reported.window is not None and reported.window >= window:
+        return _register.Reject('the window is reported')
+    conflicts = reported.conflicts
+    if conflict:
+        conflicts = (*conflicts, window)[-kept:]
+    return Reported(window, conflicts).to_bytes()
