--- /dev/null
+++ b/packages/testbed/tests/conftest.py
@@ -0,0 +1,137 @@
+"""Fixtures with daemons as real processes."""
+
+import hashlib
+import json
+import uuid
+
+import geventhttpclient
+import pytest
+
+from paddle_testbed import cluster
+from paddle_testbed import fakes
+
+DOMAINS = ('a', 'b', 'c')
+KEY = 'rp-process-test'
+TIMEOUT_S = 15
+
+
+class System:
+    """Three daemons with disks, one engine, one service, one platform."""
+
+    def __init__(self, folder, daemons=3, **extra):
+        self.engine = fakes.FakeEngine(
+            fakes.EngineOptions(inter_token_ms=5)
+        ).start()
+        self.service = fakes.FakeService().start()
+        self.platform = fakes.FakePlatform().start()
+        self.platform.add('e0', self.engine.address, models=['small'])
+        self.platform.add(
+            's0', self.service.address, kind='service', service='desk'
+        )
+        self.cluster = cluster.Cluster(
+            folder,
+            self.platform.address,
+            daemons=daemons,
+            disks=3,
+            domains=DOMAINS,
+            **extra,
+        )
+        self.cluster.write_settings()
+        self.cluster.start_all()
+        self.daemons = self.cluster.specs
+
+    def form(self):
+        """Form the replicas and create customer, key and route."""
+        peers = [spec.peer for spec in self.daemons if spec.has_disk]
+        self.operate(0, '/replicas/form', {'addresses': peers})
+        self.cluster.wait_ready()
+        digest = hashlib.sha256(KEY.encode()).hexdigest()
+        self.change('put_customer', name='club')
+        self.change('issue_key', digest=digest, customer='club')
+        self.change(
+            'put_route',
+            name='bookings',
+            method='POST',
+            path_prefix='/bookings',
+            kind='service',
+            service='desk',
+            idempotent=False,
+        )
+        for index in range(len(self.daemons)):
+            self.wait_served(index)
+
+    def change(self, op, *, at=0, **args):
+        """Make one accepted change of the configuration."""
+        status, body = self.operate(at, '/config')
+        change = {
+            'id': uuid.uuid4().hex,
+            'expected_version': body['version'],
+            'op': op,
+            'args': args,
+        }
+        status, body = self.operate(at, '/changes', change)
+        assert status == 200, body
+        return body['version']
+
+    def operate(self, index, path, body=None):
+        """Return ``(status, JSON)`` of the operator interface."""
+        headers = {'Authorization': f'Bearer {self.cluster.token}'}
+        address = self.daemons[index].operator
+        return _exchange(address, path, body, headers)
+
+    def call(self, index, path, body, **headers):
+        """Return ``(status, JSON)`` of a call with the customer's key."""
+        all_headers = {'Authorization': f'Bearer {KEY}', **headers}
+        return _exchange(self.daemons[index].listen, path, body, all_headers)
+
+    def chat(self, index):
+        """Return ``(status, JSON)`` of a short chat request."""
+        messages = [{'role': 'user', 'content': 'hello'}]
+        body = {'model': 'small', 'messages': messages, 'max_tokens': 2}
+        return self.call(index, '/v1/chat/completions', body)
+
+    def book(self, index, key):
+        """Return ``(status, JSON)`` of a booking."""
+        headers = {'Idempotency-Key': key}
+        return self.call(index, '/bookings', {'slot': key}, **headers)
+
+    def wait_served(self, index):
+        """Wait until a daemon serves the customer."""
+        cluster.wait_until(
+            lambda: self.chat(index)[0] == 200,
+            TIMEOUT_S,
+            f'daemon {index} to serve',
+        )
+
+    def close(self):
+        """End all processes and fakes."""
+        self.cluster.close()
+        for fake in (self.engine, self.service, self.platform):
+            fake.stop()
+
+
+def _exchange(address, path, body, headers):
+    client = geventhttpclient.HTTPClient.from_url(
+        f'http://{address}', connection_timeout=2, network_timeout=TIMEOUT_S
+    )
+    try:
+        if body is None:
+            response = client.get(path, headers=headers)
+        else:
+            response = client.post(path, json.dumps(body), headers=headers)
+        return response.status_code, json.loads(response.read())
+    except OSError as exc:
+        return 0, str(exc)
+    finally:
+        client.close()
+
+
+@pytest.fixture
+def system(tmp_path):
+    """A formed system that serves."""
+    running = System(tmp_path)
+    try:
+        running.form()
+        yield running
+    finally:
+        running.close()
