Take shares of engine slots and limits from reported demand

A new daemon of a system with replicas starts without slots and is not ready before its first share, so that a restart never overcommits the engines.

--- a/packages/router/src/paddle_router/_core.py
+++ b/packages/router/src/paddle_router/_core.py
@@ -19,6 +19,7 @@
     account: object
     claims: object
     admission: object = None
+    shares: object = None
     retry_budget: object = attrs.field(factory=policy.RetryBudget)
     active: set = attrs.field(factory=set)
     draining: bool = False
@@ -36,4 +37,6 @@
             return 'no instance list yet'
         if self.config.age_ms() > self.bounds.freshness_ms:
             return 'configuration not confirmed'
+        if not self.shares.known:
+            return 'no share of the engine slots yet'
         return None
--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -19,6 +19,7 @@
 from paddle_router import _operator
 from paddle_router import _policies
 from paddle_router import _resources
+from paddle_router import _shares
 from paddle_router import _status
 from paddle_router import _usage
 
@@ -39,6 +40,9 @@
         self.register = register or _hosting.open_register(
             settings, self.clock, self.transport
         )
+        self.replica_admin = paddle_coord.ReplicaAdmin(
+            self.transport, self.clock
+        )
         self.metrics = _metrics.Metrics()
         self.usage = _usage.UsageMeter(
             self.clock, settings.bounds.usage_window_ms
@@ -58,6 +62,7 @@
         self.hosting.start()
         poll = _followers.ConfigPoll(core, self.metrics)
         self._tick(poll.poll, bounds.config_poll_ms)
+        self._tick(core.shares.poll, bounds.config_poll_ms)
         self._tick(core.instances.poll, bounds.list_poll_ms)
         self._tick(core.dispatcher.tick, _dispatch.TICK_MS)
         self._tick(self._engine_watch.poll, bounds.load_poll_ms)
@@ -85,6 +90,7 @@
         # Load balancers see /readyz fail before the listener closes.
         self.clock.sleep_ms(self.settings.bounds.notice_ms)
         self.server.begin_stop()
+        self.core.shares.leaving = True
         finished = self._await_requests(deadline_ms)
         self.usage.flush()
         self.close()
@@ -131,6 +137,9 @@
             ),
         )
         core.admission = _admission.Admission(core)
+        core.shares = _shares.ShareTask(
+            core, self.transport, self.settings, self.usage.incarnation
+        )
         return core
 
     def _connect_parts(self):
@@ -147,6 +156,7 @@
             ('config', core.config),
             ('instances', core.instances),
             ('dispatcher', core.dispatcher),
+            ('shares', core.shares),
             ('usage', self.usage),
             ('hosting', self.hosting),
         ):
@@ -164,9 +174,7 @@
 
     def _operator_server(self):
         token = kernel_settings.read_secret(self.settings.operator_token_file)
-        admin = _operator.ReplicaResources(
-            paddle_coord.ReplicaAdmin(self.transport, self.clock)
-        )
+        admin = _operator.ReplicaResources(self.replica_admin)
         resources = {
             '/status': _operator.Get(self.status.collect),
             '/dump': _operator.Get(self.dump.collect),
--- a/packages/router/src/paddle_router/_hosting.py
+++ b/packages/router/src/paddle_router/_hosting.py
@@ -23,6 +23,7 @@
         self._clock = clock
         self._server = None
         self.replica = None
+        self.soft_state = paddle_coord.SoftState(clock)
 
     def start(self):
         """Open the replica and listen; without a data directory do nothing."""
@@ -52,7 +53,13 @@
         """Return plain data for the state dump."""
         return self.replica.dump() if self.replica else None
 
+    def daemons(self):
+        """Return what the replica knows of other daemons, by name."""
+        return self.soft_state.dump() if self._server is not None else {}
+
     def _handle(self, message):
+        if isinstance(message, paddle_coord.DemandReport):
+            return self.soft_state.report(message)
         if self.replica is None:
             return None
         return self.replica.handle(message)
--- a/packages/router/src/paddle_router/_status.py
+++ b/packages/router/src/paddle_router/_status.py
@@ -22,10 +22,41 @@
             'config_version': core.config.view.version,
             'config_age_ms': core.config.age_ms(),
             'active_preset': core.config.view.state.active_preset,
+            'live_daemons': core.shares.live_daemons,
+            'daemons': self.daemons(),
+            'replicas': self.replicas(),
             'engines': self.engines(),
-            'replica': daemon.hosting.dump(),
         }
 
+    def daemons(self):
+        """Return one row for each daemon that reports to this replica.
+
+        A daemon that hosts no replica knows only itself by name.
+        """
+        known = self._daemon.hosting.daemons()
+        return [{'name': name, **row} for name, row in known.items()] or [
+            {'name': self._daemon.settings.name, 'state': 'live', 'age_ms': 0}
+        ]
+
+    def replicas(self):
+        """Return one row for each replica of the settings."""
+        found = self._daemon.replica_admin.status(
+            self._daemon.settings.replicas
+        )
+        return [
+            {'address': address, 'answers': False}
+            if status is None
+            else {
+                'address': address,
+                'answers': True,
+                'identity': status.identity,
+                'epoch': status.view.epoch,
+                'voting': status.voting,
+                'keys': status.keys,
+            }
+            for address, status in found.items()
+        ]
+
     def engines(self):
         """Return one row for each engine on the list."""
         core = self._daemon.core
