--- a/packages/router/src/paddle_router/_http_in.py
+++ b/packages/router/src/paddle_router/_http_in.py
@@ -53,6 +53,12 @@
         return self.busy or bool(peek(self.socket))
 
     def handle(self):
+        # Headers and the first event are written separately; with Nagle's
+        # algorithm the event would wait for the caller's delayed
+        # acknowledgement, about 40 ms.
+        self.socket.setsockopt(
+            plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
+        )
         self.server.handlers.add(self)
         try:
             super().handle()
