--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
 OUT ?= out/bench.json
 
-.PHONY: setup lint format test test-all demo model faults bench slopes
+.PHONY: setup lint format test demo playground model faults bench slopes
 
 setup: $(VENV)/.ready
 
@@ -42,3 +42,6 @@
 
 slopes: setup
 	$(BIN)/python -m paddle_testbed.slopes
+
+playground: setup
+	$(BIN)/python -m paddle_testbed.playground
--- a/packages/ctl/src/paddle_ctl/command.py
+++ b/packages/ctl/src/paddle_ctl/command.py
@@ -102,12 +102,23 @@
     try:
         print(render(execute(argv[1:])))
     except tuple(cls for cls, _ in EXIT_CODES) as exc:
-        body = getattr(exc, 'body', None)
-        print(exc if body is None else render(body), file=sys.stderr)
+        print(_explain(exc, render), file=sys.stderr)
         return next(code for cls, code in EXIT_CODES if isinstance(exc, cls))
     return EXIT_OK
 
 
+def _explain(exc, render):
+    """Return the text for an error; findings get a table of their own."""
+    body = getattr(exc, 'body', None)
+    if body is None:
+        return str(exc)
+    answer = body.get('answer') if isinstance(body, dict) else None
+    findings = answer.get('findings') if isinstance(answer, dict) else None
+    if findings and not FLAGS.json:
+        return render(findings)
+    return render(body)
+
+
 def run():
     """Entry point of the installed command."""
     app.run(main)
--- a/packages/ctl/src/paddle_ctl/commands/_changes.py
+++ b/packages/ctl/src/paddle_ctl/commands/_changes.py
@@ -52,7 +52,11 @@
 
 
 def difference(before, after, path='$'):
-    """Return the changed places of two JSON documents as rows."""
+    """Return the changed places of two JSON documents as rows.
+
+    Lists of objects with a name or digest are compared by it.
+    """
+    before, after = _by_name(before), _by_name(after)
     if isinstance(before, dict) and isinstance(after, dict):
         rows = []
         for name in sorted(set(before) | set(after)):
@@ -65,6 +69,15 @@
     return [{'path': path, 'before': before, 'after': after}]
 
 
+def _by_name(value):
+    if not isinstance(value, list):
+        return value
+    for field in ('name', 'digest'):
+        if all(isinstance(item, dict) and field in item for item in value):
+            return {item[field]: item for item in value}
+    return value
+
+
 def parse_value(text):
     """Return the JSON value of ``text``, or ``text`` itself."""
     try:
--- a/packages/ctl/tests/test_ctl_command.py
+++ b/packages/ctl/tests/test_ctl_command.py
@@ -6,6 +6,7 @@
 import pytest
 
 from paddle_ctl import command
+from paddle_ctl import commands
 
 KEY_WORDS = ['key', 'issue', 'club']
 
@@ -97,3 +98,12 @@
     code, captured = run(['127.0.0.1:1'], ['kee'])
     assert code == command.EXIT_USAGE
     assert 'key issue' in captured.err
+
+
+def test_difference_names_the_changed_field_of_a_named_object():
+    # Guards against a dry run that prints whole lists for one new value.
+    before = {'classes': [{'name': 'chat', 'tier': 1}, {'name': 'bulk'}]}
+    after = {'classes': [{'name': 'bulk'}, {'name': 'chat', 'tier': 2}]}
+    assert commands.difference(before, after) == [
+        {'path': '$.classes.chat.tier', 'before': 1, 'after': 2}
+    ]
