Count token times without locks

Cause: the library's histogram takes a mutex for the sum and each bucket; two calls per token were 2.4% of the daemon's time in a sampling profile. Ruled out: observing once per request, which would hide single long gaps.

--- a/packages/router/src/paddle_router/_metrics.py
+++ b/packages/router/src/paddle_router/_metrics.py
@@ -4,7 +4,11 @@
 ``MAX_CLASSES`` of them; reasons and outcomes are constants of the code.
 """
 
+import bisect
+
 import prometheus_client
+from prometheus_client import core
+from prometheus_client import registry
 
 MAX_CLASSES = 64
 OTHER = 'other'
@@ -19,6 +23,57 @@
 )
 
 
+class FastHistogram(registry.Collector):
+    """Histogram by class that is updated from one thread only.
+
+    The library's own histogram locks a mutex for the sum and each bucket,
+    which costs several times as much per token.
+    """
+
+    def __init__(self, name, text, bounds):
+        self._name = name
+        self._text = text
+        self.bounds = bounds
+        self._children = {}
+
+    def labels(self, name):
+        """Return the child of one class."""
+        return self._children.setdefault(name, HistogramChild(self.bounds))
+
+    def collect(self):
+        """Return the metric family; called at each scrape."""
+        family = core.HistogramMetricFamily(
+            self._name, self._text, labels=['class']
+        )
+        for name, child in self._children.items():
+            family.add_metric([name], child.buckets(), child.sum)
+        return [family]
+
+
+class HistogramChild:
+    """Counts of one label value."""
+
+    def __init__(self, bounds):
+        self._bounds = bounds
+        self._counts = [0] * (len(bounds) + 1)
+        self.sum = 0.0
+
+    def observe(self, value):
+        """Count ``value``."""
+        self._counts[bisect.bisect_left(self._bounds, value)] += 1
+        self.sum += value
+
+    def buckets(self):
+        """Return ``[(upper bound, cumulative count)]``."""
+        total = 0
+        result = []
+        bounds = [str(float(bound)) for bound in self._bounds]
+        for bound, count in zip((*bounds, '+Inf'), self._counts, strict=True):
+            total += count
+            result.append((bound, total))
+        return result
+
+
 class ClassMetrics:
     """The children of one class, looked up once."""
 
@@ -113,10 +168,6 @@
         )
 
     def _histogram(self, name, text, buckets):
-        return prometheus_client.Histogram(
-            f'paddle_{name}',
-            text,
-            ['class'],
-            buckets=buckets,
-            registry=self.registry,
-        )
+        histogram = FastHistogram(f'paddle_{name}', text, buckets)
+        self.registry.register(histogram)
+        return histogram
