--- a/packages/router/src/paddle_router/_events.py
+++ b/packages/router/src/paddle_router/_events.py
@@ -59,3 +59,8 @@
 CLAIM_NOT_COMPLETED = paddle_kernel.declare_event(
     3046, 'WARNING', 'the outcome of a call could not be recorded'
 )
+
+# Control task and platform: 3200 to 3299.
+CONTROL_FAILED = paddle_kernel.declare_event(
+    3200, 'ERROR', 'a step of the control task failed and will run again'
+)
