--- a/packages/kernel/src/paddle_kernel/__init__.py
+++ b/packages/kernel/src/paddle_kernel/__init__.py
@@ -38,6 +38,7 @@
 from paddle_kernel._transport import split_address
 from paddle_kernel._transport import TcpServer
 from paddle_kernel._transport import TcpTransport
+from paddle_kernel._transport import Traffic
 from paddle_kernel._transport import Transport
 
 __all__ = [
@@ -64,6 +65,7 @@
     'TcpServer',
     'TcpTransport',
     'Ticker',
+    'Traffic',
     'Transport',
     'UnknownMessageError',
     'UnknownPluginError',
--- a/packages/kernel/src/paddle_kernel/_transport.py
+++ b/packages/kernel/src/paddle_kernel/_transport.py
@@ -43,6 +43,18 @@
         return self.kind != 'refused'
 
 
+@attrs.define
+class Traffic:
+    """Bytes of all frames that were sent and received."""
+
+    sent: int = 0
+    received: int = 0
+
+    def dump(self):
+        """Return plain data for the state dump."""
+        return {'sent_bytes': self.sent, 'received_bytes': self.received}
+
+
 class Transport(typing.Protocol):
     """Sends a message to an address and returns the answer."""
 
@@ -85,12 +97,17 @@
     return b''.join(parts)
 
 
-def receive(sock):
-    """Return ``(call_id, message)`` from the next frame of ``sock``."""
+def receive(sock, traffic):
+    """Return ``(call_id, message)`` from the next frame of ``sock``.
+
+    :raises EOFError: at the end of the connection.
+    :raises FrameError: if the frame is too long or cannot be decoded.
+    """
     header = _receive_exactly(sock, FRAME_HEADER.size)
     (size,) = FRAME_HEADER.unpack(header)
     if size > MAX_FRAME_BYTES:
         raise FrameError(f'frame of {size} bytes exceeds {MAX_FRAME_BYTES}')
+    traffic.received += FRAME_HEADER.size + size
     return unpack(_receive_exactly(sock, size))
 
 
@@ -107,12 +124,13 @@
     ``None`` sends no answer.
     """
 
-    def __init__(self, address, handler):
+    def __init__(self, address, handler, *, traffic=None):
         self._handler = handler
         self._server = gevent.server.StreamServer(
             split_address(address), self._serve
         )
         self._connections = set()
+        self.traffic = traffic or Traffic()
 
     def start(self):
         """Listen; port 0 lets the system choose."""
@@ -139,7 +157,7 @@
         self._connections.add(sock)
         try:
             while True:
-                call_id, message = receive(sock)
+                call_id, message = receive(sock, self.traffic)
                 gevent.spawn(self._answer, sock, lock, call_id, message)
         except (EOFError, OSError, FrameError):
             pass
@@ -152,6 +170,7 @@
         if answer is None:
             return
         frame = pack(call_id, answer)
+        self.traffic.sent += len(frame)
         with lock:
             try:
                 sock.sendall(frame)
@@ -162,7 +181,8 @@
 class _Connection:
     """One client connection; matches answers to calls by their id."""
 
-    def __init__(self, address, connect_timeout_ms):
+    def __init__(self, address, connect_timeout_ms, traffic):
+        self._traffic = traffic
         self._sock = gevent.socket.create_connection(
             split_address(address), connect_timeout_ms / _clock.MS_PER_S
         )
@@ -180,6 +200,7 @@
         self._waiting[call_id] = fut
         try:
             frame = pack(call_id, message)
+            self._traffic.sent += len(frame)
             with gevent.Timeout(timeout_ms / _clock.MS_PER_S):
                 with self._lock:
                     self._sock.sendall(frame)
@@ -196,7 +217,7 @@
     def _read(self):
         try:
             while True:
-                call_id, answer = receive(self._sock)
+                call_id, answer = receive(self._sock, self._traffic)
                 fut = self._waiting.get(call_id)
                 if fut is not None:
                     fut.set(answer)
@@ -211,6 +232,7 @@
         self._connections = {}
         self._locks = {}
         self._ids = itertools.count(1)
+        self.traffic = Traffic()
 
     def call(self, address, message, timeout_ms):
         """Return ``Success(answer)`` or ``Failure(CallError)``."""
@@ -238,7 +260,7 @@
         with lock:
             conn = self._connections.get(address)
             if conn is None or conn.closed:
-                conn = _Connection(address, timeout_ms)
+                conn = _Connection(address, timeout_ms, self.traffic)
                 self._connections[address] = conn
             return conn
 
--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -160,6 +160,8 @@
             ('shares', core.shares),
             ('usage', self.usage),
             ('hosting', self.hosting),
+            ('traffic_as_client', self.transport.traffic),
+            ('traffic_as_replica', self.hosting.traffic),
         ):
             self.dump.register(name, part.dump)
         self.dump.register('requests', self.status.requests)
--- a/packages/router/src/paddle_router/_hosting.py
+++ b/packages/router/src/paddle_router/_hosting.py
@@ -14,6 +14,8 @@
 class Hosting:
     """Serves other daemons on the peer address.
 
+    ``traffic`` counts the bytes of this service.
+
     ``replica`` is ``None`` without a disk, or when the replica cannot be
     opened; the daemon then runs without voting.
     """
@@ -23,6 +25,7 @@
         self._clock = clock
         self._server = None
         self.replica = None
+        self.traffic = paddle_kernel.Traffic()
         self.soft_state = paddle_coord.SoftState(clock)
 
     def start(self):
@@ -38,7 +41,7 @@
         except (OSError, paddle_coord.StoreError) as exc:
             paddle_kernel.emit(_events.REPLICA_UNAVAILABLE, error=str(exc))
         self._server = paddle_kernel.TcpServer(
-            self._settings.peer, self._handle
+            self._settings.peer, self._handle, traffic=self.traffic
         )
         self._server.start()
 
--- a/packages/testbed/src/paddle_testbed/cluster.py
+++ b/packages/testbed/src/paddle_testbed/cluster.py
@@ -158,6 +158,17 @@
         process.kill()
         process.wait()
 
+    def dump(self, spec):
+        """Return the state dump of one daemon."""
+        client = geventhttpclient.HTTPClient.from_url(
+            f'http://{spec.operator}', network_timeout=10
+        )
+        headers = {'Authorization': f'Bearer {self.token}'}
+        try:
+            return json.loads(client.get('/dump', headers=headers).read())
+        finally:
+            client.close()
+
     def close(self):
         """Kill whatever still runs."""
         for process in self.processes.values():
--- a/packages/testbed/src/paddle_testbed/slope_parts.py
+++ b/packages/testbed/src/paddle_testbed/slope_parts.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import os
 import pathlib
 import random
 import tempfile
@@ -13,11 +14,14 @@
 from paddle_router import _config_model
 from paddle_router import policy
 from paddle_testbed import _slope
+from paddle_testbed import cluster
+from paddle_testbed import fakes
 
 CUSTOMERS = (1_000, 4_000, 16_000)
 DAEMONS = (8, 32, 128, 390)
 OPERATIONS = (200, 400, 800)
 REPLICAS = 3
+IDLE_S = 10
 CLASSES = ('chat', 'tagging', 'reports', 'questions', 'describe', 'bulk')
 
 
@@ -223,6 +227,67 @@
     return result
 
 
+@_slope.part('idle daemon', sizes=(3, 6, 12), unit='daemon in the system')
+def idle_daemon(size):
+    """A system without requests: control of a replica and another daemon."""
+    platform = fakes.FakePlatform().start()
+    with tempfile.TemporaryDirectory() as folder:
+        system = cluster.Cluster(
+            folder,
+            platform.address,
+            daemons=size,
+            disks=REPLICAS,
+            domains=('a', 'b', 'c'),
+        )
+        system.write_settings()
+        try:
+            system.start_all()
+            admin = coord.ReplicaAdmin(
+                kernel.TcpTransport(), kernel.SystemClock()
+            )
+            admin.form([s.peer for s in system.specs[:REPLICAS]]).unwrap()
+            system.wait_ready()
+            gevent.sleep(2)
+            replica = _control_of(system, system.specs[0], IDLE_S)
+            result = {f'replica {name}': v for name, v in replica.items()}
+            if size > REPLICAS:
+                other = _control_of(system, system.specs[-1], IDLE_S)
+            else:
+                other = replica
+            result.update({f'other {name}': v for name, v in other.items()})
+        finally:
+            system.close()
+            platform.stop()
+    return result
+
+
+def _control_of(system, spec, duration_s):
+    """Return processor time, bytes and memory of one idle daemon."""
+    pid = system.processes[spec.name].pid
+    before, cpu = system.dump(spec), process_cpu_s(pid)
+    gevent.sleep(duration_s)
+    after = system.dump(spec)
+    spent = process_cpu_s(pid) - cpu
+    moved = _bytes(after) - _bytes(before)
+    return {
+        'CPU share': spent / duration_s,
+        'bytes per s': moved / duration_s,
+        'resident KiB': after['process']['resident_kb'],
+    }
+
+
+def _bytes(dump):
+    parts = (dump['traffic_as_client'], dump['traffic_as_replica'])
+    return sum(value for part in parts for value in part.values())
+
+
+def process_cpu_s(pid):
+    """Return the processor time of a process in s (Linux)."""
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rsplit(')', 1)[1]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
+
+
 ORDER = (
     'configuration',
     'policy',
@@ -230,4 +295,5 @@
     'poll',
     'register change',
     'claim',
+    'idle daemon',
 )
