--- a/packages/coord/src/paddle_coord/_lease.py
+++ b/packages/coord/src/paddle_coord/_lease.py
@@ -81,6 +81,11 @@
             return 0
         if value.holder is None:
             return self._stretched(self.in_flight_ms) + self.guard_ms
+        return self.takeover_ms
+
+    @property
+    def takeover_ms(self):
+        """Wait of a contender for a lease that is held."""
         return self._stretched(self.duration_ms) + self.in_flight_ms
 
     def _stretched(self, duration_ms):
