Refuse by the guaranteed share only what is certainly late

Tried and reverted: lifting the virtual time to the last charge while a tier has no queue, so that uncontended use does not count later. Counters of the waiting customers stay within one request of each other; what remains is the size of single requests in a share of 2%.

--- a/packages/router/src/paddle_router/policy/_tiered_fair.py
+++ b/packages/router/src/paddle_router/policy/_tiered_fair.py
@@ -359,15 +359,16 @@
         tier_rate = max(rate * group.share, rate - taken)
         queued = sum(item.cost for item in higher)
         flow = group.flows.get(ticket.customer)
-        own = flow.cost if flow else 0.0
+        queue = own = flow.cost if flow else 0.0
         counter = tier.counters.get(ticket.customer, 0.0)
         own += max(0.0, counter - tier.floor())
         # Other customers are served as much as this one until its turn.
         same = min(tier.cost, own * len(tier.active))
         by_priority = queued / rate + same / tier_rate
-        same = min(group.cost, own * len(group.flows))
+        # A guaranteed share is small, so who is present when a turn comes
+        # decides; only what is certainly too late is refused.
         debt = -min(0.0, group.credit)
-        by_guarantee = (same + debt) / (rate * group.share)
+        by_guarantee = (queue + debt) / (rate * group.share)
         return min(by_priority, by_guarantee)
 
     def _refusal(self, ticket, reason, now_ms):
