--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -41,3 +41,17 @@
 LEASE_TAKEN = kernel.declare_event(2200, 'INFO', 'lease taken')
 LEASE_LOST = kernel.declare_event(2201, 'WARNING', 'lease lost')
 LEASE_RELEASED = kernel.declare_event(2202, 'INFO', 'lease released')
+ORDER_ACCEPTED = kernel.declare_event(2210, 'INFO', 'order accepted')
+ORDER_REFUSED = kernel.declare_event(2211, 'WARNING', 'order refused')
+ORDER_GIVEN_UP = kernel.declare_event(
+    2212, 'WARNING', 'nothing is known of a sent order; given up'
+)
+WINDOW_SEALED = kernel.declare_event(2220, 'INFO', 'usage window sealed')
+USAGE_TOO_LATE = kernel.declare_event(
+    2221, 'ERROR', 'usage arrived after the retention and is not billed'
+)
+REPORT_CONFLICT = kernel.declare_event(
+    2222,
+    'ERROR',
+    'the platform has another report of this window; check it by hand',
+)
--- a/packages/router/src/paddle_router/_hosting.py
+++ b/packages/router/src/paddle_router/_hosting.py
@@ -14,6 +14,8 @@
 class Hosting:
     """Serves other daemons on the peer address.
 
+    ``traffic`` counts the bytes of this service.
+
     ``replica`` is ``None`` without a disk, or when the replica cannot be
     opened; the daemon then runs without voting.
     """
@@ -23,6 +25,8 @@
         self._clock = clock
         self._server = None
         self.replica = None
+        self.traffic = paddle_kernel.Traffic()
+        self.soft_state = paddle_coord.SoftState(clock)
 
     def start(self):
         """Open the replica and listen; without a data directory do nothing."""
@@ -37,7 +41,7 @@
         except (OSError, paddle_coord.StoreError) as exc:
             paddle_kernel.emit(_events.REPLICA_UNAVAILABLE, error=str(exc))
         self._server = paddle_kernel.TcpServer(
-            self._settings.peer, self._handle
+            self._settings.peer, self._handle, traffic=self.traffic
         )
         self._server.start()
 
@@ -52,7 +56,13 @@
         """Return plain data for the state dump."""
         return self.replica.dump() if self.replica else None
 
+    def daemons(self):
+        """Return what the replica knows of other daemons, by name."""
+        return self.soft_state.dump() if self._server is not None else {}
+
     def _handle(self, message):
+        if isinstance(message, paddle_coord.DemandReport):
+            return self.soft_state.report(message)
         if self.replica is None:
             return None
         return self.replica.handle(message)
