Add the planner task with drains that all daemons follow

Cause: the planner's decisions were not connected to the order book, and a server could not be drained by all daemons before its stop. Demand in tokens: daemons already report concurrent requests, which serve as the unit for both sides. Before: no orders by demand. Conclusion: next the daemon starts it together with the control task.

--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -21,11 +21,14 @@
 from paddle_coord._lease import LeaseTiming
 from paddle_coord._lease import NOT_SENT
 from paddle_coord._lease import SendError
+from paddle_coord._orders import GIVEN_UP
 from paddle_coord._orders import NotInCharge
 from paddle_coord._orders import Order
 from paddle_coord._orders import OrderBook
 from paddle_coord._orders import OrderRunner
 from paddle_coord._orders import ORDERS_KEY
+from paddle_coord._orders import RECORDED
+from paddle_coord._orders import SENT
 from paddle_coord._proposer import Proposer
 from paddle_coord._proposer import ProposerOptions
 from paddle_coord._register import Change
@@ -73,6 +76,7 @@
     'DemandReport',
     'DemandTotals',
     'Fold',
+    'GIVEN_UP',
     'LEASE_KEY',
     'Lease',
     'LeaseTiming',
@@ -87,11 +91,13 @@
     'OrderRunner',
     'Proposer',
     'ProposerOptions',
+    'RECORDED',
     'Register',
     'RegisterError',
     'Reject',
     'Replica',
     'ReplicaAdmin',
+    'SENT',
     'SendError',
     'Share',
     'SoftState',
--- a/packages/coord/src/paddle_coord/_orders.py
+++ b/packages/coord/src/paddle_coord/_orders.py
@@ -236,17 +236,24 @@
         with older ones, so that what is returned cannot be sent by a former
         holder any more.
         """
+        return self.listed().map(
+            lambda orders: tuple(
+                order for order in orders if order.state in OPEN_STATES
+            )
+        )
+
+    def listed(self):
+        """Return all orders of the list, finished ones too, oldest first.
+
+        As with :meth:`open_orders`, the first call fences former holders.
+        """
         if self._lease.number() != self._adopted:
             result = self._change(adopt)
         else:
             result = self._register.quick_read(self._key).map(
                 OrderList.from_bytes
             )
-        return result.map(
-            lambda book: tuple(
-                order for order in book.orders if order.state in OPEN_STATES
-            )
-        )
+        return result.map(lambda book: book.orders)
 
     def _change(self, function):
         number = self._lease.number()
--- a/packages/router/src/paddle_router/_core.py
+++ b/packages/router/src/paddle_router/_core.py
@@ -22,6 +22,7 @@
     shares: object = None
     retry_budget: object = attrs.field(factory=policy.RetryBudget)
     active: set = attrs.field(factory=set)
+    engine_reports: dict = attrs.field(factory=dict)
     draining: bool = False
 
     @property
--- a/packages/router/src/paddle_router/_engine_watch.py
+++ b/packages/router/src/paddle_router/_engine_watch.py
@@ -26,11 +26,18 @@
 
     def poll(self):
         """Read the load reports of the next few engines."""
-        engines = self._core.instances.live(_instances.ENGINE)
+        engines = [
+            item
+            for item in self._core.instances.listed
+            if item.kind == _instances.ENGINE
+        ]
         count = min(REPORTS_PER_TICK, len(engines))
         for offset in range(count):
             self._read(engines[(self._next + offset) % len(engines)])
         self._next += count
+        reports = self._core.engine_reports
+        for engine_id in set(reports) - {item.id for item in engines}:
+            del reports[engine_id]
 
     def probe(self, pool, flight, instance):
         """Send a one-token request to an ejected engine."""
@@ -70,7 +77,9 @@
                 limit=REPORT_BYTES,
             )
             if status == OK:
-                self._core.dispatcher.report(engine.id, _report_of(body))
+                report = _report_of(body)
+                self._core.engine_reports[engine.id] = report
+                self._core.dispatcher.report(engine.id, report)
         except (OSError, ValueError):
             # Without a report the daemon's own observations decide alone.
             pass
--- a/packages/router/src/paddle_router/_events.py
+++ b/packages/router/src/paddle_router/_events.py
@@ -64,3 +64,6 @@
 CONTROL_FAILED = paddle_kernel.declare_event(
     3200, 'ERROR', 'a step of the control task failed and will run again'
 )
+PLANNED = paddle_kernel.declare_event(
+    3210, 'INFO', 'the planner ordered or drained a backend server'
+)
--- a/packages/router/src/paddle_router/_instances.py
+++ b/packages/router/src/paddle_router/_instances.py
@@ -58,7 +58,10 @@
 
 
 class InstanceList:
-    """The last list received; it stays in use while the platform is away."""
+    """The last list received; it stays in use while the platform is away.
+
+    ``listed`` is as received; in ``instances`` the draining ones are leaving.
+    """
 
     def __init__(self, pool, platform, *, clock):
         self._pool = pool
@@ -66,6 +69,8 @@
         self._clock = clock
         self._reachable = None
         self._listeners = []
+        self._draining = frozenset()
+        self.listed = ()
         self.instances = ()
         self.received_ms = None
 
@@ -94,8 +99,22 @@
 
     def replace(self, instances):
         """Put another list into effect."""
-        self.instances = tuple(instances)
+        self.listed = tuple(instances)
         self.received_ms = self._clock.now_ms()
+        self._publish()
+
+    def set_draining(self, instance_ids):
+        """Treat these instances as leaving."""
+        self._draining = frozenset(instance_ids)
+        self._publish()
+
+    def _publish(self):
+        self.instances = tuple(
+            attrs.evolve(item, state=LEAVING)
+            if item.id in self._draining
+            else item
+            for item in self.listed
+        )
         for function in self._listeners:
             function(self.instances)
 
--- a/packages/router/src/paddle_router/_settings.py
+++ b/packages/router/src/paddle_router/_settings.py
@@ -3,6 +3,7 @@
 import attrs
 
 from paddle_kernel import settings
+from paddle_router import _planning_settings
 
 LONGEST_MS = 3_600_000
 LARGEST_BYTES = 256 * 1024 * 1024
@@ -67,6 +68,7 @@
     such a daemon hosts no replica. ``replicas`` lists the peer addresses of
     the replicas; with none the daemon keeps the configuration in its own
     memory and starts with the operations in the file ``local_config``.
+    ``planner`` lets the lease holder order backend servers.
     SIGUSR1 writes the state dump to ``dump_file``.
     """
 
@@ -89,5 +91,9 @@
     local_config: str | None = settings.field(
         settings.Optional(settings.STRING), default=None
     )
+    planner: object = settings.field(
+        settings.Optional(settings.Nested(_planning_settings.PlannerSettings)),
+        default=None,
+    )
     log: Log = settings.field(settings.Nested(Log), default=Log())
     bounds: Bounds = settings.field(settings.Nested(Bounds), default=Bounds())
--- a/packages/router/src/paddle_router/_shares.py
+++ b/packages/router/src/paddle_router/_shares.py
@@ -22,6 +22,7 @@
         self._applied = None
         self.leaving = False
         self.live_daemons = None
+        self._totals = None
         if settings.replicas:
             # Without a share of its own a new daemon would use slots that
             # belong to others.
@@ -47,9 +48,24 @@
         ]
         totals = paddle_coord.choose_totals(answers)
         if totals is not None:
+            self._totals = totals
             self.live_daemons = totals.live_daemons
             self._apply(paddle_coord.compute_share(report, totals))
 
+    def demand_by_class(self):
+        """Return the requests queued and running at all daemons.
+
+        By class; ``None`` before the first answer.
+        """
+        if self._totals is None:
+            return None
+        # Each live daemon counts one more than its demand.
+        return {
+            item.class_name: max(0, item.total - self._totals.live_daemons)
+            for item in self._totals.classes
+            if item.class_name
+        }
+
     def dump(self):
         """Return plain data for the state dump."""
         return {'share': self._applied, 'live_daemons': self.live_daemons}
