Refuse requests whose headers are cut, and parse usage once

Cause: the header parser takes the end of the connection for the end of the headers, so a request cut within its headers ran as if complete. A test with headers cut at two places failed before and passes now. The usage object is parsed at the end of a stream, because some engines repeat it in each chunk.

--- a/packages/router/src/paddle_router/_http_in.py
+++ b/packages/router/src/paddle_router/_http_in.py
@@ -39,6 +39,10 @@
         self._left -= len(line)
         if self._left < 0:
             raise HeadersTooLargeError
+        if not line.endswith(b'\n'):
+            # The parser would take the end of the connection for the end of
+            # the headers and run a request that was cut.
+            raise ValueError('the headers end early')
         return line
 
 
--- a/packages/router/src/paddle_router/_relay.py
+++ b/packages/router/src/paddle_router/_relay.py
@@ -31,7 +31,7 @@
 
 # Quotes within text are escaped, so these match JSON fields only.
 _CONTENT = re.compile(rb'"(?:content|reasoning_content|arguments)":\s*"(?!")')
-_USAGE = re.compile(rb'"usage":\s*\{')
+USAGE = b'"usage"'
 
 
 class ChatRelay:
@@ -55,6 +55,7 @@
         self._checked = (0, 0)
         self._avoid = frozenset()
         self._usage = None
+        self._usage_event = None
         self.request = request
         core.active.add(self)
 
@@ -149,6 +150,8 @@
             self.request.advance(State.CANCELLED)
         finished = self.request.state is State.FINISHED
         self._drop_upstream(reusable=finished)
+        if self._usage_event is not None:
+            self._usage = _usage_of(self._usage_event)
         self._core.account.ended(self.request, self._usage)
 
     # Attempts
@@ -282,8 +285,10 @@
                 count += 1
             elif _sse.DONE in event and _sse.payload(event) == _sse.DONE:
                 self._saw_done = True
-            if _USAGE.search(event):
-                self._usage = _usage_of(event) or self._usage
+            if USAGE in event:
+                # Parsed once at the end: some engines repeat it in each
+                # chunk.
+                self._usage_event = event
         if count:
             self._core.account.chunk(request, count)
             if request.chunks >= self._next_report:
--- a/packages/router/tests/test_http_errors.py
+++ b/packages/router/tests/test_http_errors.py
@@ -139,6 +139,17 @@
     assert stack.chats(stack.engines[0]) == []
 
 
+def test_slow_request_is_refused(stack):
+    """Guards against connections held by callers that never finish."""
+    stack.add_engine()
+    daemon = stack.add_daemon(bounds={'request_ms': 200})
+    for data in (b'GET / HTTP/1.1\r\nHost: r', head(stack, 500) + b'{"mo'):
+        answer = raw(daemon, data)
+        assert answer.startswith(b'HTTP/1.1 400')
+        assert b'not_run' in answer
+    assert stack.chats(stack.engines[0]) == []
+
+
 def test_bad_protocol_is_refused(stack):
     """Guards against a process that ends on a line that is not HTTP."""
     stack.add_engine()
@@ -151,6 +162,8 @@
         head(stack, 5, 'Content-Length: 9'),
         head(stack, 5, 'Transfer-Encoding: chunked') + b'5\r\nabcde\r\n0\r\n',
         head(stack, 0, 'Bad Header'),
+        head(stack, 0)[:-2],
+        head(stack, 0)[:-9],
     ):
         answer = raw(daemon, data, half_close=True)
         assert answer.startswith(b'HTTP/1.1 400'), (data, answer)
