Run the control task in the daemon and count every token gap

Cause: lease, orders, usage windows and their reports had no process to run in; usage counts were kept in memory only.

--- a/packages/router/src/paddle_router/_account.py
+++ b/packages/router/src/paddle_router/_account.py
@@ -24,9 +24,12 @@
             of_class.first_token.observe(
                 (now_ms - request.received_ms) * _metrics.S_PER_MS
             )
+            gap_ms, gaps = 0, count - 1
         else:
-            gap_ms = (now_ms - request.last_chunk_ms) / count
-            of_class.inter_token.observe(gap_ms * _metrics.S_PER_MS)
+            # Chunks that arrive together share the time since the last one.
+            gap_ms, gaps = (now_ms - request.last_chunk_ms) / count, count
+        if gaps:
+            of_class.inter_token.observe(gap_ms * _metrics.S_PER_MS, gaps)
         request.last_chunk_ms = now_ms
         request.chunks += count
 
--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -6,6 +6,7 @@
 from paddle_router import _account
 from paddle_router import _admission
 from paddle_router import _config_source
+from paddle_router import _control
 from paddle_router import _core
 from paddle_router import _dispatch
 from paddle_router import _engine_watch
@@ -48,6 +49,14 @@
             self.clock, settings.bounds.usage_window_ms
         )
         self.core = self._build_core()
+        self.control = _control.Control.from_settings(
+            settings,
+            self.clock,
+            register=self.register,
+            instances=self.core.instances,
+            incarnation=self.usage.incarnation,
+        )
+        self.usage.ledger = self.control.write_usage
         self.dump = paddle_kernel.StateDump()
         self.status = _status.Status(self)
         self.server = self._caller_server()
@@ -68,6 +77,7 @@
         self._tick(self._check_silence, _dispatch.TICK_MS)
         self._tick(self._engine_watch.poll, bounds.load_poll_ms)
         self._tick(self.usage.flush, bounds.usage_flush_ms)
+        self.control.start()
         self.server.start()
         self.operator.start()
         paddle_kernel.emit(
@@ -87,6 +97,7 @@
         """Stop gracefully; return whether all requests could finish."""
         paddle_kernel.emit(_events.STOPPING)
         self.drain()
+        self.control.stop()
         deadline_ms = self.clock.now_ms() + self.settings.bounds.stop_ms
         # Load balancers see /readyz fail before the listener closes.
         self.clock.sleep_ms(self.settings.bounds.notice_ms)
@@ -99,7 +110,8 @@
         return finished
 
     def close(self):
-        """Stop at once."""
+        """Stop at once; a lease that is still held expires."""
+        self.control.stop()
         for ticker in self._tickers:
             ticker.stop()
         self.server.stop(timeout=0)
@@ -159,6 +171,7 @@
             ('dispatcher', core.dispatcher),
             ('shares', core.shares),
             ('usage', self.usage),
+            ('control', self.control),
             ('hosting', self.hosting),
             ('traffic_as_client', self.transport.traffic),
             ('traffic_as_replica', self.hosting.traffic),
--- a/packages/router/src/paddle_router/_metrics.py
+++ b/packages/router/src/paddle_router/_metrics.py
@@ -58,10 +58,10 @@
         self._counts = [0] * (len(bounds) + 1)
         self.sum = 0.0
 
-    def observe(self, value):
-        """Count ``value``."""
-        self._counts[bisect.bisect_left(self._bounds, value)] += 1
-        self.sum += value
+    def observe(self, value, times=1):
+        """Count ``value``, so many ``times``."""
+        self._counts[bisect.bisect_left(self._bounds, value)] += times
+        self.sum += value * times
 
     def buckets(self):
         """Return ``[(upper bound, cumulative count)]``."""
--- a/packages/router/src/paddle_router/_status.py
+++ b/packages/router/src/paddle_router/_status.py
@@ -25,9 +25,23 @@
             'live_daemons': core.shares.live_daemons,
             'daemons': self.daemons(),
             'replicas': self.replicas(),
+            'lease': [daemon.control.lease.dump()],
             'engines': self.engines(),
+            'windows': self.windows(),
         }
 
+    def windows(self):
+        """Return one row for each usage window that this daemon counts."""
+        usage = self._daemon.usage
+        return [
+            {
+                'window': window,
+                'requests': usage.requests_in(window),
+                'flushed': window not in usage.dump()['unsent'],
+            }
+            for window in usage.dump()['windows']
+        ]
+
     def daemons(self):
         """Return one row for each daemon that reports to this replica.
 
@@ -102,6 +116,21 @@
             'Chat requests in progress.',
             lambda: len(core.active),
         )
+        metrics.observe_gauge(
+            'lease_held',
+            'Whether this daemon holds the lease.',
+            lambda: int(self._daemon.control.lease.number() is not None),
+        )
+        metrics.observe_gauge(
+            'replica_voting',
+            'Whether this daemon hosts a replica that votes.',
+            lambda: int((self._daemon.hosting.dump() or {}).get('voting', 0)),
+        )
+        metrics.observe_gauge(
+            'usage_windows_not_flushed',
+            'Usage windows with counts that are not durable yet.',
+            lambda: len(self._daemon.usage.dump()['unsent']),
+        )
         metrics.observe_gauge(
             'config_version',
             'Version of the configuration in effect.',
--- a/packages/router/src/paddle_router/_usage.py
+++ b/packages/router/src/paddle_router/_usage.py
@@ -60,6 +60,11 @@
             result.setdefault(customer, {})[name] = attrs.asdict(counts)
         return result
 
+    def requests_in(self, window):
+        """Return the number of requests counted in ``window``."""
+        counts = self._windows.get(window, {}).values()
+        return sum(item.requests for item in counts)
+
     def flush(self):
         """Write changed windows; return whether all were written."""
         if self.ledger is None:
