Let the control task end without a release

Cause: a daemon that stops at once must not wait for a register change. Ruled out: releasing on every stop, since a register without majority would hold up the end of the process. Conclusion: a daemon calls stop() for a graceful stop and close() otherwise.

--- a/packages/router/src/paddle_router/_control.py
+++ b/packages/router/src/paddle_router/_control.py
@@ -105,10 +105,14 @@
         A send in progress is aborted first, since a successor relies on
         nothing being sent after the release.
         """
+        self.close()
+        self.lease.release()
+
+    def close(self):
+        """End the periodic tasks and keep the lease until it expires."""
         for ticker in self._tickers:
             ticker.stop()
         self._tickers.clear()
-        self.lease.release()
 
     def write_usage(self, window, counts):
         """Write cumulative counts; return whether they are durable."""
