Run the planner and the collection of old keys in the daemon

Cause: the planner task was not started, and nothing deleted claims and configuration slots after their retention. Ruled out: collecting in every daemon (each look lists all keys). Before: demand never led to an order. Conclusion: starts work end to end; a stop after a drain is covered by the task's tests only, since its hold times exceed a test's time.

--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -9,6 +9,7 @@
 from paddle_router import _control
 from paddle_router import _core
 from paddle_router import _dispatch
+from paddle_router import _drains
 from paddle_router import _engine_watch
 from paddle_router import _events
 from paddle_router import _followers
@@ -18,6 +19,7 @@
 from paddle_router import _instances
 from paddle_router import _metrics
 from paddle_router import _operator
+from paddle_router import _planning
 from paddle_router import _policies
 from paddle_router import _resources
 from paddle_router import _shares
@@ -25,6 +27,8 @@
 from paddle_router import _usage
 
 STOP_POLL_MS = 20
+# Old keys only cost space, and each look lists all of them.
+COLLECT_PERIOD_MS = 600_000
 
 
 class Daemon:
@@ -57,6 +61,12 @@
             incarnation=self.usage.incarnation,
         )
         self.usage.ledger = self.control.write_usage
+        self.drains = _drains.DrainList(
+            self.register, self.core.instances.set_draining
+        )
+        self.planning = _planning.from_settings(
+            settings, self.control, self.drains, self.core
+        )
         self.dump = paddle_kernel.StateDump()
         self.status = _status.Status(self)
         self.server = self._caller_server()
@@ -78,6 +88,10 @@
         self._tick(self._engine_watch.poll, bounds.load_poll_ms)
         self._tick(self.usage.flush, bounds.usage_flush_ms)
         self.control.start()
+        self._tick(self.drains.poll, _drains.POLL_MS)
+        self._tick(self._collect, COLLECT_PERIOD_MS)
+        if self.planning is not None:
+            self._tick(self.planning.step, _planning.PLAN_TICK_MS)
         self.server.start()
         self.operator.start()
         paddle_kernel.emit(
@@ -172,12 +186,15 @@
             ('shares', core.shares),
             ('usage', self.usage),
             ('control', self.control),
+            ('drains', self.drains),
             ('hosting', self.hosting),
             ('traffic_as_client', self.transport.traffic),
             ('traffic_as_replica', self.hosting.traffic),
         ):
             self.dump.register(name, part.dump)
         self.dump.register('requests', self.status.requests)
+        if self.planning is not None:
+            self.dump.register('planning', self.planning.dump)
         self.status.install_gauges(self.metrics)
 
     def _caller_server(self):
@@ -214,6 +231,12 @@
         self.drain(undo=bool(document.get('undo')))
         return _operator.success({'draining': self.core.draining})
 
+    def _collect(self):
+        """Remove old claims and configuration slots, as lease holder."""
+        if self.control.lease.number() is not None:
+            self.core.config.collect()
+            self.core.claims.collect()
+
     def _check_silence(self):
         now_ms = self.clock.now_ms()
         for relay in list(self.core.active):
--- a/packages/router/src/paddle_router/_drains.py
+++ b/packages/router/src/paddle_router/_drains.py
@@ -12,6 +12,7 @@
 import paddle_coord
 
 DRAINS_KEY = 'drains'
+POLL_MS = 1_000
 
 
 @attrs.frozen
--- a/packages/router/src/paddle_router/_planning.py
+++ b/packages/router/src/paddle_router/_planning.py
@@ -16,7 +16,6 @@
 PLAN_TICK_MS = 1_000
 # After this time every daemon knows of a drain or has stopped admitting.
 SETTLE_MS = 4_000
-DRAINS_POLL_MS = 1_000
 # Longer than the lag of the platform's list.
 LISTED_WITHIN_MS = 15_000
 START = 'start'
@@ -243,3 +242,10 @@
             item.verb == STOP and item.args == wanted
             for item in result.value_or(())
         )
+
+
+def from_settings(settings, control, drains, core):
+    """Return the :class:`PlanTask`, ``None`` when nothing may be ordered."""
+    if settings.planner is None:
+        return None
+    return PlanTask(settings.planner, control, drains, core)
--- a/packages/testbed/tests/conftest.py
+++ b/packages/testbed/tests/conftest.py
@@ -126,6 +126,21 @@
         client.close()
 
 
+@pytest.fixture
+def start_system(tmp_path):
+    """Return a function that starts a formed system with extra settings."""
+    running = []
+
+    def start(**extra):
+        running.append(System(tmp_path, **extra))
+        running[0].form()
+        return running[0]
+
+    yield start
+    for item in running:
+        item.close()
+
+
 @pytest.fixture
 def system(tmp_path):
     """A formed system that serves."""
