--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -25,6 +25,7 @@
 from paddle_router import _usage
 
 STOP_POLL_MS = 20
+FLUSH_RETRY_MS = 200
 
 
 class Daemon:
@@ -104,7 +105,8 @@
         self.server.begin_stop()
         self.core.shares.leaving = True
         finished = self._await_requests(deadline_ms)
-        self.usage.flush()
+        while not self.usage.flush() and self.clock.now_ms() < deadline_ms:
+            self.clock.sleep_ms(FLUSH_RETRY_MS)
         self.close()
         paddle_kernel.emit(_events.STOPPED)
         return finished
--- a/packages/router/tests/test_graceful_stop.py
+++ b/packages/router/tests/test_graceful_stop.py
@@ -1,6 +1,7 @@
 """Graceful stop of one daemon and a rolling restart of all under traffic."""
 
 import itertools
+import json
 
 import gevent
 
@@ -30,6 +31,19 @@
         assert daemon.stop() is False
 
 
+def test_stop_flushes_usage_and_releases_the_lease(stack):
+    """Guards against usage of the last second that is lost at a stop."""
+    stack.add_engine()
+    daemon = stack.add_daemon(bounds={'usage_flush_ms': 600_000})
+    stack.wait_for(lambda: daemon.control.lease.number() is not None)
+    stack.post_chat(daemon, max_tokens=4)
+    daemon.stop()
+    (key,) = [key for key in stack.register.values if key.startswith('usage/')]
+    counts = json.loads(stack.register.values[key])
+    assert counts['acme']['default']['generated_tokens'] == 4
+    assert json.loads(stack.register.values['lease/control'])[0] is None
+
+
 def test_rolling_restart_interrupts_no_request(stack):
     """Guards against errors for callers while all daemons are replaced."""
     for _ in range(2):
