--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -9,6 +9,7 @@
 from paddle_router import _control
 from paddle_router import _core
 from paddle_router import _dispatch
+from paddle_router import _drains
 from paddle_router import _engine_watch
 from paddle_router import _events
 from paddle_router import _followers
@@ -18,6 +19,7 @@
 from paddle_router import _instances
 from paddle_router import _metrics
 from paddle_router import _operator
+from paddle_router import _planning
 from paddle_router import _policies
 from paddle_router import _resources
 from paddle_router import _shares
@@ -26,6 +28,8 @@
 
 STOP_POLL_MS = 20
 FLUSH_RETRY_MS = 200
+# Claims are kept for 24 h, so their deletion is not urgent.
+COLLECT_MS = 60_000
 
 
 class Daemon:
@@ -58,6 +62,9 @@
             incarnation=self.usage.incarnation,
         )
         self.usage.ledger = self.control.write_usage
+        self.drains = _drains.DrainList(
+            self.register, self.core.instances.set_draining
+        )
         self.dump = paddle_kernel.StateDump()
         self.status = _status.Status(self)
         self.server = self._caller_server()
@@ -78,7 +85,10 @@
         self._tick(self._check_silence, _dispatch.TICK_MS)
         self._tick(self._engine_watch.poll, bounds.load_poll_ms)
         self._tick(self.usage.flush, bounds.usage_flush_ms)
+        self._tick(self.drains.poll, _planning.DRAINS_POLL_MS)
+        self._tick(self._collect, COLLECT_MS)
         self.control.start()
+        self._start_planner()
         self.server.start()
         self.operator.start()
         paddle_kernel.emit(
@@ -113,7 +123,7 @@
 
     def close(self):
         """Stop at once; a lease that is still held expires."""
-        self.control.stop()
+        self.control.close()
         for ticker in self._tickers:
             ticker.stop()
         self.server.stop(timeout=0)
@@ -122,6 +132,15 @@
         self.transport.close()
         self.core.pool.close()
 
+    def _start_planner(self):
+        if self.settings.planner is None:
+            return
+        task = _planning.PlanTask(
+            self.settings.planner, self.control, self.drains, self.core
+        )
+        self.dump.register('planner', task.dump)
+        self._tick(task.step, _planning.PLAN_TICK_MS)
+
     def _build_core(self):
         pool = _http_out.Pool(self.clock)
         policies = _policies.Policies()
@@ -174,6 +193,7 @@
             ('shares', core.shares),
             ('usage', self.usage),
             ('control', self.control),
+            ('drains', self.drains),
             ('hosting', self.hosting),
             ('traffic_as_client', self.transport.traffic),
             ('traffic_as_replica', self.hosting.traffic),
@@ -216,6 +236,12 @@
         self.drain(undo=bool(document.get('undo')))
         return _operator.success({'draining': self.core.draining})
 
+    def _collect(self):
+        # One daemon at a time is enough; deletion itself is safe anywhere.
+        if self.control.lease.number() is not None:
+            self.core.config.collect()
+            self.core.claims.collect()
+
     def _check_silence(self):
         now_ms = self.clock.now_ms()
         for relay in list(self.core.active):
--- a/packages/router/tests/test_request_life.py
+++ b/packages/router/tests/test_request_life.py
@@ -277,3 +277,15 @@
     busy.frozen = False
     assert len(text_of(data).split()) == 60
     assert data.endswith(b'data: [DONE]\n\n')
+
+
+def test_drained_engine_gets_no_new_work(stack):
+    """Guards against a planned stop of an engine that is still used."""
+    drained, other = stack.add_engine(), stack.add_engine()
+    daemon, second = stack.add_daemon(), stack.add_daemon()
+    assert daemon.drains.change(1, add=('engine-1',))
+    stack.wait_for(lambda: second.drains.instances)
+    for _ in range(5):
+        assert stack.post_chat(second, max_tokens=1).status == 200
+    assert stack.chats(drained) == []
+    assert other.generated_tokens == 5
