--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -27,6 +27,7 @@
 from paddle_router import _usage
 
 STOP_POLL_MS = 20
+FLUSH_RETRY_MS = 200
 # Old keys only cost space, and each look lists all of them.
 COLLECT_PERIOD_MS = 600_000
 
@@ -118,14 +119,15 @@
         self.server.begin_stop()
         self.core.shares.leaving = True
         finished = self._await_requests(deadline_ms)
-        self.usage.flush()
+        while not self.usage.flush() and self.clock.now_ms() < deadline_ms:
+            self.clock.sleep_ms(FLUSH_RETRY_MS)
         self.close()
         paddle_kernel.emit(_events.STOPPED)
         return finished
 
     def close(self):
         """Stop at once; a lease that is still held expires."""
-        self.control.stop()
+        self.control.close()
         for ticker in self._tickers:
             ticker.stop()
         self.server.stop(timeout=0)
@@ -194,7 +196,7 @@
             self.dump.register(name, part.dump)
         self.dump.register('requests', self.status.requests)
         if self.planning is not None:
-            self.dump.register('planning', self.planning.dump)
+            self.dump.register('planner', self.planning.dump)
         self.status.install_gauges(self.metrics)
 
     def _caller_server(self):
