--- a/packages/coord/src/paddle_coord/_config_log.py
+++ b/packages/coord/src/paddle_coord/_config_log.py
@@ -177,9 +177,9 @@
     )
 
 
-def floor_for(snapshot_version):
+def floor_for(snapshot_version, kept=KEPT_SLOTS):
     """Return the floor that a snapshot of this version allows."""
-    return max(0, snapshot_version - KEPT_SLOTS)
+    return max(0, snapshot_version - kept)
 
 
 def is_authentic(version, head):
--- a/packages/testbed/src/paddle_testbed/specs/claims.py
+++ b/packages/testbed/src/paddle_testbed/specs/claims.py
@@ -114,9 +114,7 @@
         return
     for result, after in _write(rules, world, 'take', index):
         if result == 'not_written':
-            yield result, after.update(
-                index, phase=OVER, told=_claims.NOT_RUN
-            )
+            yield result, after.update(index, phase=OVER, told=_claims.NOT_RUN)
         elif result == 'unknown':
             yield result, after.update(index, phase=DOUBTFUL)
         elif _is_own(after.record, index):
@@ -130,21 +128,18 @@
         yield 'send', world.update(index, phase=SENT, ran=True)
     for result, after in _write(rules, world, 'give_back', index):
         if result != 'success':
-            yield result, after.update(
-                index, phase=OVER, told=_claims.UNKNOWN
-            )
+            yield result, after.update(index, phase=OVER, told=_claims.UNKNOWN)
         elif after.record is None or _is_own(after.record, index):
-            yield result, after.update(
-                index, phase=OVER, told=_claims.NOT_RUN
-            )
+            yield result, after.update(index, phase=OVER, told=_claims.NOT_RUN)
         else:
             yield result, _tell(after, index, after.record)
 
 
 def _release(rules, world, index):
     for result, after in _write(rules, world, 'give_back', index):
-        yield f'release {result}', after.update(
-            index, phase=OVER, told=_claims.NOT_RUN
+        yield (
+            f'release {result}',
+            after.update(index, phase=OVER, told=_claims.NOT_RUN),
         )
 
 
