--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
 OUT ?= out/bench.json
 
-.PHONY: setup lint format test test-all demo model faults bench slopes
+.PHONY: setup lint format test demo playground model faults bench slopes
 
 setup: $(VENV)/.ready
 
@@ -19,11 +19,11 @@
 	touch $@
 
 lint: setup
-	$(BIN)/ruff format --check packages tools
-	$(BIN)/flake8 packages tools
+	$(BIN)/ruff format --check packages tools examples
+	$(BIN)/flake8 packages tools examples
 
 format: setup
-	$(BIN)/ruff format packages tools
+	$(BIN)/ruff format packages tools examples
 
 test: setup
 	$(BIN)/python tools/run_tests.py
@@ -42,3 +42,6 @@
 
 slopes: setup
 	$(BIN)/python -m paddle_testbed.slopes
+
+playground: setup
+	$(BIN)/python -m paddle_testbed.playground
--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -21,6 +21,14 @@
 from paddle_coord._lease import LeaseTiming
 from paddle_coord._lease import NOT_SENT
 from paddle_coord._lease import SendError
+from paddle_coord._orders import GIVEN_UP
+from paddle_coord._orders import NotInCharge
+from paddle_coord._orders import Order
+from paddle_coord._orders import OrderBook
+from paddle_coord._orders import OrderRunner
+from paddle_coord._orders import ORDERS_KEY
+from paddle_coord._orders import RECORDED
+from paddle_coord._orders import SENT
 from paddle_coord._proposer import Proposer
 from paddle_coord._proposer import ProposerOptions
 from paddle_coord._register import Change
@@ -31,6 +39,7 @@
 from paddle_coord._register import Reject
 from paddle_coord._register import UNKNOWN
 from paddle_coord._replica import Replica
+from paddle_coord._seal import report_totals
 from paddle_coord._soft_state import choose_totals
 from paddle_coord._soft_state import ClassDemand
 from paddle_coord._soft_state import ClassTotal
@@ -44,6 +53,10 @@
 from paddle_coord._view import Member
 from paddle_coord._view import View
 from paddle_coord._view_change import AdminError
+from paddle_coord._windows import UsageLedger
+from paddle_coord._windows import WindowReporter
+from paddle_coord._windows import WindowSealer
+from paddle_coord._windows import WindowTiming
 
 __all__ = [
     'AdminError',
@@ -63,6 +76,7 @@
     'DemandReport',
     'DemandTotals',
     'Fold',
+    'GIVEN_UP',
     'LEASE_KEY',
     'Lease',
     'LeaseTiming',
@@ -70,21 +84,33 @@
     'MemoryRegister',
     'NOT_SENT',
     'NOT_WRITTEN',
+    'NotInCharge',
+    'ORDERS_KEY',
+    'Order',
+    'OrderBook',
+    'OrderRunner',
     'Proposer',
     'ProposerOptions',
+    'RECORDED',
     'Register',
     'RegisterError',
     'Reject',
     'Replica',
     'ReplicaAdmin',
+    'SENT',
     'SendError',
     'Share',
     'SoftState',
     'StoreError',
     'UNKNOWN',
     'UnfoldableSlotError',
+    'UsageLedger',
     'View',
+    'WindowReporter',
+    'WindowSealer',
+    'WindowTiming',
     'choose_totals',
     'compute_share',
     'guarded_send',
+    'report_totals',
 ]
--- a/packages/router/src/paddle_router/_core.py
+++ b/packages/router/src/paddle_router/_core.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from paddle_router import policy
+
 
 @attrs.define(kw_only=True)
 class Core:
@@ -12,9 +14,15 @@
     config: object
     instances: object
     pool: object
+    policies: object
     dispatcher: object
     account: object
+    claims: object
+    admission: object = None
+    shares: object = None
+    retry_budget: object = attrs.field(factory=policy.RetryBudget)
     active: set = attrs.field(factory=set)
+    engine_reports: dict = attrs.field(factory=dict)
     draining: bool = False
 
     @property
@@ -28,4 +36,8 @@
             return 'draining'
         if self.instances.received_ms is None:
             return 'no instance list yet'
+        if self.config.age_ms() > self.bounds.freshness_ms:
+            return 'configuration not confirmed'
+        if not self.shares.known:
+            return 'no share of the engine slots yet'
         return None
