--- a/packages/kernel/src/paddle_kernel/settings.py
+++ b/packages/kernel/src/paddle_kernel/settings.py
@@ -1,7 +1,8 @@
 """Checked settings: JSON documents described by attrs classes.
 
 A settings class is an attrs class whose fields are made with :func:`field`.
-:func:`load` checks a whole document and reports all findings at once.
+:func:`load` checks a whole document and reports all findings at once. A class
+may have a method ``check(path, findings)`` for rules between its fields.
 """
 
 import functools
@@ -171,7 +172,10 @@
     options = _build_fields(rule.cls, value, path, findings)
     if len(findings) > before:
         return None
-    return rule.cls(**options)
+    built = rule.cls(**options)
+    if hasattr(built, 'check'):
+        built.check(path, findings)
+    return built
 
 
 def _build_fields(cls, value, path, findings):
--- a/packages/router/src/paddle_router/_settings.py
+++ b/packages/router/src/paddle_router/_settings.py
@@ -6,6 +6,8 @@
 from paddle_router import _planning_settings
 
 LONGEST_MS = 3_600_000
+# One lost poll must not stop admission.
+POLLS_PER_FRESHNESS = 3
 LARGEST_BYTES = 256 * 1024 * 1024
 
 
@@ -46,6 +48,17 @@
         settings.integer(256, LARGEST_BYTES, 'bytes'), default=32 * 1024
     )
 
+    def check(self, path, findings):
+        """Check the rules between the bounds."""
+        least_ms = POLLS_PER_FRESHNESS * self.config_poll_ms
+        if self.freshness_ms < least_ms:
+            findings.add(
+                f'{path}.freshness_ms',
+                self.freshness_ms,
+                f'at least {least_ms} ms, {POLLS_PER_FRESHNESS} times '
+                'config_poll_ms',
+            )
+
 
 @attrs.frozen(kw_only=True)
 class Log:
