Sum the usage of a window in time linear in its rows

Cause: sealing added the counts of each daemon to a fresh copy of the total, which is quadratic in the daemons; it also blocks the event loop.

--- a/packages/coord/src/paddle_coord/_seal.py
+++ b/packages/coord/src/paddle_coord/_seal.py
@@ -37,9 +37,17 @@
     return result
 
 
-def add(left, right):
-    """Return the sum of two counts."""
-    return _combine(left, right, lambda a, b: a + b)
+def total_of(all_counts):
+    """Return the sum of many counts, in time linear in their rows."""
+    total = {}
+    for counts in all_counts:
+        for customer, classes in counts.items():
+            sums = total.setdefault(customer, {})
+            for name, fields in classes.items():
+                row = sums.setdefault(name, {})
+                for field, value in fields.items():
+                    row[field] = row.get(field, 0) + value
+    return total
 
 
 def subtract(counts, billed):
@@ -180,15 +188,12 @@
 
 
 def _report(window, window_ms, included, late):
-    total = {}
-    for counts in included.values():
-        total = add(total, counts)
     return canonical(
         {
             'window': str(window),
             'start_ms': window,
             'end_ms': window + window_ms,
-            'usage': _rows(total),
+            'usage': _rows(total_of(included.values())),
             'late': [
                 {
                     'id': f'late/{late_id(start, daemon)}',
--- a/packages/testbed/src/paddle_testbed/slope_parts.py
+++ b/packages/testbed/src/paddle_testbed/slope_parts.py
@@ -8,6 +8,7 @@
 import tempfile
 
 import gevent
+import returns.result
 
 import paddle_coord as coord
 import paddle_kernel as kernel
@@ -22,6 +23,8 @@
 OPERATIONS = (200, 400, 800)
 REPLICAS = 3
 IDLE_S = 10
+WINDOW_MS = 60_000
+ROWS_PER_DAEMON = 40
 CLASSES = ('chat', 'tagging', 'reports', 'questions', 'describe', 'bulk')
 
 
@@ -227,6 +230,58 @@
     return result
 
 
+class _Held:
+    """A lease that is always held."""
+
+    def number(self):
+        return 1
+
+
+def _usage_counts(daemon, rows):
+    return {
+        f'customer-{daemon * rows + index}': {
+            'chat': {
+                'requests': 3,
+                'prompt_tokens': 1_200,
+                'generated_tokens': 900,
+            }
+        }
+        for index in range(rows)
+    }
+
+
+@_slope.part('usage window', sizes=(400, 1_600, 6_400), unit='usage row')
+def usage_window(size):
+    """Flush and seal one window; a row is one customer and class."""
+    clock = kernel.FakeClock()
+    register = coord.MemoryRegister()
+
+    def keys(prefix):
+        found = [key for key in register.values if key.startswith(prefix)]
+        return returns.result.Success(sorted(found))
+
+    window = clock.wall_ms() // WINDOW_MS * WINDOW_MS
+    begin = _slope.cpu_s()
+    for daemon in range(size // ROWS_PER_DAEMON):
+        ledger = coord.UsageLedger(register, clock, f'd{daemon}')
+        counts = _usage_counts(daemon, ROWS_PER_DAEMON)
+        ledger.flush(window, counts).unwrap()
+    flush_cpu = _slope.cpu_s() - begin
+    usage_bytes = sum(len(value) for value in register.values.values())
+    clock.advance(2 * WINDOW_MS)
+    sealer = coord.WindowSealer(
+        register, _Held(), clock, keys=keys, delete=None
+    )
+    begin = _slope.cpu_s()
+    sealer.step()
+    return {
+        'bytes of a flush': usage_bytes,
+        'bytes of the seal': len(register.values[f'seal/{window}']),
+        'CPU ms to encode flushes': flush_cpu * kernel.MS_PER_S,
+        'CPU ms to seal': (_slope.cpu_s() - begin) * kernel.MS_PER_S,
+    }
+
+
 @_slope.part('idle daemon', sizes=(3, 6, 12), unit='daemon in the system')
 def idle_daemon(size):
     """A system without requests: control of a replica and another daemon."""
@@ -295,5 +350,6 @@
     'poll',
     'register change',
     'claim',
+    'usage window',
     'idle daemon',
 )
