Bound the rate at which all daemons together poll the replicas

Cause: each daemon polled the replicas every 200 ms, so the load of a replica grew with the number of daemons. The period now grows by 8 ms per live daemon, up to a third of the freshness bound (1,000 ms for the demand reports, since replicas forget a daemon after 3,000 ms). Below 26 daemons nothing changes. Ruled out: polling only some replicas, which cannot confirm a version. Reports go to the replicas of the present view instead of those of the settings, so they survive a replacement of replicas. The lease is still observed every 200 ms by every daemon.

--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -78,8 +78,11 @@
         core = self.core
         self.hosting.start()
         poll = _followers.ConfigPoll(core, self.metrics)
-        self._tick(poll.poll, bounds.config_poll_ms)
-        self._tick(core.shares.poll, bounds.config_poll_ms)
+        for pace in (
+            _followers.Pace(core, poll.poll),
+            _followers.Pace(core, core.shares.poll, _shares.LONGEST_MS),
+        ):
+            self._tick(pace.poll, bounds.config_poll_ms)
         self._tick(core.instances.poll, bounds.list_poll_ms)
         self._tick(core.dispatcher.tick, _dispatch.TICK_MS)
         self._tick(self._check_silence, _dispatch.TICK_MS)
@@ -172,10 +175,17 @@
         )
         core.admission = _admission.Admission(core)
         core.shares = _shares.ShareTask(
-            core, self.transport, self.settings, self.usage.incarnation
+            core, self.transport, self._replica_addresses, self.settings
         )
         return core
 
+    def _replica_addresses(self):
+        """Return the present replicas; the settings name the first ones."""
+        view = getattr(self.register, 'view', None)
+        members = view.new if view is not None else ()
+        found = tuple(member.address for member in members)
+        return found or self.settings.replicas
+
     def _connect_parts(self):
         core = self.core
         self._engine_watch = _engine_watch.EngineWatch(core)
--- a/packages/router/src/paddle_router/_followers.py
+++ b/packages/router/src/paddle_router/_followers.py
@@ -6,6 +6,9 @@
 from paddle_router import _events
 
 MS_PER_S = paddle_kernel.MS_PER_S
+# 25 daemons poll every 200 ms; a replica then answers 125 polls per second.
+POLL_MS_PER_DAEMON = 8
+POLLS_PER_FRESHNESS = 3
 
 
 class KeyWatch:
@@ -43,6 +46,41 @@
             relay.end_with(refusal)
 
 
+def poll_period_ms(bounds, live_daemons, longest_ms=None):
+    """Return the period of the polls of the replicas.
+
+    All daemons together poll at a bounded rate, so that the load of a replica
+    does not grow with their number. Three polls fit into the freshness
+    bound, so that one may fail.
+    """
+    wanted = (live_daemons or 1) * POLL_MS_PER_DAEMON
+    longest = bounds.freshness_ms // POLLS_PER_FRESHNESS
+    if longest_ms is not None:
+        longest = min(longest, longest_ms)
+    return max(bounds.config_poll_ms, min(wanted, longest))
+
+
+class Pace:
+    """Lets a periodic function run once per :func:`poll_period_ms`."""
+
+    def __init__(self, core, function, longest_ms=None):
+        self._core = core
+        self._function = function
+        self._longest_ms = longest_ms
+        self._due_ms = 0
+
+    def poll(self):
+        """Call the function if its period has passed."""
+        now_ms = self._core.clock.now_ms()
+        if now_ms >= self._due_ms:
+            self._due_ms = now_ms + poll_period_ms(
+                self._core.bounds,
+                self._core.shares.live_daemons,
+                self._longest_ms,
+            )
+            self._function()
+
+
 class ConfigPoll:
     """Follows the configuration and reports when it is stale."""
 
--- a/packages/router/src/paddle_router/_shares.py
+++ b/packages/router/src/paddle_router/_shares.py
@@ -5,20 +5,28 @@
 of that line is its part of the slots of every engine and of every limit.
 """
 
+import uuid
+
 import paddle_coord
 import paddle_kernel
 
 CALL_TIMEOUT_MS = 500
+# Replicas forget a daemon that was silent for 3,000 ms.
+LONGEST_MS = 1_000
 
 
 class ShareTask:
-    """Reports demand and applies the share."""
+    """Reports demand and applies the share.
+
+    ``addresses()`` returns the present replicas.
+    """
 
-    def __init__(self, core, transport, settings, incarnation):
+    def __init__(self, core, transport, addresses, settings):
         self._core = core
         self._transport = transport
+        self._addresses = addresses
         self._settings = settings
-        self._incarnation = incarnation
+        self._incarnation = uuid.uuid4().hex
         self._applied = None
         self.leaving = False
         self.live_daemons = None
@@ -38,7 +46,7 @@
         if not self._settings.replicas:
             return
         report = self._report()
-        calls = dict.fromkeys(self._settings.replicas, report)
+        calls = dict.fromkeys(self._addresses(), report)
         answers = [
             result.unwrap()
             for _, result in paddle_kernel.broadcast(
--- /dev/null
+++ b/packages/router/tests/test_followers.py
@@ -0,0 +1,21 @@
+"""Pace of the polls of the replicas."""
+
+from paddle_router import _followers
+from paddle_router import _settings
+
+
+def test_polls_of_many_daemons_have_a_bounded_rate():
+    """Guards against replicas whose load grows with the daemons."""
+    bounds = _settings.Bounds(freshness_ms=9_000)
+    periods = [
+        _followers.poll_period_ms(bounds, live)
+        for live in (None, 1, 8, 25, 100, 390, 5_000)
+    ]
+    assert periods == [200, 200, 200, 200, 800, 3_000, 3_000]
+    assert _followers.poll_period_ms(bounds, 390, 1_000) == 1_000
+
+
+def test_several_polls_fit_into_the_freshness_bound():
+    """Guards against refusals because a single poll was lost."""
+    bounds = _settings.Bounds(freshness_ms=3_000)
+    assert _followers.poll_period_ms(bounds, 390) * 3 <= 3_000
