Pass on an engine's refusal of a request

Cause: a client error of an engine, such as a prompt that is too long, was answered with 502, which tells callers to send again.

--- a/packages/router/src/paddle_router/_relay.py
+++ b/packages/router/src/paddle_router/_relay.py
@@ -21,6 +21,10 @@
 OK = 200
 # An engine that answers so did not refuse the request itself.
 REPEATABLE_STATUS = frozenset({429, 500, 502, 503, 504})
+# These would tell the caller that its own key is wrong.
+CREDENTIAL_STATUS = frozenset({401, 403, 407})
+ERROR_BYTES = 64 * 1024
+MESSAGE_CHARS = 500
 # The policies hear of a stream's progress at its first chunk and then at
 # every so many chunks, which is as fine as the balancer judges engines.
 REPORT_EVERY = 16
@@ -169,7 +173,7 @@
             if status == OK:
                 return answer
             if status not in REPEATABLE_STATUS:
-                raise _engine_refusal(status)
+                raise _engine_refusal(answer)
             self._after_failure()
 
     def _open_slot(self):
@@ -252,7 +256,7 @@
                 'stream_broken', 'the engine broke off the stream'
             )
         return _errors.broken_answer(
-            'engine_failed', 'the engine broke off before its answer'
+            'engine_failed', 'no engine completed the request'
         )
 
     # Streaming
@@ -309,7 +313,25 @@
             self._upstream = None
 
 
-def _engine_refusal(status):
+def _engine_refusal(answer):
+    """Return the final answer for an engine's error.
+
+    A client error of the engine is the answer to this request, for example
+    that the prompt is too long; its message is passed on, bounded.
+    """
+    status = answer.get_code()
+    text = f'the engine answered with status {status}'
+    try:
+        error = json.loads(answer.read_all(ERROR_BYTES))['error']
+        text = str(error['message'])[:MESSAGE_CHARS]
+    except (OSError, KeyError, TypeError, ValueError):
+        # Another form of error is described by its status only.
+        pass
+    is_final = 400 <= status < 500 and status not in CREDENTIAL_STATUS
+    if is_final:
+        return _errors.Refusal(
+            status, 'engine_refused', text, outcome=_errors.DONE
+        )
     return _errors.broken_answer(
         'engine_error', f'the engine answered with status {status}'
     )
--- a/packages/router/tests/test_request_life.py
+++ b/packages/router/tests/test_request_life.py
@@ -289,3 +289,21 @@
         assert stack.post_chat(second, max_tokens=1).status == 200
     assert stack.chats(drained) == []
     assert other.generated_tokens == 5
+
+
+def test_refusal_by_the_engine_is_passed_on(stack, scripted):
+    """Guards against a retry of a request that the engine rejects."""
+    body = b'{"error": {"message": "the prompt is too long"}}'
+    head = f'HTTP/1.1 400 Bad Request\r\nContent-Length: {len(body)}\r\n\r\n'
+
+    def script(sock, number):
+        sock.sendall(head.encode() + body)
+        return True
+
+    server = scripted(script)
+    stack.platform.add('engine-1', server.address, models=['small'])
+    daemon = stack.add_daemon(bounds={'load_poll_ms': 600_000})
+    reply = stack.post_chat(daemon)
+    assert (reply.status, reply.error['outcome']) == (400, 'done')
+    assert reply.error['message'] == 'the prompt is too long'
+    assert server.arrivals == 1
