Cut callers that stopped reading

Cause: a stream whose caller does not read waits in a write, so the check for silent engines had no effect and the engine slot stayed occupied. Ruled out: a timer per write, for the cost that the timers per receive had.

--- a/packages/router/src/paddle_router/_http_in.py
+++ b/packages/router/src/paddle_router/_http_in.py
@@ -282,6 +282,14 @@
         if self.gone and function is not None:
             function()
 
+    def cut(self):
+        """Cut the caller's connection; a write that waits on it fails."""
+        try:
+            self._sock._sock.shutdown(plain_socket.SHUT_RDWR)
+        except OSError:
+            # The caller closed it first.
+            pass
+
     def stop(self):
         """End watching; may be called more than once."""
         if self._io is not None:
--- a/packages/router/src/paddle_router/_relay.py
+++ b/packages/router/src/paddle_router/_relay.py
@@ -57,6 +57,7 @@
         # Progress as the silence check saw it last; see check_silence.
         self._reads = 0
         self._checked = (0, 0)
+        self._cut = False
         self._avoid = frozenset()
         self._usage = None
         self._usage_event = None
@@ -106,12 +107,19 @@
         state = (self._reads, self._attempts)
         if progress != state:
             self._checked = (state, now_ms)
+            self._cut = False
             return
         bounds = self._core.bounds
         started = self.request.state is State.STREAMING
         limit_ms = bounds.idle_ms if started else bounds.first_byte_ms
-        if now_ms - since_ms > limit_ms:
-            upstream.cancel()
+        if now_ms - since_ms <= limit_ms:
+            return
+        if self._cut:
+            # Cutting the engine had no effect, so this waits for the caller,
+            # who does not read and must not hold a slot for ever.
+            self._watch.cut()
+        self._cut = True
+        upstream.cancel()
 
     def __iter__(self):
         return self
--- a/packages/router/tests/test_request_life.py
+++ b/packages/router/tests/test_request_life.py
@@ -1,5 +1,6 @@
 """Queue, retries, resume, revocation and freshness of requests."""
 
+import contextlib
 import json
 
 import gevent
@@ -307,3 +308,24 @@
     assert (reply.status, reply.error['outcome']) == (400, 'done')
     assert reply.error['message'] == 'the prompt is too long'
     assert server.arrivals == 1
+
+
+def test_caller_that_does_not_read_loses_its_slot(stack, scripted):
+    """Guards against slots held for ever by callers that stopped reading."""
+    event = b'data: {"delta": {"content": "' + b'x' * 60_000 + b'"}}\n\n'
+
+    def flood(sock, number):
+        sock.sendall(b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n')
+        with contextlib.suppress(OSError):
+            while True:
+                sock.sendall(event)
+        return False
+
+    server = scripted(flood)
+    stack.platform.add('engine-1', server.address, models=['small'])
+    daemon = stack.add_daemon(bounds={'load_poll_ms': 600_000, 'idle_ms': 300})
+    conn, answer = stack.open_stream(daemon)
+    answer.read_some()
+    stack.wait_for(lambda: not daemon.core.active)
+    assert daemon.core.dispatcher.demand() == {}
+    conn.close()
