--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -28,8 +28,8 @@
 
 STOP_POLL_MS = 20
 FLUSH_RETRY_MS = 200
-# Claims are kept for 24 h, so their deletion is not urgent.
-COLLECT_MS = 60_000
+# Old keys only cost space, and each look lists all of them.
+COLLECT_PERIOD_MS = 600_000
 
 
 class Daemon:
@@ -65,6 +65,9 @@
         self.drains = _drains.DrainList(
             self.register, self.core.instances.set_draining
         )
+        self.planning = _planning.from_settings(
+            settings, self.control, self.drains, self.core
+        )
         self.dump = paddle_kernel.StateDump()
         self.status = _status.Status(self)
         self.server = self._caller_server()
@@ -88,10 +91,11 @@
         self._tick(self._check_silence, _dispatch.TICK_MS)
         self._tick(self._engine_watch.poll, bounds.load_poll_ms)
         self._tick(self.usage.flush, bounds.usage_flush_ms)
-        self._tick(self.drains.poll, _planning.DRAINS_POLL_MS)
-        self._tick(self._collect, COLLECT_MS)
         self.control.start()
-        self._start_planner()
+        self._tick(self.drains.poll, _drains.POLL_MS)
+        self._tick(self._collect, COLLECT_PERIOD_MS)
+        if self.planning is not None:
+            self._tick(self.planning.step, _planning.PLAN_TICK_MS)
         self.server.start()
         self.operator.start()
         paddle_kernel.emit(
@@ -135,15 +139,6 @@
         self.transport.close()
         self.core.pool.close()
 
-    def _start_planner(self):
-        if self.settings.planner is None:
-            return
-        task = _planning.PlanTask(
-            self.settings.planner, self.control, self.drains, self.core
-        )
-        self.dump.register('planner', task.dump)
-        self._tick(task.step, _planning.PLAN_TICK_MS)
-
     def _build_core(self):
         pool = _http_out.Pool(self.clock)
         policies = _policies.Policies()
@@ -210,6 +205,8 @@
         ):
             self.dump.register(name, part.dump)
         self.dump.register('requests', self.status.requests)
+        if self.planning is not None:
+            self.dump.register('planner', self.planning.dump)
         self.status.install_gauges(self.metrics)
 
     def _caller_server(self):
@@ -247,7 +244,7 @@
         return _operator.success({'draining': self.core.draining})
 
     def _collect(self):
-        # One daemon at a time is enough; deletion itself is safe anywhere.
+        """Remove old claims and configuration slots, as lease holder."""
         if self.control.lease.number() is not None:
             self.core.config.collect()
             self.core.claims.collect()
