Add fault rows of claims and configuration on the real register

Cause: the parts were tested on the register in memory only.

The rows follow the interface of the fault matrix: a request against its resend, a release against a resend, two racing changes, and deletion of slots under a stale follower and a late writer.

--- a/packages/coord/src/paddle_coord/_config_log.py
+++ b/packages/coord/src/paddle_coord/_config_log.py
@@ -277,7 +277,8 @@
     ``delete(key)`` and ``keys(prefix)`` are those of the replicated
     register; without them no slot is deleted. ``version_path`` names the
     file that keeps the highest version served; without it only the register
-    protects against older versions.
+    protects against older versions. A snapshot is written every
+    ``snapshot_every`` versions; ``kept_slots`` below it are not deleted.
     """
 
     def __init__(
@@ -289,12 +290,16 @@
         version_path=None,
         keys=None,
         delete=None,
+        snapshot_every=SNAPSHOT_EVERY,
+        kept_slots=KEPT_SLOTS,
     ):
         self._register = register
         self._clock = clock
         self._fold = fold
         self._keys = keys
         self._delete = delete
+        self._snapshot_every = snapshot_every
+        self._kept_slots = kept_slots
         self._folded = Folded(0, fold.initial(), {})
         self._head = Head()
         self._confirmed_ms = None
@@ -546,7 +551,7 @@
     def _write_snapshot_if_due(self):
         """Write the snapshot; a failure leaves it to the next change."""
         folded = self._folded
-        if folded.version < self._head.snapshot + SNAPSHOT_EVERY:
+        if folded.version < self._head.snapshot + self._snapshot_every:
             return
         value = encode_snapshot(self._fold, folded)
         result = self._register.change(
@@ -557,7 +562,9 @@
                 _events.SNAPSHOT_FAILED, detail=result.failure().detail
             )
             return
-        floor = 0 if self._delete is None else floor_for(folded.version)
+        floor = 0
+        if self._delete is not None:
+            floor = floor_for(folded.version, self._kept_slots)
         wanted = Head(folded.version, floor)
         result = self._register.change(
             HEAD_KEY,
--- /dev/null
+++ b/packages/testbed/tests/test_coordination_faults.py
@@ -0,0 +1,109 @@
+"""Message faults at steps of claims and the configuration log."""
+
+import random
+
+import gevent
+import pytest
+
+import paddle_coord as coord
+import paddle_kernel as kernel
+from paddle_testbed import faults
+from paddle_testbed.faults import rows_claims  # noqa: F401
+from paddle_testbed.faults import rows_config_log  # noqa: F401
+
+ACTIONS = (
+    kernel.DROP,
+    kernel.LOSE_ANSWER,
+    kernel.DUPLICATE,
+    kernel.DELAY,
+)
+KILL = 'kill'
+ROWS = ('claims.run', 'claims.release', 'config_log.race') + (
+    'config_log.collect',
+)
+# Bounds one run; a fault-free one takes a few hundredths of a second.
+LIMIT_S = 20
+# All steps take minutes and belong into the fault matrix; here every 41st is
+# a sample. The number shares no factor with the messages of one round.
+STRIDE = 41
+SEED = 7
+
+
+class World:
+    """Replicas and processes on an in-memory network, without real syncs."""
+
+    def __init__(self, folder):
+        self.network = kernel.MemoryNetwork()
+        self.addresses = []
+        self.greenlets = {}
+        self._folder = folder
+
+    def form(self, count):
+        for index in range(count):
+            address = f'replica{index}'
+            replica = coord.Replica.open(
+                self._folder / address,
+                address,
+                kernel.FakeClock(),
+                sync=lambda descriptor: None,
+            )
+            self.network.serve(address, replica.handle)
+            self.addresses.append(address)
+        transport = self.network.transport('admin')
+        admin = coord.ReplicaAdmin(transport, kernel.FakeClock())
+        admin.form(self.addresses).unwrap()
+
+    def proposer(self, name):
+        transport = self.network.transport(name)
+        return coord.Proposer(
+            transport,
+            self.addresses,
+            kernel.FakeClock(),
+            name,
+            rng=random.Random(SEED),
+        )
+
+    def spawn(self, name, function, *args):
+        self.greenlets[name] = gevent.spawn(function, *args)
+
+
+def run(row_name, folder, step=None, action=None):
+    """Return ``(number of steps, problems)`` of one run."""
+    row = faults.ROWS.create(row_name)
+    world = World(folder)
+    row.start(world)
+    first = len(world.network.steps)
+
+    def on_call(found):
+        if step is None or found.index != first + step:
+            return kernel.DELIVER
+        if action == KILL:
+            victim = world.greenlets.get(found.source)
+            if victim is not None:
+                victim.kill(block=False)
+            return kernel.DROP
+        return action
+
+    world.network.on_call = on_call
+    row.act(world)
+    gevent.joinall(list(world.greenlets.values()), timeout=LIMIT_S)
+    steps = len(world.network.steps) - first
+    world.network.on_call = lambda found: kernel.DELIVER
+    world.network.release()
+    return steps, row.verify(world)
+
+
+@pytest.mark.parametrize('name', ROWS)
+def test_row_holds_with_a_message_fault_at_sampled_steps(name, tmp_path):
+    # Guards against an outcome that one lost, repeated or late message, or
+    # the death of a process, makes untrue.
+    steps, problems = run(name, tmp_path / 'plain')
+    assert (steps > 0, problems) == (True, [])
+    for step in range(0, steps, STRIDE):
+        for action in (*ACTIONS, KILL):
+            folder = tmp_path / f'{step}-{action}'
+            assert (step, action, run(name, folder, step, action)[1]) == (
+                step,
+                action,
+                [],
+            )
