Start process tests on addresses of their own and repair a merge

Cause: a daemon of the slope measurement could not listen, because another program's connection had taken the port between its choice and the start; and a merge had brought an intermediate version of two lines of the proposer, with which every change failed. Ruled out: fixed port numbers, which collide between runs, and retrying the start, which would hide a daemon that cannot listen for another reason.

--- a/packages/coord/src/paddle_coord/_proposer.py
+++ b/packages/coord/src/paddle_coord/_proposer.py
@@ -315,8 +315,8 @@
             view,
         )
         if not promises.granted:
-            return promises, None
-        return promises, _attempts.summarize(ballot, promises.grants.values())
+            return None
+        return _attempts.summarize(ballot, promises.grants.values())
 
     def accept(self, key, view, ballot, record):
         """Return the answers of one accept round."""
--- a/packages/testbed/src/paddle_testbed/cluster.py
+++ b/packages/testbed/src/paddle_testbed/cluster.py
@@ -18,17 +18,29 @@
 START_TIMEOUT_S = 15
 STOP_TIMEOUT_S = 20
 OWNER_ONLY = 0o600
+MAX_BYTE = 254
 
 
 class StartError(RuntimeError):
     """A process did not become ready in time."""
 
 
-def free_ports(count):
-    """Return ``count`` ports that were free on 127.0.0.1 just now."""
+def own_address():
+    """Return a random loopback address.
+
+    Connections start from 127.0.0.1, so their ports, and those of other
+    programs, cannot take a port of this address before a daemon listens.
+    """
+    return '127.' + '.'.join(
+        str(secrets.randbelow(MAX_BYTE) + 1) for _ in range(3)
+    )
+
+
+def free_ports(address, count):
+    """Return ``count`` ports that were free on ``address`` just now."""
     socks = [gevent.socket.socket() for _ in range(count)]
     for sock in socks:
-        sock.bind(('127.0.0.1', 0))
+        sock.bind((address, 0))
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
         sock.close()
@@ -57,14 +69,15 @@
         self.token_file = self.folder / 'operator.token'
         self._extra = extra
         self.processes = {}
-        ports = iter(free_ports(3 * daemons))
+        host = own_address()
+        ports = iter(free_ports(host, 3 * daemons))
         self.specs = [
             DaemonSpec(
                 name=f'd{index}',
                 failure_domain=domains[index % len(domains)],
-                listen=f'127.0.0.1:{next(ports)}',
-                operator=f'127.0.0.1:{next(ports)}',
-                peer=f'127.0.0.1:{next(ports)}',
+                listen=f'{host}:{next(ports)}',
+                operator=f'{host}:{next(ports)}',
+                peer=f'{host}:{next(ports)}',
                 has_disk=index < disks,
             )
             for index in range(daemons)
--- a/packages/testbed/src/paddle_testbed/relay_bench.py
+++ b/packages/testbed/src/paddle_testbed/relay_bench.py
@@ -225,7 +225,7 @@
 
     def start(self):
         """Start engine, bare relay and daemon; return the three ways."""
-        engine_port, bare_port = cluster.free_ports(2)
+        engine_port, bare_port = cluster.free_ports('127.0.0.1', 2)
         engine = f'127.0.0.1:{engine_port}'
         bare = f'127.0.0.1:{bare_port}'
         self._spawn('--role=engine', f'--port={engine_port}')
