--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -9,6 +9,7 @@
 from paddle_router import _control
 from paddle_router import _core
 from paddle_router import _dispatch
+from paddle_router import _drains
 from paddle_router import _engine_watch
 from paddle_router import _events
 from paddle_router import _followers
@@ -18,6 +19,7 @@
 from paddle_router import _instances
 from paddle_router import _metrics
 from paddle_router import _operator
+from paddle_router import _planning
 from paddle_router import _policies
 from paddle_router import _resources
 from paddle_router import _shares
@@ -25,6 +27,9 @@
 from paddle_router import _usage
 
 STOP_POLL_MS = 20
+FLUSH_RETRY_MS = 200
+# Old keys only cost space, and each look lists all of them.
+COLLECT_PERIOD_MS = 600_000
 
 
 class Daemon:
@@ -57,6 +62,12 @@
             incarnation=self.usage.incarnation,
         )
         self.usage.ledger = self.control.write_usage
+        self.drains = _drains.DrainList(
+            self.register, self.core.instances.set_draining
+        )
+        self.planning = _planning.from_settings(
+            settings, self.control, self.drains, self.core
+        )
         self.dump = paddle_kernel.StateDump()
         self.status = _status.Status(self)
         self.server = self._caller_server()
@@ -70,14 +81,21 @@
         core = self.core
         self.hosting.start()
         poll = _followers.ConfigPoll(core, self.metrics)
-        self._tick(poll.poll, bounds.config_poll_ms)
-        self._tick(core.shares.poll, bounds.config_poll_ms)
+        for pace in (
+            _followers.Pace(core, poll.poll),
+            _followers.Pace(core, core.shares.poll, _shares.LONGEST_MS),
+        ):
+            self._tick(pace.poll, bounds.config_poll_ms)
         self._tick(core.instances.poll, bounds.list_poll_ms)
         self._tick(core.dispatcher.tick, _dispatch.TICK_MS)
         self._tick(self._check_silence, _dispatch.TICK_MS)
         self._tick(self._engine_watch.poll, bounds.load_poll_ms)
         self._tick(self.usage.flush, bounds.usage_flush_ms)
         self.control.start()
+        self._tick(self.drains.poll, _drains.POLL_MS)
+        self._tick(self._collect, COLLECT_PERIOD_MS)
+        if self.planning is not None:
+            self._tick(self.planning.step, _planning.PLAN_TICK_MS)
         self.server.start()
         self.operator.start()
         paddle_kernel.emit(
@@ -104,14 +122,15 @@
         self.server.begin_stop()
         self.core.shares.leaving = True
         finished = self._await_requests(deadline_ms)
-        self.usage.flush()
+        while not self.usage.flush() and self.clock.now_ms() < deadline_ms:
+            self.clock.sleep_ms(FLUSH_RETRY_MS)
         self.close()
         paddle_kernel.emit(_events.STOPPED)
         return finished
 
     def close(self):
         """Stop at once; a lease that is still held expires."""
-        self.control.stop()
+        self.control.close()
         for ticker in self._tickers:
             ticker.stop()
         self.server.stop(timeout=0)
@@ -151,10 +170,17 @@
         )
         core.admission = _admission.Admission(core)
         core.shares = _shares.ShareTask(
-            core, self.transport, self.settings, self.usage.incarnation
+            core, self.transport, self._replica_addresses, self.settings
         )
         return core
 
+    def _replica_addresses(self):
+        """Return the present replicas; the settings name the first ones."""
+        view = getattr(self.register, 'view', None)
+        members = view.new if view is not None else ()
+        found = tuple(member.address for member in members)
+        return found or self.settings.replicas
+
     def _connect_parts(self):
         core = self.core
         self._engine_watch = _engine_watch.EngineWatch(core)
@@ -172,12 +198,15 @@
             ('shares', core.shares),
             ('usage', self.usage),
             ('control', self.control),
+            ('drains', self.drains),
             ('hosting', self.hosting),
             ('traffic_as_client', self.transport.traffic),
             ('traffic_as_replica', self.hosting.traffic),
         ):
             self.dump.register(name, part.dump)
         self.dump.register('requests', self.status.requests)
+        if self.planning is not None:
+            self.dump.register('planner', self.planning.dump)
         self.status.install_gauges(self.metrics)
 
     def _caller_server(self):
@@ -214,6 +243,12 @@
         self.drain(undo=bool(document.get('undo')))
         return _operator.success({'draining': self.core.draining})
 
+    def _collect(self):
+        """Remove old claims and configuration slots, as lease holder."""
+        if self.control.lease.number() is not None:
+            self.core.config.collect()
+            self.core.claims.collect()
+
     def _check_silence(self):
         now_ms = self.clock.now_ms()
         for relay in list(self.core.active):
--- a/packages/router/tests/test_request_life.py
+++ b/packages/router/tests/test_request_life.py
@@ -1,5 +1,6 @@
 """Queue, retries, resume, revocation and freshness of requests."""
 
+import contextlib
 import json
 
 import gevent
@@ -277,3 +278,54 @@
     busy.frozen = False
     assert len(text_of(data).split()) == 60
     assert data.endswith(b'data: [DONE]\n\n')
+
+
+def test_drained_engine_gets_no_new_work(stack):
+    """Guards against a planned stop of an engine that is still used."""
+    drained, other = stack.add_engine(), stack.add_engine()
+    daemon, second = stack.add_daemon(), stack.add_daemon()
+    assert daemon.drains.change(1, add=('engine-1',))
+    stack.wait_for(lambda: second.drains.instances)
+    for _ in range(5):
+        assert stack.post_chat(second, max_tokens=1).status == 200
+    assert stack.chats(drained) == []
+    assert other.generated_tokens == 5
+
+
+def test_refusal_by_the_engine_is_passed_on(stack, scripted):
+    """Guards against a retry of a request that the engine rejects."""
+    body = b'{"error": {"message": "the prompt is too long"}}'
+    head = f'HTTP/1.1 400 Bad Request\r\nContent-Length: {len(body)}\r\n\r\n'
+
+    def script(sock, number):
+        sock.sendall(head.encode() + body)
+        return True
+
+    server = scripted(script)
+    stack.platform.add('engine-1', server.address, models=['small'])
+    daemon = stack.add_daemon(bounds={'load_poll_ms': 600_000})
+    reply = stack.post_chat(daemon)
+    assert (reply.status, reply.error['outcome']) == (400, 'done')
+    assert reply.error['message'] == 'the prompt is too long'
+    assert server.arrivals == 1
+
+
+def test_caller_that_does_not_read_loses_its_slot(stack, scripted):
+    """Guards against slots held for ever by callers that stopped reading."""
+    event = b'data: {"delta": {"content": "' + b'x' * 60_000 + b'"}}\n\n'
+
+    def flood(sock, number):
+        sock.sendall(b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n')
+        with contextlib.suppress(OSError):
+            while True:
+                sock.sendall(event)
+        return False
+
+    server = scripted(flood)
+    stack.platform.add('engine-1', server.address, models=['small'])
+    daemon = stack.add_daemon(bounds={'load_poll_ms': 600_000, 'idle_ms': 300})
+    conn, answer = stack.open_stream(daemon)
+    answer.read_some()
+    stack.wait_for(lambda: not daemon.core.active)
+    assert daemon.core.dispatcher.demand() == {}
+    conn.close()
