--- a/packages/router/src/paddle_router/_config_source.py
+++ b/packages/router/src/paddle_router/_config_source.py
@@ -12,6 +12,7 @@
 
 import paddle_coord
 import paddle_kernel
+from paddle_router import _config_items
 from paddle_router import _config_model
 from paddle_router import _errors
 
@@ -156,7 +157,7 @@
 
 
 def _describe(version, state):
-    return {'version': version, 'config': _config_model.to_json(state)}
+    return {'version': version, 'config': _config_items.to_json(state)}
 
 
 def apply_file(source, file_path):
--- a/packages/router/src/paddle_router/_resources.py
+++ b/packages/router/src/paddle_router/_resources.py
@@ -5,7 +5,7 @@
 import paddle_kernel
 from paddle_router import _auth
 from paddle_router import _chat_body
-from paddle_router import _config_model
+from paddle_router import _config_items
 from paddle_router import _errors
 from paddle_router import _events
 from paddle_router import _http_in
@@ -86,8 +86,8 @@
     def __init__(self, core):
         self._core = core
         self._handlers = {
-            _config_model.MODEL: Chat(core),
-            _config_model.SERVICE: _services.Services(core),
+            _config_items.MODEL: Chat(core),
+            _config_items.SERVICE: _services.Services(core),
         }
 
     def on_request(self, req, resp, **params):
--- a/packages/router/tests/test_config_model.py
+++ b/packages/router/tests/test_config_model.py
@@ -9,6 +9,7 @@
 
 import paddle_coord as coord
 import paddle_kernel as kernel
+from paddle_router import _config_items
 from paddle_router import _config_model
 
 DIGEST = 'ab' * 32
@@ -192,4 +193,4 @@
     operation = {'op': 'remove_preset', 'args': {'name': 'ordinary'}}
     outcome = log.submit(coord.ConfigChange('a', 0, operation)).unwrap()
     assert outcome.findings[0].path == '$.args.name'
-    assert log.state == _config_model.initial_state()
+    assert log.state == _config_items.initial_state()
--- a/packages/testbed/src/paddle_testbed/slope_parts.py
+++ b/packages/testbed/src/paddle_testbed/slope_parts.py
@@ -12,6 +12,7 @@
 
 import paddle_coord as coord
 import paddle_kernel as kernel
+from paddle_router import _config_items
 from paddle_router import _config_model
 from paddle_router import policy
 from paddle_testbed import _slope
@@ -31,8 +32,8 @@
 def _key_operation(index):
     digest = hashlib.sha256(str(index).encode()).hexdigest()
     name = f'customer-{index}'
-    key = _config_model.Key(digest=digest, customer=name)
-    return key, _config_model.Customer(name=name)
+    key = _config_items.Key(digest=digest, customer=name)
+    return key, _config_items.Customer(name=name)
 
 
 @_slope.part('configuration', sizes=CUSTOMERS, unit='customer with a key')
