Return early for chunks that change nothing

Change: observe returns at once within a segment; a response longer than predicted is charged in steps of 16 tokens.

--- a/packages/router/src/paddle_router/policy/_observed.py
+++ b/packages/router/src/paddle_router/policy/_observed.py
@@ -191,6 +191,9 @@
     # Observation
 
     def observe(self, flight, now_ms, tokens):
+        # Called for every chunk; most change nothing.
+        if flight.tokens and tokens - flight.tokens < SEGMENT_TOKENS:
+            return
         state = self._states.get(flight.engine_id)
         if state is None:
             return
@@ -201,10 +204,8 @@
             return
         if flight in state.waiting:
             self._first_token(state, flight, now_ms, tokens)
-        elif tokens - flight.tokens >= SEGMENT_TOKENS:
-            self._segment(state, flight, now_ms, tokens)
         else:
-            return
+            self._segment(state, flight, now_ms, tokens)
         flight.last_ms = now_ms
         flight.tokens = tokens
         flight.is_late = False
--- a/packages/router/src/paddle_router/policy/_tiered_fair.py
+++ b/packages/router/src/paddle_router/policy/_tiered_fair.py
@@ -33,6 +33,8 @@
 MIN_RETRY_AFTER_MS = 1_000
 MAX_RETRY_AFTER_MS = 60_000
 COUNTERS_SLACK = 1_024
+# A response longer than predicted is charged in steps of so many tokens.
+CHARGE_STEP_TOKENS = 16
 # The expected wait varies; without a margin half of the requests admitted at
 # the limit would expire in the queue.
 OFFER_MARGIN = 0.8
@@ -101,6 +103,7 @@
     tier: _Tier
     group: _ClassQueue
     charged: float
+    tokens: int
     started_ms: int
 
 
@@ -314,7 +317,9 @@
         self._charge(ticket, tier, group, cost)
         tier.running += 1
         self._running_cost += cost
-        self._started[ticket] = _Started(tier, group, cost, now_ms)
+        self._started[ticket] = _Started(
+            tier, group, cost, ticket.generated_tokens, now_ms
+        )
         return ticket
 
     def _pick(self):
@@ -368,10 +373,17 @@
         tier.prune_at = 2 * len(tier.counters) + COUNTERS_SLACK
 
     def served(self, ticket, tokens, done=True, now_ms=None):
-        self._now_ms = max(self._now_ms, now_ms or 0)
         entry = self._started.get(ticket)
         if entry is None:
             return
+        if not done:
+            # Called for every chunk; charged in advance in steps.
+            if tokens <= entry.tokens:
+                return
+            tokens += CHARGE_STEP_TOKENS
+        if now_ms is not None and now_ms > self._now_ms:
+            self._now_ms = now_ms
+        entry.tokens = tokens
         difference = self._cost(ticket, tokens) - entry.charged
         if done:
             del self._started[ticket]
@@ -380,8 +392,6 @@
                 meter.add(entry.charged + difference, duration_ms)
             entry.tier.running -= 1
             self._running_cost -= entry.charged
-        elif difference <= 0:
-            return
         else:
             self._running_cost += difference
         entry.charged += difference
