Refuse in time what the balancer cannot place

Cause: a ticket that the scheduler let go but the balancer did not place, for example a resume without a free engine that can resume, was in no queue whose deadlines are checked, so its caller could wait without end. The new test times out before and passes after; 17 tests of the file pass.

--- a/packages/router/src/paddle_router/_dispatch.py
+++ b/packages/router/src/paddle_router/_dispatch.py
@@ -112,6 +112,10 @@
         """Return the names of all models that engines hold."""
         return self._pools.keys()
 
+    def pool(self, model):
+        """Return the :class:`Pool` of ``model`` or ``None``."""
+        return self._pools.get(model)
+
     def can_resume(self, model):
         """Return whether some engine of ``model`` can resume streams."""
         pool = self._pools.get(model)
@@ -282,6 +286,9 @@
         waiter = ticket.payload
         if waiter not in pool.waiting:
             return True
+        if now_ms > ticket.deadline_ms:
+            self._expire_unplaced(pool, ticket)
+            return True
         engines = pool.engines
         if waiter.needs_resume:
             engines = [item for item in engines if item.can_resume]
@@ -299,6 +306,15 @@
         waiter.resolve(slot)
         return True
 
+    def _expire_unplaced(self, pool, ticket):
+        """Refuse a ticket that the scheduler has already let go."""
+        pool.scheduler.served(ticket, 0)
+        after_ms = pool.scheduler.retry_after_ms(
+            ticket.class_name, ticket.tier
+        )
+        refused = policy.Refusal(ticket, policy.DEADLINE, after_ms)
+        self._refuse(pool, refused)
+
     def _refuse(self, pool, refused):
         waiter = refused.ticket.payload
         pool.waiting.discard(waiter)
--- a/packages/router/tests/test_request_life.py
+++ b/packages/router/tests/test_request_life.py
@@ -161,6 +161,22 @@
     busy.close()
 
 
+def test_request_without_a_usable_engine_is_refused_in_time(stack):
+    """Guards against a request that the balancer never places."""
+    stack.add_engine()
+    stack.config.change(
+        'put_class', name='hasty', tier=1, first_token_target_ms=150
+    )
+    daemon = stack.add_daemon()
+    pool = daemon.core.dispatcher.pool('small')
+    pool.balancer.choose = lambda *_: None
+    with gevent.Timeout(5):
+        reply = stack.post_chat(daemon, headers=[('Paddle-Class', 'hasty')])
+    assert (reply.status, reply.error['code']) == (503, 'too_late')
+    assert reply.error['outcome'] == 'not_run'
+    assert daemon.core.dispatcher.demand() == {}
+
+
 def test_priority_field_is_the_tier(stack):
     """Guards against a caller that chooses its priority at the engine."""
     engine = stack.add_engine()
