Keep slots free for higher tiers on each daemon

Cause: with 8 daemons each owns a few slots of every engine; a burst of a lower tier took all of them, and a request of the top tier waited for one of few long answers to end. The dispatcher now keeps as many slots free for higher tiers as their mean plus one standard deviation, at most half, and none for tiers without recent requests. Ruled out: preemption, since it wastes tokens, and more requests per engine than slots, since they would wait at the engine instead.

--- a/packages/router/src/paddle_router/_dispatch.py
+++ b/packages/router/src/paddle_router/_dispatch.py
@@ -161,7 +161,7 @@
         """Free ``slot``; ``ok`` is false only for a fault of the engine."""
         pool = slot.pool
         now_ms = self._clock.now_ms()
-        pool.running.discard(slot)
+        pool.end(slot)
         pool.balancer.finish(slot.flight, now_ms, ok)
         pool.scheduler.served(slot.ticket, tokens)
         if pool.waiting:
@@ -188,6 +188,7 @@
         """Refuse late requests, judge engines and send probes."""
         now_ms = self._clock.now_ms()
         for pool in self._pools.values():
+            pool.load.update(now_ms)
             for ejection in pool.balancer.tick(now_ms):
                 self._eject(pool, ejection)
             for flight in pool.balancer.probes(now_ms):
@@ -242,7 +243,7 @@
         )
         waiter = Waiter(request, work, needs_resume=resumed)
         waiter.ticket = self._ticket(request, resumed, now_ms, waiter)
-        pool.waiting.add(waiter)
+        pool.enter(waiter)
         for refused in pool.scheduler.offer(waiter.ticket, now_ms):
             self._refuse(pool, refused)
         if waiter.outcome is None:
@@ -273,13 +274,16 @@
             for ticket in pool.unplaced
             if not self._place(pool, ticket, now_ms)
         ]
-        free = max(0, pool.balancer.free_slots() - len(pool.unplaced))
-        turn = pool.scheduler.next(free, now_ms)
-        for refused in turn.refused:
-            self._refuse(pool, refused)
-        for ticket in turn.started:
-            if not self._place(pool, ticket, now_ms):
-                pool.unplaced.append(ticket)
+        while True:
+            # One at a time: each start changes what the next tier may use.
+            turn = pool.scheduler.next(min(1, pool.open_slots()), now_ms)
+            for refused in turn.refused:
+                self._refuse(pool, refused)
+            for ticket in turn.started:
+                if not self._place(pool, ticket, now_ms):
+                    pool.unplaced.append(ticket)
+            if not turn.started:
+                return
 
     def _place(self, pool, ticket, now_ms):
         """Return whether ``ticket`` needs no further attempt."""
@@ -301,8 +305,8 @@
             return False
         instance = pool.instances[flight.engine_id]
         slot = Slot(pool, ticket, flight, instance, now_ms)
-        pool.waiting.discard(waiter)
-        pool.running.add(slot)
+        pool.leave(waiter)
+        pool.begin(slot)
         waiter.resolve(slot)
         return True
 
@@ -317,7 +321,7 @@
 
     def _refuse(self, pool, refused):
         waiter = refused.ticket.payload
-        pool.waiting.discard(waiter)
+        pool.leave(waiter)
         waiter.resolve(refusal_of(refused))
 
     def _abandon(self, pool, waiter):
@@ -328,7 +332,7 @@
             )
 
     def _withdraw(self, pool, waiter):
-        pool.waiting.discard(waiter)
+        pool.leave(waiter)
         if not pool.scheduler.remove(waiter.ticket):
             # The scheduler had started it, but it was not placed.
             pool.scheduler.served(waiter.ticket, 0)
--- a/packages/router/src/paddle_router/_pools.py
+++ b/packages/router/src/paddle_router/_pools.py
@@ -1,11 +1,70 @@
 """Engines that hold one model, with the queue in front of them."""
 
+import collections
+import math
+
 import attrs
 
 from paddle_router import _instances
 from paddle_router import policy
 
 
+# Time constant of the mean number of requests per tier; a burst of a higher
+# tier is remembered for about this long.
+MEAN_MS = 10_000
+# Below this mean a tier counts as unused.
+LEAST_MEAN = 0.05
+
+
+class TierLoad:
+    """Requests per tier, and the slots to keep free for higher tiers.
+
+    A daemon has only a few of the slots of each engine. If a burst of a lower
+    tier took all of them, a request of a higher tier would wait for one of
+    few long answers to end, since nothing running is preempted.
+    """
+
+    def __init__(self):
+        self.waiting = collections.Counter()
+        self.running = collections.Counter()
+        self._means = collections.defaultdict(float)
+        self._updated_ms = None
+
+    def update(self, now_ms):
+        """Advance the means to ``now_ms``; called periodically."""
+        before, self._updated_ms = self._updated_ms, now_ms
+        if before is None:
+            return
+        gain = 1 - math.exp(-(now_ms - before) / MEAN_MS)
+        for tier in set(self._means) | set(self.waiting) | set(self.running):
+            present = self.waiting[tier] + self.running[tier]
+            self._means[tier] += gain * (present - self._means[tier])
+
+    def highest_waiting(self):
+        """Return the highest tier with a waiting request or ``None``."""
+        return min(
+            (tier for tier, count in self.waiting.items() if count),
+            default=None,
+        )
+
+    def reserved(self, tier, slots):
+        """Return how many more slots to keep free for tiers above ``tier``.
+
+        The mean and one standard deviation of their requests, at most half
+        of all ``slots``, less what they use already.
+        """
+        mean = sum(
+            value for other, value in self._means.items() if other < tier
+        )
+        if mean < LEAST_MEAN:
+            return 0
+        wanted = max(1, round(mean + math.sqrt(mean)))
+        used = sum(
+            count for other, count in self.running.items() if other < tier
+        )
+        return max(0, min(wanted, slots // 2) - used)
+
+
 @attrs.define(eq=False)
 class Pool:
     """Queue, balancer and engines of one model.
@@ -22,6 +81,38 @@
     waiting: set = attrs.field(factory=set)
     running: set = attrs.field(factory=set)
     unplaced: list = attrs.field(factory=list)
+    load: TierLoad = attrs.field(factory=TierLoad)
+
+    def enter(self, waiter):
+        """Add a waiting request."""
+        self.waiting.add(waiter)
+        self.load.waiting[waiter.ticket.tier] += 1
+
+    def leave(self, waiter):
+        """Remove a waiting request."""
+        if waiter in self.waiting:
+            self.waiting.discard(waiter)
+            self.load.waiting[waiter.ticket.tier] -= 1
+
+    def begin(self, slot):
+        """Add a running request."""
+        self.running.add(slot)
+        self.load.running[slot.ticket.tier] += 1
+
+    def end(self, slot):
+        """Remove a running request."""
+        if slot in self.running:
+            self.running.discard(slot)
+            self.load.running[slot.ticket.tier] -= 1
+
+    def open_slots(self):
+        """Return how many slots the waiting requests may use now."""
+        free = self.balancer.free_slots() - len(self.unplaced)
+        tier = self.load.highest_waiting()
+        if free <= 0 or tier is None:
+            return 0
+        slots = self.balancer.free_slots() + len(self.running)
+        return max(0, free - self.load.reserved(tier, slots))
 
     @property
     def demand(self):
