--- a/packages/coord/src/paddle_coord/_config_log.py
+++ b/packages/coord/src/paddle_coord/_config_log.py
@@ -21,6 +21,7 @@
 
 import attrs
 import cattrs.preconf.json
+import gevent
 import gevent.lock
 import returns.result
 
@@ -46,6 +47,11 @@
 # The version precedes the compressed snapshot, to be compared without
 # decoding the rest.
 SNAPSHOT_HEADER = struct.Struct('!Q')
+# Higher levels save 5% of the space at twice the time.
+COMPRESSION_LEVEL = 1
+# Nesting at which a snapshot is encoded as a whole. The entries of the state's
+# sections lie below it, so that no call holds the interpreter for long.
+PIECE_DEPTH = 3
 
 # Reasons of a rejection.
 CONFLICT = 'conflict'
@@ -227,14 +233,47 @@
 
 
 def encode_snapshot(fold, folded):
-    """Return the register value of a snapshot of ``folded``."""
-    snapshot = Snapshot(
-        folded.version, fold.dump(folded.state), folded.outcomes
-    )
-    data = zlib.compress(_converter.dumps(snapshot).encode())
+    """Return the register value of a snapshot of ``folded``.
+
+    For a large state this takes about a second of CPU; callers run it in a
+    thread.
+    """
+    snapshot = {
+        'version': folded.version,
+        'state': fold.dump(folded.state),
+        'outcomes': {
+            id_: {'version': item.version, 'digest': item.digest}
+            for id_, item in folded.outcomes.items()
+        },
+    }
+    text = ''.join(_json_pieces(snapshot, PIECE_DEPTH))
+    data = zlib.compress(text.encode(), COMPRESSION_LEVEL)
     return SNAPSHOT_HEADER.pack(folded.version) + data
 
 
+def _json_pieces(value, depth):
+    """Yield the JSON text of ``value`` in pieces.
+
+    The encoder of the standard library does not let other threads run until
+    it returns.
+    """
+    if depth and isinstance(value, dict):
+        yield '{'
+        for index, (name, item) in enumerate(value.items()):
+            yield f'{"," if index else ""}{json.dumps(name)}:'
+            yield from _json_pieces(item, depth - 1)
+        yield '}'
+    elif depth and isinstance(value, list | tuple):
+        yield '['
+        for index, item in enumerate(value):
+            if index:
+                yield ','
+            yield from _json_pieces(item, depth - 1)
+        yield ']'
+    else:
+        yield json.dumps(value)
+
+
 def decode_snapshot(fold, value):
     """Return the :class:`Folded` held in a snapshot."""
     data = zlib.decompress(value[SNAPSHOT_HEADER.size :])
@@ -453,7 +492,7 @@
             return result
         value = result.unwrap()
         if value is not None:
-            self._publish(decode_snapshot(self._fold, value))
+            self._publish(_in_thread(decode_snapshot, self._fold, value))
         if self._folded.version < self._head.snapshot:
             return _failure(
                 _register.NOT_WRITTEN,
@@ -553,7 +592,7 @@
         folded = self._folded
         if folded.version < self._head.snapshot + self._snapshot_every:
             return
-        value = encode_snapshot(self._fold, folded)
+        value = _in_thread(encode_snapshot, self._fold, folded)
         result = self._register.change(
             SNAPSHOT_KEY, lambda current: replace_snapshot(current, value)
         )
@@ -576,5 +615,10 @@
             self._head = _decode_head(result.unwrap().value)
 
 
+def _in_thread(function, *args):
+    """Run ``function`` without stopping the event loop."""
+    return gevent.get_hub().threadpool.apply(function, args)
+
+
 def _failure(kind, detail):
     return returns.result.Failure(_register.RegisterError(kind, detail))
--- a/packages/coord/tests/test_coord_config_log.py
+++ b/packages/coord/tests/test_coord_config_log.py
@@ -189,6 +189,15 @@
     assert len(reads) < _config_log.SNAPSHOT_EVERY + 8
 
 
+def test_snapshot_survives_encoding():
+    # Guards against a piecewise encoding that is not the state's JSON.
+    state = {'a': [], 'b': [{'x"': [1, 2]}, None], 'c': {}, 'd': 'ü'}
+    outcomes = {'i"d': _config_log.Remembered(3, 'ab')}
+    folded = _config_log.Folded(3, state, outcomes)
+    value = _config_log.encode_snapshot(SumFold(), folded)
+    assert _config_log.decode_snapshot(SumFold(), value) == folded
+
+
 def test_lost_snapshot_write_is_made_up_by_the_next_change(cluster):
     # Guards against a log that grows without bound after one failure.
     log = cluster.log()
