--- a/packages/coord/src/paddle_coord/_acceptor.py
+++ b/packages/coord/src/paddle_coord/_acceptor.py
@@ -13,7 +13,7 @@
 ORIGINS_KEPT = 8
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Record:
     """A register value: ``None`` is a tombstone.
 
@@ -25,7 +25,7 @@
     origins: tuple[_ballot.Ballot, ...] = ()
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Cell:
     """State of one key at one replica.
 
--- /dev/null
+++ b/packages/coord/src/paddle_coord/_attempts.py
@@ -0,0 +1,126 @@
+"""Decisions of a proposer between its two rounds, without I/O.
+
+The proposer and the model checker call these same functions.
+"""
+
+import attrs
+
+from paddle_coord import _acceptor
+from paddle_coord import _ballot
+
+PROPOSE = 'propose'
+CONFIRM = 'confirm'
+UNCLEAR = 'unclear'
+
+
+@attrs.frozen
+class Seen:
+    """What the promises of a quorum show.
+
+    ``settled`` if all of them report the same accepted value, which is then
+    decided; ``floor`` is their highest deletion floor.
+    """
+
+    ballot: _ballot.Ballot
+    accepted: _ballot.Ballot
+    record: _acceptor.Record | None
+    floor: int
+    settled: bool
+
+    @property
+    def value(self):
+        """The register value, ``None`` if absent or deleted."""
+        return None if self.record is None else self.record.value
+
+
+def summarize(ballot, promises):
+    """Return what ``promises`` for ``ballot`` show together."""
+    best = max(promises, key=lambda promise: promise.accepted)
+    return Seen(
+        ballot,
+        best.accepted,
+        best.record,
+        max(promise.floor for promise in promises),
+        all(promise.accepted == best.accepted for promise in promises),
+    )
+
+
+@attrs.frozen
+class Attempts:
+    """Values of one change sent in accept rounds without a clear outcome.
+
+    ``values`` holds pairs of ballot and value. ``base`` is the origin of the
+    value that the first of them was built on, ``None`` for an absent key.
+    """
+
+    values: tuple = ()
+    base: _ballot.Ballot | None = None
+
+    def added(self, seen, value):
+        """Return the attempts with ``value``, built on ``seen``."""
+        base = self.base
+        if not self.values:
+            origins = _origins(seen.record)
+            base = origins[0] if origins else None
+        return Attempts((*self.values, (seen.ballot, value)), base)
+
+    def survivor(self, record):
+        """Return ``(ballot, value)`` that ``record`` contains, or None."""
+        origins = _origins(record)
+        for attempt in self.values:
+            if attempt[0] in origins:
+                return attempt
+        return None
+
+    def superseded(self, seen):
+        """Return whether the seen value provably contains no attempt.
+
+        Its origins must reach back to the value before the first attempt,
+        and no deletion may have cut them since.
+        """
+        if seen.floor >= min(self.values)[0].counter:
+            return False
+        origins = _origins(seen.record)
+        if self.base is None:
+            return len(origins) < _acceptor.ORIGINS_KEPT
+        return self.base in origins
+
+
+def plan(attempts, seen):
+    """Return what to do after a prepare round.
+
+    ``PROPOSE``: call the change function. ``CONFIRM``: decide the seen
+    value, which contains an earlier attempt. ``UNCLEAR``: an earlier attempt
+    may or may not be part of the value.
+    """
+    if not attempts.values:
+        return PROPOSE
+    if attempts.survivor(seen.record) is not None:
+        return CONFIRM
+    return PROPOSE if attempts.superseded(seen) else UNCLEAR
+
+
+def is_decided(attempts, seen):
+    """Return whether the seen value can be reported without an accept round.
+
+    Not after an unclear attempt of our own: a minority may hold it, and only
+    a higher accepted ballot rules it out.
+    """
+    if attempts.values:
+        return False
+    return seen.settled or seen.record is None
+
+
+def successor(seen, value):
+    """Return the record that changes the seen value to ``value``."""
+    kept = (seen.ballot, *_origins(seen.record))
+    return _acceptor.Record(value, kept[: _acceptor.ORIGINS_KEPT])
+
+
+def identity(seen):
+    """Return the record that keeps the seen value."""
+    return seen.record or _acceptor.Record(None)
+
+
+def _origins(record):
+    return () if record is None else record.origins
--- a/packages/coord/src/paddle_coord/_ballot.py
+++ b/packages/coord/src/paddle_coord/_ballot.py
@@ -10,7 +10,7 @@
 LAST_PROPOSER = '\U0010ffff'
 
 
-@attrs.frozen(order=True)
+@attrs.frozen(order=True, cache_hash=True)
 class Ballot:
     """One attempt of one proposer; ordered by counter, then proposer."""
 
--- a/packages/coord/src/paddle_coord/_proposer.py
+++ b/packages/coord/src/paddle_coord/_proposer.py
@@ -7,7 +7,7 @@
 import paddle_kernel as kernel
 import returns.result
 
-from paddle_coord import _acceptor
+from paddle_coord import _attempts
 from paddle_coord import _ballot
 from paddle_coord import _messages
 from paddle_coord import _register
@@ -54,56 +54,6 @@
         return not _view.has_quorum(self.view, self.possible)
 
 
-@attrs.define
-class _Attempts:
-    """Values sent in accept rounds without a clear outcome.
-
-    ``base`` is the origin of the value that the first one was built on,
-    ``None`` for an absent key.
-    """
-
-    values: dict = attrs.Factory(dict)
-    base: _ballot.Ballot | None = None
-
-    def add(self, ballot, value, seen):
-        if not self.values:
-            origins = seen.origins if seen is not None else ()
-            self.base = origins[0] if origins else None
-        self.values[ballot] = value
-
-    def survivor(self, record):
-        """Return the attempt that ``record`` was built on, or ``None``."""
-        origins = record.origins if record is not None else ()
-        for ballot in origins:
-            if ballot in self.values:
-                return ballot
-        return None
-
-    def superseded(self, record, floor):
-        """Return whether ``record`` provably contains no attempt.
-
-        Its origins must reach back to the value before the first attempt,
-        and no deletion may have cut them since.
-        """
-        if floor >= min(self.values).counter:
-            return False
-        origins = record.origins if record is not None else ()
-        if self.base is None:
-            return len(origins) < _acceptor.ORIGINS_KEPT
-        return self.base in origins
-
-
-@attrs.frozen
-class _Seen:
-    """Outcome of a prepare round."""
-
-    ballot: _ballot.Ballot
-    accepted: _ballot.Ballot
-    record: _acceptor.Record | None
-    floor: int
-    settled: bool
-
-
 class Proposer:
     """Register whose values are kept by a set of replicas.
 
@@ -338,10 +288,10 @@
         )
         if set(promises.grants) != members:
             return None
-        best = max(promises.grants.values(), key=_accepted)
-        if best.record is not None and best.record.value is not None:
+        seen = _attempts.summarize(ballot, promises.grants.values())
+        if seen.value is not None:
             return None
-        tombstone = best.record or _acceptor.Record(None)
+        tombstone = _attempts.identity(seen)
         accepted = self.round(
             lambda member, epoch: _messages.Accept(
                 member.identity, epoch, key, ballot, tombstone
@@ -355,7 +305,7 @@
     # The following are used by _Operation.
 
     def prepare(self, key, view):
-        """Return ``(round, seen)`` of one prepare round."""
+        """Return what a quorum promised to, ``None`` without a quorum."""
         ballot = self.next_ballot()
         promises = self.round(
             lambda member, epoch: _messages.Prepare(
@@ -365,16 +315,8 @@
             view,
         )
         if not promises.granted:
-            return promises, None
-        answers = list(promises.grants.values())
-        best = max(answers, key=_accepted)
-        return promises, _Seen(
-            ballot,
-            best.accepted,
-            best.record,
-            max(item.floor for item in answers),
-            all(item.accepted == best.accepted for item in answers),
-        )
+            return None
+        return _attempts.summarize(ballot, promises.grants.values())
 
     def accept(self, key, view, ballot, record):
         """Return the answers of one accept round."""
@@ -412,7 +354,7 @@
         self._proposer = proposer
         self._key = key
         self._function = function
-        self._attempts = _Attempts()
+        self._attempts = _attempts.Attempts()
 
     def run(self):
         """Return the result of :meth:`Proposer.change`."""
@@ -443,65 +385,56 @@
         if not proposer.view.epoch and not proposer.refresh_view().epoch:
             return None
         view = proposer.view
-        _round, seen = proposer.prepare(self._key, view)
+        seen = proposer.prepare(self._key, view)
         if seen is None:
             return None
-        if self._attempts.values:
-            survivor = self._attempts.survivor(seen.record)
-            if survivor is not None:
-                return self._confirm(view, seen, survivor)
-            if not self._attempts.superseded(seen.record, seen.floor):
-                return _failure(
-                    _register.UNKNOWN, 'an earlier attempt may have won'
-                )
+        step = _attempts.plan(self._attempts, seen)
+        if step == _attempts.CONFIRM:
+            return self._confirm(view, seen)
+        if step == _attempts.UNCLEAR:
+            return _failure(
+                _register.UNKNOWN, 'an earlier attempt may have won'
+            )
         return self._propose(view, seen)
 
-    def _confirm(self, view, seen, survivor):
+    def _confirm(self, view, seen):
         """Decide the seen value, which contains an attempt of ours."""
         answers = self._proposer.accept(
             self._key, view, seen.ballot, seen.record
         )
         if not answers.granted:
             return None
-        value = self._attempts.values[survivor]
+        _ballot, value = self._attempts.survivor(seen.record)
         return returns.result.Success(_register.Change(value))
 
     def _propose(self, view, seen):
-        current = _value(seen.record)
-        new = self._function(current)
+        new = self._function(seen.value)
         if isinstance(new, _register.Reject):
-            return self._reject(view, seen, current, new.reason)
+            return self._reject(view, seen, new.reason)
         if new is None and seen.record is None and not self._attempts.values:
             # No lower ballot can be decided any more: the key is absent.
             return returns.result.Success(_register.Change(None))
-        record = _successor(seen, new)
+        record = _attempts.successor(seen, new)
         answers = self._proposer.accept(self._key, view, seen.ballot, record)
         if answers.granted:
             return returns.result.Success(_register.Change(new))
         if answers.grants or answers.possible or answers.maybe_sent:
-            self._attempts.add(seen.ballot, new, seen.record)
+            self._attempts = self._attempts.added(seen, new)
         return None
 
-    def _reject(self, view, seen, current, reason):
+    def _reject(self, view, seen, reason):
         """Report a rejection once the value it was based on is decided."""
-        if self._attempts.values or not (seen.settled or seen.record is None):
-            record = seen.record or _acceptor.Record(None)
+        if not _attempts.is_decided(self._attempts, seen):
             answers = self._proposer.accept(
-                self._key, view, seen.ballot, record
+                self._key, view, seen.ballot, _attempts.identity(seen)
             )
             if not answers.granted:
                 return None
         return returns.result.Success(
-            _register.Change(current, rejected=reason)
+            _register.Change(seen.value, rejected=reason)
         )
 
 
-def _successor(seen, value):
-    origins = seen.record.origins if seen.record is not None else ()
-    kept = (seen.ballot, *origins)[: _acceptor.ORIGINS_KEPT]
-    return _acceptor.Record(value, kept)
-
-
 def _may_be_accepted(refusal, view):
     """Return whether a refused message may still take effect.
 
@@ -513,10 +446,6 @@
     return refusal.view.epoch < view.epoch
 
 
-def _accepted(promise):
-    return promise.accepted
-
-
 def _value(record):
     return None if record is None else record.value
 
--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/specs/deletion.py
@@ -0,0 +1,206 @@
+"""Model of the deletion of a key while delayed messages are in the network.
+
+A value was written and then deleted by a tombstone, which only a majority
+holds so far; the accept messages of both are still in the network. A deleter
+has every replica confirm the tombstone and then drop the key. Proposers
+change the key meanwhile. The deleted value must not come back and no change
+may be lost.
+"""
+
+import functools
+
+import attrs
+from paddle_coord import _acceptor
+from paddle_coord import _attempts
+from paddle_coord import _ballot
+from paddle_coord import _view
+
+from paddle_testbed.specs import _machine
+from paddle_testbed.specs import _spec
+
+REPLICAS = _machine.members('ABC')
+ALL = frozenset(range(len(REPLICAS)))
+
+OLD_VALUE = 'v'
+WRITTEN = _ballot.Ballot(1, 'w')
+DELETED = _ballot.Ballot(2, 'd')
+CONFIRMED = _ballot.Ballot(4, 'd')
+VALUE = _acceptor.Record(OLD_VALUE.encode(), (WRITTEN,))
+TOMBSTONE = _acceptor.Record(None, (DELETED, WRITTEN))
+
+
+@attrs.frozen(cache_hash=True)
+class Deleter:
+    """State of the deletion; ``voters`` have answered in this phase."""
+
+    phase: str = _machine.PREPARE
+    voters: frozenset = frozenset()
+    promises: tuple = ()
+    record: _acceptor.Record | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Setup:
+    """Size of a model.
+
+    ``confirmed`` starts after every replica has confirmed the tombstone and
+    without messages from before.
+    """
+
+    proposers: tuple
+    confirmed: bool = False
+
+
+class DeletionMachine(_machine.Machine):
+    """One register with a deleter; cells that are not stored are absent."""
+
+    def __init__(self, setup, rules):
+        view = _view.View(_machine.FIRST_EPOCH, REPLICAS, REPLICAS)
+        super().__init__(
+            views={view.epoch: view},
+            replicas=REPLICAS,
+            proposers=setup.proposers,
+            rules=rules,
+        )
+        self._setup = setup
+
+    def initial(self):
+        state = super().initial()._replace(denied=frozenset(OLD_VALUE))
+        if self._setup.confirmed:
+            cell = _acceptor.Cell(CONFIRMED, CONFIRMED, TOMBSTONE)
+            return state._replace(
+                cells=(cell,) * len(REPLICAS), process=Deleter(_machine.DONE)
+            )
+        holds = _acceptor.Cell(DELETED, DELETED, TOMBSTONE)
+        missed = _acceptor.Cell(WRITTEN, WRITTEN, VALUE)
+        messages = (
+            _machine.Message(WRITTEN, VALUE, _machine.FIRST_EPOCH),
+            _machine.Message(DELETED, TOMBSTONE, _machine.FIRST_EPOCH),
+        )
+        return state._replace(
+            cells=(holds, holds, missed),
+            sent=frozenset(messages),
+            process=Deleter(),
+        )
+
+    def loses_prepare_answers(self):
+        # A promise prevents that the key is dropped.
+        return True
+
+    def process_steps(self, state):
+        deleter = state.process
+        steps = []
+        for replica in ALL:
+            if deleter is None:
+                continue
+            if deleter.phase == _machine.PREPARE:
+                steps += self._confirm_prepare(state, deleter, replica)
+            elif deleter.phase == _machine.ACCEPT:
+                steps += self._confirm_accept(state, deleter, replica)
+            else:
+                steps += self._drop(state, replica)
+        return steps
+
+    def _complete(self, voters):
+        if self.rules.confirms_tombstone:
+            return voters == ALL
+        return self.quorum(_machine.FIRST_EPOCH, voters)
+
+    def _confirm_prepare(self, state, deleter, replica):
+        cell = _acceptor.prepare(state.cells[replica], CONFIRMED)
+        if cell is None or replica in deleter.voters:
+            return []
+        promise = _attempts.Seen(
+            CONFIRMED, cell.accepted, cell.value, state.floors[replica], True
+        )
+        new = attrs.evolve(
+            deleter,
+            voters=deleter.voters | {replica},
+            promises=(*deleter.promises, promise),
+        )
+        if self._complete(new.voters):
+            seen = _attempts.summarize(CONFIRMED, new.promises)
+            phase = _machine.ACCEPT if seen.value is None else _machine.DONE
+            new = Deleter(phase, record=_attempts.identity(seen))
+            if phase == _machine.DONE:
+                new = None
+        label = f'deleter prepares at r{replica}'
+        return [(label, self._with(state, replica, cell, new))]
+
+    def _confirm_accept(self, state, deleter, replica):
+        cell = _acceptor.accept(
+            state.cells[replica], CONFIRMED, deleter.record
+        )
+        if cell is None or replica in deleter.voters:
+            return []
+        new = attrs.evolve(deleter, voters=deleter.voters | {replica})
+        if self._complete(new.voters):
+            new = Deleter(_machine.DONE)
+        label = f'deleter confirms at r{replica}'
+        return [(label, self._with(state, replica, cell, new))]
+
+    def _drop(self, state, replica):
+        cell, floor = state.cells[replica], state.floors[replica]
+        if not self._droppable(cell):
+            return []
+        if self.rules.raises_floor:
+            floor = _acceptor.raised_floor(floor, CONFIRMED)
+        state = state._replace(
+            floors=_machine.replaced(state.floors, replica, floor)
+        )
+        state = state.with_cell(replica, _acceptor.absent(floor))
+        return [(f'r{replica} drops the key', state)]
+
+    def _droppable(self, cell):
+        if self.rules.keeps_promises:
+            return _acceptor.droppable(cell, CONFIRMED)
+        return cell.accepted == CONFIRMED
+
+    def _with(self, state, replica, cell, deleter):
+        return state.with_cell(replica, cell)._replace(process=deleter)
+
+
+# The counters are below and above that of the deletion.
+WRITERS = Setup(
+    proposers=(
+        _machine.Proposer('x', 'a', (6,)),
+        _machine.Proposer('y', 'b', (5,)),
+    ),
+    confirmed=True,
+)
+RETRY = Setup(proposers=(_machine.Proposer('x', 'a', (3, 6)),))
+READ = Setup(proposers=(_machine.Proposer('y', '', (5,)),))
+
+
+def _build(name, setup, rules):
+    return DeletionMachine(setup, rules).model(name)
+
+
+def _spec_of(name, setup, **rules):
+    build = functools.partial(_build, name, setup, _machine.Rules(**rules))
+    return _spec.Spec(name, build)
+
+
+SPECS = (
+    _spec_of('deletion/writers', WRITERS),
+    _spec_of('deletion/retry', RETRY),
+    _spec_of('deletion/read', READ),
+)
+
+DEFECTS = (
+    _spec_of(
+        'deletion/deleted key brought back by a delayed message',
+        READ,
+        raises_floor=False,
+    ),
+    _spec_of(
+        'deletion/tombstone not confirmed by all',
+        READ,
+        confirms_tombstone=False,
+    ),
+    _spec_of(
+        'deletion/promise forgotten by the drop',
+        WRITERS,
+        keeps_promises=False,
+    ),
+)
