--- a/packages/coord/src/paddle_coord/_claims.py
+++ b/packages/coord/src/paddle_coord/_claims.py
@@ -166,19 +166,24 @@
 
 
 def describe(record, wanted, wall_ms):
-    """Return the outcome that a record means for a request ``wanted``."""
+    """Return the outcome that a record means for a request ``wanted``.
+
+    Only a recorded unknown outcome is reported as final. A claim past its
+    deadline that nobody has marked yet may still be completed or released by
+    its owner, so the caller is told to ask again.
+    """
     if record.request_digest != wanted.request_digest:
         return ClaimOutcome(outcome=NOT_RUN, reason=OTHER_REQUEST)
     if record.state == DONE:
         return ClaimOutcome(
             outcome=DONE, reason=RECORDED, answer=record.answer
         )
-    if record.state == UNKNOWN or is_expired(record, wall_ms):
+    if record.state == UNKNOWN:
         return ClaimOutcome(outcome=UNKNOWN, reason=EXPIRED)
     return ClaimOutcome(
         outcome=UNKNOWN,
         reason=IN_PROGRESS,
-        retry_after_ms=record.deadline_wall_ms - wall_ms + 1,
+        retry_after_ms=max(record.deadline_wall_ms - wall_ms, 0) + 1,
     )
 
 
@@ -198,8 +203,8 @@
     """Claims on behalf of one process.
 
     ``owner`` names the incarnation of the process. ``keys(prefix)`` and
-    ``delete(key)`` are those of the replicated register and are only needed
-    by :meth:`collect`.
+    ``delete(key, function)`` are those of the replicated register and are
+    only needed by :meth:`collect`.
     """
 
     def __init__(self, register, clock, owner, *, keys=None, delete=None):
@@ -287,10 +292,9 @@
         """Delete claims whose retention time has passed.
 
         Returns ``Success(number of deleted keys)`` or the first ``Failure``;
-        what is left over is deleted by the next call. The value is removed
-        by a conditional change first, so that a claim taken after another
-        process collected the old one is never deleted; ``delete`` must leave
-        a key alone that has a value again.
+        what is left over is deleted by the next call. ``delete`` is given a
+        change function, so that a claim taken after another process
+        collected the old one is not deleted.
         """
         listed = self._keys(PREFIX)
         if isinstance(listed, returns.result.Failure):
@@ -311,19 +315,14 @@
                 return None
             return _register.Reject('the retention time has not passed')
 
+        # Most claims are not due; a read costs less than a rejected change.
         current = self._register.read(key)
         if isinstance(current, returns.result.Failure):
             return current
         record = decode(current.unwrap())
-        if record is not None:
-            if not is_collectable(record, wall_ms):
-                return returns.result.Success(0)
-            result = self._register.change(key, remove)
-            if isinstance(result, returns.result.Failure):
-                return result
-            if not result.unwrap().applied:
-                return returns.result.Success(0)
-        return self._delete(key).map(lambda _: 1)
+        if record is not None and not is_collectable(record, wall_ms):
+            return returns.result.Success(0)
+        return self._delete(key, remove).map(int)
 
     def _judge(self, claim, wanted, value):
         record = decode(value)
--- a/packages/router/src/paddle_router/_http_in.py
+++ b/packages/router/src/paddle_router/_http_in.py
@@ -5,6 +5,8 @@
 chat-completions protocol.
 """
 
+import http
+from http import client
 import socket as plain_socket
 
 import gevent
@@ -37,6 +39,10 @@
         self._left -= len(line)
         if self._left < 0:
             raise HeadersTooLargeError
+        if not line.endswith(b'\n'):
+            # The parser would take the end of the connection for the end of
+            # the headers and run a request that was cut.
+            raise ValueError('the headers end early')
         return line
 
 
@@ -45,7 +51,18 @@
 
     busy = False
 
+    @property
+    def in_progress(self):
+        """Whether a request is being read or answered, or has arrived."""
+        return self.busy or bool(peek(self.socket))
+
     def handle(self):
+        # Headers and the first event are written separately; with Nagle's
+        # algorithm the event would wait for the caller's delayed
+        # acknowledgement, about 40 ms.
+        self.socket.setsockopt(
+            plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
+        )
         self.server.handlers.add(self)
         try:
             super().handle()
@@ -53,26 +70,34 @@
             self.server.handlers.discard(self)
 
     def read_request(self, raw_requestline):
+        self.busy = True
         rfile = self.rfile
         self.rfile = _HeaderReader(rfile, self.server.header_bytes)
         try:
             with gevent.Timeout(self.server.request_s, TimeoutError):
-                return super().read_request(raw_requestline)
+                parsed = super().read_request(raw_requestline)
+                self._check_framing()
+                return parsed
         finally:
             self.rfile = rfile
 
+    def _check_framing(self):
+        # Two lengths, or a length and chunks, allow two readings of where
+        # the request ends.
+        lengths = self.headers.get_all('Content-Length', [])
+        encodings = self.headers.get_all('Transfer-Encoding', [])
+        chunked = [value.strip().lower() for value in encodings]
+        if len(lengths) + len(encodings) > 1 or chunked not in (
+            [],
+            ['chunked'],
+        ):
+            raise ValueError('ambiguous length of the request')
+
     def get_environ(self):
         environ = super().get_environ()
         environ[HANDLER] = self
         return environ
 
-    def handle_one_response(self):
-        self.busy = True
-        try:
-            super().handle_one_response()
-        finally:
-            self.busy = False
-
     def finalize_headers(self):
         super().finalize_headers()
         if self.server.draining and not self.close_connection:
@@ -96,12 +121,44 @@
         reader.chunked_input = False
         reader.content_length = reader.position
 
+    def handle_one_request(self):
+        try:
+            result = super().handle_one_request()
+        finally:
+            self.busy = False
+        if not isinstance(result, tuple):
+            return result
+        status, answer = result
+        if status == '414':
+            answer = _raw_response(
+                _errors.Refusal(
+                    414, 'headers_too_large', 'the request line is too long'
+                )
+            )
+        self._send_and_linger(answer)
+        return None
+
+    def _send_and_linger(self, answer):
+        sock = self.socket
+        with gevent.Timeout(DISCARD_S, False):
+            try:
+                sock.sendall(answer)
+                sock.shutdown(plain_socket.SHUT_WR)
+                left = DISCARD_BYTES
+                while left > 0 and (data := sock.recv(READ_BYTES)):
+                    left -= len(data)
+            except OSError:
+                # The caller closed the connection; there is nobody to tell.
+                pass
+
     def _handle_client_error(self, exc):
-        large = isinstance(exc, HeadersTooLargeError)
+        # A line or a number of headers beyond the parser's own limits.
+        large = isinstance(exc, HeadersTooLargeError | client.HTTPException)
+        limit = self.server.header_bytes
         refusal = _errors.Refusal(
             431 if large else 400,
             'headers_too_large' if large else 'malformed_request',
-            f'the headers exceed {self.server.header_bytes} bytes'
+            f'the headers exceed {limit} bytes or are too many'
             if large
             else 'the request is not valid HTTP',
         )
@@ -118,7 +175,8 @@
 
 def _raw_response(refusal):
     body = refusal.body()
-    lines = [f'HTTP/1.1 {refusal.status} Error']
+    phrase = http.HTTPStatus(refusal.status).phrase
+    lines = [f'HTTP/1.1 {refusal.status} {phrase}']
     lines.extend(f'{name}: {value}' for name, value in refusal.headers())
     lines.extend(['Connection: close', f'Content-Length: {len(body)}'])
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
@@ -149,7 +207,13 @@
     @property
     def busy(self):
         """Number of requests in progress."""
-        return sum(handler.busy for handler in self.handlers)
+        return sum(handler.in_progress for handler in self.handlers)
+
+    def begin_stop(self):
+        """Close the listener; connections end after their request."""
+        self.draining = True
+        self.stop_accepting()
+        self.close()
 
 
 def read_body(environ, *, limit, timeout_ms):
@@ -185,6 +249,20 @@
     )
 
 
+def peek(sock):
+    """Return what can be read now, up to one byte; ``None`` if nothing.
+
+    ``b''`` means that the other side closed the connection.
+    """
+    flags = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
+    try:
+        return sock._sock.recv(1, flags)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b''
+
+
 class CallerWatch:
     """Notices that the caller closed its connection.
 
@@ -204,6 +282,14 @@
         if self.gone and function is not None:
             function()
 
+    def cut(self):
+        """Cut the caller's connection; a write that waits on it fails."""
+        try:
+            self._sock._sock.shutdown(plain_socket.SHUT_RDWR)
+        except OSError:
+            # The caller closed it first.
+            pass
+
     def stop(self):
         """End watching; may be called more than once."""
         if self._io is not None:
@@ -212,13 +298,9 @@
             self._io = None
 
     def _on_readable(self):
-        flags = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
-        try:
-            data = self._sock._sock.recv(1, flags)
-        except BlockingIOError:
+        data = peek(self._sock)
+        if data is None:
             return
-        except OSError:
-            data = b''
         # Data is the start of a pipelined request; it hides the end of the
         # connection, which the next write then shows.
         self.stop()
--- a/packages/router/src/paddle_router/policy/_hooks.py
+++ b/packages/router/src/paddle_router/policy/_hooks.py
@@ -88,10 +88,17 @@
     def remove(self, ticket: Ticket) -> bool:
         """Forget a queued ticket whose caller left; tell if it was queued."""
 
-    def served(self, ticket: Ticket, tokens: int, done: bool = True) -> None:
+    def served(
+        self,
+        ticket: Ticket,
+        tokens: int,
+        done: bool = True,
+        now_ms: int | None = None,
+    ) -> None:
         """Correct the account of a started ticket.
 
         ``tokens`` is the number generated so far; with ``done`` it is final.
+        Without ``now_ms`` the time of the last other call is used.
         """
 
     def apply(
@@ -191,8 +198,8 @@
     def report(self, engine_id: str, report: LoadReport, now_ms: int) -> None:
         """Note a load report."""
 
-    def tick(self, now_ms: int) -> collections.abc.Sequence[str]:
-        """Judge engines, at least every 100 ms; return those just ejected."""
+    def tick(self, now_ms: int) -> collections.abc.Sequence:
+        """Judge engines, at least every 100 ms; return new ejections."""
 
     def lose_domain(
         self, failure_domain: str, now_ms: int
