--- a/packages/coord/src/paddle_coord/_replica.py
+++ b/packages/coord/src/paddle_coord/_replica.py
@@ -16,6 +16,10 @@
 KEYS_PER_LIST = 10_000
 
 
+def _in_thread(function, argument):
+    return gevent.get_hub().threadpool.apply(function, (argument,))
+
+
 class _GroupCommit:
     """Lets all waiting greenlets share one write and sync.
 
@@ -23,8 +27,9 @@
     hub's pool, so that a slow disk does not stop the event loop.
     """
 
-    def __init__(self, store):
+    def __init__(self, store, blocking):
         self._store = store
+        self._blocking = blocking
         self._queued = 0
         self._durable = 0
         self._written = None
@@ -70,12 +75,11 @@
             written.set()
 
     def _run_in_thread(self):
-        pool = gevent.get_hub().threadpool
         if not self._store.wants_compaction():
-            pool.apply(self._store.write, (self._store.take(),))
+            self._blocking(self._store.write, self._store.take())
             return
         before = self._store.size
-        pool.apply(self._store.replace, (self._store.snapshot(),))
+        self._blocking(self._store.replace, self._store.snapshot())
         kernel.emit(
             _events.STORE_COMPACTED,
             bytes_before=before,
@@ -90,21 +94,28 @@
     because its memory may be ahead of its disk.
     """
 
-    def __init__(self, store, address, clock):
+    def __init__(self, store, address, clock, blocking=None):
         self._store = store
         self._address = address
         self._clock = clock
-        self._commit = _GroupCommit(store)
+        self._commit = _GroupCommit(store, blocking or _in_thread)
         self._stopped = False
         self.votes = 0
 
     @classmethod
-    def open(cls, data_dir, address, clock, *, sync=os.fdatasync):
+    def open(
+        cls, data_dir, address, clock, *, sync=os.fdatasync, blocking=None
+    ):
         """Open the replica in ``data_dir``, formatting an empty one.
 
+        ``sync`` makes a file descriptor durable and ``blocking`` runs a
+        function with its argument aside from the event loop; tests replace
+        both.
+
         :raises StoreError: if the store is damaged or in use.
         """
-        return cls(_store.Store.open(data_dir, sync=sync), address, clock)
+        store = _store.Store.open(data_dir, sync=sync)
+        return cls(store, address, clock, blocking)
 
     @property
     def identity(self):
--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/faults/rows_register.py
@@ -0,0 +1,143 @@
+"""Rows of the register, of deletion and of replica replacement."""
+
+import paddle_coord as coord
+import returns.result
+
+from paddle_testbed.faults import _rows
+
+KEY = 'n'
+
+
+def _increment(value):
+    return str(int(value or b'0') + 1).encode()
+
+
+class _Counting:
+    """Counts increments by outcome and compares them with the value."""
+
+    def __init__(self):
+        self.applied = 0
+        self.unknown = 0
+        self.last_read = 0
+        self.errors = []
+
+    def increment(self, proposer, times):
+        for _ in range(times):
+            self.unknown += 1
+            result = proposer.change(KEY, _increment)
+            if isinstance(result, returns.result.Success):
+                self.applied += 1
+                self.unknown -= 1
+            elif result.failure().kind == coord.NOT_WRITTEN:
+                self.unknown -= 1
+
+    def read(self, proposer, times):
+        for index in range(times):
+            operation = proposer.quick_read if index % 2 else proposer.read
+            before = self.applied
+            result = operation(KEY)
+            if not isinstance(result, returns.result.Success):
+                continue
+            value = int(result.unwrap() or b'0')
+            if value < max(before, self.last_read):
+                self.errors.append(f'read {value} after {self.last_read}')
+            self.last_read = max(value, self.last_read)
+
+    def check(self, world):
+        result = world.proposer('verifier').read(KEY)
+        if not isinstance(result, returns.result.Success):
+            return [*self.errors, f'not readable: {result.failure()}']
+        value = int(result.unwrap() or b'0')
+        least = max(self.applied, self.last_read)
+        if not least <= value <= self.applied + self.unknown:
+            self.errors.append(
+                f'value {value} with {self.applied} applied, '
+                f'{self.unknown} unknown, {self.last_read} read'
+            )
+        return self.errors
+
+
+@_rows.ROWS.register('register.change')
+class ChangeRow:
+    """Two proposers change one key while a third reads it."""
+
+    def start(self, world):
+        self.counting = _Counting()
+        world.form(3)
+
+    def act(self, world):
+        counting = self.counting
+        world.spawn('a', counting.increment, world.proposer('a'), 2)
+        world.spawn('b', counting.increment, world.proposer('b'), 1)
+        world.spawn('r', counting.read, world.proposer('r'), 2)
+
+    def verify(self, world):
+        return self.counting.check(world)
+
+
+@_rows.ROWS.register('register.delete')
+class DeleteRow:
+    """A key is deleted while another proposer changes it."""
+
+    def start(self, world):
+        world.form(3)
+        world.proposer('setup').change(KEY, lambda _: b'v').unwrap()
+        self.deleted = self.changed = None
+
+    def act(self, world):
+        world.spawn('d', self._delete, world.proposer('d'))
+        world.spawn('b', self._change, world.proposer('b'))
+
+    def _delete(self, proposer):
+        self.deleted = proposer.delete(KEY)
+
+    def _change(self, proposer):
+        self.changed = proposer.change(
+            KEY, lambda value: (value or b'') + b'b'
+        )
+
+    def verify(self, world):
+        proposer = world.proposer('verifier')
+        result = proposer.read(KEY)
+        if not isinstance(result, returns.result.Success):
+            return [f'not readable: {result.failure()}']
+        errors = []
+        value = result.unwrap()
+        if isinstance(self.deleted, returns.result.Success):
+            if value not in (None, b'b'):
+                errors.append(f'deleted, but the value is {value!r}')
+        applied = isinstance(self.changed, returns.result.Success)
+        if applied and self.changed.unwrap().value == b'b' and value != b'b':
+            errors.append(f'changed after the deletion, but found {value!r}')
+        if proposer.delete(KEY).value_or(None) is not True:
+            errors.append('not deleted by all replicas after the repair')
+        if world.proposer('last').read(KEY).unwrap() is not None:
+            errors.append('the key came back')
+        return errors
+
+
+@_rows.ROWS.register('register.replace')
+class ReplaceRow:
+    """One of three replicas is exchanged while a counter changes."""
+
+    def start(self, world):
+        self.counting = _Counting()
+        self.old = world.form(3)
+        self.new = [*self.old[:2], *world.add_replicas(1)]
+        self.counting.increment(world.proposer('setup'), 1)
+
+    def act(self, world):
+        admin = world.admin('admin')
+        world.spawn('admin', admin.replace, self.old, self.new)
+        counting = self.counting
+        world.spawn('a', counting.increment, world.proposer('a'), 1)
+
+    def verify(self, world):
+        # A successor finishes the change that a killed process left.
+        result = world.admin('successor').replace(self.old, self.new)
+        if not isinstance(result, returns.result.Success):
+            return [f'not replaced: {result.failure()}']
+        # The new set must do without the removed replica and one more.
+        world.servers[self.old[2]].kill()
+        world.servers[self.old[0]].kill()
+        return self.counting.check(world)
