--- a/packages/router/src/paddle_router/_dispatch.py
+++ b/packages/router/src/paddle_router/_dispatch.py
@@ -112,6 +112,10 @@
         """Return the names of all models that engines hold."""
         return self._pools.keys()
 
+    def pool(self, model):
+        """Return the :class:`Pool` of ``model`` or ``None``."""
+        return self._pools.get(model)
+
     def can_resume(self, model):
         """Return whether some engine of ``model`` can resume streams."""
         pool = self._pools.get(model)
@@ -157,7 +161,7 @@
         """Free ``slot``; ``ok`` is false only for a fault of the engine."""
         pool = slot.pool
         now_ms = self._clock.now_ms()
-        pool.running.discard(slot)
+        pool.end(slot)
         pool.balancer.finish(slot.flight, now_ms, ok)
         pool.scheduler.served(slot.ticket, tokens)
         if pool.waiting:
@@ -184,6 +188,7 @@
         """Refuse late requests, judge engines and send probes."""
         now_ms = self._clock.now_ms()
         for pool in self._pools.values():
+            pool.load.update(now_ms)
             for ejection in pool.balancer.tick(now_ms):
                 self._eject(pool, ejection)
             for flight in pool.balancer.probes(now_ms):
@@ -238,7 +243,7 @@
         )
         waiter = Waiter(request, work, needs_resume=resumed)
         waiter.ticket = self._ticket(request, resumed, now_ms, waiter)
-        pool.waiting.add(waiter)
+        pool.enter(waiter)
         for refused in pool.scheduler.offer(waiter.ticket, now_ms):
             self._refuse(pool, refused)
         if waiter.outcome is None:
@@ -269,19 +274,25 @@
             for ticket in pool.unplaced
             if not self._place(pool, ticket, now_ms)
         ]
-        free = max(0, pool.balancer.free_slots() - len(pool.unplaced))
-        turn = pool.scheduler.next(free, now_ms)
-        for refused in turn.refused:
-            self._refuse(pool, refused)
-        for ticket in turn.started:
-            if not self._place(pool, ticket, now_ms):
-                pool.unplaced.append(ticket)
+        while True:
+            # One at a time: each start changes what the next tier may use.
+            turn = pool.scheduler.next(min(1, pool.open_slots()), now_ms)
+            for refused in turn.refused:
+                self._refuse(pool, refused)
+            for ticket in turn.started:
+                if not self._place(pool, ticket, now_ms):
+                    pool.unplaced.append(ticket)
+            if not turn.started:
+                return
 
     def _place(self, pool, ticket, now_ms):
         """Return whether ``ticket`` needs no further attempt."""
         waiter = ticket.payload
         if waiter not in pool.waiting:
             return True
+        if now_ms > ticket.deadline_ms:
+            self._expire_unplaced(pool, ticket)
+            return True
         engines = pool.engines
         if waiter.needs_resume:
             engines = [item for item in engines if item.can_resume]
@@ -294,14 +305,23 @@
             return False
         instance = pool.instances[flight.engine_id]
         slot = Slot(pool, ticket, flight, instance, now_ms)
-        pool.waiting.discard(waiter)
-        pool.running.add(slot)
+        pool.leave(waiter)
+        pool.begin(slot)
         waiter.resolve(slot)
         return True
 
+    def _expire_unplaced(self, pool, ticket):
+        """Refuse a ticket that the scheduler has already let go."""
+        pool.scheduler.served(ticket, 0)
+        after_ms = pool.scheduler.retry_after_ms(
+            ticket.class_name, ticket.tier
+        )
+        refused = policy.Refusal(ticket, policy.DEADLINE, after_ms)
+        self._refuse(pool, refused)
+
     def _refuse(self, pool, refused):
         waiter = refused.ticket.payload
-        pool.waiting.discard(waiter)
+        pool.leave(waiter)
         waiter.resolve(refusal_of(refused))
 
     def _abandon(self, pool, waiter):
@@ -312,7 +332,7 @@
             )
 
     def _withdraw(self, pool, waiter):
-        pool.waiting.discard(waiter)
+        pool.leave(waiter)
         if not pool.scheduler.remove(waiter.ticket):
             # The scheduler had started it, but it was not placed.
             pool.scheduler.served(waiter.ticket, 0)
