Close the replicas of each run in the message fault test

Cause: a run of all steps failed in both rows of the configuration log. Each run left 6 descriptors open, and the limit of 20,000 was reached.

Ruled out: a fault of the configuration log; the two rows alone, repeated for about 6,300 runs, showed none. Before: 19, 25, 31 open descriptors after successive runs; 2 of 4 rows failed with all steps. After: 13 each time; all steps of the 4 rows pass in 361 s, beside another test run. The sample in the unit tests is unchanged. Conclusion: the failures were of the test's harness.

--- a/packages/testbed/tests/test_coordination_faults.py
+++ b/packages/testbed/tests/test_coordination_faults.py
@@ -36,6 +36,7 @@
         self.network = kernel.MemoryNetwork()
         self.addresses = []
         self.greenlets = {}
+        self.replicas = []
         self._folder = folder
 
     def form(self, count):
@@ -47,12 +48,17 @@
                 kernel.FakeClock(),
                 sync=lambda descriptor: None,
             )
+            self.replicas.append(replica)
             self.network.serve(address, replica.handle)
             self.addresses.append(address)
         transport = self.network.transport('admin')
         admin = coord.ReplicaAdmin(transport, kernel.FakeClock())
         admin.form(self.addresses).unwrap()
 
+    def close(self):
+        for replica in self.replicas:
+            replica.stop()
+
     def proposer(self, name):
         transport = self.network.transport(name)
         return coord.Proposer(
@@ -90,7 +96,9 @@
     steps = len(world.network.steps) - first
     world.network.on_call = lambda found: kernel.DELIVER
     world.network.release()
-    return steps, row.verify(world)
+    problems = row.verify(world)
+    world.close()
+    return steps, problems
 
 
 @pytest.mark.parametrize('name', ROWS)
