--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/faults/rows_orders.py
@@ -0,0 +1,88 @@
+"""Row of the orders: the platform ignores numbers and repeated ids."""
+
+import collections
+
+import paddle_coord as coord
+
+from paddle_testbed.faults import _rows
+from paddle_testbed.faults import rows_lease
+
+# The bound of the look-up is 30,000 ms.
+LOOK_UP_STEPS = 34
+
+
+class Platform(rows_lease.Receiver):
+    """Starts an instance for each order that arrives."""
+
+    def send(self, conn, order, number, timeout_ms):
+        self.arrivals.append(order.id)
+        return 'accepted'
+
+    def lookup(self, order_id):
+        return order_id in self.arrivals
+
+
+class Process(rows_lease.Process):
+    """A process that drives orders while it holds the lease."""
+
+    def __init__(self, world, name, platform):
+        super().__init__(world, name)
+        self.book = coord.OrderBook(self.register, self.lease, world.clock)
+        self.runner = coord.OrderRunner(
+            self.book, self.lease, platform, world.clock
+        )
+
+
+@_rows.ROWS.register('orders.send')
+class OrdersRow:
+    """No order is started twice, and none stays open."""
+
+    def start(self, world):
+        world.form(3)
+        self.platform = Platform()
+        self.recorded = False
+        self.first = Process(world, 'a', self.platform)
+        self.second = Process(world, 'b', self.platform)
+        self.first.lease.tick()
+        self.second.lease.tick()
+
+    def act(self, world):
+        world.spawn('a', self._order)
+        world.spawn('b', self._take_over)
+
+    def _order(self):
+        order = self.first.book.new_order('start', {})
+        recorded = self.first.book.record(order)
+        self.recorded = recorded.value_or(None) is not None
+        self.first.runner.step()
+
+    def _take_over(self):
+        self.second.contend()
+        self.second.runner.step()
+
+    def verify(self, world):
+        successor = Process(world, 'c', self.platform)
+        if not successor.succeed():
+            return ['no successor took over']
+        for _ in range(LOOK_UP_STEPS):
+            successor.lease.tick()
+            successor.runner.step()
+            world.clock.sleep_ms(rows_lease.STEP_MS)
+        for process in (self.first, self.second):
+            process.runner.step()
+        problems = [
+            f'order {order_id} was started {count} times'
+            for order_id, count in collections.Counter(
+                self.platform.arrivals
+            ).items()
+            if count > 1
+        ]
+        successor.lease.tick()
+        listed = successor.book.listed().value_or(None)
+        if listed is None or any(
+            order.state in ('recorded', 'sent') for order in listed
+        ):
+            problems.append(f'orders stayed open: {listed}')
+        if self.recorded and not listed:
+            problems.append('a recorded order was lost')
+        return problems
