Spread the fault matrix over processes and mend faults of stand-ins

Ruled out: sampling the matrix, since every fault at every step is asked for. Before: a test of the broken answer and one of the conditional deletion fail.

--- a/packages/router/src/paddle_router/_hosting.py
+++ b/packages/router/src/paddle_router/_hosting.py
@@ -76,10 +76,11 @@
         found = sorted(key for key in self.values if key.startswith(prefix))
         return returns.result.Success(tuple(found))
 
-    def delete(self, key):
-        """Remove ``key``."""
-        self.values.pop(key, None)
-        return returns.result.Success(True)
+    def delete(self, key, function=lambda value: None):
+        """Remove ``key`` unless ``function`` rejects its value."""
+        return self.change(key, function).map(
+            lambda change: change.value is None
+        )
 
 
 def open_register(settings, clock, transport):
--- /dev/null
+++ b/packages/router/tests/test_hosting.py
@@ -0,0 +1,15 @@
+"""Tests of the register of a daemon without replicas."""
+
+import paddle_coord as coord
+from paddle_router import _hosting
+
+
+def test_local_register_keeps_a_key_that_the_condition_protects():
+    # Guards against collecting a claim that was taken again meanwhile.
+    register = _hosting.LocalRegister()
+    register.change('k', lambda value: b'new')
+    kept = register.delete('k', lambda value: coord.Reject('in use'))
+    assert not kept.unwrap()
+    assert register.read('k').unwrap() == b'new'
+    assert register.delete('k').unwrap()
+    assert register.read('k').unwrap() is None
--- a/packages/testbed/src/paddle_testbed/fakes/_server.py
+++ b/packages/testbed/src/paddle_testbed/fakes/_server.py
@@ -1,6 +1,17 @@
 """Base of the fakes: a falcon application on an own port."""
 
 import gevent.pywsgi
+import gevent.socket
+
+
+class _Handler(gevent.pywsgi.WSGIHandler):
+    """Sends each chunk at once, as a server with unbuffered output."""
+
+    def handle(self):
+        self.socket.setsockopt(
+            gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1
+        )
+        super().handle()
 
 
 class FakeServer:
@@ -14,7 +25,11 @@
         self.seen = []
         self._app = app
         self._server = gevent.pywsgi.WSGIServer(
-            (host, port), self._record, log=None, error_log=None
+            (host, port),
+            self._record,
+            handler_class=_Handler,
+            log=None,
+            error_log=None,
         )
 
     def start(self):
--- a/packages/testbed/src/paddle_testbed/fakes/_service.py
+++ b/packages/testbed/src/paddle_testbed/fakes/_service.py
@@ -39,6 +39,8 @@
         gevent.sleep(self._service.delay_ms / MS_PER_S)
         if self._service.break_answer:
             self._service.break_answer = False
+            # The connection closes within the body that this announces.
+            resp.set_header('Content-Length', '100')
             resp.stream = _broken()
             return
         resp.status = falcon.HTTP_201
@@ -54,5 +56,5 @@
 
 
 def _broken():
+    yield b'{'
     raise ConnectionResetError('injected')
-    yield b''
--- a/packages/testbed/src/paddle_testbed/faults/__main__.py
+++ b/packages/testbed/src/paddle_testbed/faults/__main__.py
@@ -5,7 +5,9 @@
 """
 
 import collections
+import concurrent.futures
 import importlib
+import multiprocessing
 import pathlib
 import pkgutil
 import random
@@ -23,6 +25,8 @@
 SEED = 20_261
 KNOWN_RED = pathlib.Path('KNOWN-RED.txt')
 PREFIX = 'fault:'
+WORKERS = 8
+CHUNK_CELLS = 20
 
 
 def run_cell(row_name, index=None, column=None, expected=None):
@@ -101,14 +105,34 @@
     return f'{seen.text}{by}'
 
 
-def run_row(row_name):
-    """Run all cells of a row; return (table lines, counts, failures)."""
+def prepare_worker():
+    """Load the rows in a worker process and silence their warnings."""
+    loguru.logger.remove()
+    load_rows()
+
+
+def cell_errors(arguments):
+    """Return the errors of one cell; run by a worker process."""
+    _, errors = run_cell(*arguments)
+    return errors
+
+
+def run_row(row_name, workers):
+    """Run all cells of a row; return (table lines, counts, failures).
+
+    Cells are independent, so they are spread over ``workers``; the order of
+    the results is that of the steps.
+    """
     steps, errors = run_cell(row_name)
     failures = [(f'{row_name} | no fault | none', errors)] if errors else []
     table = collections.defaultdict(collections.Counter)
     count = 1
-    for index, step, column in cells(list(steps)):
-        _, errors = run_cell(row_name, index, column, step)
+    listed = list(cells(list(steps)))
+    arguments = [
+        (row_name, index, column, step) for index, step, column in listed
+    ]
+    found = workers.map(cell_errors, arguments, chunksize=CHUNK_CELLS)
+    for (index, step, column), errors in zip(listed, found, strict=True):
         count += 1
         table[step][column, bool(errors)] += 1
         if errors:
@@ -139,15 +163,31 @@
 def main(words):
     """Run the selected rows; return the exit code."""
     # The cells provoke many warnings of the replicas.
-    loguru.logger.remove()
+    prepare_worker()
+    names = [
+        name
+        for name in faults.ROWS.names()
+        if not words or any(word in name for word in words)
+    ]
+    with concurrent.futures.ProcessPoolExecutor(
+        WORKERS,
+        mp_context=multiprocessing.get_context('spawn'),
+        initializer=prepare_worker,
+    ) as workers:
+        return run_rows(names, workers)
+
+
+def run_rows(names, workers):
+    """Run the named rows and print the matrix; return the exit code."""
     known = _known_red()
     total, failed, unexpected = 0, 0, 0
-    for name in load_rows():
-        if words and not any(word in name for word in words):
-            continue
+    for name in names:
         start = time.monotonic()
-        lines, count, failures = run_row(name)
-        print(f'\n{name}: {count} cells, {time.monotonic() - start:.1f} s')
+        lines, count, failures = run_row(name, workers)
+        print(
+            f'\n{name}: {count} cells, {time.monotonic() - start:.1f} s',
+            flush=True,
+        )
         print(tabulate.tabulate(lines, ['step', *_columns.COLUMNS]))
         for cell, errors in failures:
             listed = cell in known
--- a/packages/testbed/tests/test_fakes.py
+++ b/packages/testbed/tests/test_fakes.py
@@ -3,6 +3,8 @@
 import json
 
 import geventhttpclient
+import geventhttpclient.response
+import pytest
 
 from paddle_testbed import fakes
 
@@ -40,3 +42,13 @@
     ]
     platform.stop()
     assert codes == [200, 200, 409]
+
+
+def test_broken_answer_of_the_service_ends_within_its_body():
+    # Guards against a fake crash that looks like an ordinary error answer.
+    service = fakes.FakeService().start()
+    service.break_answer = True
+    with pytest.raises(geventhttpclient.response.HTTPParseError):
+        bytes(_client(service.address).post('/bookings', '{}').read())
+    service.stop()
+    assert len(service.bookings) == 1
