--- a/packages/router/src/paddle_router/_control.py
+++ b/packages/router/src/paddle_router/_control.py
@@ -1,8 +1,9 @@
 """Control task: what the holder of the lease does.
 
-Every daemon takes part in the contest for the lease. The holder drives open
-orders, seals usage windows and reports them. Lease, orders and windows run
-in separate greenlets, so that a slow platform does not delay a renewal.
+The daemons with a disk take part in the contest for the lease. The holder
+drives open orders, seals usage windows and reports them. Lease, orders and
+windows run in separate greenlets, so that a slow platform does not delay a
+renewal.
 """
 
 import returns.result
@@ -34,11 +35,13 @@
         lease_timing=None,
         window_timing=None,
         holder=None,
+        contends=True,
     ):
         self._clock = clock
         self._window_ms = (
             window_timing or paddle_coord.WindowTiming()
         ).window_ms
+        self._contends = contends
         self._cleaned_ms = None
         self._tickers = []
         self.lease = paddle_coord.Lease(
@@ -81,10 +84,13 @@
                 window_ms=settings.bounds.usage_window_ms
             ),
             holder=f'{settings.name}-{incarnation}',
+            contends=contends_for_lease(settings),
         )
 
     def start(self):
-        """Start the periodic tasks."""
+        """Start the periodic tasks; without contest there are none."""
+        if not self._contends:
+            return self
         for function, period_ms in (
             (self.lease.tick, LEASE_TICK_MS),
             (self.runner.step, ORDER_TICK_MS),
@@ -141,6 +147,15 @@
         }
 
 
+def contends_for_lease(settings):
+    """Whether a daemon takes part in the contest for the lease.
+
+    Those with a disk are enough: without a majority of them nothing can be
+    decided anyway, and every contender reads the lease 5 times a second.
+    """
+    return settings.data_dir is not None or not settings.replicas
+
+
 def _conditional_delete(register):
     """Return ``delete(key, function)`` of ``register``."""
     if isinstance(register, paddle_coord.Proposer):
--- a/packages/router/tests/test_planning.py
+++ b/packages/router/tests/test_planning.py
@@ -1,10 +1,13 @@
 """Tests of the planner task of the lease holder."""
 
+import types
+
 import attrs
 import pytest
 
 import paddle_coord as coord
 import paddle_kernel as kernel
+from paddle_router import _control
 from paddle_router import _drains
 from paddle_router import _instances
 from paddle_router import _planning
@@ -176,3 +179,16 @@
     task, _ = world.task(stop, stop)
     task.step()
     assert len(world.control.orders.open_orders().unwrap()) == 1
+
+
+@pytest.mark.parametrize(
+    ('data_dir', 'replicas', 'expected'),
+    [('/d', ('a',), True), (None, ('a',), False), (None, (), True)],
+)
+def test_daemons_with_a_disk_contend_for_the_lease(
+    data_dir, replicas, expected
+):
+    # Guards against control traffic of every daemon, and against a system
+    # in which none takes the lease.
+    cfg = types.SimpleNamespace(data_dir=data_dir, replicas=replicas)
+    assert _control.contends_for_lease(cfg) is expected
