--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -10,11 +10,11 @@
 from paddle_coord._claims import ClaimBook
 from paddle_coord._claims import ClaimError
 from paddle_coord._claims import ClaimOutcome
-from paddle_coord._config_log import ChangeOutcome
-from paddle_coord._config_log import ConfigChange
 from paddle_coord._config_log import ConfigLog
-from paddle_coord._config_log import Fold
-from paddle_coord._config_log import UnfoldableSlotError
+from paddle_coord._config_slots import ChangeOutcome
+from paddle_coord._config_slots import ConfigChange
+from paddle_coord._config_slots import Fold
+from paddle_coord._config_slots import UnfoldableSlotError
 from paddle_coord._lease import guarded_send
 from paddle_coord._lease import Lease
 from paddle_coord._lease import LEASE_KEY
--- a/packages/coord/src/paddle_coord/_config_log.py
+++ b/packages/coord/src/paddle_coord/_config_log.py
@@ -2,7 +2,7 @@
 
 Slot ``cfg/slot/<version>`` holds the change that made that version. The state
 is a pure fold over the slots. The meaning of an operation is given by a
-:class:`Fold`; this module knows nothing of it.
+:class:`paddle_coord.Fold`; this module knows nothing of it.
 
 Register ``cfg/snap`` holds a snapshot, ``cfg/head`` the version of a snapshot
 and the floor. Slots at or below the floor may be deleted at any time, so an
@@ -13,300 +13,20 @@
 that slot. Otherwise the snapshot is loaded.
 """
 
-import hashlib
-import json
-import struct
-import typing
-import zlib
-
-import attrs
-import cattrs.preconf.json
 import gevent.lock
 import returns.result
 
+from paddle_coord import _config_slots
 from paddle_coord import _events
 from paddle_coord import _register
 from paddle_coord import _version_file
 import paddle_kernel as kernel
 
-SLOT_PREFIX = 'cfg/slot/'
-SNAPSHOT_KEY = 'cfg/snap'
-HEAD_KEY = 'cfg/head'
-SNAPSHOT_EVERY = 64
-# Slots kept below a snapshot, so that followers that lag less need not load
-# it.
-KEPT_SLOTS = 64
-REMEMBERED_OUTCOMES = 4_096
 # Slots read before the head is checked once for all of them.
 SLOTS_PER_CHECK = 32
 # A change with an unknown outcome is written again this often.
 ATTEMPTS = 3
 NEVER_CONFIRMED_MS = 2**53
-DIGEST_CHARS = 16
-# The version precedes the compressed snapshot, to be compared without
-# decoding the rest.
-SNAPSHOT_HEADER = struct.Struct('!Q')
-# Higher levels save 5% of the space at twice the time.
-COMPRESSION_LEVEL = 1
-# Nesting at which a snapshot is encoded as a whole. The entries of the state's
-# sections lie below it, so that no call holds the interpreter for long.
-PIECE_DEPTH = 3
-
-# Reasons of a rejection.
-CONFLICT = 'conflict'
-INVALID = 'invalid'
-ID_REUSED = 'id_reused'
-FORGOTTEN = 'forgotten'
-
-_converter = cattrs.preconf.json.make_converter(forbid_extra_keys=True)
-
-
-class Fold(typing.Protocol):
-    """Meaning of operations. States are immutable, operations JSON data."""
-
-    def initial(self):
-        """Return the state of version 0."""
-
-    def apply(self, state, operation) -> returns.result.Result:
-        """Return ``Success(state)`` or ``Failure(tuple of findings)``.
-
-        Must give the same result in every process.
-        """
-
-    def dump(self, state):
-        """Return ``state`` as JSON data."""
-
-    def load(self, data):
-        """Return the state that :meth:`dump` returned as ``data``."""
-
-
-@attrs.frozen
-class ConfigChange:
-    """A change asked for by an operator; ``id`` makes resending safe."""
-
-    id: str
-    expected_version: int
-    operation: typing.Any
-
-
-@attrs.frozen(kw_only=True)
-class ChangeOutcome:
-    """Outcome of a change.
-
-    ``version`` is the version made by an accepted change, else the current
-    one. ``findings`` holds :class:`paddle_kernel.Finding` items when the
-    reason is ``invalid``.
-    """
-
-    accepted: bool
-    version: int
-    reason: str | None = None
-    findings: tuple = ()
-
-
-@attrs.frozen
-class Head:
-    """Value of ``cfg/head``; both numbers only grow."""
-
-    snapshot: int = 0
-    floor: int = 0
-
-
-@attrs.frozen
-class Remembered:
-    """Accepted change kept for resends: version and operation digest."""
-
-    version: int
-    digest: str
-
-
-@attrs.frozen
-class Folded:
-    """State after ``version`` changes.
-
-    ``outcomes`` maps the ids of the last accepted changes, oldest first, to
-    :class:`Remembered`.
-    """
-
-    version: int
-    state: typing.Any
-    outcomes: dict
-
-
-@attrs.frozen
-class Snapshot:
-    """Value of ``cfg/snap``, stored compressed."""
-
-    version: int
-    state: typing.Any
-    outcomes: dict[str, Remembered]
-
-
-class UnfoldableSlotError(ValueError):
-    """An accepted change cannot be applied by this process."""
-
-
-def slot_key(version):
-    """Return the register key of the slot that makes ``version``."""
-    return f'{SLOT_PREFIX}{version}'
-
-
-def encode_change(change):
-    """Return the register value of ``change``."""
-    return json.dumps(attrs.asdict(change), sort_keys=True).encode()
-
-
-def decode_change(value):
-    """Return the :class:`ConfigChange` held in a slot."""
-    return ConfigChange(**json.loads(value))
-
-
-def digest_of(operation):
-    """Return a short digest that tells operations apart."""
-    text = json.dumps(operation, sort_keys=True)
-    return hashlib.sha256(text.encode()).hexdigest()[:DIGEST_CHARS]
-
-
-def fill_slot(current, value):
-    """Write ``value`` into an empty slot; the first value stays."""
-    if current is None or current == value:
-        return value
-    return _register.Reject('the slot is taken')
-
-
-def raise_head(current, wanted):
-    """Raise both numbers of the head to at least those of ``wanted``."""
-    return Head(
-        max(current.snapshot, wanted.snapshot),
-        max(current.floor, wanted.floor),
-    )
-
-
-def floor_for(snapshot_version, kept=KEPT_SLOTS):
-    """Return the floor that a snapshot of this version allows."""
-    return max(0, snapshot_version - kept)
-
-
-def is_authentic(version, head):
-    """Return whether a slot read before ``head`` was read counts."""
-    return version > head.floor
-
-
-def fold_change(fold, folded, change):
-    """Return ``folded`` after the accepted ``change``.
-
-    :raises UnfoldableSlotError: if the operation cannot be applied, which
-        happens only when processes run different versions of the code.
-    """
-    result = fold.apply(folded.state, change.operation)
-    version = folded.version + 1
-    if isinstance(result, returns.result.Failure):
-        raise UnfoldableSlotError(
-            f'{slot_key(version)}: change {change.id!r} cannot be applied by '
-            f'this process; upgrade it: {result.failure()}'
-        )
-    outcomes = dict(folded.outcomes)
-    outcomes[change.id] = Remembered(version, digest_of(change.operation))
-    while len(outcomes) > REMEMBERED_OUTCOMES:
-        del outcomes[next(iter(outcomes))]
-    return Folded(version, result.unwrap(), outcomes)
-
-
-def judge(folded, change):
-    """Return the outcome of ``change`` if ``folded`` decides it, else None.
-
-    A change can only be accepted in the slot after its expected version, so
-    a state at or beyond that slot decides. Versions never decrease, so a
-    rejected change stays rejected.
-    """
-    first = folded.outcomes.get(change.id)
-    if first is not None and first.digest == digest_of(change.operation):
-        return ChangeOutcome(accepted=True, version=first.version)
-    if first is not None:
-        return _rejected(folded, ID_REUSED)
-    if change.expected_version >= folded.version:
-        return None
-    if change.expected_version < folded.version - REMEMBERED_OUTCOMES:
-        return _rejected(folded, FORGOTTEN)
-    return _rejected(folded, CONFLICT)
-
-
-def encode_snapshot(fold, folded):
-    """Return the register value of a snapshot of ``folded``.
-
-    For a large state this takes about a second of CPU; callers run it in a
-    thread.
-    """
-    snapshot = {
-        'version': folded.version,
-        'state': fold.dump(folded.state),
-        'outcomes': {
-            id_: {'version': item.version, 'digest': item.digest}
-            for id_, item in folded.outcomes.items()
-        },
-    }
-    text = ''.join(_json_pieces(snapshot, PIECE_DEPTH))
-    data = zlib.compress(text.encode(), COMPRESSION_LEVEL)
-    return SNAPSHOT_HEADER.pack(folded.version) + data
-
-
-def _json_pieces(value, depth):
-    """Yield the JSON text of ``value`` in pieces.
-
-    The encoder of the standard library does not let other threads run until
-    it returns.
-    """
-    if depth and isinstance(value, dict):
-        yield '{'
-        for index, (name, item) in enumerate(value.items()):
-            yield f'{"," if index else ""}{json.dumps(name)}:'
-            yield from _json_pieces(item, depth - 1)
-        yield '}'
-    elif depth and isinstance(value, list | tuple):
-        yield '['
-        for index, item in enumerate(value):
-            if index:
-                yield ','
-            yield from _json_pieces(item, depth - 1)
-        yield ']'
-    else:
-        yield json.dumps(value)
-
-
-def decode_snapshot(fold, value):
-    """Return the :class:`Folded` held in a snapshot."""
-    data = zlib.decompress(value[SNAPSHOT_HEADER.size :])
-    snapshot = _converter.loads(data, Snapshot)
-    return Folded(
-        snapshot.version, fold.load(snapshot.state), snapshot.outcomes
-    )
-
-
-def replace_snapshot(current, value):
-    """Keep the snapshot of the higher version."""
-    if current is not None:
-        (found,) = SNAPSHOT_HEADER.unpack_from(current)
-        (version,) = SNAPSHOT_HEADER.unpack_from(value)
-        if found >= version:
-            return _register.Reject('the snapshot is not older')
-    return value
-
-
-def _rejected(folded, reason, findings=()):
-    return ChangeOutcome(
-        accepted=False,
-        version=folded.version,
-        reason=reason,
-        findings=tuple(findings),
-    )
-
-
-def _decode_head(value):
-    return Head() if value is None else _converter.loads(value, Head)
-
-
-def _encode_head(head):
-    return _converter.dumps(head).encode()
 
 
 class ConfigLog:
@@ -329,8 +49,8 @@
         version_path=None,
         keys=None,
         delete=None,
-        snapshot_every=SNAPSHOT_EVERY,
-        kept_slots=KEPT_SLOTS,
+        snapshot_every=_config_slots.SNAPSHOT_EVERY,
+        kept_slots=_config_slots.KEPT_SLOTS,
         blocking=kernel.run_in_thread,
     ):
         self._register = register
@@ -341,8 +61,8 @@
         self._blocking = blocking
         self._snapshot_every = snapshot_every
         self._kept_slots = kept_slots
-        self._folded = Folded(0, fold.initial(), {})
-        self._head = Head()
+        self._folded = _config_slots.Folded(0, fold.initial(), {})
+        self._head = _config_slots.Head()
         self._confirmed_ms = None
         self._lock = gevent.lock.Semaphore()
         self._file = None
@@ -400,7 +120,7 @@
         expects a version beyond the log fails as not written instead of
         being rejected, since the log may still reach that version.
         """
-        outcome = judge(self._folded, change)
+        outcome = _config_slots.judge(self._folded, change)
         if outcome is not None and outcome.accepted:
             return returns.result.Success(outcome)
         return self.refresh().bind(lambda _: self._submit_at_end(change))
@@ -412,15 +132,19 @@
         left over, and late writes into deleted slots, are deleted by a later
         call.
         """
-        head = self._register.read(HEAD_KEY).map(_decode_head)
+        head = self._register.read(_config_slots.HEAD_KEY).map(
+            _config_slots.decode_head
+        )
         if isinstance(head, returns.result.Failure):
             return head
-        listed = self._keys(SLOT_PREFIX)
+        listed = self._keys(_config_slots.SLOT_PREFIX)
         if isinstance(listed, returns.result.Failure):
             return listed
         deleted = 0
         for key in listed.unwrap():
-            if is_authentic(int(key.removeprefix(SLOT_PREFIX)), head.unwrap()):
+            if _config_slots.is_authentic(
+                int(key.removeprefix(_config_slots.SLOT_PREFIX)), head.unwrap()
+            ):
                 continue
             result = self._delete(key)
             if isinstance(result, returns.result.Failure):
@@ -453,11 +177,11 @@
         head = self._read_head()
         if isinstance(head, returns.result.Failure):
             return head
-        if not is_authentic(start.version + 1, self._head):
+        if not _config_slots.is_authentic(start.version + 1, self._head):
             return self._load_snapshot()
         folded = start
         for change in changes:
-            folded = fold_change(self._fold, folded, change)
+            folded = _config_slots.fold_change(self._fold, folded, change)
         self._publish(folded)
         return returns.result.Success(empty_ms)
 
@@ -470,36 +194,43 @@
         return head
 
     def _read_head(self):
-        head = self._register.quick_read(HEAD_KEY).map(_decode_head)
+        head = self._register.quick_read(_config_slots.HEAD_KEY).map(
+            _config_slots.decode_head
+        )
         if isinstance(head, returns.result.Success):
-            self._head = raise_head(self._head, head.unwrap())
+            self._head = _config_slots.raise_head(self._head, head.unwrap())
         return head
 
     def _read_slots(self, version):
         changes = []
         while len(changes) < SLOTS_PER_CHECK:
             sent_ms = self._clock.now_ms()
-            key = slot_key(version + len(changes) + 1)
+            key = _config_slots.slot_key(version + len(changes) + 1)
             result = self._register.quick_read(key)
             if isinstance(result, returns.result.Failure):
                 return result
             if result.unwrap() is None:
                 return returns.result.Success((changes, sent_ms))
-            changes.append(decode_change(result.unwrap()))
+            changes.append(_config_slots.decode_change(result.unwrap()))
         return returns.result.Success((changes, None))
 
     def _load_snapshot(self):
-        result = self._register.read(SNAPSHOT_KEY)
+        result = self._register.read(_config_slots.SNAPSHOT_KEY)
         if isinstance(result, returns.result.Failure):
             return result
         value = result.unwrap()
         if value is not None:
-            self._publish(self._blocking(decode_snapshot, self._fold, value))
+            self._publish(
+                self._blocking(
+                    _config_slots.decode_snapshot, self._fold, value
+                )
+            )
         if self._folded.version < self._head.snapshot:
             return _failure(
                 _register.NOT_WRITTEN,
-                f'{SNAPSHOT_KEY} is older than version {self._head.snapshot} '
-                f'named by {HEAD_KEY}; restore the replicas',
+                f'{_config_slots.SNAPSHOT_KEY} is older than version '
+                f'{self._head.snapshot} named by '
+                f'{_config_slots.HEAD_KEY}; restore the replicas',
             )
         return returns.result.Success(None)
 
@@ -531,7 +262,7 @@
 
     def _submit_at_end(self, change):
         folded = self._folded
-        outcome = judge(folded, change)
+        outcome = _config_slots.judge(folded, change)
         if outcome is not None:
             return returns.result.Success(outcome)
         if change.expected_version > folded.version:
@@ -543,7 +274,9 @@
         checked = self._fold.apply(folded.state, change.operation)
         if isinstance(checked, returns.result.Failure):
             return returns.result.Success(
-                _rejected(folded, INVALID, checked.failure())
+                _config_slots.rejected(
+                    folded, _config_slots.INVALID, checked.failure()
+                )
             )
         written = self._write_slot(folded.version + 1, change)
         if isinstance(written, returns.result.Failure):
@@ -557,18 +290,19 @@
         keeps its first value. Once an outcome was unknown, later failures
         are unknown as well.
         """
-        value = encode_change(change)
+        value = _config_slots.encode_change(change)
         kind = _register.NOT_WRITTEN
         for _ in range(ATTEMPTS):
             result = self._register.change(
-                slot_key(version), lambda current: fill_slot(current, value)
+                _config_slots.slot_key(version),
+                lambda current: _config_slots.fill_slot(current, value),
             )
             if isinstance(result, returns.result.Success):
                 return result
             if result.failure().kind == _register.NOT_WRITTEN:
                 break
             kind = _register.UNKNOWN
-            found = self._register.read(slot_key(version))
+            found = self._register.read(_config_slots.slot_key(version))
             if found.value_or(None) is not None:
                 return found
         return _failure(kind, result.failure().detail)
@@ -582,7 +316,7 @@
         result = self.refresh()
         if isinstance(result, returns.result.Failure):
             return _failure(_register.UNKNOWN, result.failure().detail)
-        outcome = judge(self._folded, change)
+        outcome = _config_slots.judge(self._folded, change)
         if outcome is None:
             return _failure(_register.UNKNOWN, 'the written slot is absent')
         if outcome.accepted:
@@ -594,9 +328,12 @@
         folded = self._folded
         if folded.version < self._head.snapshot + self._snapshot_every:
             return
-        value = self._blocking(encode_snapshot, self._fold, folded)
+        value = self._blocking(
+            _config_slots.encode_snapshot, self._fold, folded
+        )
         result = self._register.change(
-            SNAPSHOT_KEY, lambda current: replace_snapshot(current, value)
+            _config_slots.SNAPSHOT_KEY,
+            lambda current: _config_slots.replace_snapshot(current, value),
         )
         if isinstance(result, returns.result.Failure):
             kernel.emit(
@@ -605,16 +342,18 @@
             return
         floor = 0
         if self._delete is not None:
-            floor = floor_for(folded.version, self._kept_slots)
-        wanted = Head(folded.version, floor)
+            floor = _config_slots.floor_for(folded.version, self._kept_slots)
+        wanted = _config_slots.Head(folded.version, floor)
         result = self._register.change(
-            HEAD_KEY,
-            lambda current: _encode_head(
-                raise_head(_decode_head(current), wanted)
+            _config_slots.HEAD_KEY,
+            lambda current: _config_slots.encode_head(
+                _config_slots.raise_head(
+                    _config_slots.decode_head(current), wanted
+                )
             ),
         )
         if isinstance(result, returns.result.Success):
-            self._head = _decode_head(result.unwrap().value)
+            self._head = _config_slots.decode_head(result.unwrap().value)
 
 
 def _failure(kind, detail):
--- a/packages/coord/tests/test_coord_config_log.py
+++ b/packages/coord/tests/test_coord_config_log.py
@@ -5,6 +5,7 @@
 
 import paddle_coord as coord
 from paddle_coord import _config_log
+from paddle_coord import _config_slots
 import paddle_kernel as kernel
 
 
@@ -122,11 +123,11 @@
 
 def test_outcome_that_is_no_longer_remembered_is_named_so(cluster):
     # Guards against "conflict" for a change that was accepted long ago.
-    folded = _config_log.Folded(5_000, 0, {})
+    folded = _config_slots.Folded(5_000, 0, {})
     change = coord.ConfigChange('a', 5_000 - 4_097, 1)
-    assert _config_log.judge(folded, change).reason == 'forgotten'
+    assert _config_slots.judge(folded, change).reason == 'forgotten'
     change = coord.ConfigChange('a', 5_000 - 4_096, 1)
-    assert _config_log.judge(folded, change).reason == 'conflict'
+    assert _config_slots.judge(folded, change).reason == 'conflict'
 
 
 def test_invalid_operation_is_rejected_with_its_findings(cluster):
@@ -186,16 +187,16 @@
     cluster.register.quick_read = lambda key: reads.append(key) or read(key)
     restarted = cluster.log()
     assert restarted.refresh().unwrap() == 500
-    assert len(reads) < _config_log.SNAPSHOT_EVERY + 8
+    assert len(reads) < _config_slots.SNAPSHOT_EVERY + 8
 
 
 def test_snapshot_survives_encoding():
     # Guards against a piecewise encoding that is not the state's JSON.
     state = {'a': [], 'b': [{'x"': [1, 2]}, None], 'c': {}, 'd': 'ü'}
-    outcomes = {'i"d': _config_log.Remembered(3, 'ab')}
-    folded = _config_log.Folded(3, state, outcomes)
-    value = _config_log.encode_snapshot(SumFold(), folded)
-    assert _config_log.decode_snapshot(SumFold(), value) == folded
+    outcomes = {'i"d': _config_slots.Remembered(3, 'ab')}
+    folded = _config_slots.Folded(3, state, outcomes)
+    value = _config_slots.encode_snapshot(SumFold(), folded)
+    assert _config_slots.decode_snapshot(SumFold(), value) == folded
 
 
 def test_lost_snapshot_write_is_made_up_by_the_next_change(cluster):
@@ -204,7 +205,7 @@
     fill(log, 63)
     cluster.register.failures = [None, 'not_written']
     fill(log, 1)
-    assert _config_log.SNAPSHOT_KEY not in cluster.register.values
+    assert _config_slots.SNAPSHOT_KEY not in cluster.register.values
     fill(log, 1)
     assert log.dump()['snapshot'] == 65
 
@@ -215,8 +216,8 @@
     fill(log, 10)
     stale.refresh()
     fill(log, 200)
-    assert log.collect().unwrap() == 192 - _config_log.KEPT_SLOTS
-    assert _config_log.slot_key(11) not in cluster.register.values
+    assert log.collect().unwrap() == 192 - _config_slots.KEPT_SLOTS
+    assert _config_slots.slot_key(11) not in cluster.register.values
     assert stale.refresh().unwrap() == 210
     assert stale.state == 210
 
@@ -256,7 +257,7 @@
     outcome = submit(stale, 'late', 10, 1_000).unwrap()
     assert (outcome.accepted, outcome.version) == (False, 210)
     late_reader = cluster.log()
-    late_reader._folded = _config_log.Folded(10, 10, {})
+    late_reader._folded = _config_slots.Folded(10, 10, {})
     late_reader._confirmed_ms = 0
     assert late_reader.refresh().unwrap() == 210
     assert late_reader.state == stale.state == 210
@@ -293,8 +294,8 @@
 
 def test_unfoldable_slot_is_not_skipped(cluster):
     # Guards against processes of different versions that drift apart.
-    cluster.register.values[_config_log.slot_key(1)] = (
-        _config_log.encode_change(coord.ConfigChange('a', 0, -1))
+    cluster.register.values[_config_slots.slot_key(1)] = (
+        _config_slots.encode_change(coord.ConfigChange('a', 0, -1))
     )
     with pytest.raises(coord.UnfoldableSlotError):
         cluster.log().refresh()
--- a/packages/testbed/src/paddle_testbed/specs/config_log.py
+++ b/packages/testbed/src/paddle_testbed/specs/config_log.py
@@ -14,7 +14,7 @@
 import minicheck
 import returns.result
 
-from paddle_coord import _config_log
+from paddle_coord import _config_slots
 from paddle_coord import _register
 from paddle_testbed.specs._spec import Spec
 
@@ -83,7 +83,7 @@
     slots: tuple = (None,) * (SLOTS + 1)
     accepted: tuple = ()
     snapshot: int = 0
-    head: _config_log.Head = _config_log.Head()
+    head: _config_slots.Head = _config_slots.Head()
     late: frozenset = frozenset()
     processes: tuple = ()
     rejected: frozenset = frozenset()
@@ -119,25 +119,25 @@
 
 @functools.cache
 def _folded(log):
-    folded = _config_log.Folded(0, None, {})
+    folded = _config_slots.Folded(0, None, {})
     for id_ in log:
-        change = _config_log.ConfigChange(id_, folded.version, id_)
-        folded = _config_log.fold_change(_NoFold(), folded, change)
+        change = _config_slots.ConfigChange(id_, folded.version, id_)
+        folded = _config_slots.fold_change(_NoFold(), folded, change)
     return folded
 
 
 @functools.cache
 def _judge(log, id_):
     """Return True, False, or None when the log does not decide."""
-    outcome = _config_log.judge(
-        _folded(log), _config_log.ConfigChange(id_, 0, id_)
+    outcome = _config_slots.judge(
+        _folded(log), _config_slots.ConfigChange(id_, 0, id_)
     )
     return None if outcome is None else outcome.accepted
 
 
 def _fill(world, version, id_):
     """Return ``(filled, world)`` after a write of ``id_`` into a slot."""
-    new = _config_log.fill_slot(world.slots[version - 1], id_)
+    new = _config_slots.fill_slot(world.slots[version - 1], id_)
     if isinstance(new, _register.Reject):
         return False, world
     slots = list(world.slots)
@@ -156,15 +156,15 @@
             yield f'others: {id_}', _fill(world, size + 1, id_)[1]
     if world.snapshot < size:
         yield 'snapshot', attrs.evolve(world, snapshot=size)
-    wanted = _config_log.Head(
-        world.snapshot, _config_log.floor_for(world.snapshot, kept=0)
+    wanted = _config_slots.Head(
+        world.snapshot, _config_slots.floor_for(world.snapshot, kept=0)
     )
-    raised = _config_log.raise_head(world.head, wanted)
+    raised = _config_slots.raise_head(world.head, wanted)
     if raised != world.head:
         yield 'head', attrs.evolve(world, head=raised)
     floor = world.head if rules.floor_before_deletion else wanted
     for version in range(1, SLOTS + 1):
-        if not _config_log.is_authentic(version, floor):
+        if not _config_slots.is_authentic(version, floor):
             slots = list(world.slots)
             slots[version - 1] = None
             yield f'delete {version}', attrs.evolve(world, slots=tuple(slots))
@@ -189,7 +189,7 @@
         yield 'load', _load_snapshot(rules, world, index)
     if rules.head_after_slot:
         yield 'read slot', _read_slot(world, index)
-    elif _config_log.is_authentic(len(process.log) + 1, world.head):
+    elif _config_slots.is_authentic(len(process.log) + 1, world.head):
         yield 'check head', world.update(index, phase=HEAD_CHECKED)
     else:
         yield 'load', _load_snapshot(rules, world, index)
@@ -218,7 +218,7 @@
     index = after.processes.index(
         attrs.evolve(process, phase=IDLE, found=None, behind=False)
     )
-    if checks and not _config_log.is_authentic(version, world.head):
+    if checks and not _config_slots.is_authentic(version, world.head):
         yield 'load', _load_snapshot(rules, after, index)
     elif process.found is not None:
         log = (*process.log, process.found)
