--- a/packages/router/src/paddle_router/__init__.py
+++ b/packages/router/src/paddle_router/__init__.py
@@ -1,1 +1,1 @@
-"""Package of rosemarypaddle."""
+"""Router daemon for language-model traffic and plain services."""
--- a/packages/testbed/src/paddle_testbed/__init__.py
+++ b/packages/testbed/src/paddle_testbed/__init__.py
@@ -1,1 +1,1 @@
-"""Package of rosemarypaddle."""
+"""Fakes, load drivers, specifications and faults; not shipped."""
--- a/packages/testbed/tests/conftest.py
+++ b/packages/testbed/tests/conftest.py
@@ -97,6 +97,11 @@
         headers = {'Idempotency-Key': key}
         return self.call(index, '/bookings', {'slot': key}, **headers)
 
+    def revoke_key(self):
+        """Revoke the customer's key."""
+        digest = hashlib.sha256(KEY.encode()).hexdigest()
+        self.change('revoke_key', digest=digest)
+
     def wait_version(self, index, version):
         """Wait until a daemon has a version of the configuration."""
         cluster.wait_until(
