--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -8,6 +8,7 @@
 from paddle_router.policy._admission import FIRST_TOKEN
 from paddle_router.policy._admission import INTER_TOKEN
 from paddle_router.policy._admission import Prediction
+from paddle_router.policy._engine_state import Ejection
 from paddle_router.policy._fifo import FifoScheduler
 from paddle_router.policy._hooks import Balancer
 from paddle_router.policy._hooks import balancers
@@ -30,7 +31,6 @@
 from paddle_router.policy._limits import LimitExceeded
 from paddle_router.policy._limits import Limits
 from paddle_router.policy._limits import LimitSettings
-from paddle_router.policy._observed import Ejection
 from paddle_router.policy._observed import ObservedBalancer
 from paddle_router.policy._plain_balancers import LeastReportedLoadBalancer
 from paddle_router.policy._plain_balancers import RoundRobinBalancer
--- a/packages/router/src/paddle_router/policy/_observed.py
+++ b/packages/router/src/paddle_router/policy/_observed.py
@@ -12,11 +12,9 @@
 slowdown common to all engines ejects none.
 """
 
-import collections
 import statistics
 
-import attrs
-
+from paddle_router.policy import _engine_state
 from paddle_router.policy import _hooks
 from paddle_router.policy import _prefixes
 from paddle_router.policy import _slots
@@ -48,70 +46,18 @@
 HOLD_AFTER_FAILURE_MS = 200
 DOMAIN_FAILURE_MS = 1_000
 FAILURE_MEMORY_MS = 5_000
-FIRST_PROBE_MS = 1_000
 MAX_PROBE_WAIT_MS = 30_000
 PROBE_TIMEOUT_MS = 2_000
 PROBES_TO_READMIT = 2
 # Good answers after which an earlier ejection is forgotten.
 GOOD_TO_FORGET = 20
 
-_OK = 'ok'
-_EJECTED = 'ejected'
-_LOST = 'lost'
-
-
-@attrs.frozen
-class Ejection:
-    """An engine that gets no new work, and its overdue flights.
-
-    The caller may retry or resume the overdue flights elsewhere; the others
-    may still complete.
-    """
-
-    engine_id: str
-    overdue: tuple = ()
-
-
-@attrs.define(eq=False)
-class _State(_slots.SlotState):
-    status: str = _OK
-    # Decayed ms per prompt token (with the base) and per generated token.
-    first: float | None = None
-    inter: float | None = None
-    bad: int = 0
-    first_bad_ms: int = 0
-    good_began_ms: int = -1
-    good_run: int = 0
-    waiting: dict = attrs.field(factory=collections.OrderedDict)
-    streaming: dict = attrs.field(factory=collections.OrderedDict)
-    limited: bool = False
-    hold_until_ms: int = 0
-    failed_ms: int | None = None
-    reported: float | None = None
-    reported_ms: int = 0
-    distrust: int = 0
-    probe: _hooks.Flight | None = None
-    probe_at_ms: int = 0
-    probe_wait_ms: int = FIRST_PROBE_MS
-    good_probes: int = 0
-    prefixes: _prefixes.PrefixTable = attrs.field(
-        factory=_prefixes.PrefixTable
-    )
-
-    def room(self):
-        if self.status != _OK or self.engine.leaving:
-            return 0
-        cap = self.cap
-        if self.limited and cap:
-            cap = max(1, cap >> self.bad)
-        return max(0, cap - len(self.flights))
-
 
 @_hooks.balancers.register('observed')
 class ObservedBalancer(_slots.SlotPool):
     """See the module. One instance serves one pool of like engines."""
 
-    state_type = _State
+    state_type = _engine_state.EngineState
 
     def __init__(self, *, rng):
         super().__init__()
@@ -267,7 +213,7 @@
             state.good_run += 1
             state.bad = max(0, state.bad - 1)
             if state.good_run >= GOOD_TO_FORGET:
-                state.probe_wait_ms = FIRST_PROBE_MS
+                state.probe_wait_ms = _engine_state.FIRST_PROBE_MS
         else:
             if not state.bad:
                 state.first_bad_ms = now_ms
@@ -284,7 +230,7 @@
         others = [
             item
             for item in self._states.values()
-            if item.status == _OK and item is not state
+            if item.status == _engine_state.OK and item is not state
         ]
         good = sum(item.good_began_ms >= state.first_bad_ms for item in others)
         return 2 * good >= len(others) > 0
@@ -295,7 +241,7 @@
         for state in self._states.values():
             self._count_overdue(state, now_ms)
             self._check_probe(state, now_ms)
-            if state.status != _OK or state.bad < 2:
+            if state.status != _engine_state.OK or state.bad < 2:
                 continue
             self._limit(state)
             if (
@@ -303,8 +249,10 @@
                 and self._is_slow(state, now_ms)
                 and self._may_eject(state)
             ):
-                overdue = self._eject(state, _EJECTED, now_ms)
-                ejections.append(Ejection(state.engine.id, overdue))
+                overdue = self._eject(state, _engine_state.EJECTED, now_ms)
+                ejections.append(
+                    _engine_state.Ejection(state.engine.id, overdue)
+                )
         return ejections
 
     def _update_medians(self, now_ms):
@@ -316,7 +264,7 @@
             values = [
                 value
                 for state in self._states.values()
-                if state.status == _OK
+                if state.status == _engine_state.OK
                 and (value := getattr(state, name)) is not None
             ]
             if values:
@@ -365,9 +313,11 @@
 
     def _may_eject(self, state):
         states = [
-            item for item in self._states.values() if item.status != _LOST
+            item
+            for item in self._states.values()
+            if item.status != _engine_state.LOST
         ]
-        ejected = sum(item.status == _EJECTED for item in states)
+        ejected = sum(item.status == _engine_state.EJECTED for item in states)
         return ejected + 1 <= len(states) // 2 and self._others_are_good(state)
 
     def _eject(self, state, status, now_ms):
@@ -393,8 +343,8 @@
         ]
         if len(members) >= 2 and len(failed) == len(members):
             for state in members:
-                if state.status == _OK:
-                    self._eject(state, _LOST, now_ms)
+                if state.status == _engine_state.OK:
+                    self._eject(state, _engine_state.LOST, now_ms)
 
     def lose_domain(self, failure_domain, now_ms):
         flights = []
@@ -403,7 +353,7 @@
                 flights.extend(state.flights)
                 for part in (state.flights, state.waiting, state.streaming):
                     part.clear()
-                self._eject(state, _LOST, now_ms)
+                self._eject(state, _engine_state.LOST, now_ms)
         return flights
 
     # Probes
@@ -412,7 +362,7 @@
         flights = []
         for state in self._states.values():
             if (
-                state.status != _OK
+                state.status != _engine_state.OK
                 and not state.engine.leaving
                 and state.probe is None
                 and now_ms >= state.probe_at_ms
@@ -453,7 +403,7 @@
 
     def _readmit(self, state, now_ms):
         """Take the engine back as a suspect, so that it starts slowly."""
-        state.status = _OK
+        state.status = _engine_state.OK
         state.first = state.inter = None
         state.bad = BAD_LIMIT - 1
         state.first_bad_ms = 0
--- a/packages/testbed/src/paddle_testbed/specs/_machine.py
+++ b/packages/testbed/src/paddle_testbed/specs/_machine.py
@@ -110,6 +110,11 @@
         )
 
 
+def single_view(replicas):
+    """Return the views of a model whose replicas never change."""
+    return {FIRST_EPOCH: _view.View(FIRST_EPOCH, replicas, replicas)}
+
+
 class Machine:
     """Transitions of a model; ``views`` maps epochs to views."""
 
--- a/packages/testbed/src/paddle_testbed/specs/deletion.py
+++ b/packages/testbed/src/paddle_testbed/specs/deletion.py
@@ -13,7 +13,6 @@
 from paddle_coord import _acceptor
 from paddle_coord import _attempts
 from paddle_coord import _ballot
-from paddle_coord import _view
 
 from paddle_testbed.specs import _machine
 from paddle_testbed.specs import _spec
@@ -55,9 +54,8 @@
     """One register with a deleter; cells that are not stored are absent."""
 
     def __init__(self, setup, rules):
-        view = _view.View(_machine.FIRST_EPOCH, REPLICAS, REPLICAS)
         super().__init__(
-            views={view.epoch: view},
+            views=_machine.single_view(REPLICAS),
             replicas=REPLICAS,
             proposers=setup.proposers,
             rules=rules,
--- a/packages/testbed/src/paddle_testbed/specs/register.py
+++ b/packages/testbed/src/paddle_testbed/specs/register.py
@@ -3,7 +3,6 @@
 import functools
 
 import attrs
-from paddle_coord import _view
 
 from paddle_testbed.specs import _machine
 from paddle_testbed.specs import _spec
@@ -28,9 +27,8 @@
     """One register in one view; ``process`` counts the lost disks."""
 
     def __init__(self, setup, rules):
-        view = _view.View(_machine.FIRST_EPOCH, REPLICAS, REPLICAS)
         super().__init__(
-            views={view.epoch: view},
+            views=_machine.single_view(REPLICAS),
             replicas=REPLICAS,
             proposers=setup.proposers,
             rules=rules,
