--- a/Makefile
+++ b/Makefile
@@ -19,11 +19,11 @@
 	touch $@
 
 lint: setup
-	$(BIN)/ruff format --check packages tools examples
-	$(BIN)/flake8 packages tools examples
+	$(BIN)/ruff format --check packages platform tools examples
+	$(BIN)/flake8 packages platform tools examples
 
 format: setup
-	$(BIN)/ruff format packages tools examples
+	$(BIN)/ruff format packages platform tools examples
 
 test: setup
 	$(BIN)/python tools/run_tests.py
--- a/packages/coord/src/paddle_coord/__init__.py
+++ b/packages/coord/src/paddle_coord/__init__.py
@@ -15,6 +15,9 @@
 from paddle_coord._config_slots import ConfigChange
 from paddle_coord._config_slots import Fold
 from paddle_coord._config_slots import UnfoldableSlotError
+from paddle_coord._document import Document
+from paddle_coord._document import LARGEST_VERSION
+from paddle_coord._document import VersionedDocument
 from paddle_coord._lease import guarded_send
 from paddle_coord._lease import Lease
 from paddle_coord._lease import LEASE_KEY
@@ -40,6 +43,9 @@
 from paddle_coord._register import UNKNOWN
 from paddle_coord._replica import Replica
 from paddle_coord._seal import report_totals
+from paddle_coord._self_forming import LOOK_MS as MEMBERSHIP_LOOK_MS
+from paddle_coord._self_forming import Placement
+from paddle_coord._self_forming import SelfForming
 from paddle_coord._soft_state import choose_totals
 from paddle_coord._soft_state import ClassDemand
 from paddle_coord._soft_state import ClassTotal
@@ -76,9 +82,12 @@
     'DamagedStoreError',
     'DemandReport',
     'DemandTotals',
+    'Document',
     'Fold',
     'GIVEN_UP',
+    'LARGEST_VERSION',
     'LEASE_KEY',
+    'MEMBERSHIP_LOOK_MS',
     'Lease',
     'LeaseTiming',
     'Member',
@@ -90,6 +99,7 @@
     'Order',
     'OrderBook',
     'OrderRunner',
+    'Placement',
     'Proposer',
     'ProposerOptions',
     'RECORDED',
@@ -99,6 +109,7 @@
     'Replica',
     'ReplicaAdmin',
     'SENT',
+    'SelfForming',
     'SendError',
     'Share',
     'SoftState',
@@ -106,6 +117,7 @@
     'UNKNOWN',
     'UnfoldableSlotError',
     'UsageLedger',
+    'VersionedDocument',
     'View',
     'WindowReporter',
     'WindowSealer',
--- a/packages/coord/src/paddle_coord/_admin.py
+++ b/packages/coord/src/paddle_coord/_admin.py
@@ -77,9 +77,7 @@
         return {item: answers[item].value_or(None) for item in self._addresses}
 
     def _change(self, addresses):
-        proposer = _proposer.Proposer(
-            self._transport, addresses, self._clock, 'admin'
-        )
+        proposer = open_proposer(self._transport, addresses, self._clock)
         options = _view_change.ViewChangeOptions(
             call_timeout_ms=self._call_timeout_ms
         )
@@ -105,3 +103,8 @@
                     f'{address} did not confirm; repeat the operation'
                 )
         return returns.result.Success(view)
+
+
+def open_proposer(transport, addresses, clock):
+    """Return the proposer of a change of the replica set."""
+    return _proposer.Proposer(transport, addresses, clock, 'admin')
--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -55,3 +55,6 @@
     'ERROR',
     'the platform has another report of this window; check it by hand',
 )
+MEMBERSHIP_STEP = kernel.declare_event(
+    2006, 'INFO', 'a replica worked on its own membership'
+)
--- a/packages/coord/src/paddle_coord/_lease.py
+++ b/packages/coord/src/paddle_coord/_lease.py
@@ -203,7 +203,7 @@
         if self._released:
             return None
         before = self.number()
-        if before is not None or self._observed_holder() == self._holder:
+        if before is not None or self.observed_holder == self._holder:
             self._renew()
         else:
             self._contend()
@@ -213,7 +213,7 @@
     def release(self):
         """Give the lease back; the right ends before the change is sent."""
         self._released = True
-        held = self._observed_holder() == self._holder
+        held = self.observed_holder == self._holder
         self._state = drop_right(self._state)
         if not held:
             return
@@ -230,7 +230,9 @@
             'observed_number': value.number if value else 0,
         }
 
-    def _observed_holder(self):
+    @property
+    def observed_holder(self):
+        """The holder last read from the register, ``None`` if released."""
         value = self._state.observed
         return None if value is None else value.holder
 
@@ -249,7 +251,7 @@
         if not isinstance(result, returns.result.Success):
             return
         self._observe(result.unwrap())
-        if self._observed_holder() == self._holder:
+        if self.observed_holder == self._holder:
             # An earlier takeover had an unknown outcome and was applied.
             self._renew()
         elif may_take_over(self._state, self._clock.now_ms(), self.timing):
--- a/packages/coord/src/paddle_coord/_messages.py
+++ b/packages/coord/src/paddle_coord/_messages.py
@@ -88,6 +88,22 @@
     record: _acceptor.Record | None
 
 
+@attrs.frozen
+class Peek:
+    """Ask for the accepted ballot of a key; answered by Peeked or Refusal."""
+
+    target: str
+    epoch: int
+    key: str
+
+
+@attrs.frozen
+class Peeked:
+    """The ballot at which the present value was accepted and synced."""
+
+    accepted: _ballot.Ballot
+
+
 @attrs.frozen
 class ListKeys:
     """Ask for keys above ``after``; ``stored`` includes empty cells."""
@@ -202,6 +218,8 @@
         DropRecord,
         Fetch,
         Fetched,
+        Peek,
+        Peeked,
         FloorRecord,
         IdentityRecord,
         KeyDropped,
--- a/packages/coord/src/paddle_coord/_proposer.py
+++ b/packages/coord/src/paddle_coord/_proposer.py
@@ -108,6 +108,41 @@
                 return returns.result.Success(_value(seen[0].record))
         return self.read(key)
 
+    def peek(self, key):
+        """Return ``Success(Ballot)`` of the decided value of ``key``.
+
+        One round that moves no value and syncs nothing; ``Failure`` unless a
+        majority reports the same ballot.
+        """
+        if not self._view.epoch:
+            self.refresh_view()
+        answers = self.round(
+            lambda member, epoch: _messages.Peek(member.identity, epoch, key),
+            _messages.Peeked,
+        )
+        ballots = {item.accepted for item in answers.grants.values()}
+        if answers.granted and len(ballots) == 1:
+            return returns.result.Success(ballots.pop())
+        return _failure(_register.NOT_WRITTEN, 'replicas do not agree')
+
+    def fetch(self, key):
+        """Return ``Success((ballot, value))`` on which a majority agrees.
+
+        ``Failure`` when they differ; :meth:`read` then settles the value.
+        """
+        if not self._view.epoch:
+            self.refresh_view()
+        answers = self.round(
+            lambda member, epoch: _messages.Fetch(member.identity, epoch, key),
+            _messages.Fetched,
+        )
+        seen = list(answers.grants.values())
+        if answers.granted and all(item == seen[0] for item in seen):
+            return returns.result.Success(
+                (seen[0].accepted, _value(seen[0].record))
+            )
+        return _failure(_register.NOT_WRITTEN, 'replicas do not agree')
+
     def keys(self, prefix):
         """Return ``Success(keys)`` that start with ``prefix``, in order.
 
@@ -138,6 +173,10 @@
             return returns.result.Success(False)
         return returns.result.Success(self._drop(key))
 
+    def add_addresses(self, addresses):
+        """Ask these replicas for the view as well."""
+        self._addresses = tuple({*self._addresses, *addresses})
+
     def refresh_view(self):
         """Ask all known replicas for the current view and return it."""
         addresses = set(self._addresses) | set(_view.contacts(self._view))
--- a/packages/coord/src/paddle_coord/_replica.py
+++ b/packages/coord/src/paddle_coord/_replica.py
@@ -197,6 +197,14 @@
         cell = self._store.state.cell(message.key)
         return self._durable(_messages.Fetched(cell.accepted, cell.value))
 
+    @_answer.register
+    def _peek(self, message: _messages.Peek):
+        refusal = self._refusal(message)
+        if refusal is not None:
+            return refusal
+        cell = self._store.state.cell(message.key)
+        return self._durable(_messages.Peeked(cell.accepted))
+
     @_answer.register
     def _list(self, message: _messages.ListKeys):
         refusal = self._refusal(message)
--- a/packages/coord/src/paddle_coord/coord.capnp
+++ b/packages/coord/src/paddle_coord/coord.capnp
@@ -69,6 +69,16 @@
   record @1 :Record;
 }
 
+struct Peek {
+  target @0 :Text;
+  epoch @1 :UInt64;
+  key @2 :Text;
+}
+
+struct Peeked {
+  accepted @0 :Ballot;
+}
+
 struct ListKeys {
   target @0 :Text;
   epoch @1 :UInt64;
--- a/packages/kernel/src/paddle_kernel/__init__.py
+++ b/packages/kernel/src/paddle_kernel/__init__.py
@@ -6,6 +6,7 @@
 from paddle_kernel._clock import Clock
 from paddle_kernel._clock import FakeClock
 from paddle_kernel._clock import MS_PER_S
+from paddle_kernel._clock import SteadyWall
 from paddle_kernel._clock import SystemClock
 from paddle_kernel._codec import codec
 from paddle_kernel._codec import UnknownMessageError
@@ -16,10 +17,12 @@
 from paddle_kernel._events import declared as declared_events
 from paddle_kernel._events import emit
 from paddle_kernel._events import Event
+from paddle_kernel._events import SETTINGS_UNREADABLE
 from paddle_kernel._findings import Finding
 from paddle_kernel._findings import Findings
 from paddle_kernel._findings import FindingsError
 from paddle_kernel._loop import check as check_loop
+from paddle_kernel._loop import state as loop_state
 from paddle_kernel._loop import WrongLoopError
 from paddle_kernel._memory import DELAY
 from paddle_kernel._memory import DELIVER
@@ -59,7 +62,9 @@
     'MS_PER_S',
     'MemoryNetwork',
     'Registry',
+    'SETTINGS_UNREADABLE',
     'StateDump',
+    'SteadyWall',
     'Step',
     'SystemClock',
     'Task',
@@ -78,6 +83,7 @@
     'declare_event',
     'declared_events',
     'emit',
+    'loop_state',
     'process_state',
     'run_in_thread',
     'split_address',
--- a/packages/kernel/src/paddle_kernel/_clock.py
+++ b/packages/kernel/src/paddle_kernel/_clock.py
@@ -23,10 +23,14 @@
 
 
 class SystemClock:
-    """Clock of the machine."""
+    """Clock of the machine.
+
+    ``now_ms`` also counts the time that the machine was suspended, since a
+    lease ends during a suspension as well.
+    """
 
     def now_ms(self):
-        return time.monotonic_ns() // NS_PER_MS
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
 
     def wall_ms(self):
         return time.time_ns() // NS_PER_MS
@@ -35,6 +39,29 @@
         gevent.sleep(duration_ms / MS_PER_S)
 
 
+class SteadyWall:
+    """Time since the Unix epoch that does not follow steps of the wall clock.
+
+    The wall clock is read once; :meth:`agree` corrects the reading, for
+    example by the time that other instances have.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._offset_ms = clock.wall_ms() - clock.now_ms()
+
+    def now_ms(self):
+        """Return the time since the Unix epoch."""
+        return self._clock.now_ms() + self._offset_ms
+
+    def agree(self, true_ms, tolerance_ms):
+        """Use ``true_ms`` if the own time is further away than allowed."""
+        off_ms = true_ms - self.now_ms()
+        if abs(off_ms) > tolerance_ms:
+            self._offset_ms += off_ms
+        return off_ms
+
+
 class FakeClock:
     """Clock for tests that moves only when told to.
 
--- a/packages/kernel/src/paddle_kernel/_events.py
+++ b/packages/kernel/src/paddle_kernel/_events.py
@@ -4,14 +4,23 @@
 a test compares both.
 """
 
+import collections
 import json
 import sys
 
 import attrs
+import gevent
+import gevent.event
 import loguru
 
 _declared = {}
 
+# A gateway writes 3 lines a request and serves a few hundred requests a
+# second at most; a burst waits in memory for two seconds of writing.
+LINES_PER_S = 1_500
+LINES_KEPT = 3_000
+FLUSH_MS = 50
+
 LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
 
@@ -38,6 +47,14 @@
     return event
 
 
+DROPPED = declare(
+    1000, 'WARNING', 'log lines were dropped to bound their volume'
+)
+SETTINGS_UNREADABLE = declare(
+    1001, 'ERROR', 'changed settings cannot be used; the old ones stay'
+)
+
+
 def declared():
     """Return all declared events ordered by number."""
     return [_declared[number] for number in sorted(_declared)]
@@ -50,8 +67,7 @@
     bound.opt(depth=1).log(event.level, '{}', event.text)
 
 
-def _write_json(stream, message):
-    record = message.record
+def _json_line(record):
     line = {
         'time': record['time'].isoformat(),
         'level': record['level'].name,
@@ -59,27 +75,86 @@
         'text': record['message'],
         **record['extra'].get('fields', {}),
     }
-    stream.write(json.dumps(line, default=str) + '\n')
-    stream.flush()
+    return json.dumps(line, default=str) + '\n'
 
 
-def _write_text(stream, message):
-    record = message.record
+def _text_line(record):
     fields = record['extra'].get('fields', {})
     pairs = ' '.join(f'{name}={value}' for name, value in fields.items())
     number = record['extra'].get('event', '-')
-    stream.write(
+    return (
         f'{record["time"].isoformat()} {record["level"].name} '
         f'E{number} {record["message"]} {pairs}\n'
     )
-    stream.flush()
 
 
-def configure(*, style='text', level='INFO', stream=None):
-    """Send log records to ``stream`` (stderr) as ``text`` or ``json``."""
+class _BoundedWriter:
+    """Writes lines from a greenlet, at most ``LINES_PER_S`` of them.
+
+    Callers never wait for the stream. Lines beyond the bound are counted,
+    and the count is written in their place.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._lines = collections.deque()
+        self._dropped = 0
+        self._wake = gevent.event.Event()
+        gevent.spawn(self._run)
+
+    def put(self, line):
+        if len(self._lines) >= LINES_KEPT:
+            self._dropped += 1
+            return
+        self._lines.append(line)
+        self._wake.set()
+
+    def _run(self):
+        per_round = LINES_PER_S * FLUSH_MS // 1_000
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            gevent.sleep(FLUSH_MS / 1_000)
+            count = min(per_round, len(self._lines))
+            lines = [self._lines.popleft() for _ in range(count)]
+            if self._dropped:
+                lines.append(
+                    json.dumps(
+                        {
+                            'event': DROPPED.number,
+                            'level': DROPPED.level,
+                            'text': DROPPED.text,
+                            'count': self._dropped,
+                        }
+                    )
+                    + '\n'
+                )
+                self._dropped = 0
+            self._stream.write(''.join(lines))
+            self._stream.flush()
+            if self._lines:
+                self._wake.set()
+
+
+def configure(*, style='text', level='INFO', stream=None, bounded=False):
+    """Send log records to ``stream`` (stderr) as ``text`` or ``json``.
+
+    With ``bounded`` the volume is bounded and no caller waits for the
+    stream.
+    """
     stream = stream or sys.stderr
-    write = _write_json if style == 'json' else _write_text
+    line = _json_line if style == 'json' else _text_line
+    if bounded:
+        put = _BoundedWriter(stream).put
+    else:
+
+        def put(text):
+            stream.write(text)
+            stream.flush()
+
     loguru.logger.remove()
     loguru.logger.add(
-        lambda message: write(stream, message), level=level, format='{message}'
+        lambda message: put(line(message.record)),
+        level=level,
+        format='{message}',
     )
--- a/packages/kernel/src/paddle_kernel/_loop.py
+++ b/packages/kernel/src/paddle_kernel/_loop.py
@@ -39,5 +39,11 @@
         )
 
 
+def state():
+    """Return the loop and backend in use, for logs and the state dump."""
+    loop = gevent.get_hub().loop
+    return f'{type(loop).__module__}/{getattr(loop, "backend", None)}'
+
+
 # Importing the package is enough to select the loop.
 pin()
--- a/packages/kernel/src/paddle_kernel/_transport.py
+++ b/packages/kernel/src/paddle_kernel/_transport.py
@@ -192,12 +192,14 @@
         )
         self._lock = gevent.lock.Semaphore()
         self._waiting = {}
+        self._received = 0
         self.closed = False
         self._reader = gevent.spawn(self._read)
 
     def call(self, call_id, message, timeout_ms):
         fut = gevent.event.AsyncResult()
         self._waiting[call_id] = fut
+        received = self._received
         try:
             frame = pack(call_id, message)
             self._traffic.sent += len(frame)
@@ -205,6 +207,12 @@
                 with self._lock:
                     self._sock.sendall(frame)
                 return fut.get()
+        except gevent.Timeout:
+            # A connection can go silent without a reset; only a new one
+            # tells a lost connection from a slow peer.
+            if self._received == received:
+                self.close()
+            raise
         finally:
             self._waiting.pop(call_id, None)
 
@@ -218,6 +226,7 @@
         try:
             while True:
                 call_id, answer = receive(self._sock, self._traffic)
+                self._received += 1
                 fut = self._waiting.get(call_id)
                 if fut is not None:
                     fut.set(answer)
@@ -237,7 +246,8 @@
     def call(self, address, message, timeout_ms):
         """Return ``Success(answer)`` or ``Failure(CallError)``."""
         try:
-            conn = self._connection(address, timeout_ms)
+            with gevent.Timeout(timeout_ms / _clock.MS_PER_S):
+                conn = self._connection(address, timeout_ms)
         except (OSError, gevent.Timeout):
             return returns.result.Failure(CallError('refused', address))
         try:
--- a/packages/router/src/paddle_router/_platform.py
+++ b/packages/router/src/paddle_router/_platform.py
@@ -52,17 +52,24 @@
     return _http_out.Connection(address, sock)
 
 
-def _exchange(conn, method, target, headers, body, timeout_ms):
-    """Send once; return ``(status, document)``."""
+def exchange(
+    conn, method, target, headers, body, timeout_ms, *, most_bytes=ANSWER_BYTES
+):
+    """Send once; return ``(status, body)``."""
     headers = [('Content-Type', 'application/json'), *headers]
     conn.send(method, target, headers, body, timeout_ms=timeout_ms)
     answer = conn.read_head(timeout_ms)
-    data = answer.read_all(ANSWER_BYTES)
+    return answer.get_code(), answer.read_all(most_bytes)
+
+
+def _exchange(conn, method, target, headers, body, timeout_ms):
+    """Send once; return ``(status, document)``."""
+    status, data = exchange(conn, method, target, headers, body, timeout_ms)
     try:
         document = json.loads(data)
     except ValueError:
         document = None
-    return answer.get_code(), document if isinstance(document, dict) else {}
+    return status, document if isinstance(document, dict) else {}
 
 
 class OrderGateway:
--- /dev/null
+++ b/packages/router/src/paddle_router/gateway/__init__.py
@@ -0,0 +1,67 @@
+"""Forwarding of HTTP requests for callers, unchanged and in time.
+
+A gateway routes by host and path, places each request at a backend server and
+passes the answer on as it arrives. It follows a controller
+(:mod:`paddle_router.hub`) for configuration and servers; names and shapes of
+a platform come from a :class:`Dialect`.
+"""
+
+from paddle_router.gateway._connections import NoConnectionError
+from paddle_router.gateway._dialect import Dialect
+from paddle_router.gateway._follower import Follower
+from paddle_router.gateway._gateway import Gateway
+from paddle_router.gateway._http1 import own_headers
+from paddle_router.gateway._messages import FrontReport
+from paddle_router.gateway._messages import ListedServer
+from paddle_router.gateway._messages import ServerFlights
+from paddle_router.gateway._messages import SyncReply
+from paddle_router.gateway._messages import SyncRequest
+from paddle_router.gateway._messages import UsageCount
+from paddle_router.gateway._model import AnswerFacts
+from paddle_router.gateway._model import CallFacts
+from paddle_router.gateway._model import Configuration
+from paddle_router.gateway._model import ConfigurationError
+from paddle_router.gateway._model import Customer
+from paddle_router.gateway._model import EngineTraits
+from paddle_router.gateway._model import Handover
+from paddle_router.gateway._model import Kind
+from paddle_router.gateway._model import Limits
+from paddle_router.gateway._model import Load
+from paddle_router.gateway._model import PromptPart
+from paddle_router.gateway._model import Route
+from paddle_router.gateway._model import Scaling
+from paddle_router.gateway._model import Service
+from paddle_router.gateway._model import Weight
+from paddle_router.gateway._routes import RouteTable
+from paddle_router.gateway._settings import GatewaySettings
+
+__all__ = [
+    'AnswerFacts',
+    'CallFacts',
+    'Configuration',
+    'ConfigurationError',
+    'Customer',
+    'Dialect',
+    'EngineTraits',
+    'Follower',
+    'FrontReport',
+    'Gateway',
+    'GatewaySettings',
+    'Handover',
+    'Kind',
+    'Limits',
+    'ListedServer',
+    'Load',
+    'NoConnectionError',
+    'PromptPart',
+    'Route',
+    'RouteTable',
+    'Scaling',
+    'ServerFlights',
+    'Service',
+    'SyncReply',
+    'SyncRequest',
+    'UsageCount',
+    'Weight',
+    'own_headers',
+]
--- /dev/null
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -0,0 +1,233 @@
+"""Keeps a gateway's configuration, server list and sums up to date."""
+
+import itertools
+import secrets
+import zlib
+
+import returns.result
+
+import paddle_kernel
+from paddle_router.gateway import _events
+from paddle_router.gateway import _messages
+from paddle_router.gateway import _model
+from paddle_router.gateway import _routes
+from paddle_router import policy
+
+SYNC_MS = 250
+# Two missed answers and one connection attempt stay below the shortest bound
+# in which a configuration has to be in force (2,000 ms).
+CALL_TIMEOUT_MS = 500
+RETRY_MS = 50
+# A controller whose configuration is unconfirmed is left after this time.
+UNCONFIRMED_MS = 700
+# True times of instances differ by less; a larger difference is a clock that
+# was wrong when the process started.
+CLOCK_TOLERANCE_MS = 100
+
+
+class Follower:
+    """Exchanges state with one controller at a time.
+
+    ``table`` is the :class:`RouteTable` in use, ``None`` before the first
+    configuration; its version never decreases. ``servers`` is the list of
+    backend servers, ``None`` before the first one.
+    """
+
+    def __init__(
+        self, settings, dialect, clock, wall, transport, *, balancers, usage
+    ):
+        self._settings = settings
+        self._dialect = dialect
+        self._clock = clock
+        self._wall = wall
+        self._transport = transport
+        self._balancers = balancers
+        self._usage = usage
+        self._incarnation = secrets.token_hex(8)
+        self._sequence = itertools.count(1)
+        self._members = list(settings.controllers)
+        self._address = None
+        self._unconfirmed_since_ms = None
+        self._reported = {}
+        self._listing = ''
+        self._listeners = []
+        self.table = None
+        self.servers = None
+        self.fronts = 1
+        self.synced_ms = None
+
+    def on_change(self, function):
+        """Call ``function()`` after a new configuration or server list."""
+        self._listeners.append(function)
+
+    def step(self):
+        """Exchange state once; return the pause until the next step."""
+        address = self._address or self._next_address(None)
+        if address is None:
+            return SYNC_MS
+        result = self._transport.call(
+            address, self._request(), CALL_TIMEOUT_MS
+        )
+        reply = result.value_or(None)
+        if not isinstance(reply, _messages.SyncReply):
+            self._leave(address, _reason(result))
+            return RETRY_MS
+        self._use(address, reply)
+        return SYNC_MS
+
+    def add_controllers(self, addresses):
+        """Try these controllers, too; settings name others after a change."""
+        for address in addresses:
+            if address not in self._members:
+                self._members.append(address)
+
+    def dump(self):
+        """Return plain data for the state dump."""
+        version = self.table.configuration.version if self.table else None
+        return {
+            'controller': self._address,
+            'members': self._members,
+            'version': version,
+            'listing': self._listing,
+            'fronts': self.fronts,
+            'synced_ms': self.synced_ms,
+        }
+
+    def _request(self):
+        now_ms = self._clock.now_ms()
+        self._reported = {}
+        for balancer in self._balancers.values():
+            self._reported.update(balancer.own_loads(now_ms))
+        report = _messages.FrontReport(
+            name=self._settings.name,
+            incarnation=self._incarnation,
+            sequence=next(self._sequence),
+            flights=tuple(
+                _messages.ServerFlights(
+                    id=server_id,
+                    running=load.running,
+                    prefill=load.prefill,
+                    failures=load.failures,
+                    answers=load.answers,
+                    pace_ms=load.pace_ms,
+                    read_rate=load.read_rate,
+                )
+                for server_id, load in self._reported.items()
+            ),
+            usage=self._usage.recent(),
+        )
+        return _messages.SyncRequest(
+            reports=(report,),
+            version=self.table.configuration.version if self.table else 0,
+            listing=self._listing,
+            attached=True,
+        )
+
+    def _use(self, address, reply):
+        now_ms = self._clock.now_ms()
+        self.synced_ms = now_ms
+        self.fronts = max(1, reply.fronts)
+        if reply.members:
+            self._members = list(reply.members)
+        if address != self._address:
+            paddle_kernel.emit(_events.CONTROLLER_USED, address=address)
+        self._address = address
+        if reply.true_ms:
+            self._wall.agree(reply.true_ms, CLOCK_TOLERANCE_MS)
+        if reply.document is not None:
+            self._use_document(reply)
+        if reply.listing != self._listing:
+            self._use_listing(reply)
+        self._use_loads(reply, now_ms)
+        self._judge(address, reply, now_ms)
+
+    def _use_document(self, reply):
+        held = self.table.configuration.version if self.table else -1
+        if reply.version <= held:
+            return
+        try:
+            configuration = self._dialect.read_configuration(
+                zlib.decompress(reply.document)
+            )
+        except _model.ConfigurationError as exc:
+            paddle_kernel.emit(
+                _events.CONFIGURATION_UNREADABLE,
+                version=reply.version,
+                error=str(exc),
+            )
+            return
+        self.table = _routes.RouteTable(configuration)
+        paddle_kernel.emit(
+            _events.CONFIGURATION_USED,
+            version=reply.version,
+            previous=held,
+            routes=len(configuration.routes),
+        )
+        self._tell()
+
+    def _use_listing(self, reply):
+        self._listing = reply.listing
+        self.servers = reply.servers
+        paddle_kernel.emit(
+            _events.LISTING_USED,
+            listing=reply.listing,
+            servers=len(reply.servers),
+            leaving=sum(item.leaving for item in reply.servers),
+        )
+        self._tell()
+
+    def _use_loads(self, reply, now_ms):
+        loads = {}
+        for item in reply.flights:
+            own = self._reported.get(item.id, policy.SharedLoad())
+            loads[item.id] = policy.SharedLoad(
+                running=max(0, item.running - own.running),
+                prefill=max(0, item.prefill - own.prefill),
+                failures=max(0, item.failures - own.failures),
+                answers=max(0, item.answers - own.answers),
+                pace_ms=item.pace_ms,
+                read_rate=max(0, item.read_rate - own.read_rate),
+            )
+        for balancer in self._balancers.values():
+            balancer.set_others(loads, now_ms)
+
+    def _judge(self, address, reply, now_ms):
+        """Follow the controller in charge and leave an unconfirmed one."""
+        if reply.confirmed:
+            self._unconfirmed_since_ms = None
+        elif self._unconfirmed_since_ms is None:
+            self._unconfirmed_since_ms = now_ms
+        elif now_ms - self._unconfirmed_since_ms > UNCONFIRMED_MS:
+            self._leave(address, 'not confirmed')
+            return
+        if reply.confirmed and reply.controller not in ('', address):
+            self._address = reply.controller
+
+    def _leave(self, address, reason):
+        paddle_kernel.emit(
+            _events.CONTROLLER_LOST, address=address, reason=reason
+        )
+        self._unconfirmed_since_ms = None
+        self._address = self._next_address(address)
+
+    def _next_address(self, after):
+        """Return the address that follows ``after`` in turn."""
+        addresses = self._members or list(self._settings.controllers)
+        if not addresses:
+            return None
+        if after not in addresses:
+            # Gateways start at different places, so that the load of a lost
+            # controller spreads.
+            return addresses[hash(self._incarnation) % len(addresses)]
+        index = addresses.index(after) + 1
+        return addresses[index % len(addresses)]
+
+    def _tell(self):
+        for function in self._listeners:
+            function()
+
+
+def _reason(result):
+    if isinstance(result, returns.result.Success):
+        return 'an answer of another kind'
+    return result.failure().kind
--- /dev/null
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -0,0 +1,307 @@
+"""Assembly of a gateway."""
+
+import collections
+import random
+
+import falcon
+import gevent
+from gevent import pywsgi
+
+import paddle_kernel
+from paddle_router.gateway import _connections
+from paddle_router.gateway import _entry
+from paddle_router.gateway import _events
+from paddle_router.gateway import _follower
+from paddle_router.gateway import _forward
+from paddle_router.gateway import _metrics
+from paddle_router.gateway import _usage_counts
+from paddle_router import policy
+
+BALANCER = 'shared_load'
+HOUSEKEEPING_MS = 500
+# Part of the shared retry budget that gateways divide among themselves; the
+# rest covers gateways that the controllers do not count yet.
+BUDGET_PART = 0.8
+# The balancer in front asks once a second and takes a gateway out after two
+# misses; callers that it still sends meanwhile are served.
+NOTICE_MS = 2_300
+# Requests that still run this long before the forced end are broken off, so
+# that the process can close its connections by itself.
+END_MARGIN_MS = 400
+STOP_POLL_MS = 20
+# Descriptors for backend servers, files and peers.
+OTHER_DESCRIPTORS = 1_000
+DEFAULT_DESCRIPTORS = 4_000
+
+
+class _Budgets:
+    """Retry budgets by service, a part of the one that all share."""
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._by_service = {}
+        self._fronts = 1
+
+    def of(self, service):
+        """Return the :class:`RetryBudget` of ``service``."""
+        budget = self._by_service.get(service)
+        if budget is None:
+            budget = self._by_service[service] = policy.RetryBudget(
+                ratio=BUDGET_PART * self._settings.retry_ratio,
+                floor_per_s=0,
+                max_balance=self._most(),
+            )
+        return budget
+
+    def share(self, fronts):
+        """Divide the budget among ``fronts`` gateways."""
+        if fronts != self._fronts:
+            self._fronts = fronts
+            for budget in self._by_service.values():
+                budget.limit(self._most())
+
+    def _most(self):
+        return BUDGET_PART * self._settings.retry_slack / self._fronts
+
+
+class Parts:
+    """What the requests of one gateway share."""
+
+    def __init__(self, settings, dialect, clock, transport):
+        self.settings = settings
+        self.dialect = dialect
+        self.clock = clock
+        self.wall = paddle_kernel.SteadyWall(clock)
+        self.pool = _connections.ConnectionPool(clock)
+        self.balancers = {}
+        self.budgets = _Budgets(settings)
+        self.usage = _usage_counts.UsageCounts(
+            self.wall, settings.usage_window_ms
+        )
+        self.follower = _follower.Follower(
+            settings,
+            dialect,
+            clock,
+            self.wall,
+            transport,
+            balancers=self.balancers,
+            usage=self.usage,
+        )
+        self._servers = {}
+        self._rng = random.Random()
+        self.follower.on_change(self.apply)
+
+    def apply(self):
+        """Use the follower's present list of servers."""
+        now_ms = self.clock.now_ms()
+        servers = self.follower.servers or ()
+        self._servers = {item.id: item for item in servers}
+        groups = collections.defaultdict(list)
+        for item in servers:
+            groups[item.service].append(
+                policy.Engine(
+                    id=item.id,
+                    failure_domain=item.domain,
+                    slots=item.slots,
+                    cheap=item.spot,
+                    leaving=item.leaving,
+                )
+            )
+        for service in set(self.balancers) | set(groups):
+            if service not in self.balancers:
+                self.balancers[service] = policy.balancers.create(
+                    BALANCER,
+                    rng=self._rng,
+                    failure_domain=self.settings.failure_domain,
+                )
+            self.balancers[service].sync(groups[service], now_ms)
+        self.pool.keep_only(item.address for item in servers)
+
+    def server(self, server_id):
+        """Return the listed server."""
+        return self._servers[server_id]
+
+    def server_ids(self, service):
+        """Return the ids of the servers of ``service``."""
+        return {
+            item.id
+            for item in self._servers.values()
+            if item.service == service
+        }
+
+    def connection_limit(self, service):
+        """Return this gateway's part of the connections of a server."""
+        table = self.follower.table
+        found = table.configuration.services.get(service)
+        if found is None:
+            return 1
+        return max(2, found.connection_limit // self.follower.fronts)
+
+    def note_load(self, service, server_id, load):
+        """Note the load that a server reported with an answer."""
+        self.balancers[service].report(
+            server_id,
+            policy.LoadReport(
+                running=load.running, waiting=load.waiting, slots=load.slots
+            ),
+            self.clock.now_ms(),
+        )
+
+
+class Gateway:
+    """One running gateway.
+
+    ``ready_path`` is where the balancer in front asks for readiness.
+    """
+
+    def __init__(
+        self, settings, dialect, *, ready_path, clock=None, transport=None
+    ):
+        self.settings = settings
+        self.clock = clock or paddle_kernel.SystemClock()
+        self.transport = transport or paddle_kernel.TcpTransport()
+        self.parts = Parts(settings, dialect, self.clock, self.transport)
+        self.metrics = _metrics.GatewayMetrics()
+        self.parts.metrics = self.metrics
+        self.entry = _entry.Entry(
+            settings.listen,
+            self.parts.follower,
+            _forward.Forwarder(self.parts),
+            self.clock,
+            most=DEFAULT_DESCRIPTORS - OTHER_DESCRIPTORS,
+        )
+        self.dump = paddle_kernel.StateDump()
+        for name, part in (
+            ('follower', self.parts.follower),
+            ('connections', self.parts.pool),
+            ('entry', self.entry),
+        ):
+            self.dump.register(name, part.dump)
+        self.dump.register('balancers', self._dump_balancers)
+        self.metrics.watch(self)
+        self._stopping = False
+        self._greenlets = []
+        self._probe = pywsgi.WSGIServer(
+            paddle_kernel.split_address(settings.ready),
+            self._application(ready_path),
+            log=None,
+        )
+
+    @property
+    def ready(self):
+        """Whether new callers should be sent here."""
+        follower = self.parts.follower
+        return (
+            not self._stopping
+            and follower.table is not None
+            and follower.servers is not None
+        )
+
+    def start(self):
+        """Start serving."""
+        self._greenlets = [
+            gevent.spawn(self._follow),
+            gevent.spawn(self._keep_house),
+        ]
+        self._probe.start()
+        self.entry.start()
+        paddle_kernel.emit(
+            _events.STARTED,
+            name=self.settings.name,
+            listen=self.settings.listen,
+            ready=self.settings.ready,
+            loop=paddle_kernel.loop_state(),
+        )
+        return self
+
+    def stop(self):
+        """Stop gracefully; return whether all requests could finish."""
+        began_ms = self.clock.now_ms()
+        self._stopping = True
+        self.entry.closing = True
+        paddle_kernel.emit(_events.STOPPING, busy=self.entry.busy)
+        self.clock.sleep_ms(NOTICE_MS)
+        self.entry.stop_listening()
+        last_ms = began_ms + self.settings.stop_ms - END_MARGIN_MS
+        while self.entry.busy and self.clock.now_ms() < last_ms:
+            self.clock.sleep_ms(STOP_POLL_MS)
+        self.parts.follower.step()
+        left = self.entry.busy
+        paddle_kernel.emit(_events.STOPPED, left=left)
+        self.close()
+        return not left
+
+    def reload(self, controllers):
+        """Use the peer addresses of changed settings."""
+        self.parts.follower.add_controllers(controllers)
+        paddle_kernel.emit(
+            _events.SETTINGS_RELOADED, controllers=list(controllers)
+        )
+
+    def close(self):
+        """Stop at once."""
+        gevent.killall(self._greenlets, block=False)
+        self._probe.stop(timeout=0)
+        self.transport.close()
+
+    def _follow(self):
+        while True:
+            pause_ms = _follower.RETRY_MS
+            try:
+                pause_ms = self.parts.follower.step()
+                self.parts.budgets.share(self.parts.follower.fronts)
+            except Exception as exc:
+                _report(exc)
+            self.clock.sleep_ms(pause_ms)
+
+    def _keep_house(self):
+        while True:
+            self.clock.sleep_ms(HOUSEKEEPING_MS)
+            try:
+                self.parts.pool.prune()
+            except Exception as exc:
+                _report(exc)
+
+    def _application(self, ready_path):
+        app = falcon.App()
+        app.add_route(ready_path, _Readiness(self))
+        app.add_route('/metrics', _MetricsText(self.metrics))
+        app.add_route('/dump', _Dump(self.dump))
+        return app
+
+    def _dump_balancers(self):
+        return {
+            name: item.dump() for name, item in self.parts.balancers.items()
+        }
+
+
+class _Readiness:
+    def __init__(self, gateway):
+        self._gateway = gateway
+
+    def on_get(self, _req, resp):
+        resp.status = 200 if self._gateway.ready else 503
+        resp.media = {'ready': self._gateway.ready}
+
+
+class _MetricsText:
+    def __init__(self, metrics):
+        self._metrics = metrics
+
+    def on_get(self, _req, resp):
+        resp.content_type = 'text/plain; version=0.0.4'
+        resp.data = self._metrics.text()
+
+
+class _Dump:
+    def __init__(self, dump):
+        self._dump = dump
+
+    def on_get(self, _req, resp):
+        resp.media = self._dump.collect()
+
+
+def _report(exc):
+    paddle_kernel.emit(
+        _events.TASK_FAILED, error=f'{type(exc).__name__}: {exc}'
+    )
--- /dev/null
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -0,0 +1,397 @@
+"""HTTP/1.1 over gevent sockets, framed by h11.
+
+Both sides read strictly: what two readers of a message could understand
+differently is an error, and what follows a complete message belongs to no
+other one.
+"""
+
+import socket as plain_socket
+
+import attrs
+import gevent
+import gevent.socket
+import h11
+
+from paddle_kernel import MS_PER_S
+
+RECEIVE_BYTES = 65_536
+# Framing or one connection's own business; never passed on.
+CONNECTION_HEADERS = frozenset(
+    {
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    }
+)
+
+
+class BadRequestError(Exception):
+    """A request that cannot be read; ``status`` is the answer."""
+
+    def __init__(self, status, text):
+        super().__init__(text)
+        self.status = status
+
+
+class BrokenAnswerError(Exception):
+    """A backend server's answer is incomplete or not HTTP."""
+
+
+def get(headers, name):
+    """Return the first value of ``name`` (lower case bytes) or ``None``."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def own_headers(headers):
+    """Return ``headers`` without those that concern one connection."""
+    dropped = set(CONNECTION_HEADERS)
+    for name, value in headers:
+        if name.lower() == b'connection':
+            dropped.update(part.strip().lower() for part in value.split(b','))
+    return [item for item in headers if item[0].lower() not in dropped]
+
+
+def set_no_delay(sock):
+    """Send small segments at once."""
+    sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+
+
+def abort(sock):
+    """Close ``sock`` so that the peer sees a reset, not a clean end."""
+    try:
+        sock.setsockopt(
+            plain_socket.SOL_SOCKET,
+            plain_socket.SO_LINGER,
+            b'\x01\x00\x00\x00\x00\x00\x00\x00',
+        )
+    except OSError:
+        # The socket is closed already; there is nothing left to reset.
+        pass
+    sock.close()
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """A caller's request with its whole body."""
+
+    method: bytes
+    target: bytes
+    headers: list
+    body: bytes
+    http_version: bytes
+    received_ms: int
+    fresh_connection: bool
+
+    def header(self, name):
+        """Return the first value of ``name`` (lower case bytes)."""
+        return get(self.headers, name)
+
+
+class CallerConnection:
+    """Reads requests from a caller and writes the answers."""
+
+    def __init__(self, sock, clock, limits):
+        self.sock = sock
+        self._clock = clock
+        self._limits = limits
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self._served = 0
+        self.gone = False
+        self.closed_here = False
+
+    @property
+    def reusable(self):
+        """Whether another request may follow on this connection."""
+        return (
+            self._h11.our_state is h11.DONE
+            and self._h11.their_state is h11.DONE
+        )
+
+    @property
+    def started(self):
+        """Whether any byte of a next request has been received."""
+        return bool(self._h11.trailing_data[0])
+
+    def next_cycle(self):
+        """Prepare for the next request on the connection."""
+        self._h11.start_next_cycle()
+        self._served += 1
+
+    def read_request(self, limits, on_first_byte):
+        """Return the next :class:`Request`, ``None`` at a clean end.
+
+        :raises BadRequestError: if it must be refused.
+        :raises OSError: if the connection breaks.
+        """
+        self._limits = limits
+        wait_ms = limits.idle_ms if self._served else limits.header_ms
+        if not self.started and not self._receive(wait_ms):
+            return None
+        on_first_byte()
+        began_ms = self._clock.now_ms()
+        try:
+            with gevent.Timeout(limits.header_ms / MS_PER_S, False):
+                return self._read(began_ms)
+        except h11.RemoteProtocolError as exc:
+            raise BadRequestError(exc.error_status_hint, str(exc)) from exc
+        raise BadRequestError(408, 'the request did not arrive in time')
+
+    def wait_gone(self):
+        """Return whether the caller left; false if it sent more bytes."""
+        gevent.socket.wait_read(self.sock.fileno())
+        try:
+            self.gone = not self.sock.recv(1, plain_socket.MSG_PEEK)
+        except OSError:
+            self.gone = True
+        return self.gone
+
+    def send_head(self, status, headers, *, framing):
+        """Write the status line and headers."""
+        event = h11.Response(
+            status_code=status, headers=[*headers, *framing], reason=b''
+        )
+        self.sock.sendall(self._h11.send(event))
+
+    def send_data(self, data):
+        """Write a part of the body."""
+        self.sock.sendall(self._h11.send(h11.Data(data=data)))
+
+    def send_end(self):
+        """Write the end of the body."""
+        data = self._h11.send(h11.EndOfMessage())
+        if data:
+            self.sock.sendall(data)
+
+    def send_whole(self, status, headers, body, *, close):
+        """Write a whole answer in one piece."""
+        framing = [(b'Content-Length', str(len(body)).encode())]
+        if close:
+            framing.append((b'Connection', b'close'))
+        event = h11.Response(
+            status_code=status, headers=[*headers, *framing], reason=b''
+        )
+        data = self._h11.send(event)
+        if body:
+            data += self._h11.send(h11.Data(data=body)) or b''
+        data += self._h11.send(h11.EndOfMessage()) or b''
+        self.sock.sendall(data)
+
+    def _receive(self, wait_ms):
+        """Feed received bytes to the parser; false at the end."""
+        self.sock.settimeout(wait_ms / MS_PER_S)
+        try:
+            data = self.sock.recv(RECEIVE_BYTES)
+        except TimeoutError:
+            return False
+        finally:
+            self.sock.settimeout(None)
+        if not data:
+            return False
+        self._h11.receive_data(data)
+        return True
+
+    def _read(self, began_ms):
+        head = self._event()
+        _check_framing(head)
+        if self._h11.they_are_waiting_for_100_continue:
+            self.sock.sendall(
+                self._h11.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            )
+        parts = []
+        size = 0
+        while True:
+            event = self._event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+            size += len(event.data)
+            if size > self._limits.body_bytes:
+                raise BadRequestError(413, 'the body is too large')
+            parts.append(bytes(event.data))
+        return Request(
+            method=head.method,
+            target=head.target,
+            headers=head.headers.raw_items(),
+            body=b''.join(parts),
+            http_version=head.http_version,
+            received_ms=began_ms,
+            fresh_connection=not self._served,
+        )
+
+    def _event(self):
+        while True:
+            event = self._h11.next_event()
+            if event is not h11.NEED_DATA:
+                if isinstance(event, h11.ConnectionClosed):
+                    raise ConnectionResetError('closed within a request')
+                return event
+            data = self.sock.recv(RECEIVE_BYTES)
+            if not data:
+                raise ConnectionResetError('closed within a request')
+            self._h11.receive_data(data)
+
+
+def _check_framing(head):
+    """Refuse a request whose end two readers could see differently."""
+    names = [name for name, _value in head.headers]
+    if b'content-length' in names and b'transfer-encoding' in names:
+        raise BadRequestError(400, 'both a length and a transfer encoding')
+    if names.count(b'host') != 1:
+        raise BadRequestError(400, 'exactly one Host header is required')
+    if b'transfer-encoding' in names and head.http_version < b'1.1':
+        raise BadRequestError(400, 'a transfer encoding needs HTTP/1.1')
+
+
+class ServerConnection:
+    """One exchange at a time with a backend server.
+
+    A kept connection may bring bytes of an earlier answer; the caller
+    compares the request id and reads the next head with :meth:`read_head`.
+    """
+
+    def __init__(self, sock, address, *, max_head_bytes=65_536):
+        self.sock = sock
+        self.address = address
+        self.idle_since_ms = 0
+        self.idle_limit_ms = None
+        self.used = 0
+        self.sent_all = True
+        self._max_head_bytes = max_head_bytes
+        self._h11 = None
+        self._rest = b''
+        self._method = b'GET'
+
+    def is_quiet(self):
+        """Whether the idle connection is open and nothing was received."""
+        if self._rest:
+            return False
+        self.sock.settimeout(0.0)
+        try:
+            # Either the end or bytes that no request asked for.
+            self.sock.recv(1, plain_socket.MSG_PEEK)
+            return False
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        finally:
+            self.sock.settimeout(None)
+
+    def send(self, method, target, headers, body):
+        """Write a request; returns before a long body has left.
+
+        A server may answer before it has read the body, so the rest of a
+        long one is written by another greenlet.
+
+        :raises OSError: if the connection breaks.
+        """
+        self._method = method
+        self.used += 1
+        self._restart()
+        self.sent_all = False
+        framing = []
+        if body or method in (b'POST', b'PUT', b'PATCH'):
+            framing = [(b'Content-Length', str(len(body)).encode())]
+        data = self._h11.send(
+            h11.Request(
+                method=method, target=target, headers=[*headers, *framing]
+            )
+        )
+        if body:
+            self._h11.send(h11.Data(data=body))
+        self._h11.send(h11.EndOfMessage())
+        data += body
+        sent = self.sock.send(data)
+        self.sent_all = sent == len(data)
+        if not self.sent_all:
+            gevent.spawn(self._send_rest, data[sent:])
+
+    def read_head(self):
+        """Return the next :class:`h11.Response`.
+
+        :raises BrokenAnswerError: if there is none.
+        """
+        while True:
+            event = self._event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                return event
+            raise BrokenAnswerError(f'closed before an answer: {event!r}')
+
+    def read_data(self):
+        """Return the next bytes of the body, ``None`` at its end.
+
+        :raises BrokenAnswerError: if it ends early.
+        """
+        event = self._event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise BrokenAnswerError(f'the answer ends early: {event!r}')
+
+    def skip_answer(self):
+        """Forget the answer just read; the next one is ours."""
+        while self.read_data() is not None:
+            continue
+        if self._h11.their_state is not h11.DONE:
+            raise BrokenAnswerError('closed after the answer of another')
+        rest = bytes(self._h11.trailing_data[0])
+        self._restart()
+        self._h11.send(
+            h11.Request(
+                method=self._method, target=b'/', headers=[(b'Host', b'x')]
+            )
+        )
+        self._h11.send(h11.EndOfMessage())
+        if rest:
+            self._h11.receive_data(rest)
+
+    def finish(self):
+        """Return whether the connection can take another request."""
+        if self._h11.their_state is not h11.DONE or not self.sent_all:
+            return False
+        self._rest = bytes(self._h11.trailing_data[0])
+        return not self._rest
+
+    def close(self):
+        """Close at once; a server still at work sees the caller leave."""
+        abort(self.sock)
+
+    def _send_rest(self, data):
+        try:
+            self.sock.sendall(data)
+        except OSError:
+            # The reader of the answer meets the same broken connection.
+            return
+        self.sent_all = True
+
+    def _restart(self):
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self._max_head_bytes
+        )
+
+    def _event(self):
+        try:
+            while True:
+                event = self._h11.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._h11.receive_data(self.sock.recv(RECEIVE_BYTES))
+        except (h11.RemoteProtocolError, OSError) as exc:
+            raise BrokenAnswerError(str(exc)) from exc
--- /dev/null
+++ b/packages/router/src/paddle_router/gateway/_routes.py
@@ -0,0 +1,60 @@
+"""Choice of the route by host and longest path prefix."""
+
+import bisect
+
+
+class RouteTable:
+    """The routes of one configuration, searchable by host and path."""
+
+    def __init__(self, configuration):
+        self.configuration = configuration
+        self._by_host = {}
+        for route in configuration.routes:
+            prefixes = self._by_host.setdefault(route.host.lower(), {})
+            prefixes[route.prefix] = route
+
+    def find(self, host, target):
+        """Return the route of a request, ``None`` without a match.
+
+        ``host`` may have a port; ``target`` is the raw request target.
+        """
+        name = host.rsplit(':', 1)[0] if ':' in host else host
+        prefixes = self._by_host.get(name.lower())
+        if prefixes is None:
+            return None
+        path = target.split('?', 1)[0]
+        # Every prefix ends with a slash, so only those cuts can match.
+        end = path.rfind('/')
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end)
+        return None
+
+    def customer(self, key):
+        """Return the customer that holds ``key`` or ``None``."""
+        customers = self.configuration.customers
+        if customers is None or key is None:
+            return None
+        return customers.get(key)
+
+
+def choose_service(route, rng):
+    """Return the service of one request, by the route's weights."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    bounds = []
+    total = 0.0
+    for item in route.services:
+        total += item.weight
+        bounds.append(total)
+    index = bisect.bisect_right(bounds, rng.random() * total)
+    return route.services[min(index, len(bounds) - 1)].service
+
+
+def rank_of(route, customer):
+    """Return the priority of a request; 0 is the highest."""
+    if customer is not None and customer.priority is not None:
+        return customer.priority
+    return route.priority
--- /dev/null
+++ b/packages/router/src/paddle_router/gateway/_settings.py
@@ -0,0 +1,26 @@
+"""Settings of a gateway; an adapter or a JSON file fills them in."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings:
+    """Settings of one gateway.
+
+    ``listen`` serves callers, ``ready`` answers the balancer in front and
+    serves metrics and the state dump. ``controllers`` are peer addresses of
+    controllers to begin with. ``stop_ms`` is the time from the stop signal
+    to the forced end. ``retry_ratio`` and ``retry_slack`` bound the sends
+    beyond the first of each request, over all gateways together;
+    ``usage_window_ms`` is the length of a usage window.
+    """
+
+    name: str
+    failure_domain: str
+    listen: str
+    ready: str
+    controllers: tuple[str, ...]
+    stop_ms: int
+    retry_ratio: float
+    retry_slack: float
+    usage_window_ms: int
--- /dev/null
+++ b/packages/router/src/paddle_router/hub/_controller.py
@@ -0,0 +1,310 @@
+"""Assembly of a controller."""
+
+import pathlib
+import secrets
+import zlib
+
+import falcon
+import gevent
+from gevent import pywsgi
+
+import paddle_coord
+import paddle_kernel
+from paddle_router import gateway
+from paddle_router.hub import _control_api
+from paddle_router.hub import _duties
+from paddle_router.hub import _events
+from paddle_router.hub import _fleet
+from paddle_router.hub import _gate
+from paddle_router.hub import _platform
+
+# Gateways learn a change one exchange (250 ms) after this.
+REFRESH_MS = 200
+IDLE_REFRESH_MS = 1_000
+# A confirmation older than this is none; three refreshes fit.
+CONFIRMED_MS = 650
+LIST_MS = 500
+LEASE_TICK_MS = 200
+DUTY_MS = 400
+RELAY_MS = 500
+RELAY_TIMEOUT_MS = 400
+REPLICA_RETRY_MS = 500
+# A change of a register, with its retries; an operator goes to another
+# controller after a second.
+REGISTER_LIMIT_MS = 1_500
+REGISTER_CALL_MS = 400
+
+
+class Controller:
+    """Keeps the configuration, serves gateways and fulfils the duties."""
+
+    def __init__(
+        self,
+        settings,
+        dialect,
+        platform,
+        *,
+        config_path,
+        clock=None,
+        transport=None,
+    ):
+        self.settings = settings
+        self.platform = platform
+        self.clock = clock or paddle_kernel.SystemClock()
+        self.wall = paddle_kernel.SteadyWall(self.clock)
+        self.transport = transport or paddle_kernel.TcpTransport()
+        self.fleet = _fleet.Fleet(self.clock)
+        self.replica = None
+        self.forming = None
+        self.register = paddle_coord.Proposer(
+            self.transport,
+            settings.seeds,
+            self.clock,
+            settings.name,
+            options=paddle_coord.ProposerOptions(
+                call_timeout_ms=REGISTER_CALL_MS,
+                change_limit_ms=REGISTER_LIMIT_MS,
+            ),
+        )
+        self.document = paddle_coord.VersionedDocument(
+            self.register, self.clock
+        )
+        self.lease = paddle_coord.Lease(
+            self.register,
+            self.clock,
+            f'{settings.peer}/{secrets.token_hex(8)}',
+            timing=paddle_coord.LeaseTiming(duration_ms=settings.lease_ms),
+        )
+        self.gate = _gate.DutyGate(self.lease, platform)
+        self.usage = _duties.UsageDuty(settings, self)
+        self.dump = paddle_kernel.StateDump()
+        for name, part in (
+            ('document', self.document),
+            ('lease', self.lease),
+            ('fleet', self.fleet),
+            ('usage', self.usage),
+        ):
+            self.dump.register(name, part.dump)
+        self.dump.register(
+            'replica', lambda: self.replica.dump() if self.replica else None
+        )
+        self._peer = paddle_kernel.TcpServer(settings.peer, self._handle)
+        self._api = pywsgi.WSGIServer(
+            paddle_kernel.split_address(settings.listen),
+            self._application(dialect, config_path),
+            log=None,
+            error_log=None,
+        )
+        self._packed_version = None
+        self._packed_content = b''
+        self._greenlets = []
+
+    @property
+    def in_charge(self):
+        """Whether this process holds the lease."""
+        return self.lease.number() is not None
+
+    def start(self):
+        """Start serving."""
+        self._peer.start()
+        self._api.start()
+        self._run(self._keep_membership, paddle_coord.MEMBERSHIP_LOOK_MS)
+        self._run(self._refresh, REFRESH_MS)
+        self._run(self.lease.tick, LEASE_TICK_MS)
+        self._run(self._read_list, LIST_MS)
+        self._run(self._relay, RELAY_MS)
+        if self.settings.reports_usage:
+            self._run(self.usage.step, DUTY_MS)
+        paddle_kernel.emit(
+            _events.STARTED,
+            name=self.settings.name,
+            listen=self.settings.listen,
+            peer=self.settings.peer,
+            first_start=self.settings.first_start,
+            loop=paddle_kernel.loop_state(),
+        )
+        return self
+
+    def stop(self):
+        """Give the lease back and stop; returns true."""
+        paddle_kernel.emit(_events.STOPPING, in_charge=self.in_charge)
+        with gevent.Timeout(2 * REGISTER_LIMIT_MS / 1_000, False):
+            self.lease.release()
+        self.close()
+        return True
+
+    def reload(self, controllers):
+        """Use the peer addresses of changed settings."""
+        self.register.add_addresses(controllers)
+        if self.forming is not None:
+            self.forming.known.update(controllers)
+        paddle_kernel.emit(
+            _events.SETTINGS_RELOADED, controllers=list(controllers)
+        )
+
+    def close(self):
+        """Stop at once."""
+        gevent.killall(self._greenlets, block=False)
+        self._api.stop(timeout=0)
+        self._peer.stop()
+        if self.replica is not None:
+            self.replica.stop()
+        self.transport.close()
+
+    # Periodic work
+
+    def _run(self, function, period_ms):
+        def loop():
+            while True:
+                try:
+                    function()
+                except Exception as exc:
+                    paddle_kernel.emit(
+                        _events.TASK_FAILED,
+                        task=function.__name__,
+                        error=f'{type(exc).__name__}: {exc}',
+                    )
+                self.clock.sleep_ms(period_ms)
+
+        self._greenlets.append(gevent.spawn(loop))
+
+    def _keep_membership(self):
+        if self.replica is None:
+            self._open_replica()
+        if self.forming is not None:
+            self.forming.step()
+
+    def _open_replica(self):
+        folder = pathlib.Path(self.settings.data_dir) / 'replica'
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self.replica = paddle_coord.Replica.open(
+                folder, self.settings.peer, self.clock
+            )
+            self.forming = paddle_coord.SelfForming.open(
+                self.replica,
+                self.transport,
+                self.clock,
+                paddle_coord.Placement(
+                    self.settings.peer, self.settings.seeds
+                ),
+                data_dir=folder,
+                first_start=self.settings.first_start,
+            )
+        except (OSError, paddle_coord.StoreError) as exc:
+            paddle_kernel.emit(_events.REPLICA_FAILED, error=str(exc))
+
+    def _refresh(self):
+        if not self.register.view.epoch:
+            if self.forming is not None:
+                self.register.add_addresses(self.forming.known)
+            if not self.register.refresh_view().epoch:
+                return
+        age_ms = self.document.age_ms()
+        if (
+            age_ms is not None
+            and age_ms < IDLE_REFRESH_MS
+            and not self.fleet.has_gateways
+        ):
+            return
+        self.document.refresh()
+
+    def _read_list(self):
+        if not (self.in_charge or self.fleet.has_gateways):
+            return
+        try:
+            changed = self.fleet.set_servers(self.platform.list_servers())
+        except (OSError, _platform.PlatformError) as exc:
+            paddle_kernel.emit(
+                _events.LIST_FAILED,
+                error=str(exc),
+                age_ms=self.fleet.list_age_ms(),
+            )
+            return
+        if changed:
+            paddle_kernel.emit(
+                _events.LIST_READ,
+                listing=self.fleet.listing,
+                servers=len(self.fleet.servers),
+                leaving=[
+                    item.id for item in self.fleet.servers if item.leaving
+                ],
+            )
+
+    def _relay(self):
+        """Pass reports of own gateways on to the controller in charge."""
+        reports = self.fleet.own_reports()
+        address = self._charge_address()
+        if self.in_charge or not reports or address is None:
+            return
+        self.transport.call(
+            address,
+            gateway.SyncRequest(
+                reports=reports, version=0, listing='', attached=False
+            ),
+            RELAY_TIMEOUT_MS,
+        )
+
+    def _charge_address(self):
+        """Return the peer address of the lease's holder, or ``None``."""
+        holder = self.lease.observed_holder
+        return holder.partition('/')[0] if holder else None
+
+    # Messages
+
+    def _handle(self, message):
+        if isinstance(message, gateway.SyncRequest):
+            return self._sync(message)
+        if self.replica is None:
+            return None
+        return self.replica.handle(message)
+
+    def _sync(self, message):
+        self.fleet.note(message.reports, message.attached)
+        current = self.document.current
+        version = current.version if current else 0
+        age_ms = self.document.age_ms()
+        is_newer = message.attached and version > message.version
+        is_listed = message.attached and self.fleet.servers is not None
+        new_list = is_listed and message.listing != self.fleet.listing
+        return gateway.SyncReply(
+            controller=self._charge_address() or '',
+            members=self._members(),
+            confirmed=age_ms is not None and age_ms < CONFIRMED_MS,
+            version=version,
+            document=self._packed(current) if is_newer else None,
+            listing=self.fleet.listing if is_listed else message.listing,
+            servers=self.fleet.servers if new_list else (),
+            fronts=self.fleet.count(),
+            flights=tuple(self.fleet.flights().values())
+            if message.attached
+            else (),
+            true_ms=self.wall.now_ms(),
+        )
+
+    def _packed(self, document):
+        """Return the compressed content, computed once for a version."""
+        if self._packed_version != document.version:
+            self._packed_version = document.version
+            self._packed_content = zlib.compress(document.content, 1)
+        return self._packed_content
+
+    def _members(self):
+        return tuple(item.address for item in self.register.view.new)
+
+    def _application(self, dialect, config_path):
+        app = falcon.App()
+        app.add_route(
+            config_path,
+            _control_api.ConfigurationResource(self.document, dialect),
+        )
+        app.add_route('/dump', _Dump(self.dump))
+        return app
+
+
+class _Dump:
+    def __init__(self, dump):
+        self._dump = dump
+
+    def on_get(self, _req, resp):
+        resp.media = self._dump.collect()
--- /dev/null
+++ b/packages/router/src/paddle_router/hub/_events.py
@@ -0,0 +1,48 @@
+"""Numbered log events of the controller, 3400 to 3499."""
+
+import paddle_kernel
+
+STARTED = paddle_kernel.declare_event(3400, 'INFO', 'controller is serving')
+STOPPING = paddle_kernel.declare_event(3401, 'INFO', 'controller stops')
+TASK_FAILED = paddle_kernel.declare_event(
+    3402, 'ERROR', 'a periodic task of the controller failed; it runs again'
+)
+SETTINGS_RELOADED = paddle_kernel.declare_event(
+    3403, 'INFO', 'the settings file was read again'
+)
+CONFIGURATION_ACCEPTED = paddle_kernel.declare_event(
+    3410, 'INFO', 'a configuration was acknowledged'
+)
+CONFIGURATION_INVALID = paddle_kernel.declare_event(
+    3411, 'WARNING', 'a configuration is not valid and was refused'
+)
+CONFIGURATION_UNDECIDED = paddle_kernel.declare_event(
+    3412, 'WARNING', 'no majority confirmed a configuration in time'
+)
+READ_UNCONFIRMED = paddle_kernel.declare_event(
+    3413, 'WARNING', 'a read was refused: the newest version is not known'
+)
+LIST_READ = paddle_kernel.declare_event(
+    3420, 'INFO', 'the list of backend servers has changed'
+)
+LIST_FAILED = paddle_kernel.declare_event(
+    3421, 'WARNING', 'the list of backend servers could not be read'
+)
+USAGE_SEALED = paddle_kernel.declare_event(
+    3430, 'INFO', 'a usage window was sealed'
+)
+USAGE_SENT = paddle_kernel.declare_event(
+    3431, 'INFO', 'a usage window was reported'
+)
+USAGE_FAILED = paddle_kernel.declare_event(
+    3432, 'WARNING', 'a usage window could not be reported yet'
+)
+SERVERS_ORDERED = paddle_kernel.declare_event(
+    3440, 'INFO', 'a number of backend servers was ordered'
+)
+ORDER_FAILED = paddle_kernel.declare_event(
+    3441, 'WARNING', 'an order for backend servers failed'
+)
+REPLICA_FAILED = paddle_kernel.declare_event(
+    3450, 'ERROR', 'the replica cannot be opened; retrying'
+)
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -55,6 +55,10 @@
 from paddle_router.policy._retry import Attempt
 from paddle_router.policy._retry import decide as decide_retry
 from paddle_router.policy._retry import RetryBudget
+from paddle_router.policy._shared_load import EngineWork
+from paddle_router.policy._shared_load import SharedFlight
+from paddle_router.policy._shared_load import SharedLoad
+from paddle_router.policy._shared_load import SharedLoadBalancer
 from paddle_router.policy._slots import own_slots
 from paddle_router.policy._slots import share_of
 from paddle_router.policy._tiered_fair import TieredFairScheduler
@@ -71,6 +75,7 @@
     'DemandForecast',
     'Ejection',
     'Engine',
+    'EngineWork',
     'FIRST_TOKEN',
     'FifoScheduler',
     'Flight',
@@ -100,6 +105,9 @@
     'STARTING',
     'Scheduler',
     'Server',
+    'SharedFlight',
+    'SharedLoad',
+    'SharedLoadBalancer',
     'StartUpTime',
     'StaticPeakPlanner',
     'Ticket',
--- a/packages/router/src/paddle_router/policy/_retry.py
+++ b/packages/router/src/paddle_router/policy/_retry.py
@@ -17,16 +17,27 @@
     """Allows retries in proportion to the requests of this daemon."""
 
     def __init__(
-        self, *, ratio=RETRY_RATIO, floor_per_s=FLOOR_PER_S, now_ms=0
+        self,
+        *,
+        ratio=RETRY_RATIO,
+        floor_per_s=FLOOR_PER_S,
+        max_balance=MAX_BALANCE,
+        now_ms=0,
     ):
         self._ratio = ratio
+        self._max_balance = max_balance
         self._floor_per_s = floor_per_s
         self._balance = 1.0
         self._updated_ms = now_ms
 
     def note_request(self):
         """Count one first attempt."""
-        self._balance = min(MAX_BALANCE, self._balance + self._ratio)
+        self._balance = min(self._max_balance, self._balance + self._ratio)
+
+    def limit(self, max_balance):
+        """Keep at most ``max_balance`` retries for later."""
+        self._max_balance = max_balance
+        self._balance = min(self._balance, max_balance)
 
     def take(self, now_ms):
         """Spend one retry; false when the budget is exhausted."""
--- /dev/null
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -0,0 +1,434 @@
+"""Balancer for servers that many gateways use at the same time.
+
+Each gateway knows its own requests exactly and those of all others as sums
+that are a few hundred ms old. The cost of a server for a request is what the
+request would wait there and what it would take from the requests that run
+there already:
+
+* a long prompt delays every running stream by its reading time, so it goes
+  where few streams run and where parts of it are probably cached;
+* a short prompt goes where few prompt tokens are read, since each long prompt
+  there would interrupt its events.
+
+Load pattern it answers: a burst of long prompts beside short chats. Placed by
+the number of requests alone, every server reads long prompts all the time and
+the chats miss the longest allowed pause between events.
+"""
+
+import collections
+import hashlib
+import math
+import statistics
+
+import attrs
+
+from paddle_router.policy import _hooks
+
+# Prompt tokens a server reads per ms until answers have shown it; the lower
+# of the two sites' sheets.
+DEFAULT_READ_RATE = 60.0
+# Prompts shorter than this say little about the reading rate.
+RATE_MIN_TOKENS = 3_000
+RATE_GAIN = 0.1
+RATE_RANGE = (5.0, 1_000.0)
+# Weight of one running request against a first token that uses up its target.
+RUNNING_WEIGHT = 0.01
+# Weight of the delay, in ms, that a prompt causes to each running stream.
+HARM_PER_MS = 0.002
+# Weight of the part of time in which the server reads prompts; for a stream
+# whose events must not pause.
+BUSY_WEIGHT = 1.5
+# Requests beyond the slots wait for a whole run of another one.
+OVERFLOW_WEIGHT = 3.0
+FAILURE_WEIGHT = 20.0
+# Virtual good answers, so that one failure is no verdict.
+PRIOR_ANSWERS = 4
+# A little preference for the own failure domain, where bytes are free.
+DISTANCE_COST = 0.02
+# Servers within this cost of the best one are drawn from at random, so that
+# gateways with the same old sums do not all choose the same server.
+TIE_COST = 0.03
+# A server that refused a connection is left alone this long, then doubled.
+HOLD_MIN_MS = 300
+HOLD_MAX_MS = 2_000
+# Sums of other gateways older than this are not used.
+OTHERS_LIFETIME_MS = 2_000
+REPORT_LIFETIME_MS = 700
+WINDOW_MS = 2_500
+# Remembered prompt parts per server and their lifetime in a busy cache.
+PARTS_KEPT = 4_096
+PART_LIFETIME_MS = 20_000
+# Chance that the preferred server of a prompt part has it although this
+# gateway did not send it there.
+PREFERRED_CACHED = 0.5
+LONG_PROMPT_TOKENS = 4_000
+# A server this many times slower than the median pays that factor.
+SLOW_RATIO = 2.0
+PACE_MIN_ANSWERS = 4
+
+
+@attrs.frozen(kw_only=True)
+class EngineWork:
+    """A request to place.
+
+    ``parts`` are pairs of part id and tokens in the order of the prompt;
+    ``target_ms`` is the latency target and ``gap_ms`` the longest pause
+    between events, 0 for a plain call.
+    """
+
+    prompt_tokens: int = 0
+    parts: tuple = ()
+    target_ms: int = 1_000
+    gap_ms: int = 0
+    avoid: frozenset = frozenset()
+
+
+@attrs.frozen(kw_only=True)
+class SharedLoad:
+    """Sums of other gateways for one server."""
+
+    running: int = 0
+    prefill: int = 0
+    failures: int = 0
+    answers: int = 0
+    pace_ms: int = 0
+    read_rate: int = 0
+
+
+@attrs.define(eq=False)
+class SharedFlight:
+    """A request of this gateway at a server."""
+
+    server_id: str
+    work: EngineWork
+    sent_ms: int
+    uncached: int
+    backlog: float
+    last_ms: int
+    started: bool = False
+    events: int = 0
+
+
+class _Window:
+    """Sums over the last few seconds, in two halves."""
+
+    def __init__(self):
+        self._began_ms = 0
+        self._now = collections.Counter()
+        self._before = collections.Counter()
+
+    def add(self, now_ms, **values):
+        self._turn(now_ms)
+        self._now.update(values)
+
+    def get(self, now_ms, name):
+        self._turn(now_ms)
+        return self._now[name] + self._before[name]
+
+    def _turn(self, now_ms):
+        if now_ms - self._began_ms >= WINDOW_MS:
+            recent = now_ms - self._began_ms < 2 * WINDOW_MS
+            self._before = self._now if recent else collections.Counter()
+            self._now = collections.Counter()
+            self._began_ms = now_ms
+
+
+@attrs.define(eq=False)
+class _State:
+    engine: _hooks.Engine
+    flights: set = attrs.field(factory=set)
+    others: SharedLoad = SharedLoad()
+    others_ms: int = -OTHERS_LIFETIME_MS
+    reported: _hooks.LoadReport | None = None
+    reported_ms: int = 0
+    flights_at_report: int = 0
+    window: _Window = attrs.field(factory=_Window)
+    parts: collections.OrderedDict = attrs.field(
+        factory=collections.OrderedDict
+    )
+    hold_until_ms: int = 0
+    hold_ms: int = HOLD_MIN_MS
+
+    def fresh_others(self, now_ms):
+        if now_ms - self.others_ms > OTHERS_LIFETIME_MS:
+            return SharedLoad()
+        return self.others
+
+    def running(self, now_ms):
+        """Return the requests there, from sums or a newer report."""
+        summed = len(self.flights) + self.fresh_others(now_ms).running
+        age_ms = now_ms - self.reported_ms
+        if self.reported is None or age_ms > REPORT_LIFETIME_MS:
+            return summed
+        seen = self.reported.running + self.reported.waiting
+        seen += len(self.flights) - self.flights_at_report
+        return max(seen, len(self.flights), summed * 0.5)
+
+    def backlog(self, now_ms, rate):
+        """Return the prompt tokens still to be read before a new one."""
+        own = sum(
+            max(0.0, item.uncached - (now_ms - item.sent_ms) * rate)
+            for item in self.flights
+            if not item.started
+        )
+        age_ms = now_ms - self.others_ms
+        others = self.fresh_others(now_ms).prefill - age_ms * rate * 0.5
+        return own + max(0.0, others)
+
+    def busy(self, now_ms, rate):
+        """Return the part of time spent reading prompts, 0 to 1."""
+        own = self.window.get(now_ms, 'tokens') / (1.5 * WINDOW_MS)
+        others = self.fresh_others(now_ms).read_rate / 1_000
+        return min(1.0, (own + others) / rate)
+
+    def failure_part(self, now_ms):
+        others = self.fresh_others(now_ms)
+        failures = self.window.get(now_ms, 'failures') + others.failures
+        answers = self.window.get(now_ms, 'answers') + others.answers
+        return failures / (failures + answers + PRIOR_ANSWERS)
+
+    def pace_ms(self, now_ms):
+        """Return the mean pace, ``None`` with too few answers."""
+        others = self.fresh_others(now_ms)
+        paced = self.window.get(now_ms, 'paced')
+        count = paced + others.answers * bool(others.pace_ms)
+        if count < PACE_MIN_ANSWERS:
+            return None
+        total = self.window.get(now_ms, 'pace_ms')
+        return (total + others.answers * others.pace_ms) / count
+
+    def cached(self, parts, now_ms):
+        """Return the leading prompt tokens sent here a short time ago."""
+        tokens = 0
+        for part, size in parts:
+            seen_ms = self.parts.get(part)
+            if seen_ms is None or now_ms - seen_ms > PART_LIFETIME_MS:
+                break
+            tokens += size
+        return tokens
+
+    def remember(self, parts, now_ms):
+        for part, _size in parts:
+            self.parts[part] = now_ms
+            self.parts.move_to_end(part)
+        while len(self.parts) > PARTS_KEPT:
+            self.parts.popitem(last=False)
+
+
+@_hooks.balancers.register('shared_load')
+class SharedLoadBalancer:
+    """See the module; one instance serves one service."""
+
+    def __init__(self, *, rng, failure_domain=''):
+        self._rng = rng
+        self._domain = failure_domain
+        self._states = {}
+        self._rate = DEFAULT_READ_RATE
+
+    def sync(self, engines, now_ms):
+        """Use this list of servers; those not listed are forgotten."""
+        listed = {engine.id: engine for engine in engines}
+        for server_id in set(self._states) - set(listed):
+            del self._states[server_id]
+        for server_id, engine in listed.items():
+            state = self._states.get(server_id)
+            if state is None:
+                self._states[server_id] = _State(engine)
+            else:
+                state.engine = engine
+
+    def set_others(self, loads, now_ms):
+        """Use ``{server id: SharedLoad}`` of the other gateways."""
+        for server_id, state in self._states.items():
+            state.others = loads.get(server_id, SharedLoad())
+            state.others_ms = now_ms
+
+    def report(self, engine_id, report, now_ms):
+        """Note a load report."""
+        state = self._states.get(engine_id)
+        if state is not None:
+            state.reported = report
+            state.reported_ms = now_ms
+            state.flights_at_report = len(state.flights)
+
+    def choose(self, work, now_ms):
+        """Return a :class:`SharedFlight`, ``None`` without a server."""
+        states = [
+            state
+            for state in self._states.values()
+            if not state.engine.leaving and state.engine.id not in work.avoid
+        ]
+        open_states = [x for x in states if x.hold_until_ms <= now_ms]
+        states = open_states or states
+        if not states:
+            return None
+        preferred = self._preferred(states, work)
+        median = self._median_pace(now_ms)
+        costs = [
+            (self._cost(state, work, now_ms, preferred, median), state)
+            for state in states
+        ]
+        least = min(cost for cost, _state in costs)
+        near = [state for cost, state in costs if cost <= least + TIE_COST]
+        return self._occupy(self._rng.choice(near), work, now_ms)
+
+    def can_place(self, avoid):
+        """Return whether a server outside ``avoid`` takes new work."""
+        return any(
+            not state.engine.leaving and server_id not in avoid
+            for server_id, state in self._states.items()
+        )
+
+    def saturation(self, now_ms):
+        """Return the part of all places that is taken; may exceed 1."""
+        places = running = 0
+        for state in self._states.values():
+            if not state.engine.leaving and state.hold_until_ms <= now_ms:
+                places += state.engine.slots
+                running += state.running(now_ms)
+        return running / places if places else math.inf
+
+    def observe(self, flight, now_ms, tokens):
+        """Note an event of the answer; the first one starts the run."""
+        state = self._states.get(flight.server_id)
+        if not flight.started:
+            flight.started = True
+            self._learn_rate(flight, now_ms)
+        elif state is not None:
+            state.window.add(now_ms, paced=1, pace_ms=now_ms - flight.last_ms)
+        flight.last_ms = now_ms
+        flight.events = tokens
+
+    def finish(self, flight, now_ms, ok):
+        """Free the place; ``ok`` is false only for a fault of the server."""
+        state = self._states.get(flight.server_id)
+        if state is None:
+            return
+        state.flights.discard(flight)
+        if not ok:
+            state.window.add(now_ms, failures=1)
+            return
+        state.hold_ms = HOLD_MIN_MS
+        state.window.add(now_ms, answers=1)
+        if not flight.work.gap_ms:
+            state.window.add(now_ms, paced=1, pace_ms=now_ms - flight.sent_ms)
+
+    def hold(self, flight, now_ms):
+        """Leave the server of ``flight`` alone; it could not be reached."""
+        state = self._states.get(flight.server_id)
+        if state is None:
+            return
+        state.flights.discard(flight)
+        state.hold_until_ms = now_ms + state.hold_ms
+        state.hold_ms = min(HOLD_MAX_MS, 2 * state.hold_ms)
+
+    def own_loads(self, now_ms):
+        """Return ``{server id: SharedLoad}`` of this gateway."""
+        loads = {}
+        for server_id, state in self._states.items():
+            window = state.window
+            paced = window.get(now_ms, 'paced')
+            prefill = sum(
+                item.uncached for item in state.flights if not item.started
+            )
+            load = SharedLoad(
+                running=len(state.flights),
+                prefill=prefill,
+                failures=window.get(now_ms, 'failures'),
+                answers=window.get(now_ms, 'answers'),
+                pace_ms=window.get(now_ms, 'pace_ms') // paced if paced else 0,
+                read_rate=int(
+                    window.get(now_ms, 'tokens') * 1_000 / (1.5 * WINDOW_MS)
+                ),
+            )
+            if load != SharedLoad():
+                loads[server_id] = load
+        return loads
+
+    def dump(self):
+        """Return the state as plain data."""
+        return {
+            server_id: {
+                'flights': len(state.flights),
+                'others': attrs.asdict(state.others),
+                'hold_until_ms': state.hold_until_ms,
+            }
+            for server_id, state in self._states.items()
+        }
+
+    def _preferred(self, states, work):
+        """Return the server that all gateways prefer for the prompt."""
+        if len(work.parts) < 2:
+            return None
+        # The last part belongs to the request alone.
+        part = work.parts[-2][0]
+        return max(states, key=lambda state: _affinity(part, state.engine.id))
+
+    def _cost(self, state, work, now_ms, preferred, median):
+        slots = max(1, state.engine.slots)
+        running = state.running(now_ms)
+        cost = RUNNING_WEIGHT * running
+        if running >= slots:
+            cost += OVERFLOW_WEIGHT * (1 + running - slots) / slots
+        cost += FAILURE_WEIGHT * state.failure_part(now_ms) ** 2
+        if state.engine.failure_domain != self._domain:
+            cost += DISTANCE_COST
+        if work.prompt_tokens:
+            cost += self._reading_cost(state, work, now_ms, preferred)
+        else:
+            cost += running / slots
+        pace = state.pace_ms(now_ms)
+        if pace and median and pace > SLOW_RATIO * median:
+            cost = (cost + 0.5) * pace / median
+        return cost
+
+    def _reading_cost(self, state, work, now_ms, preferred):
+        uncached = self._uncached(state, work, now_ms, preferred)
+        reading_ms = uncached / self._rate
+        backlog_ms = state.backlog(now_ms, self._rate) / self._rate
+        cost = (backlog_ms + reading_ms) / max(1, work.target_ms)
+        cost += HARM_PER_MS * reading_ms * state.running(now_ms) / 10
+        if work.prompt_tokens < LONG_PROMPT_TOKENS:
+            cost += BUSY_WEIGHT * state.busy(now_ms, self._rate)
+        return cost
+
+    def _uncached(self, state, work, now_ms, preferred):
+        cached = state.cached(work.parts, now_ms)
+        if state is preferred:
+            shared = sum(size for _part, size in work.parts[:-1])
+            cached = max(cached, PREFERRED_CACHED * shared)
+        return max(1, work.prompt_tokens - cached)
+
+    def _occupy(self, state, work, now_ms):
+        uncached = work.prompt_tokens - state.cached(work.parts, now_ms)
+        flight = SharedFlight(
+            state.engine.id,
+            work,
+            now_ms,
+            max(0, uncached),
+            state.backlog(now_ms, self._rate),
+            now_ms,
+        )
+        state.remember(work.parts, now_ms)
+        state.window.add(now_ms, tokens=flight.uncached)
+        state.flights.add(flight)
+        return flight
+
+    def _learn_rate(self, flight, now_ms):
+        tokens = flight.uncached + flight.backlog
+        passed_ms = now_ms - flight.sent_ms
+        if flight.uncached < RATE_MIN_TOKENS or passed_ms <= 0:
+            return
+        seen = min(max(tokens / passed_ms, RATE_RANGE[0]), RATE_RANGE[1])
+        self._rate += RATE_GAIN * (seen - self._rate)
+
+    def _median_pace(self, now_ms):
+        paces = [state.pace_ms(now_ms) for state in self._states.values()]
+        paces = [pace for pace in paces if pace]
+        return statistics.median_low(paces) if len(paces) > 1 else None
+
+
+def _affinity(part, server_id):
+    """Return the rank of a server for a prompt part; highest is preferred."""
+    text = f'{part}/{server_id}'.encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
