Order reclaimable servers by demand and let replicas rejoin

A replica that was replaced while it was away never learned of it, since its own view still named it (found by a unit test).

Conclusion: firm servers are given back one by one while enough others serve.

--- a/packages/coord/src/paddle_coord/_self_forming.py
+++ b/packages/coord/src/paddle_coord/_self_forming.py
@@ -72,13 +72,18 @@
             may_found=bool(founder and permit.exists()),
         )
 
-    def step(self):
-        """Found, join or do nothing, whatever is due."""
+    def step(self, seen=_view.UNFORMED):
+        """Found, join or do nothing, whatever is due.
+
+        ``seen`` is the newest view known to this process. A replica that was
+        replaced while it was away learns it only from others.
+        """
         status = self._replica.handle(_messages.StatusRequest())
-        if status.view.epoch:
-            self.known.update(_view.contacts(status.view))
-        member = status.view.member(status.identity)
-        if member is not None and not status.view.changing:
+        for view in (status.view, seen):
+            self.known.update(_view.contacts(view))
+        newest = max(status.view, seen, key=lambda view: view.epoch)
+        member = newest.member(status.identity)
+        if member is not None and not newest.changing:
             return
         found = self._look()
         newest = max(
@@ -144,8 +149,13 @@
         silent = [item for item in others if item not in found]
         if len(others) == len(view.new) and silent:
             now_ms = self._clock.now_ms()
-            longest = min(silent, key=self._absent_since_ms.__getitem__)
-            if now_ms - self._absent_since_ms[longest] < ABSENT_MS:
+            # Addresses learned by this look were not asked yet.
+            since = {
+                item: self._absent_since_ms.setdefault(item, now_ms)
+                for item in silent
+            }
+            longest = min(silent, key=since.__getitem__)
+            if now_ms - since[longest] < ABSENT_MS:
                 return None
             others.remove(longest)
         return (*others, own)
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -115,6 +115,10 @@
                 for server_id, load in self._reported.items()
             ),
             usage=self._usage.recent(),
+            server_rate=max(
+                (item.server_rate() for item in self._balancers.values()),
+                default=0,
+            ),
         )
         return _messages.SyncRequest(
             reports=(report,),
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -57,13 +57,18 @@
 
 @attrs.frozen(kw_only=True)
 class FrontReport:
-    """State of one gateway; ``sequence`` grows with each report."""
+    """State of one gateway; ``sequence`` grows with each report.
+
+    ``server_rate`` is the measured number of prompt tokens that an engine
+    reads a second, 0 if unknown.
+    """
 
     name: str
     incarnation: str
     sequence: int
     flights: tuple[ServerFlights, ...]
     usage: tuple[UsageCount, ...]
+    server_rate: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -87,8 +92,8 @@
     ``controller`` is the address of the one in charge, empty if unknown.
     ``confirmed`` tells whether ``version`` is known to be the newest.
     ``document`` (compressed by zlib) and ``servers`` are sent only when they
-    are newer than what the caller holds. ``flights`` are sums over all gateways, ``true_ms`` is
-    the agreed time since the Unix epoch.
+    are newer than what the caller holds. ``flights`` are sums over all
+    gateways, ``true_ms`` is the agreed time since the Unix epoch.
     """
 
     controller: str
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -34,6 +34,7 @@
   sequence @2 :UInt64;
   flights @3 :List(ServerFlights);
   usage @4 :List(UsageCount);
+  serverRate @5 :UInt32;
 }
 
 struct SyncRequest {
--- a/packages/router/src/paddle_router/hub/_controller.py
+++ b/packages/router/src/paddle_router/hub/_controller.py
@@ -17,6 +17,7 @@
 from paddle_router.hub import _fleet
 from paddle_router.hub import _gate
 from paddle_router.hub import _platform
+from paddle_router.hub import _scaling
 
 # Gateways learn a change one exchange (250 ms) after this.
 REFRESH_MS = 200
@@ -26,6 +27,7 @@
 LIST_MS = 500
 LEASE_TICK_MS = 200
 DUTY_MS = 400
+SCALING_MS = 500
 RELAY_MS = 500
 RELAY_TIMEOUT_MS = 400
 REPLICA_RETRY_MS = 500
@@ -77,12 +79,16 @@
         )
         self.gate = _gate.DutyGate(self.lease, platform)
         self.usage = _duties.UsageDuty(settings, self)
+        self.scaling = _scaling.ScalingDuty(self)
+        self._dialect = dialect
+        self._decoded = None
         self.dump = paddle_kernel.StateDump()
         for name, part in (
             ('document', self.document),
             ('lease', self.lease),
             ('fleet', self.fleet),
             ('usage', self.usage),
+            ('scaling', self.scaling),
         ):
             self.dump.register(name, part.dump)
         self.dump.register(
@@ -104,6 +110,15 @@
         """Whether this process holds the lease."""
         return self.lease.number() is not None
 
+    def configuration(self):
+        """Return the decoded configuration held, ``None`` without one."""
+        current = self.document.current
+        if current is None:
+            return None
+        if self._decoded is None or self._decoded.version != current.version:
+            self._decoded = self._dialect.read_configuration(current.content)
+        return self._decoded
+
     def start(self):
         """Start serving."""
         self._peer.start()
@@ -115,6 +130,8 @@
         self._run(self._relay, RELAY_MS)
         if self.settings.reports_usage:
             self._run(self.usage.step, DUTY_MS)
+        if self.settings.orders_servers:
+            self._run(self.scaling.step, SCALING_MS)
         paddle_kernel.emit(
             _events.STARTED,
             name=self.settings.name,
@@ -172,7 +189,7 @@
         if self.replica is None:
             self._open_replica()
         if self.forming is not None:
-            self.forming.step()
+            self.forming.step(self.register.view)
 
     def _open_replica(self):
         folder = pathlib.Path(self.settings.data_dir) / 'replica'
--- a/packages/router/src/paddle_router/hub/_fleet.py
+++ b/packages/router/src/paddle_router/hub/_fleet.py
@@ -2,6 +2,7 @@
 
 import collections
 import hashlib
+import statistics
 
 import attrs
 
@@ -87,6 +88,16 @@
                     sums[item.id] = _add(sums.get(item.id), item)
         return sums
 
+    def server_rate(self):
+        """Return the median reading rate that gateways measured, or 0."""
+        now_ms = self._clock.now_ms()
+        rates = [
+            known.report.server_rate
+            for known in self._reports.values()
+            if now_ms - known.seen_ms < LIVE_MS and known.report.server_rate
+        ]
+        return statistics.median(rates) if rates else 0
+
     def usage(self, window):
         """Return ``{customer: requests}`` of ``window``."""
         totals = collections.Counter()
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -10,6 +10,11 @@
 from paddle_router.policy._admission import Prediction
 from paddle_router.policy._engine_state import Ejection
 from paddle_router.policy._fifo import FifoScheduler
+from paddle_router.policy._fleet_size import Bounds as FleetBounds
+from paddle_router.policy._fleet_size import DEFAULT_SERVER_RATE
+from paddle_router.policy._fleet_size import Demand
+from paddle_router.policy._fleet_size import FleetSize
+from paddle_router.policy._fleet_size import servers_needed
 from paddle_router.policy._hooks import Balancer
 from paddle_router.policy._hooks import balancers
 from paddle_router.policy._hooks import ClassPolicy
@@ -71,13 +76,17 @@
     'BoundedCheapPlanner',
     'ClassPolicy',
     'DEADLINE',
+    'DEFAULT_SERVER_RATE',
     'DRAINING',
+    'Demand',
     'DemandForecast',
     'Ejection',
     'Engine',
     'EngineWork',
     'FIRST_TOKEN',
     'FifoScheduler',
+    'FleetBounds',
+    'FleetSize',
     'Flight',
     'INTER_TOKEN',
     'LEAVING',
@@ -121,5 +130,6 @@
     'own_slots',
     'planners',
     'schedulers',
+    'servers_needed',
     'share_of',
 ]
