--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -19,9 +19,11 @@
 # Callers honour a pause of at most a third of the time they have left.
 RETRY_AFTER_MS = 300
 # Silence of a server, in latency targets, after which an idempotent request
-# is sent to another one.
+# is sent to another one. An engine that is only busy must not lose its work,
+# and its callers wait 2 s for an event; a plain service answers in 50 ms.
 PATIENCE_TARGETS = 2.0
 PATIENCE_MIN_MS = 300
+STREAM_PATIENCE_MS = 1_500
 # Status codes by which a server promises nothing unless it says "not run".
 PROMISES = frozenset({408, 421, 429, 503})
 ID_FIELD = b'id:'
@@ -164,16 +166,17 @@
 
     def _may_try_again(self, call, step, budget):
         if step is Step.NOT_SENT:
-            return self._has_candidate(call)
+            return self.has_other(call)
         may_run_again = step is Step.NOT_RUN or call.route.is_idempotent
         return (
             may_run_again
             and call.attempts < call.route.attempts
-            and self._has_candidate(call)
+            and self.has_other(call)
             and budget.take(self._clock.now_ms())
         )
 
-    def _has_candidate(self, call):
+    def has_other(self, call):
+        """Return whether a server that was not tried takes ``call``."""
         balancer = self._parts.balancers.get(call.service)
         return balancer is not None and balancer.can_place(call.tried)
 
@@ -336,7 +339,12 @@
             return None
         if call.attempts + 1 >= call.route.attempts:
             return None
+        budget = self._parts.budgets.of(call.service)
+        if not budget.available or not self._forwarder.has_other(call):
+            return None
         wait_ms = max(PATIENCE_MIN_MS, PATIENCE_TARGETS * call.route.target_ms)
+        if call.route.kind is _model.Kind.STREAM:
+            wait_ms = max(wait_ms, STREAM_PATIENCE_MS)
         return wait_ms / MS_PER_S
 
     def _send_and_read_head(self):
@@ -432,7 +440,7 @@
         return (
             call.route.is_idempotent
             and call.attempts < call.route.attempts
-            and self._forwarder._has_candidate(call)
+            and self._forwarder.has_other(call)
         )
 
     def _relay(self, caller, head):
--- a/packages/router/src/paddle_router/policy/_retry.py
+++ b/packages/router/src/paddle_router/policy/_retry.py
@@ -34,6 +34,11 @@
         """Count one first attempt."""
         self._balance = min(self._max_balance, self._balance + self._ratio)
 
+    @property
+    def available(self):
+        """Whether a retry can be afforded now."""
+        return self._balance >= 1 - 1e-9
+
     def limit(self, max_balance):
         """Keep at most ``max_balance`` retries for later."""
         self._max_balance = max_balance
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -44,10 +44,10 @@
 # Virtual good answers, so that one failure is no verdict.
 PRIOR_ANSWERS = 4
 # A little preference for the own failure domain, where bytes are free.
-DISTANCE_COST = 0.02
+DISTANCE_COST = 0.005
 # Servers within this cost of the best one are drawn from at random, so that
 # gateways with the same old sums do not all choose the same server.
-TIE_COST = 0.03
+TIE_COST = 0.01
 # A server that refused a connection is left alone this long, then doubled.
 HOLD_MIN_MS = 300
 HOLD_MAX_MS = 2_000
@@ -58,10 +58,24 @@
 # Remembered prompt parts per server and their lifetime in a busy cache.
 PARTS_KEPT = 4_096
 PART_LIFETIME_MS = 20_000
-# Chance that the preferred server of a prompt part has it although this
-# gateway did not send it there.
-PREFERRED_CACHED = 0.5
+# Chance that the first, second, ... server in a prompt part's own order has
+# it although this gateway did not send it there. All gateways compute the
+# same order, so requests with the part meet at its first servers.
+RANK_CACHED = (0.9, 0.4, 0.1)
+# Weight of a shared token that is read again; prices of the users' platform
+# put 5,400 of them at about half of the worth of a long request.
+READ_AGAIN_PER_TOKEN = 0.35 / 5_400
 LONG_PROMPT_TOKENS = 4_000
+SHORT_PROMPT_TOKENS = 1_500
+# Part of the servers that long prompts leave to short ones, since three of
+# them read at the same time already pause a stream for 300 ms. All gateways
+# choose the same servers.
+QUIET_PART = 0.35
+QUIET_MIN_SERVERS = 3
+# Cost of a long prompt on a server left to short ones, and the reverse; both
+# happen when the other servers are much fuller.
+QUIET_COST = 0.5
+NOISY_COST = 0.15
 # A server this many times slower than the median pays that factor.
 SLOW_RATIO = 2.0
 PACE_MIN_ANSWERS = 4
@@ -224,6 +238,7 @@
         self._domain = failure_domain
         self._states = {}
         self._rate = DEFAULT_READ_RATE
+        self._rate_seen = False
 
     def sync(self, engines, now_ms):
         """Use this list of servers; those not listed are forgotten."""
@@ -262,10 +277,15 @@
         states = open_states or states
         if not states:
             return None
-        preferred = self._preferred(states, work)
+        quiet = self._quiet(states)
+        ranks = _ranks(states, work, quiet)
         median = self._median_pace(now_ms)
         costs = [
-            (self._cost(state, work, now_ms, preferred, median), state)
+            (
+                self._cost(state, work, now_ms, ranks, median)
+                + _quiet_cost(state, work, quiet),
+                state,
+            )
             for state in states
         ]
         least = min(cost for cost, _state in costs)
@@ -322,6 +342,13 @@
         state.hold_until_ms = now_ms + state.hold_ms
         state.hold_ms = min(HOLD_MAX_MS, 2 * state.hold_ms)
 
+    def server_rate(self):
+        """Return the prompt tokens a second that a server reads.
+
+        0 until an answer to a long prompt has shown it.
+        """
+        return int(self._rate * 1_000) if self._rate_seen else 0
+
     def own_loads(self, now_ms):
         """Return ``{server id: SharedLoad}`` of this gateway."""
         loads = {}
@@ -356,15 +383,17 @@
             for server_id, state in self._states.items()
         }
 
-    def _preferred(self, states, work):
-        """Return the server that all gateways prefer for the prompt."""
-        if len(work.parts) < 2:
-            return None
-        # The last part belongs to the request alone.
-        part = work.parts[-2][0]
-        return max(states, key=lambda state: _affinity(part, state.engine.id))
+    def _quiet(self, states):
+        """Return the ids of the servers left to short prompts."""
+        if len(states) < QUIET_MIN_SERVERS:
+            return frozenset()
+        ids = sorted(
+            (state.engine.id for state in states),
+            key=lambda server_id: _affinity('quiet', server_id),
+        )
+        return frozenset(ids[: max(1, int(QUIET_PART * len(ids)))])
 
-    def _cost(self, state, work, now_ms, preferred, median):
+    def _cost(self, state, work, now_ms, ranks, median):
         slots = max(1, state.engine.slots)
         running = state.running(now_ms)
         cost = RUNNING_WEIGHT * running
@@ -374,7 +403,7 @@
         if state.engine.failure_domain != self._domain:
             cost += DISTANCE_COST
         if work.prompt_tokens:
-            cost += self._reading_cost(state, work, now_ms, preferred)
+            cost += self._reading_cost(state, work, now_ms, ranks)
         else:
             cost += running / slots
         pace = state.pace_ms(now_ms)
@@ -382,23 +411,18 @@
             cost = (cost + 0.5) * pace / median
         return cost
 
-    def _reading_cost(self, state, work, now_ms, preferred):
-        uncached = self._uncached(state, work, now_ms, preferred)
+    def _reading_cost(self, state, work, now_ms, ranks):
+        cached = _expected_cached(state, work, now_ms, ranks)
+        uncached = max(1, work.prompt_tokens - cached)
         reading_ms = uncached / self._rate
         backlog_ms = state.backlog(now_ms, self._rate) / self._rate
         cost = (backlog_ms + reading_ms) / max(1, work.target_ms)
+        cost += READ_AGAIN_PER_TOKEN * max(0, _shared(work) - cached)
         cost += HARM_PER_MS * reading_ms * state.running(now_ms) / 10
         if work.prompt_tokens < LONG_PROMPT_TOKENS:
             cost += BUSY_WEIGHT * state.busy(now_ms, self._rate)
         return cost
 
-    def _uncached(self, state, work, now_ms, preferred):
-        cached = state.cached(work.parts, now_ms)
-        if state is preferred:
-            shared = sum(size for _part, size in work.parts[:-1])
-            cached = max(cached, PREFERRED_CACHED * shared)
-        return max(1, work.prompt_tokens - cached)
-
     def _occupy(self, state, work, now_ms):
         uncached = work.prompt_tokens - state.cached(work.parts, now_ms)
         flight = SharedFlight(
@@ -420,6 +444,7 @@
         if flight.uncached < RATE_MIN_TOKENS or passed_ms <= 0:
             return
         seen = min(max(tokens / passed_ms, RATE_RANGE[0]), RATE_RANGE[1])
+        self._rate_seen = True
         self._rate += RATE_GAIN * (seen - self._rate)
 
     def _median_pace(self, now_ms):
@@ -428,7 +453,53 @@
         return statistics.median_low(paces) if len(paces) > 1 else None
 
 
+def _shared(work):
+    """Return the prompt tokens that other requests may have in common.
+
+    The last part belongs to the request alone.
+    """
+    return sum(size for _part, size in work.parts[:-1])
+
+
+def _ranks(states, work, quiet):
+    """Return ``{server id: place}`` in the part order of the prompt.
+
+    The order belongs to the last part that other requests share. Servers
+    left to short prompts come last for a long one.
+    """
+    if len(work.parts) < 2:
+        return {}
+    part = work.parts[-2][0]
+    avoid = quiet if work.prompt_tokens >= LONG_PROMPT_TOKENS else frozenset()
+    ids = sorted(
+        (state.engine.id for state in states),
+        key=lambda server_id: (
+            server_id in avoid,
+            _affinity(part, server_id),
+        ),
+    )
+    return {server_id: place for place, server_id in enumerate(ids)}
+
+
+def _quiet_cost(state, work, quiet):
+    """Return the cost of a server that serves the other sort of prompts."""
+    is_quiet = state.engine.id in quiet
+    if is_quiet and work.prompt_tokens >= LONG_PROMPT_TOKENS:
+        return QUIET_COST
+    if quiet and not is_quiet and 0 < work.prompt_tokens < SHORT_PROMPT_TOKENS:
+        return NOISY_COST
+    return 0.0
+
+
+def _expected_cached(state, work, now_ms, ranks):
+    cached = state.cached(work.parts, now_ms)
+    place = ranks.get(state.engine.id, len(RANK_CACHED))
+    if place < len(RANK_CACHED):
+        cached = max(cached, RANK_CACHED[place] * _shared(work))
+    return cached
+
+
 def _affinity(part, server_id):
-    """Return the rank of a server for a prompt part; highest is preferred."""
+    """Return the sort key of a server for a prompt part; lowest is first."""
     text = f'{part}/{server_id}'.encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -0,0 +1,226 @@
+"""Tests of the adapter: documents, headers and lists of the platform."""
+
+import copy
+import json
+
+import pytest
+
+from fleet_adapter import cloud
+from fleet_adapter import configuration
+from fleet_adapter import dialect
+from fleet_adapter import settings
+import paddle_kernel
+from paddle_router import gateway
+
+VALID = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r1',
+            'host': 'h.example',
+            'pathPrefix': '/a/',
+            'kind': 'streaming',
+            'timeoutMs': 12000,
+            'targetLatencyMs': 250,
+            'priority': 0,
+            'service': 's1',
+            'attempts': 2,
+            'resumable': True,
+            'targetGapMs': 250,
+        },
+        {
+            'name': 'r2',
+            'host': 'h.example',
+            'pathPrefix': '/b/',
+            'kind': 'unsafe',
+            'timeoutMs': 800,
+            'targetLatencyMs': 150,
+            'split': [
+                {'service': 's1', 'weight': 90},
+                {'service': 's2', 'weight': 10},
+            ],
+        },
+    ],
+    'services': [
+        {
+            'name': 's1',
+            'healthPath': '/health',
+            'connectionLimit': 300,
+            'engine': {'slots': 48, 'kvCacheTokens': 815644},
+            'scaling': {
+                'minimum': 1,
+                'maximum': 6,
+                'bootS': 4.0,
+                'spotPrice': 0.18,
+                'zonePrices': {'z1': 0.85},
+            },
+        },
+        {'name': 's2', 'healthPath': '/health', 'connectionLimit': 100},
+    ],
+    'limits': {'maxBodyBytes': 100},
+    'tenants': [{'name': 't1', 'accessKeys': ['k1', 'k2'], 'priority': 1}],
+}
+
+
+def changed(**paths):
+    document = copy.deepcopy(VALID)
+    for path, value in paths.items():
+        *parents, last = path.split('__')
+        place = document
+        for part in parents:
+            place = place[int(part) if part.isdigit() else part]
+        place[last] = value
+    return json.dumps(document).encode()
+
+
+def test_a_valid_document_is_decoded():
+    read = configuration.read(json.dumps(VALID).encode())
+    assert read.version == 7
+    assert read.routes[0].can_resume and read.routes[0].is_idempotent
+    assert [item.weight for item in read.routes[1].services] == [90, 10]
+    assert read.customers['k2'].name == 't1'
+    assert read.services['s1'].scaling.boot_ms == 4000
+    assert read.limits.body_bytes == 100
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        json.dumps(VALID).encode()[:-40],
+        b'[]',
+        b'null',
+        changed(version='7'),
+        changed(version=True),
+        changed(version=-1),
+        changed(routes__0__service='unknown'),
+        changed(routes__1__pathPrefix='/a/'),
+        changed(routes__1__split=[{'service': 's1', 'weight': 0}]),
+        changed(routes__0__timeoutMs=0),
+        changed(routes__0__kind='other'),
+        changed(routes=None),
+        changed(
+            tenants=[
+                {'name': 't1', 'accessKeys': ['k']},
+                {'name': 't2', 'accessKeys': ['k']},
+            ]
+        ),
+    ],
+)
+def test_an_invalid_document_is_refused(content):
+    # Guards against an invalid configuration that is acknowledged.
+    with pytest.raises(gateway.ConfigurationError):
+        configuration.read(content)
+
+
+HEADERS = [
+    (b'Host', b'h.example'),
+    (b'Rosemarypaddle-Request-Id', b'r1'),
+    (b'Rosemarypaddle-Model', b'm'),
+    (b'Rosemarypaddle-Token-Counts', b'1460,80'),
+    (b'Rosemarypaddle-Prompt-Prefix', b'5c:800,91:410,e4:250'),
+    (b'Rosemarypaddle-Deadline-Milliseconds', b'12000'),
+    (b'Authorization', b'Token secret1'),
+    (b'Connection', b'keep-alive, X-Hop'),
+    (b'X-Hop', b'1'),
+    (b'X-Other', b'kept'),
+    (b'X-Leak', b'k=secret1'),
+    (b'Rosemarypaddle-Tenant', b'forged'),
+    (b'Rosemarypaddle-Hold', b'forged'),
+    (b'Kv-From', b'forged'),
+]
+HANDOVER = gateway.Handover(
+    left_ms=900, server_id='i-1', customer='t1', urgency=2
+)
+
+
+def test_the_facts_of_a_call_are_read():
+    facts = dialect.FleetDialect().read_call(HEADERS)
+    assert facts.request_id == 'r1' and facts.key == 'secret1'
+    assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
+    assert [part.id for part in facts.parts] == ['5c', '91', 'e4']
+    assert facts.deadline_ms == 12000
+
+
+@pytest.mark.parametrize('value', [b'+5', b'7_6', b'1.5', b'-3', b'x'])
+def test_a_time_limit_that_is_no_number_is_refused(value):
+    with pytest.raises(ValueError, match='deadline'):
+        dialect.FleetDialect().read_call(
+            [(b'Rosemarypaddle-Deadline-Milliseconds', value)]
+        )
+
+
+def test_a_server_sees_the_customer_and_no_key():
+    # Guards against keys and reserved headers that a caller passes on.
+    sent = dialect.FleetDialect().call_headers(HEADERS, HANDOVER)
+    names = [name.lower() for name, _value in sent]
+    found = {name.lower(): value for name, value in sent}
+    assert not any(b'secret1' in value for _name, value in sent)
+    assert found[b'rosemarypaddle-tenant'] == b't1'
+    assert names.count(b'rosemarypaddle-tenant') == 1
+    assert found[b'rosemarypaddle-deadline-milliseconds'] == b'900'
+    assert found[b'rosemarypaddle-expect-instance'] == b'i-1'
+    assert found[b'x-other'] == b'kept'
+    for name in (b'rosemarypaddle-hold', b'kv-from', b'x-hop', b'connection'):
+        assert name not in found
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'has_run'),
+    [
+        (503, [(b'Rosemarypaddle-Not-Run', b'1')], False),
+        (421, [], False),
+        (503, [], True),
+        (500, [], True),
+    ],
+)
+def test_only_a_statement_of_the_server_means_not_run(
+    status, headers, has_run
+):
+    # Guards against a refusal of a request that ran.
+    facts = dialect.FleetDialect().read_answer(status, headers)
+    assert facts.has_run is has_run
+
+
+def test_an_unreadable_load_is_no_load():
+    read = dialect.FleetDialect().read_answer
+    name = b'Rosemarypaddle-Server-Load'
+    assert read(200, [(name, b'3,0,8')]).load.slots == 8
+    assert read(200, [(name, b'3,x,8')]).load is None
+    assert read(200, [(name, b'3,0')]).load is None
+
+
+ENTRY = {
+    'identifier': 'i-1',
+    'service': 's1',
+    'address': '10.0.0.1:80',
+    'zone': 'z1',
+    'slots': 4,
+    'state': 'ready',
+}
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'identifier': 3},
+        {'address': 'nowhere'},
+        {'state': 'unheard'},
+        {'slots': '4'},
+        {'slots': True},
+        {'zone': None},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_server(change):
+    assert cloud._server({**ENTRY, **change}) is None
+    assert cloud._server('text') is None
+
+
+def test_a_draining_entry_is_leaving():
+    assert cloud._server({**ENTRY, 'state': 'draining'}).leaving
+    assert not cloud._server(ENTRY).leaving
+
+
+def test_settings_report_all_findings_at_once():
+    with pytest.raises(paddle_kernel.FindingsError) as caught:
+        settings.PlatformSettings.from_document({'nodeName': 'n'})
+    assert len(list(caught.value.findings)) >= 5
