Test the gateway over sockets and refuse unclear line ends

Cause: h11 joins folded header lines and accepts bare line feeds, which other readers treat differently; a broken-off stream was reset, which can destroy events that the caller has not read yet.

--- a/packages/router/src/paddle_router/gateway/_entry.py
+++ b/packages/router/src/paddle_router/gateway/_entry.py
@@ -182,7 +182,10 @@
             self.busy -= 1
             watcher.kill(block=False)
         if channel.abandoned:
-            _http1.abort(conn.sock)
+            if req.http_version < b'1.1':
+                # Without chunks only a reset shows that the answer is cut; it
+                # would also destroy events that the caller has not read.
+                _http1.abort(conn.sock)
             return False
         return True
 
--- a/packages/router/src/paddle_router/gateway/_http1.py
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -5,6 +5,7 @@
 other one.
 """
 
+import re
 import socket as plain_socket
 
 import attrs
@@ -33,6 +34,11 @@
 )
 
 
+# Line ends and folded lines that readers treat in different ways.
+_UNCLEAR_LINE = re.compile(rb'(?<!\r)\n|\n[ \t]')
+_HEAD_END = b'\r\n\r\n'
+
+
 class BadRequestError(Exception):
     """A request that cannot be read; ``status`` is the answer."""
 
@@ -108,6 +114,7 @@
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
+        self._head = b''
         self._served = 0
         self.gone = False
         self.closed_here = False
@@ -127,6 +134,7 @@
 
     def next_cycle(self):
         """Prepare for the next request on the connection."""
+        self._head = bytes(self._h11.trailing_data[0])
         self._h11.start_next_cycle()
         self._served += 1
 
@@ -200,11 +208,19 @@
             self.sock.settimeout(None)
         if not data:
             return False
-        self._h11.receive_data(data)
+        self._feed(data)
         return True
 
+    def _feed(self, data):
+        if _HEAD_END not in self._head:
+            self._head += data
+        self._h11.receive_data(data)
+
     def _read(self, began_ms):
         head = self._event()
+        raw = self._head.partition(_HEAD_END)[0]
+        if _UNCLEAR_LINE.search(raw):
+            raise BadRequestError(400, 'a folded line or a bare line feed')
         _check_framing(head)
         if self._h11.they_are_waiting_for_100_continue:
             self.sock.sendall(
@@ -242,7 +258,7 @@
             data = self.sock.recv(RECEIVE_BYTES)
             if not data:
                 raise ConnectionResetError('closed within a request')
-            self._h11.receive_data(data)
+            self._feed(data)
 
 
 def _check_framing(head):
--- a/packages/testbed/src/paddle_testbed/fakes/__init__.py
+++ b/packages/testbed/src/paddle_testbed/fakes/__init__.py
@@ -6,12 +6,24 @@
 
 from paddle_testbed.fakes._engine import EngineOptions
 from paddle_testbed.fakes._engine import FakeEngine
+from paddle_testbed.fakes._origin import event
+from paddle_testbed.fakes._origin import FakeOrigin
+from paddle_testbed.fakes._origin import Received
+from paddle_testbed.fakes._origin import STREAM_END
+from paddle_testbed.fakes._origin import stream_head
+from paddle_testbed.fakes._origin import whole
 from paddle_testbed.fakes._platform import FakePlatform
 from paddle_testbed.fakes._service import FakeService
 
 __all__ = [
     'EngineOptions',
     'FakeEngine',
+    'FakeOrigin',
     'FakePlatform',
     'FakeService',
+    'Received',
+    'STREAM_END',
+    'event',
+    'stream_head',
+    'whole',
 ]
--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/fakes/_origin.py
@@ -0,0 +1,140 @@
+"""Backend server of the users' platform, as far as tests need it.
+
+It reads one request at a time from each connection and answers with bytes
+that a script gives, so that tests can send what a faulty server would.
+"""
+
+import gevent
+import gevent.server
+
+STAMP = b'Rosemarypaddle-Response-Stamp: 3e1b.07'
+RECEIVE_BYTES = 65_536
+
+
+class Received:
+    """A request as it arrived."""
+
+    def __init__(self, head, body):
+        lines = head.split(b'\r\n')
+        self.line = lines[0]
+        self.headers = {}
+        for line in lines[1:]:
+            name, _colon, value = line.partition(b':')
+            self.headers[name.strip().lower()] = value.strip()
+        self.body = body
+
+    @property
+    def id(self):
+        """The request id as bytes."""
+        return self.headers.get(b'rosemarypaddle-request-id', b'')
+
+
+class FakeOrigin:
+    """Answers each request with what ``script(request, sock)`` returns.
+
+    The script returns bytes, a list of bytes and pauses in seconds, or
+    ``None`` to stay silent. ``aborted`` counts the connections that the
+    other side closed while the script was waiting.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.requests = []
+        self.aborted = 0
+        self._server = gevent.server.StreamServer(
+            ('127.0.0.1', 0), self._serve
+        )
+        self._server.start()
+
+    @property
+    def address(self):
+        """The address in use as ``'host:port'``."""
+        host, port = self._server.address[:2]
+        return f'{host}:{port}'
+
+    def stop(self):
+        """Stop listening and close all connections."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, _peer):
+        data = b''
+        while True:
+            while b'\r\n\r\n' not in data:
+                more = sock.recv(RECEIVE_BYTES)
+                if not more:
+                    return
+                data += more
+            head, _end, data = data.partition(b'\r\n\r\n')
+            req = Received(head, b'')
+            size = int(req.headers.get(b'content-length', b'0'))
+            while len(data) < size:
+                data += sock.recv(RECEIVE_BYTES)
+            req.body, data = data[:size], data[size:]
+            self.requests.append(req)
+            if not self._answer(sock, req):
+                sock.close()
+                return
+
+    def _answer(self, sock, req):
+        steps = self.script(req, sock)
+        if steps is None:
+            self._wait_closed(sock)
+            return False
+        for step in [steps] if isinstance(steps, bytes) else steps:
+            if step is None:
+                return False
+            if isinstance(step, bytes):
+                try:
+                    sock.sendall(step)
+                except OSError:
+                    self.aborted += 1
+                    return False
+            else:
+                gevent.sleep(step)
+        return True
+
+    def _wait_closed(self, sock):
+        try:
+            sock.recv(1)
+        except ConnectionResetError:
+            pass
+        self.aborted += 1
+
+
+def whole(req, body=b'ok', *, status=b'200 OK', extra=()):
+    """Return a stamped answer with a length."""
+    return b'\r\n'.join(
+        [
+            b'HTTP/1.1 ' + status,
+            b'Rosemarypaddle-Request-Id: ' + req.id,
+            STAMP,
+            b'Content-Length: %d' % len(body),
+            *extra,
+            b'',
+            body,
+        ]
+    )
+
+
+def stream_head(req):
+    """Return the head of a chunked stream of events."""
+    return b'\r\n'.join(
+        [
+            b'HTTP/1.1 200 OK',
+            b'Rosemarypaddle-Request-Id: ' + req.id,
+            STAMP,
+            b'Content-Type: text/event-stream',
+            b'Transfer-Encoding: chunked',
+            b'',
+            b'',
+        ]
+    )
+
+
+def event(number, data=b'x'):
+    """Return one event of a stream as a chunk."""
+    text = b'id: %d\ndata: %s\n\n' % (number, data)
+    return b'%x\r\n%s\r\n' % (len(text), text)
+
+
+STREAM_END = b'0\r\n\r\n'
