Play the platform's programs as processes against stand-ins

Change: a stand-in of the platform's list and duties, a starter that gives each process its own loopback address, and eight tests: whole path with usage, a change on every gateway, takeover of the duties, lost disk, read without a majority, all killed, planned stop, SIGHUP.

--- a/packages/testbed/src/paddle_testbed/fakes/__init__.py
+++ b/packages/testbed/src/paddle_testbed/fakes/__init__.py
@@ -4,6 +4,8 @@
 and bench only.
 """
 
+from paddle_testbed.fakes._cloud import DutyCall
+from paddle_testbed.fakes._cloud import FakeCloud
 from paddle_testbed.fakes._engine import EngineOptions
 from paddle_testbed.fakes._engine import FakeEngine
 from paddle_testbed.fakes._origin import event
@@ -16,7 +18,9 @@
 from paddle_testbed.fakes._service import FakeService
 
 __all__ = [
+    'DutyCall',
     'EngineOptions',
+    'FakeCloud',
     'FakeEngine',
     'FakeOrigin',
     'FakePlatform',
--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/fakes/_cloud.py
@@ -0,0 +1,85 @@
+"""The users' platform: list of servers, usage reports, orders for servers."""
+
+import json
+
+import attrs
+import gevent.pywsgi
+
+
+@attrs.frozen(kw_only=True)
+class DutyCall:
+    """A call that only one holder may make."""
+
+    path: str
+    holder: str
+    fence: int
+    body: dict
+
+
+class FakeCloud:
+    """Answers the platform's calls; ``down`` makes it answer 503.
+
+    ``entries`` is the list of instances as the platform shows it. Calls with
+    a lower fence than one seen for the same path get 409.
+    """
+
+    def __init__(self, host='127.0.0.1'):
+        self.entries = []
+        self.calls = []
+        self.reads = 0
+        self.down = False
+        self._fences = {}
+        self._server = gevent.pywsgi.WSGIServer(
+            (host, 0), self._answer, log=None, error_log=None
+        )
+        self._server.start()
+
+    @property
+    def address(self):
+        """The address in use as ``'host:port'``."""
+        return f'{self._server.address[0]}:{self._server.address[1]}'
+
+    def stop(self):
+        """Stop listening."""
+        self._server.stop(timeout=0)
+
+    def usage(self):
+        """Return ``{window: [counts, ...]}`` of all accepted reports."""
+        reports = {}
+        for call in self.calls:
+            if call.path == '/usage':
+                reports.setdefault(call.body['window'], []).append(
+                    call.body['counts']
+                )
+        return reports
+
+    def _answer(self, environ, start_response):
+        if self.down:
+            start_response('503 Service Unavailable', [])
+            return [b'{}']
+        path = environ['PATH_INFO']
+        if path == '/instances':
+            self.reads += 1
+            return _json(
+                start_response,
+                '200 OK',
+                {'instances': self.entries, 'next': None},
+            )
+        fence = int(environ['HTTP_ROSEMARYPADDLE_FENCING_TOKEN'])
+        if fence < self._fences.get(path, 0):
+            return _json(start_response, '409 Conflict', {'error': 'fence'})
+        self._fences[path] = fence
+        self.calls.append(
+            DutyCall(
+                path=path,
+                holder=environ['HTTP_ROSEMARYPADDLE_DUTY_HOLDER'],
+                fence=fence,
+                body=json.loads(environ['wsgi.input'].read()),
+            )
+        )
+        return _json(start_response, '200 OK', {})
+
+
+def _json(start_response, status, document):
+    start_response(status, [('Content-Type', 'application/json')])
+    return [json.dumps(document).encode()]
--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/fleet.py
@@ -0,0 +1,214 @@
+"""Starts the programs of the users' platform as processes on loopback.
+
+Every process has an address of its own in 127/8, since ports are the same on
+all machines there. Only processes started here are ever signalled.
+"""
+
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import time
+
+import attrs
+import gevent
+import geventhttpclient
+
+from paddle_testbed import cluster
+
+MAIN = pathlib.Path(__file__).parents[4] / 'platform' / 'main.py'
+CONTROL_PORT = 8229
+FRONT_PORT = 8227
+READY_PORT = 8220
+PEER_PORTS = [7340, 7355]
+POLL_S = 0.05
+WAIT_S = 20
+BOUNDS = {
+    'gracePeriodS': 8,
+    'leaseDurationMs': 3_000,
+    'retryBudgetRatio': 0.2,
+    'retryBudgetSlack': 56,
+    'usageWindowS': 2,
+    'usageLateS': 4,
+}
+
+
+class WaitError(RuntimeError):
+    """Something did not happen in time."""
+
+
+@attrs.define
+class Machine:
+    """A machine with its settings and its process."""
+
+    name: str
+    role: str
+    ip: str
+    folder: pathlib.Path
+    process: subprocess.Popen | None = None
+
+
+class Fleet:
+    """Controllers and gateways of one system under ``folder``."""
+
+    def __init__(self, folder, cloud, *, controllers, gateways):
+        self.folder = pathlib.Path(folder)
+        self.cloud = cloud
+        self.machines = {}
+        for index in range(controllers):
+            self.add(f'core-{index}', 'controller')
+        for index in range(gateways):
+            self.add(f'front-{index}', 'gateway')
+        self.seeds = [f'{ip}:{CONTROL_PORT}' for ip in self._ips()[:3]]
+
+    def add(self, name, role):
+        """Add a machine; it is not started."""
+        folder = self.folder / name
+        folder.mkdir()
+        machine = Machine(name, role, cluster.own_address(), folder)
+        self.machines[name] = machine
+        return machine
+
+    def start_all(self):
+        """Start every machine for the first time."""
+        for name in self.machines:
+            self.start(name, first_start=True)
+
+    def start(self, name, *, first_start=False):
+        """Start the process of a machine."""
+        machine = self.machines[name]
+        path = machine.folder / 'settings.json'
+        path.write_text(json.dumps(self._settings(machine, first_start)))
+        log = open(machine.folder / 'log', 'ab')
+        machine.process = subprocess.Popen(
+            [sys.executable, str(MAIN), machine.role],
+            env={**os.environ, 'ROSEMARYPADDLE_CONFIG': str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def signal(self, name, number):
+        """Send a signal to the process of a machine."""
+        self.machines[name].process.send_signal(number)
+
+    def kill(self, name):
+        """Kill the process of a machine."""
+        process = self.machines[name].process
+        process.kill()
+        process.wait()
+
+    def wipe(self, name):
+        """Remove the disk of a stopped machine."""
+        shutil.rmtree(self.machines[name].folder / 'data')
+
+    def stop(self):
+        """End all processes that were started here."""
+        for machine in self.machines.values():
+            if machine.process is not None and machine.process.poll() is None:
+                machine.process.send_signal(signal.SIGCONT)
+                machine.process.kill()
+                machine.process.wait()
+
+    def call(self, name, method, path, body=None, timeout_s=2):
+        """Call the operator's interface or the readiness of a machine.
+
+        Returns ``(status, body)``, ``(None, b'')`` without an answer.
+        """
+        machine = self.machines[name]
+        port = CONTROL_PORT if machine.role == 'controller' else READY_PORT
+        client = geventhttpclient.HTTPClient(
+            machine.ip,
+            port,
+            connection_timeout=timeout_s,
+            network_timeout=timeout_s,
+        )
+        try:
+            answer = client.request(method, path, body=body or b'', headers={})
+            return answer.status_code, bytes(answer.read())
+        except OSError:
+            return None, b''
+        finally:
+            client.close()
+
+    def put(self, document, names=None):
+        """Hand in a configuration until a controller acknowledges it."""
+        body = json.dumps(document).encode()
+        names = names or self.names('controller')
+
+        def attempt():
+            for name in names:
+                status, _body = self.call(
+                    name, 'PUT', '/api/configuration', body
+                )
+                if status == 200:
+                    return name
+            return None
+
+        return wait_for(attempt, 'a configuration was not acknowledged')
+
+    def names(self, role):
+        """Return the names of the machines of ``role``."""
+        return [
+            item.name for item in self.machines.values() if item.role == role
+        ]
+
+    def front(self, name):
+        """Return the callers' address of a gateway."""
+        return self.machines[name].ip, FRONT_PORT
+
+    def dump(self, name):
+        """Return the state dump of a process, ``{}`` without an answer."""
+        status, body = self.call(name, 'GET', '/dump')
+        return json.loads(body) if status == 200 else {}
+
+    def _ips(self):
+        return [
+            item.ip
+            for item in self.machines.values()
+            if item.role == 'controller'
+        ]
+
+    def _settings(self, machine, first_start):
+        ip = machine.ip
+        data = machine.folder / 'data'
+        listen = {'control': f'{ip}:{CONTROL_PORT}'}
+        if machine.role == 'gateway':
+            listen = {
+                'front': f'{ip}:{FRONT_PORT}',
+                'ready': f'{ip}:{READY_PORT}',
+            }
+        else:
+            data.mkdir(exist_ok=True)
+        return {
+            'nodeName': machine.name,
+            'zone': f'z{len(machine.name) % 2}',
+            'ipAddress': ip,
+            'listen': listen,
+            'internalPorts': PEER_PORTS,
+            'seeds': self.seeds,
+            'firstStart': first_start,
+            'dataDirectory': str(data),
+            'bounds': BOUNDS,
+            'cloud': {
+                'address': self.cloud.address,
+                'duties': ['usage'],
+            },
+        }
+
+
+def wait_for(function, text, wait_s=WAIT_S):
+    """Return the first true result of ``function()``.
+
+    :raises WaitError: with ``text`` if there is none in time.
+    """
+    end_s = time.monotonic() + wait_s
+    while time.monotonic() < end_s:
+        result = function()
+        if result:
+            return result
+        gevent.sleep(POLL_S)
+    raise WaitError(f'{text} within {wait_s} s')
--- /dev/null
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -0,0 +1,230 @@
+"""The programs of the users' platform as processes, against stand-ins."""
+
+import copy
+import json
+import signal
+import time
+
+import gevent
+import gevent.socket
+import pytest
+
+from paddle_testbed import fakes
+from paddle_testbed import fleet as fleets
+
+HOST = 'h.example'
+SERVICE = {'name': 'plain', 'healthPath': '/health', 'connectionLimit': 100}
+ROUTE = {
+    'name': 'r',
+    'host': HOST,
+    'pathPrefix': '/a/',
+    'kind': 'safe',
+    'timeoutMs': 2000,
+    'targetLatencyMs': 200,
+    'service': 'plain',
+    'attempts': 2,
+}
+CONFIG = {
+    'version': 3,
+    'routes': [ROUTE],
+    'services': [SERVICE],
+    'limits': {'idleTimeoutMs': 15000},
+    'tenants': [{'name': 'cust', 'accessKeys': ['k1']}],
+}
+
+
+def changed(version, **fields):
+    return {**copy.deepcopy(CONFIG), 'version': version, **fields}
+
+
+@pytest.fixture
+def origin():
+    built = fakes.FakeOrigin(lambda req, sock: fakes.whole(req))
+    yield built
+    built.stop()
+
+
+@pytest.fixture
+def cloud(origin):
+    built = fakes.FakeCloud()
+    built.entries = [
+        {
+            'identifier': 'i-1',
+            'service': 'plain',
+            'address': origin.address,
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': 6,
+            'state': 'ready',
+        },
+        'bytes of another writer',
+    ]
+    yield built
+    built.stop()
+
+
+@pytest.fixture
+def fleet(tmp_path, cloud):
+    built = fleets.Fleet(tmp_path, cloud, controllers=3, gateways=2)
+    yield built
+    built.stop()
+
+
+@pytest.fixture
+def serving(fleet):
+    fleet.start_all()
+    fleet.put(CONFIG)
+    for name in fleet.names('gateway'):
+        wait_ready(fleet, name)
+    return fleet
+
+
+def wait_ready(fleet, name):
+    fleets.wait_for(
+        lambda: fleet.call(name, 'GET', '/api/readiness')[0] == 200,
+        f'{name} was not ready',
+    )
+
+
+def ask(fleet, name, path='/a/x', key='k1'):
+    """Return the status of one request, ``None`` for a closed connection."""
+    sock = gevent.socket.create_connection(fleet.front(name), 2)
+    sock.settimeout(3)
+    sock.sendall(
+        f'GET {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'Rosemarypaddle-Request-Id: r{time.monotonic_ns()}\r\n'
+        f'Authorization: Token {key}\r\n\r\n'.encode()
+    )
+    data = sock.recv(4096)
+    sock.close()
+    return int(data.split()[1]) if data else None
+
+
+def read_version(fleet, name):
+    status, body = fleet.call(name, 'GET', '/api/configuration')
+    return json.loads(body)['version'] if status == 200 else None
+
+
+def test_the_whole_path_serves_and_reports_usage(serving, cloud, origin):
+    # Guards against a path that works in one process only.
+    sent = 0
+    for _ in range(10):
+        for name in serving.names('gateway'):
+            assert ask(serving, name) == 200
+            sent += 1
+    assert len(origin.requests) == sent
+    fleets.wait_for(
+        lambda: (
+            sum(
+                reports[0].get('cust', 0) for reports in cloud.usage().values()
+            )
+            == sent
+        ),
+        'the usage was not reported',
+    )
+    assert len({call.holder for call in cloud.calls}) == 1
+
+
+def test_a_change_is_in_force_on_every_gateway(serving):
+    serving.put(changed(9, routes=[{**ROUTE, 'pathPrefix': '/b/'}]))
+    for name in serving.names('gateway'):
+        fleets.wait_for(
+            lambda name=name: ask(serving, name, '/b/x') == 200,
+            'the added route is not served',
+            wait_s=2,
+        )
+        assert ask(serving, name) == 404
+    for name in serving.names('controller'):
+        assert read_version(serving, name) == 9
+    serving.put(changed(5))
+    assert read_version(serving, 'core-0') == 9
+    status, _body = serving.call(
+        'core-1', 'PUT', '/api/configuration', b'{"version": 12'
+    )
+    assert status == 400
+
+
+def test_the_next_controller_takes_over_without_a_second_report(
+    serving, cloud
+):
+    # Guards against two reports of a window with different counts.
+    ask(serving, 'front-0')
+    fleets.wait_for(lambda: cloud.calls, 'no controller is in charge')
+    first = cloud.calls[-1].holder
+    serving.kill(first)
+    fleets.wait_for(
+        lambda: cloud.calls[-1].holder != first, 'no controller took over'
+    )
+    assert all(
+        all(item == reports[0] for item in reports)
+        for reports in cloud.usage().values()
+    )
+    fences = [call.fence for call in cloud.calls]
+    assert fences == sorted(fences)
+    assert ask(serving, 'front-0') == 200
+
+
+def test_an_acknowledged_version_survives_a_lost_disk(serving):
+    # Guards against an emptied replica that votes as if it had voted before.
+    serving.put(changed(20))
+    serving.kill('core-0')
+    serving.wipe('core-0')
+    serving.start('core-0')
+    fleets.wait_for(
+        lambda: serving.dump('core-0').get('replica', {}).get('voting'),
+        'the emptied replica did not join again',
+    )
+    serving.kill('core-1')
+    assert read_version(serving, 'core-2') == 20
+    assert read_version(serving, 'core-0') == 20
+
+
+def test_a_read_without_a_majority_is_refused(serving):
+    serving.kill('core-1')
+    serving.kill('core-2')
+    status, _body = serving.call(
+        'core-0', 'GET', '/api/configuration', timeout_s=5
+    )
+    assert status == 503
+    assert ask(serving, 'front-0') == 200
+
+
+def test_all_processes_killed_come_back_with_the_configuration(serving):
+    serving.put(changed(30))
+    for name in serving.machines:
+        serving.kill(name)
+    for name in serving.machines:
+        serving.start(name)
+    fleets.wait_for(
+        lambda: read_version(serving, 'core-1') == 30,
+        'the acknowledged version is gone',
+    )
+    wait_ready(serving, 'front-0')
+    assert ask(serving, 'front-0') == 200
+
+
+def test_a_planned_stop_cuts_no_request(serving, origin):
+    origin.script = lambda req, sock: [0.5, fakes.whole(req)]
+    asking = gevent.spawn(ask, serving, 'front-0')
+    while not origin.requests:
+        gevent.sleep(0.01)
+    serving.signal('front-0', signal.SIGTERM)
+    assert asking.get(timeout=5) == 200
+    fleets.wait_for(
+        lambda: serving.call('front-0', 'GET', '/api/readiness')[0] != 200,
+        'a stopping gateway still counts as ready',
+        wait_s=1,
+    )
+    assert serving.machines['front-0'].process.wait(timeout=9) == 0
+
+
+def test_sighup_leaves_requests_alone(serving, origin):
+    origin.script = lambda req, sock: [0.3, fakes.whole(req)]
+    asking = gevent.spawn(ask, serving, 'front-0')
+    gevent.sleep(0.1)
+    for name in serving.machines:
+        serving.signal(name, signal.SIGHUP)
+    assert asking.get(timeout=5) == 200
+    assert all(
+        item.process.poll() is None for item in serving.machines.values()
+    )
