Let a new controller learn the load before it orders or seals

Cause: a controller that took the lease over in a burst knew no load, gave servers back and sealed a window with no counts (window off by 318 of 318); orders above the maximum of both sorts were cut without notice; requests that came before the first configuration after a restart were sent away.

--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -56,6 +56,11 @@
         self.fronts = 1
         self.synced_ms = None
 
+    @property
+    def is_ready(self):
+        """Whether requests can be routed and placed."""
+        return self.table is not None and self.servers is not None
+
     def on_change(self, function):
         """Call ``function()`` after a new configuration or server list."""
         self._listeners.append(function)
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -16,6 +16,10 @@
 from paddle_router.gateway import _routes
 from paddle_router import policy
 
+# A started gateway follows a controller within 0.2 to 0.8 s when all processes
+# start at the same time; callers of the shortest calls wait 1.5 s.
+START_WAIT_MS = 900
+START_POLL_MS = 20
 # Callers honour a pause of at most a third of the time they have left.
 RETRY_AFTER_MS = 300
 # Silence of a server, in latency targets, after which an idempotent request
@@ -89,6 +93,7 @@
 
     def serve(self, conn, req):
         """Answer ``req`` on ``conn``."""
+        self._await_start()
         call, refusal = self._admit(req)
         if refusal is not None:
             self._refuse(conn, *refusal)
@@ -123,10 +128,20 @@
 
     # Admission
 
+    def _await_start(self):
+        """Hold a request that came before the first configuration.
+
+        A process that was just started has it within a second; the caller is
+        served late instead of sent away.
+        """
+        end_ms = self._clock.now_ms() + START_WAIT_MS
+        while not self._follower.is_ready and self._clock.now_ms() < end_ms:
+            self._clock.sleep_ms(START_POLL_MS)
+
     def _admit(self, req):
         """Return ``(call, None)`` or ``(None, (status, reason))``."""
         table = self._follower.table
-        if table is None or self._follower.servers is None:
+        if not self._follower.is_ready:
             return None, (503, 'no configuration yet')
         try:
             facts = self._dialect.read_call(req.headers)
@@ -366,6 +381,8 @@
             request=call.facts.request_id,
             server=self._server.id,
             address=self._server.address,
+            place=self._flight.place,
+            uncached=self._flight.uncached,
             attempt=call.attempts,
             kept=self._conn.used > 0,
             left_ms=left_ms,
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -190,12 +190,7 @@
     @property
     def ready(self):
         """Whether new callers should be sent here."""
-        follower = self.parts.follower
-        return (
-            not self._stopping
-            and follower.table is not None
-            and follower.servers is not None
-        )
+        return not self._stopping and self.parts.follower.is_ready
 
     def start(self):
         """Start serving."""
--- a/packages/router/src/paddle_router/hub/_duties.py
+++ b/packages/router/src/paddle_router/hub/_duties.py
@@ -18,6 +18,8 @@
 # Part of the time between the end of a window and its due time that is left
 # for counts to arrive from the gateways.
 SETTLE_PART = 0.4
+# Part of that time after which a window is sealed with the counts at hand.
+LATEST_PART = 0.85
 
 
 class SealedWindows:
@@ -104,13 +106,19 @@
         window = self._first if newest is None else newest + 1
         # After a long stop old windows are beyond their time.
         window = max(window, self._window_now() - WINDOWS_KEPT)
-        while (window + 1) * length_ms + settle_ms <= (
-            self._parts.wall.now_ms()
-        ):
+        while True:
+            ended_ms = self._parts.wall.now_ms() - (window + 1) * length_ms
+            if ended_ms < settle_ms or not self._may_seal(ended_ms):
+                return
             if not self._seal(window):
                 return
             window += 1
 
+    def _may_seal(self, ended_ms):
+        """Whether the counts are known, or the report is due anyway."""
+        last_ms = LATEST_PART * self._settings.usage_late_ms
+        return self._parts.fleet.is_informed or ended_ms >= last_ms
+
     def _seal(self, window):
         counts = self._parts.fleet.usage(window)
         result = self._parts.register.change(
--- a/packages/router/src/paddle_router/hub/_fleet.py
+++ b/packages/router/src/paddle_router/hub/_fleet.py
@@ -11,6 +11,8 @@
 # A gateway reports every 250 ms; after six missing reports it is not counted
 # as sending any more.
 LIVE_MS = 1_500
+# Gateways that lose their controller find the next one within 1.2 s.
+INFORMED_MS = 2_000
 # Gateways are counted for the retry budget a while longer, since what they
 # sent still counts in the window of the budget.
 COUNTED_MS = 5_000
@@ -32,6 +34,7 @@
         self._clock = clock
         self._reports = {}
         self._attached_ms = None
+        self._informed_since_ms = None
         self.servers = None
         self.listing = ''
         self.listed_ms = None
@@ -43,9 +46,23 @@
             return False
         return self._clock.now_ms() - self._attached_ms < LIVE_MS
 
+    @property
+    def is_informed(self):
+        """Whether a list was read and gateways had time to report.
+
+        A controller that just took over would otherwise give servers back
+        and seal usage windows without knowing the load and the counts.
+        """
+        if self.servers is None or self._informed_since_ms is None:
+            return False
+        informed_ms = self._clock.now_ms() - self._informed_since_ms
+        return self.has_gateways and informed_ms >= INFORMED_MS
+
     def note(self, reports, attached):
         """Keep the reports that are newer than those held."""
         now_ms = self._clock.now_ms()
+        if attached and not self.has_gateways:
+            self._informed_since_ms = now_ms
         if attached:
             self._attached_ms = now_ms
         for report in reports:
--- a/packages/router/src/paddle_router/hub/_scaling.py
+++ b/packages/router/src/paddle_router/hub/_scaling.py
@@ -42,8 +42,9 @@
         fleet = self._parts.fleet
         if gate.number() is None:
             self._sent.clear()
+            self._sizes.clear()
             return
-        if configuration is None or fleet.servers is None:
+        if configuration is None or not fleet.is_informed:
             return
         for service in configuration.services.values():
             if service.scaling is not None:
@@ -66,12 +67,27 @@
         spare = max(
             0, sum(existing.values()) - self._sizes[service.name].least
         )
+        taken = self._firm_places(service)
         for kind, count in sorted(wanted.items(), key=lambda i: not i[0][1]):
+            domain, cheap = kind
+            if cheap:
+                # The platform cuts an order above the maximum of both sorts
+                # and does not make up for it later.
+                most = service.scaling.maximum - taken[domain]
+                count = min(count, max(existing[kind], most))
             surplus = max(0, existing[kind] - count)
             count += max(0, surplus - spare)
             spare -= min(surplus, spare)
             self._order(service, kind, count, existing[kind], now_ms)
 
+    def _firm_places(self, service):
+        """Return the firm servers by domain, leaving ones included."""
+        return collections.Counter(
+            item.domain
+            for item in self._parts.fleet.servers
+            if item.service == service.name and not item.spot
+        )
+
     def _existing(self, service):
         return collections.Counter(
             (item.domain, item.spot)
--- a/packages/router/src/paddle_router/policy/_fleet_size.py
+++ b/packages/router/src/paddle_router/policy/_fleet_size.py
@@ -104,6 +104,9 @@
         ``existing`` counts the servers that are not leaving, by kind.
         """
         found = self._found_at_first(demand, existing)
+        if not self._cheap_peaks:
+            # What a predecessor ordered stands for the demand it knew.
+            _hold(self._cheap_peaks, sum(existing.values()), now_ms)
         self.least = _hold(
             self._firm_peaks, max(found, servers_needed(demand)), now_ms
         )
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -111,7 +111,11 @@
 
 @attrs.define(eq=False)
 class SharedFlight:
-    """A request of this gateway at a server."""
+    """A request of this gateway at a server.
+
+    ``place`` is that of the server in the order of the prompt's shared part,
+    ``None`` without one.
+    """
 
     server_id: str
     work: EngineWork
@@ -119,6 +123,7 @@
     uncached: int
     backlog: float
     last_ms: int
+    place: int | None = None
     started: bool = False
     events: int = 0
 
@@ -290,7 +295,8 @@
         ]
         least = min(cost for cost, _state in costs)
         near = [state for cost, state in costs if cost <= least + TIE_COST]
-        return self._occupy(self._rng.choice(near), work, now_ms)
+        chosen = self._rng.choice(near)
+        return self._occupy(chosen, work, now_ms, ranks.get(chosen.engine.id))
 
     def can_place(self, avoid):
         """Return whether a server outside ``avoid`` takes new work."""
@@ -423,7 +429,7 @@
             cost += BUSY_WEIGHT * state.busy(now_ms, self._rate)
         return cost
 
-    def _occupy(self, state, work, now_ms):
+    def _occupy(self, state, work, now_ms, place):
         uncached = work.prompt_tokens - state.cached(work.parts, now_ms)
         flight = SharedFlight(
             state.engine.id,
@@ -432,6 +438,7 @@
             max(0, uncached),
             state.backlog(now_ms, self._rate),
             now_ms,
+            place,
         )
         state.remember(work.parts, now_ms)
         state.window.add(now_ms, tokens=flight.uncached)
--- a/packages/router/tests/test_gateway_policies.py
+++ b/packages/router/tests/test_gateway_policies.py
@@ -185,6 +185,15 @@
     assert size.least >= 7
 
 
+def test_a_successor_gives_no_servers_back_before_it_knows_the_load():
+    # Guards against a change of the controller in charge that halves the
+    # servers in the middle of a burst.
+    size = policy.FleetSize()
+    existing = {(domain, True): 3 for domain in PRICES}
+    wanted = size.wanted(demand(1_000), BOUNDS, existing, NOW)
+    assert sum(wanted.values()) >= 12
+
+
 def test_numbers_stay_within_the_bounds_of_each_domain():
     tight = policy.FleetBounds(
         minimum=2, maximum=3, prices=PRICES, cheap_part=0.22
