Keep a gateway's server list when a controller's is old

Ruled out: connection limits and unreachable servers (no event 3312 with a failed connection).

Change: a list older than 1.6 s is given only to a gateway without one.

--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -381,6 +381,7 @@
             request=call.facts.request_id,
             server=self._server.id,
             address=self._server.address,
+            shared=_shared_part(call.facts),
             place=self._flight.place,
             uncached=self._flight.uncached,
             attempt=call.attempts,
@@ -542,6 +543,11 @@
     """A server sent nothing for longer than it may."""
 
 
+def _shared_part(facts):
+    """Return the id of the last prompt part that other requests share."""
+    return facts.parts[-2].id if len(facts.parts) > 1 else None
+
+
 def _is_success(head):
     return 200 <= head.status_code < 300
 
--- a/packages/router/src/paddle_router/hub/_controller.py
+++ b/packages/router/src/paddle_router/hub/_controller.py
@@ -282,16 +282,17 @@
         version = current.version if current else 0
         age_ms = self.document.age_ms()
         is_newer = message.attached and version > message.version
-        is_listed = message.attached and self.fleet.servers is not None
-        new_list = is_listed and message.listing != self.fleet.listing
+        listing, servers = message.listing, ()
+        if message.attached:
+            listing, servers = self.fleet.listing_for(message.listing)
         return gateway.SyncReply(
             controller=self._charge_address() or '',
             members=self._members(),
             confirmed=age_ms is not None and age_ms < CONFIRMED_MS,
             version=version,
             document=self._packed(current) if is_newer else None,
-            listing=self.fleet.listing if is_listed else message.listing,
-            servers=self.fleet.servers if new_list else (),
+            listing=listing,
+            servers=servers,
             fronts=self.fleet.count(),
             flights=tuple(self.fleet.flights().values())
             if message.attached
--- a/packages/router/src/paddle_router/hub/_fleet.py
+++ b/packages/router/src/paddle_router/hub/_fleet.py
@@ -11,6 +11,9 @@
 # A gateway reports every 250 ms; after six missing reports it is not counted
 # as sending any more.
 LIVE_MS = 1_500
+# Three reads of the list fit. An older list may name servers that left, or
+# lack those that a gateway's own list has.
+LIST_FRESH_MS = 1_600
 # Gateways that lose their controller find the next one within 1.2 s.
 INFORMED_MS = 2_000
 # Gateways are counted for the retry budget a while longer, since what they
@@ -140,6 +143,19 @@
         ).hexdigest()
         return True
 
+    def listing_for(self, held):
+        """Return the version and servers to send to a gateway.
+
+        No servers if it holds this version, or if the list is too old to
+        replace another one.
+        """
+        age_ms = self.list_age_ms()
+        if age_ms is None or held == self.listing:
+            return held, ()
+        if held and age_ms > LIST_FRESH_MS:
+            return held, ()
+        return self.listing, self.servers
+
     def list_age_ms(self):
         """Return the age of the list, ``None`` without one."""
         if self.listed_ms is None:
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -32,9 +32,9 @@
 RATE_GAIN = 0.1
 RATE_RANGE = (5.0, 1_000.0)
 # Weight of one running request against a first token that uses up its target.
-RUNNING_WEIGHT = 0.01
+RUNNING_WEIGHT = 0.005
 # Weight of the delay, in ms, that a prompt causes to each running stream.
-HARM_PER_MS = 0.002
+HARM_PER_MS = 0.0005
 # Weight of the part of time in which the server reads prompts; for a stream
 # whose events must not pause.
 BUSY_WEIGHT = 1.5
@@ -64,7 +64,7 @@
 RANK_CACHED = (0.9, 0.4, 0.1)
 # Weight of a shared token that is read again; prices of the users' platform
 # put 5,400 of them at about half of the worth of a long request.
-READ_AGAIN_PER_TOKEN = 0.35 / 5_400
+READ_AGAIN_PER_TOKEN = 0.6 / 5_400
 LONG_PROMPT_TOKENS = 4_000
 SHORT_PROMPT_TOKENS = 1_500
 # Part of the servers that long prompts leave to short ones, since three of
