--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -62,13 +62,21 @@
     status: int = 0
     reason: str = ''
     answered: bool = False
+    server_id: str | None = None
     began: bool = False
+    first_ms: int | None = None
+    longest_gap_ms: int = 0
+    last_event_ms: int = 0
     last_event_id: bytes | None = None
 
-    @property
-    def resumes(self):
-        """Whether a part of the answer has reached the caller."""
-        return self.answered and self.last_event_id is not None
+    def note_events(self, now_ms):
+        """Keep the time of the first event and the longest pause."""
+        if self.first_ms is None:
+            self.first_ms = now_ms - self.req.received_ms
+        else:
+            pause_ms = now_ms - self.last_event_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, pause_ms)
+        self.last_event_ms = now_ms
 
 
 @attrs.frozen(kw_only=True)
@@ -268,6 +276,9 @@
             status=call.status,
             reason=call.reason,
             attempts=call.attempts,
+            server=call.server_id,
+            first_ms=call.first_ms,
+            longest_gap_ms=call.longest_gap_ms,
             took_ms=self._clock.now_ms() - call.req.received_ms,
             version=self._version(),
         )
@@ -375,6 +386,7 @@
         headers = self._dialect.call_headers(call.req.headers, handover)
         call.attempts += 1
         call.may_have_run = True
+        call.server_id = self._server.id
         self._flight.sent_ms = self._clock.now_ms()
         paddle_kernel.emit(
             _events.REQUEST_SENT,
@@ -496,6 +508,7 @@
         call = self._call
         now_ms = self._clock.now_ms()
         self._note_begin()
+        call.note_events(now_ms)
         self._events += len(events)
         self._parts.balancers[call.service].observe(
             self._flight, now_ms, self._events
--- a/packages/router/src/paddle_router/hub/_controller.py
+++ b/packages/router/src/paddle_router/hub/_controller.py
@@ -75,7 +75,10 @@
             self.register,
             self.clock,
             f'{settings.peer}/{secrets.token_hex(8)}',
-            timing=paddle_coord.LeaseTiming(duration_ms=settings.lease_ms),
+            timing=paddle_coord.LeaseTiming(
+                duration_ms=settings.lease_ms,
+                in_flight_ms=_gate.IN_FLIGHT_MS,
+            ),
         )
         self.gate = _gate.DutyGate(self.lease, platform)
         self.usage = _duties.UsageDuty(settings, self)
--- a/packages/router/src/paddle_router/hub/_fleet.py
+++ b/packages/router/src/paddle_router/hub/_fleet.py
@@ -15,7 +15,7 @@
 # lack those that a gateway's own list has.
 LIST_FRESH_MS = 1_600
 # Gateways that lose their controller find the next one within 1.2 s.
-INFORMED_MS = 2_000
+INFORMED_MS = 1_300
 # Gateways are counted for the retry budget a while longer, since what they
 # sent still counts in the window of the budget.
 COUNTED_MS = 5_000
--- a/packages/router/src/paddle_router/hub/_scaling.py
+++ b/packages/router/src/paddle_router/hub/_scaling.py
@@ -74,7 +74,10 @@
                 # The platform cuts an order above the maximum of both sorts
                 # and does not make up for it later.
                 most = service.scaling.maximum - taken[domain]
-                count = min(count, max(existing[kind], most))
+                key = (service.name, domain, cheap)
+                sent = self._sent.get(key)
+                least = max(existing[kind], sent.count if sent else 0)
+                count = min(count, max(least, most))
             surplus = max(0, existing[kind] - count)
             count += max(0, surplus - spare)
             spare -= min(surplus, spare)
