Leave quiet servers to the streams with the shortest pauses

Change: the servers are left to the streams whose allowed pause is the shortest of all seen; other work pays for its reading time there, and such streams pay more for a noisy server.

--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -66,16 +66,18 @@
 # put 5,400 of them at about half of the worth of a long request.
 READ_AGAIN_PER_TOKEN = 0.6 / 5_400
 LONG_PROMPT_TOKENS = 4_000
-SHORT_PROMPT_TOKENS = 1_500
-# Part of the servers that long prompts leave to short ones, since three of
-# them read at the same time already pause a stream for 300 ms. All gateways
-# choose the same servers.
+# Part of the servers that is left to the streams with the shortest allowed
+# pause, since three long prompts read at the same time already pause a stream
+# for 300 ms. All gateways choose the same servers.
 QUIET_PART = 0.35
 QUIET_MIN_SERVERS = 3
-# Cost of a long prompt on a server left to short ones, and the reverse; both
-# happen when the other servers are much fuller.
-QUIET_COST = 0.5
-NOISY_COST = 0.15
+# Cost of a ms of reading on a server left to such streams.
+QUIET_COST_PER_MS = 0.005
+# Cost of such a stream elsewhere; replayed bursts made nearly all of them
+# late there.
+NOISY_COST = 0.5
+# Pauses up to this factor of the shortest one count as the shortest.
+TIGHT_GAP_RATIO = 1.2
 # A server this many times slower than the median pays that factor.
 SLOW_RATIO = 2.0
 PACE_MIN_ANSWERS = 4
@@ -244,6 +246,7 @@
         self._states = {}
         self._rate = DEFAULT_READ_RATE
         self._rate_seen = False
+        self._gaps = set()
 
     def sync(self, engines, now_ms):
         """Use this list of servers; those not listed are forgotten."""
@@ -282,13 +285,14 @@
         states = open_states or states
         if not states:
             return None
+        self._is_tight(work)
         quiet = self._quiet(states)
         ranks = _ranks(states, work, quiet)
         median = self._median_pace(now_ms)
         costs = [
             (
                 self._cost(state, work, now_ms, ranks, median)
-                + _quiet_cost(state, work, quiet),
+                + self._quiet_cost(state, work, quiet),
                 state,
             )
             for state in states
@@ -389,9 +393,28 @@
             for server_id, state in self._states.items()
         }
 
+    def _is_tight(self, work):
+        """Whether the stream allows the shortest pauses of all seen."""
+        if not work.gap_ms:
+            return False
+        self._gaps.add(work.gap_ms)
+        least = TIGHT_GAP_RATIO * min(self._gaps)
+        return work.gap_ms <= least < max(self._gaps)
+
+    def _quiet_cost(self, state, work, quiet):
+        """Return the cost of a server that serves the other sort of work."""
+        if not quiet or not work.prompt_tokens:
+            return 0.0
+        is_quiet = state.engine.id in quiet
+        if self._is_tight(work):
+            return 0.0 if is_quiet else NOISY_COST
+        if not is_quiet:
+            return 0.0
+        return QUIET_COST_PER_MS * work.prompt_tokens / self._rate
+
     def _quiet(self, states):
-        """Return the ids of the servers left to short prompts."""
-        if len(states) < QUIET_MIN_SERVERS:
+        """Return the ids of the servers left to tight streams."""
+        if len(states) < QUIET_MIN_SERVERS or len(self._gaps) < 2:
             return frozenset()
         ids = sorted(
             (state.engine.id for state in states),
@@ -472,7 +495,7 @@
     """Return ``{server id: place}`` in the part order of the prompt.
 
     The order belongs to the last part that other requests share. Servers
-    left to short prompts come last for a long one.
+    left to tight streams come last for a long prompt.
     """
     if len(work.parts) < 2:
         return {}
@@ -488,16 +511,6 @@
     return {server_id: place for place, server_id in enumerate(ids)}
 
 
-def _quiet_cost(state, work, quiet):
-    """Return the cost of a server that serves the other sort of prompts."""
-    is_quiet = state.engine.id in quiet
-    if is_quiet and work.prompt_tokens >= LONG_PROMPT_TOKENS:
-        return QUIET_COST
-    if quiet and not is_quiet and 0 < work.prompt_tokens < SHORT_PROMPT_TOKENS:
-        return NOISY_COST
-    return 0.0
-
-
 def _expected_cached(state, work, now_ms, ranks):
     cached = state.cached(work.parts, now_ms)
     place = ranks.get(state.engine.id, len(RANK_CACHED))
--- a/packages/router/tests/test_gateway_policies.py
+++ b/packages/router/tests/test_gateway_policies.py
@@ -25,6 +25,9 @@
 def balancer(count=4, seed=1, **options):
     built = policy.SharedLoadBalancer(rng=random.Random(seed))
     built.sync(engines(count, **options), NOW)
+    # Both sorts of streams have been seen.
+    for work in (long_prompt(), SHORT):
+        built.finish(built.choose(work, NOW - 60_000), NOW - 60_000, True)
     return built
 
 
