Read the server list as soon as the first gateway asks

Cause: after all processes were killed the gateways had a configuration after 0.1 s but waited up to 0.5 s for the next periodic read of the list.

--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -78,7 +78,7 @@
             self._leave(address, _reason(result))
             return RETRY_MS
         self._use(address, reply)
-        return SYNC_MS
+        return SYNC_MS if self.is_ready else RETRY_MS
 
     def add_controllers(self, addresses):
         """Try these controllers, too; settings name others after a change."""
--- a/packages/router/src/paddle_router/hub/_controller.py
+++ b/packages/router/src/paddle_router/hub/_controller.py
@@ -6,6 +6,7 @@
 
 import falcon
 import gevent
+import gevent.event
 from gevent import pywsgi
 
 import paddle_coord
@@ -106,6 +107,7 @@
         )
         self._packed_version = None
         self._packed_content = b''
+        self._list_wanted = gevent.event.Event()
         self._greenlets = []
 
     @property
@@ -129,7 +131,7 @@
         self._run(self._keep_membership, paddle_coord.MEMBERSHIP_LOOK_MS)
         self._run(self._refresh, REFRESH_MS)
         self._run(self.lease.tick, LEASE_TICK_MS)
-        self._run(self._read_list, LIST_MS)
+        self._run(self._read_list, LIST_MS, wake=self._list_wanted)
         self._run(self._relay, RELAY_MS)
         if self.settings.reports_usage:
             self._run(self.usage.step, DUTY_MS)
@@ -173,7 +175,7 @@
 
     # Periodic work
 
-    def _run(self, function, period_ms):
+    def _run(self, function, period_ms, wake=None):
         def loop():
             while True:
                 try:
@@ -184,7 +186,11 @@
                         task=function.__name__,
                         error=f'{type(exc).__name__}: {exc}',
                     )
-                self.clock.sleep_ms(period_ms)
+                if wake is None:
+                    self.clock.sleep_ms(period_ms)
+                else:
+                    wake.wait(period_ms / paddle_kernel.MS_PER_S)
+                    wake.clear()
 
         self._greenlets.append(gevent.spawn(loop))
 
@@ -280,6 +286,9 @@
         return self.replica.handle(message)
 
     def _sync(self, message):
+        if message.attached and not self.fleet.has_gateways:
+            # Gateways that were just started wait for the list.
+            self._list_wanted.set()
         self.fleet.note(message.reports, message.attached)
         current = self.document.current
         version = current.version if current else 0
