Take a server for slow only at three times the median pace

Cause: servers that read long prompts pace their streams at twice the median of a service by nature, and lost their sessions to other servers as 'slow'.

A server slowed five times is still found.

--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -79,7 +79,7 @@
 # Pauses up to this factor of the shortest one count as the shortest.
 TIGHT_GAP_RATIO = 1.2
 # A server this many times slower than the median pays that factor.
-SLOW_RATIO = 2.0
+SLOW_RATIO = 3.0
 PACE_MIN_ANSWERS = 4
 
 
