Serve requests that arrived unread before a planned close

Change: a connection with unread bytes is left to be read, answered and closed. The test failed first.

--- a/packages/router/src/paddle_router/gateway/_entry.py
+++ b/packages/router/src/paddle_router/gateway/_entry.py
@@ -91,6 +91,9 @@
         """Close connections without a request; others after their answer."""
         self.closing = True
         for conn in list(self._idle.values()):
+            if conn.has_unread_bytes():
+                # A request has arrived and is about to be read.
+                continue
             # A request that crosses the close must not be passed on, since
             # its answer could not be written.
             conn.closed_here = True
--- a/packages/router/src/paddle_router/gateway/_http1.py
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -6,6 +6,7 @@
 """
 
 import re
+import select
 import socket as plain_socket
 
 import attrs
@@ -132,6 +133,12 @@
         """Whether any byte of a next request has been received."""
         return bool(self._h11.trailing_data[0])
 
+    def has_unread_bytes(self):
+        """Whether bytes, or the caller's end, wait to be read."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def next_cycle(self):
         """Prepare for the next request on the connection."""
         self._head = bytes(self._h11.trailing_data[0])
--- a/packages/testbed/tests/test_gateway_path.py
+++ b/packages/testbed/tests/test_gateway_path.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import time
 import zlib
 
 from fleet_adapter import dialect
@@ -517,3 +518,15 @@
     gevent.sleep(2.3)
     assert exchange(bed, request('/safe/late'))[0] == 200
     assert stopping.get(timeout=8) is True
+
+
+def test_a_request_that_arrived_before_the_close_is_served(bed):
+    # The process was not scheduled between the arrival and the close.
+    bed.serve(fine)
+    sock = bed.connect()
+    sock.sendall(request('/safe/1'))
+    assert read_answer(sock)[0] == 200
+    sock.sendall(request('/safe/2'))
+    time.sleep(0.05)
+    bed.gateway.entry.close_idle()
+    assert read_answer(sock)[0] == 200
