Pass on a failure that cannot be retried and start with half the slack

A gateway started with one retry although its part of the slack allows 5.6.

Change: the budget is looked at before an answer is given up; a gateway starts with half of its part, since several may restart within one window. The reason of an earlier attempt is not logged with a good answer any more.

--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -462,6 +462,7 @@
             headers = self._dialect.without_stamp(headers)
         call.status = status
         call.answered = True
+        call.reason = ''
         caller.answer(status, headers, answer.body)
         return None
 
@@ -471,6 +472,7 @@
             call.route.is_idempotent
             and call.attempts < call.route.attempts
             and self._forwarder.has_other(call)
+            and self._parts.budgets.of(call.service).available
         )
 
     def _relay(self, caller, head):
@@ -515,6 +517,7 @@
         )
         if not call.answered:
             call.answered = True
+            call.reason = ''
             call.status = head.status_code
             caller.begin(
                 head.status_code,
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -22,6 +22,9 @@
 # Part of the shared retry budget that gateways divide among themselves; the
 # rest covers gateways that the controllers do not count yet.
 BUDGET_PART = 0.8
+# Part of its slack that a gateway starts with; several may be restarted within
+# one window of the budget.
+START_PART = 0.5
 # The balancer in front asks once a second and takes a gateway out after two
 # misses; callers that it still sends meanwhile are served.
 NOTICE_MS = 2_300
@@ -53,6 +56,7 @@
                 ratio=BUDGET_PART * self._settings.retry_ratio,
                 floor_per_s=0,
                 max_balance=self._most(),
+                balance=START_PART * self._most(),
             )
         return budget
 
--- a/packages/router/src/paddle_router/policy/_retry.py
+++ b/packages/router/src/paddle_router/policy/_retry.py
@@ -22,12 +22,13 @@
         ratio=RETRY_RATIO,
         floor_per_s=FLOOR_PER_S,
         max_balance=MAX_BALANCE,
+        balance=1.0,
         now_ms=0,
     ):
         self._ratio = ratio
         self._max_balance = max_balance
         self._floor_per_s = floor_per_s
-        self._balance = 1.0
+        self._balance = balance
         self._updated_ms = now_ms
 
     def note_request(self):
--- a/packages/testbed/tests/test_gateway_path.py
+++ b/packages/testbed/tests/test_gateway_path.py
@@ -530,3 +530,13 @@
     time.sleep(0.05)
     bed.gateway.entry.close_idle()
     assert read_answer(sock)[0] == 200
+
+
+def test_a_failure_that_cannot_be_retried_is_passed_on(bed):
+    # The budget was spent; the server's own answer was lost for a 502.
+    bed.serve(*[lambda req, sock: fakes.whole(req, status=b'500 No')] * 2)
+    budget = bed.gateway.parts.budgets.of('plain')
+    budget.limit(0)
+    status, text, _body = exchange(bed, request('/safe/x'))
+    assert status == 500 and 'stamp' in text
+    assert len(bed.requests) == 1
