--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -32,9 +32,9 @@
 # that the process can close its connections by itself.
 END_MARGIN_MS = 400
 STOP_POLL_MS = 20
-# A caller sends its request within a few ms after it connected; the balancer
-# may be a second late in taking a gateway out.
-QUIET_MS = 600
+# Callers that the balancer sends late are served until here; what is taken
+# later than 3 s after the stop signal may not be broken off any more.
+ACCEPT_MS = 2_900
 # Descriptors for backend servers, files and peers.
 OTHER_DESCRIPTORS = 1_000
 DEFAULT_DESCRIPTORS = 4_000
@@ -224,25 +224,17 @@
         paddle_kernel.emit(_events.STOPPING, busy=self.entry.busy)
         self.clock.sleep_ms(NOTICE_MS)
         self.entry.close_idle()
-        last_ms = began_ms + self.settings.stop_ms - END_MARGIN_MS
-        self._await_quiet(last_ms)
+        self.clock.sleep_ms(ACCEPT_MS - NOTICE_MS)
         self.entry.stop_listening()
+        last_ms = began_ms + self.settings.stop_ms - END_MARGIN_MS
+        while self.entry.busy and self.clock.now_ms() < last_ms:
+            self.clock.sleep_ms(STOP_POLL_MS)
         self.parts.follower.step()
         left = self.entry.busy
         paddle_kernel.emit(_events.STOPPED, left=left)
         self.close()
         return not left
 
-    def _await_quiet(self, last_ms):
-        """Return when no request came or ran for a while, or at the limit.
-
-        Callers that the balancer still sends here are served, too.
-        """
-        quiet_ms = 0
-        while quiet_ms < QUIET_MS and self.clock.now_ms() < last_ms:
-            self.clock.sleep_ms(STOP_POLL_MS)
-            quiet_ms = 0 if self.entry.busy else quiet_ms + STOP_POLL_MS
-
     def reload(self, controllers):
         """Use the peer addresses of changed settings."""
         self.parts.follower.add_controllers(controllers)
--- a/packages/testbed/tests/test_gateway_path.py
+++ b/packages/testbed/tests/test_gateway_path.py
@@ -514,9 +514,15 @@
     assert status == 200 and 'connection: close' in text
     assert not bed.gateway.ready
     assert idle.recv(10) == b''
-    # The balancer in front may send a caller late.
-    gevent.sleep(2.3)
-    assert exchange(bed, request('/safe/late'))[0] == 200
+    # The balancer in front may send a caller late. What is taken after 3 s
+    # could not be finished in time any more.
+    gevent.sleep(2.0)
+    bed.origins[0].script = lambda req, sock: [1.2, fakes.whole(req)]
+    late = gevent.spawn(exchange, bed, request('/book/x', method='POST'))
+    gevent.sleep(0.8)
+    with pytest.raises(OSError):
+        exchange(bed, request('/safe/later'))
+    assert late.get()[0] == 200
     assert stopping.get(timeout=8) is True
 
 
