Say where the balancer's weights come from

Cause: read as a newcomer, several weights and fields had no unit or source.

Change: comments only.

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -24,7 +24,11 @@
 
 
 class Step(enum.Enum):
-    """How an attempt ended without an answer for the caller."""
+    """How an attempt ended without an answer for the caller.
+
+    Nothing was sent; the server says that it did not run the request; the
+    answer broke off or never came; the server was silent for too long.
+    """
 
     NOT_SENT = 'not_sent'
     NOT_RUN = 'not_run'
@@ -34,7 +38,14 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Call:
-    """A request on its way through the gateway."""
+    """A request on its way through the gateway.
+
+    ``end_ms`` is when its caller or route gives it up. ``tried`` holds the
+    ids of the servers chosen so far, ``attempts`` counts those it was sent
+    to. ``answered`` is set once a byte of the answer may have been written,
+    ``began`` once a server has begun to run it. ``status`` and ``reason``
+    describe the final answer, ``first_ms`` and ``longest_gap_ms`` its events.
+    """
 
     req: _http1.Request
     facts: _model.CallFacts
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -26,19 +26,27 @@
 # Prompt tokens a server reads per ms until answers have shown it; the lower
 # of the two sites' sheets.
 DEFAULT_READ_RATE = 60.0
-# Prompts shorter than this say little about the reading rate.
+# Prompts shorter than this say little about the reading rate: at 60 tokens
+# per ms their first token is mostly network and step time.
 RATE_MIN_TOKENS = 3_000
+# Weight of a new answer; a burst of 20 long prompts moves the rate by 90%.
 RATE_GAIN = 0.1
+# Tokens per ms; bounds what one distorted measurement can do.
 RATE_RANGE = (5.0, 1_000.0)
-# Weight of one running request against a first token that uses up its target.
+# The weights below are in units of a first token that uses up its target.
+# Those of running requests and of harm were lowered to these values in
+# measured rounds (commit "Keep a gateway's server list when a controller's is
+# old"); the others are first choices that no round has varied.
+# Weight of one running request.
 RUNNING_WEIGHT = 0.005
-# Weight of the delay, in ms, that a prompt causes to each running stream.
+# Weight of a ms by which a prompt delays ten running streams.
 HARM_PER_MS = 0.0005
 # Weight of the part of time in which the server reads prompts; for a stream
 # whose events must not pause.
 BUSY_WEIGHT = 1.5
 # Requests beyond the slots wait for a whole run of another one.
 OVERFLOW_WEIGHT = 3.0
+# Weight of the squared part of failures; half of them outweigh any load.
 FAILURE_WEIGHT = 20.0
 # Virtual good answers, so that one failure is no verdict.
 PRIOR_ANSWERS = 4
@@ -52,10 +60,13 @@
 HOLD_MAX_MS = 2_000
 # Sums of other gateways older than this are not used.
 OTHERS_LIFETIME_MS = 2_000
+# A load report with an answer is as of that answer; streams last 1 to 2 s.
 REPORT_LIFETIME_MS = 700
+# Half of the time over which failures, pace and reading are summed.
 WINDOW_MS = 2_500
-# Remembered prompt parts per server and their lifetime in a busy cache.
+# Remembered prompt parts per server; some hundreds are in use on the sites.
 PARTS_KEPT = 4_096
+# Twice the time within which the users price a part that is read again.
 PART_LIFETIME_MS = 20_000
 # Chance that the first, second, ... server in a prompt part's own order has
 # it although this gateway did not send it there. All gateways compute the
