Wait for the end of the replica set's change in the lost-disk test

The log of core-0 shows the joint view adopted at 19.964 s and copied at 19.994 s and no final view: the test took 'voting' for 'counts again' and killed a second of three machines within the change, where a majority of the old set is needed too. The read was refused (event 3413), which is what it has to do; the machine counts as lost until its join is complete.

Ruled out: a lost value (no read answered an older version) and a stuck change (the second machine was not restarted).

--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -105,6 +105,16 @@
     return json.loads(body)['version'] if status == 200 else None
 
 
+def counts_again(fleet, name):
+    """Whether a replica is a member and no change of the set is under way.
+
+    During the change a majority of the old set is needed as well, and the
+    emptied replica is not part of it.
+    """
+    replica = fleet.dump(name).get('replica') or {}
+    return replica.get('voting') and not replica.get('changing')
+
+
 def test_the_whole_path_serves_and_reports_usage(serving, cloud, origin):
     # Guards against a path that works in one process only.
     sent = 0
@@ -171,7 +181,7 @@
     serving.wipe('core-0')
     serving.start('core-0')
     fleets.wait_for(
-        lambda: serving.dump('core-0').get('replica', {}).get('voting'),
+        lambda: counts_again(serving, 'core-0'),
         'the emptied replica did not join again',
     )
     serving.kill('core-1')
