Do not write log lines to a pipe without room

Cause: lines were written with a blocking write. Once the reader of standard output stalled and the pipe (64 KiB) was full, the write stopped all greenlets of the process, so a gateway answered nothing any more.

Ruled out: making the descriptor non-blocking, since others may share it.

A process that stops writes what the pipe takes at once.

--- a/packages/kernel/src/paddle_kernel/_events.py
+++ b/packages/kernel/src/paddle_kernel/_events.py
@@ -5,7 +5,10 @@
 """
 
 import collections
+import functools
 import json
+import os
+import select
 import sys
 
 import attrs
@@ -91,13 +94,15 @@
 class _BoundedWriter:
     """Writes lines from a greenlet, at most ``LINES_PER_S`` of them.
 
-    Callers never wait for the stream. Lines beyond the bound are counted,
-    and the count is written in their place.
+    Callers never wait for the stream, nor does the process: a pipe whose
+    reader stalls is not written to until it has room. Lines beyond the bound
+    are counted, and the count is written in their place.
     """
 
     def __init__(self, stream):
-        self._stream = stream
+        self._output = _output_for(stream)
         self._lines = collections.deque()
+        self._rest = b''
         self._dropped = 0
         self._wake = gevent.event.Event()
         gevent.spawn(self._run)
@@ -109,44 +114,92 @@
         self._lines.append(line)
         self._wake.set()
 
+    def flush(self):
+        """Write what the stream takes at once."""
+        while self._rest or self._lines or self._dropped:
+            if not self._rest:
+                self._rest = self._next_lines(len(self._lines))
+            before = len(self._rest)
+            self._rest = self._output(self._rest)
+            if len(self._rest) == before:
+                return
+
     def _run(self):
         per_round = LINES_PER_S * FLUSH_MS // 1_000
         while True:
             self._wake.wait()
             self._wake.clear()
             gevent.sleep(FLUSH_MS / 1_000)
-            count = min(per_round, len(self._lines))
-            lines = [self._lines.popleft() for _ in range(count)]
-            if self._dropped:
-                lines.append(
-                    json.dumps(
-                        {
-                            'event': DROPPED.number,
-                            'level': DROPPED.level,
-                            'text': DROPPED.text,
-                            'count': self._dropped,
-                        }
-                    )
-                    + '\n'
-                )
-                self._dropped = 0
-            self._stream.write(''.join(lines))
-            self._stream.flush()
-            if self._lines:
+            if not self._rest:
+                self._rest = self._next_lines(per_round)
+            self._rest = self._output(self._rest)
+            if self._rest or self._lines:
                 self._wake.set()
 
+    def _next_lines(self, most):
+        count = min(most, len(self._lines))
+        lines = [self._lines.popleft() for _ in range(count)]
+        if self._dropped:
+            lines.append(_dropped_line(self._dropped))
+            self._dropped = 0
+        return ''.join(lines).encode()
+
+
+def _dropped_line(count):
+    line = {
+        'event': DROPPED.number,
+        'level': DROPPED.level,
+        'text': DROPPED.text,
+        'count': count,
+    }
+    return json.dumps(line) + '\n'
+
+
+def _output_for(stream):
+    """Return a function that writes bytes and returns those left over."""
+    try:
+        descriptor = stream.fileno()
+    except OSError:
+        # A stream in memory takes everything.
+        return functools.partial(_write_to_memory, stream)
+    stream.flush()
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    return functools.partial(_write_with_room, descriptor, poll)
+
+
+def _write_to_memory(stream, data):
+    stream.write(data.decode())
+    return b''
+
+
+def _write_with_room(descriptor, poll, data):
+    # A pipe that is reported as writable takes PIPE_BUF bytes at once. The
+    # descriptor stays in blocking mode, since others may share it.
+    try:
+        while data and poll.poll(0):
+            sent = os.write(descriptor, data[: select.PIPE_BUF])
+            data = data[sent:]
+    except OSError:
+        # The reader is gone, and with it the only place to report this.
+        return b''
+    return data
+
 
 def configure(*, style='text', level='INFO', stream=None, bounded=False):
     """Send log records to ``stream`` (stderr) as ``text`` or ``json``.
 
     With ``bounded`` the volume is bounded and no caller waits for the
-    stream.
+    stream. Returns a function that writes the lines still kept, as far as
+    the stream takes them at once; to be called before the process ends.
     """
     stream = stream or sys.stderr
     line = _json_line if style == 'json' else _text_line
     if bounded:
-        put = _BoundedWriter(stream).put
+        writer = _BoundedWriter(stream)
+        put, flush = writer.put, writer.flush
     else:
+        flush = stream.flush
 
         def put(text):
             stream.write(text)
@@ -158,3 +211,4 @@
         level=level,
         format='{message}',
     )
+    return flush
--- a/packages/testbed/src/paddle_testbed/fleet.py
+++ b/packages/testbed/src/paddle_testbed/fleet.py
@@ -77,8 +77,11 @@
         for name in self.machines:
             self.start(name, first_start=True)
 
-    def start(self, name, *, first_start=False):
-        """Start the process of a machine."""
+    def start(self, name, *, first_start=False, output=None):
+        """Start the process of a machine.
+
+        ``output`` is the descriptor for its log, a file by default.
+        """
         machine = self.machines[name]
         path = machine.folder / 'settings.json'
         path.write_text(json.dumps(self._settings(machine, first_start)))
@@ -86,7 +89,7 @@
         machine.process = subprocess.Popen(
             [sys.executable, str(MAIN), machine.role],
             env={**os.environ, 'ROSEMARYPADDLE_CONFIG': str(path)},
-            stdout=log,
+            stdout=log if output is None else output,
             stderr=log,
         )
         log.close()
--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -2,10 +2,12 @@
 
 import copy
 import json
+import os
 import signal
 import time
 
 import gevent
+import gevent.pool
 import gevent.socket
 import pytest
 
@@ -33,6 +35,13 @@
 }
 
 
+# Each request writes about three lines of 300 bytes.
+BURST = 400
+BURST_CALLERS = 20
+BURST_LIMIT_S = 30
+PIPE_ALMOST_FULL_BYTES = 50_000
+
+
 def changed(version, **fields):
     return {**copy.deepcopy(CONFIG), 'version': version, **fields}
 
@@ -135,6 +144,26 @@
     assert len({call.holder for call in cloud.calls}) == 1
 
 
+def test_service_does_not_wait_for_a_log_reader_that_stalls(serving, origin):
+    # Guards against a write to a full pipe (64 KiB) that stops a gateway:
+    # this burst writes several times as much.
+    name, *_others = serving.names('gateway')
+    serving.kill(name)
+    read_end, write_end = os.pipe()
+    try:
+        serving.start(name, output=write_end)
+        wait_ready(serving, name)
+        burst = gevent.pool.Pool(BURST_CALLERS)
+        began = time.monotonic()
+        answers = burst.map(lambda _: ask(serving, name), range(BURST))
+        assert set(answers) == {200}
+        assert time.monotonic() - began < BURST_LIMIT_S
+        assert len(os.read(read_end, 1 << 20)) > PIPE_ALMOST_FULL_BYTES
+    finally:
+        os.close(read_end)
+        os.close(write_end)
+
+
 def test_a_change_is_in_force_on_every_gateway(serving):
     serving.put(changed(9, routes=[{**ROUTE, 'pathPrefix': '/b/'}]))
     for name in serving.names('gateway'):
