Send an event with one system call and skip a needless turn of the queue

A profile (1 ms samples of processor time, start left out) shows where a daemon's time goes: 30% reading from the engine and splitting events, 15% writing to the caller (a quarter of it asking the kernel for the buffer's size at each event), 25% admission and dispatch (7.5% of it the queue, which was asked once more after the last request had started), 6% periodic work.

Ruled out: periodic work as the cause of the growth (10 to 11 ms a second when idle, 3% of a request's time); the clock (1.5%).

Change: small writes go out with one send; an event that arrives by itself is not searched for further ends; the queue is not asked when nothing waits.

--- a/packages/router/src/paddle_router/_dispatch.py
+++ b/packages/router/src/paddle_router/_dispatch.py
@@ -282,7 +282,7 @@
             for ticket in turn.started:
                 if not self._place(pool, ticket, now_ms):
                     pool.unplaced.append(ticket)
-            if not turn.started:
+            if not turn.started or not pool.waiting:
                 return
 
     def _place(self, pool, ticket, now_ms):
--- a/packages/router/src/paddle_router/_http_in.py
+++ b/packages/router/src/paddle_router/_http_in.py
@@ -15,6 +15,7 @@
 import paddle_kernel
 from paddle_router import _errors
 from paddle_router import _events
+from paddle_router import _sockets
 
 HANDLER = 'paddle.handler'
 DISCARD_BYTES = 4 * 1024 * 1024
@@ -104,6 +105,17 @@
             self.close_connection = True
             self.response_headers.append((b'Connection', b'close'))
 
+    def _sendall(self, data):
+        try:
+            _sockets.send_whole(self.socket, data)
+        except OSError as exc:
+            # The server's own handling of a caller that is gone goes by a
+            # negative status.
+            self.status = f'socket error: {exc}'
+            self.code = -abs(self.code)
+            raise
+        self.response_length += len(data)
+
     def give_up_input(self):
         """Skip the rest of the request body and close afterwards."""
         self.close_connection = True
--- a/packages/router/src/paddle_router/_http_out.py
+++ b/packages/router/src/paddle_router/_http_out.py
@@ -12,6 +12,7 @@
 import geventhttpclient.response
 
 import paddle_kernel
+from paddle_router import _sockets
 
 RECEIVE_BYTES = 65_536
 IDLE_PER_ADDRESS = 64
@@ -95,7 +96,7 @@
             lines.append(f'Content-Length: {len(body)}')
         head = '\r\n'.join(lines) + '\r\n\r\n'
         self.set_timeout(timeout_ms)
-        self._sock.sendall(head.encode('latin-1') + body)
+        _sockets.send_whole(self._sock, head.encode('latin-1') + body)
         self._answer = Answer(self._sock, method)
 
     def read_head(self, timeout_ms):
--- a/packages/router/src/paddle_router/_sse.py
+++ b/packages/router/src/paddle_router/_sse.py
@@ -4,6 +4,7 @@
 
 # An event ends with an empty line; lines may end with LF or CRLF.
 _END = re.compile(rb'\n\r?\n')
+_LF_END = b'\n\n'
 DONE = b'[DONE]'
 DATA = b'data:'
 
@@ -20,6 +21,11 @@
     def feed(self, data):
         """Return the list of events completed by ``data``."""
         buffer = self.rest + data if self.rest else data
+        if buffer.endswith(_LF_END) and buffer.find(b'\n\r') < 0:
+            # Engines mostly send each event by itself.
+            if buffer.find(_LF_END) == len(buffer) - len(_LF_END):
+                self.rest = b''
+                return [buffer]
         events = []
         start = 0
         for match in _END.finditer(buffer):
--- a/packages/testbed/src/paddle_testbed/bench.py
+++ b/packages/testbed/src/paddle_testbed/bench.py
@@ -28,7 +28,8 @@
 
 OURS = '+'.join(policy_bench.POLICIES[-1])
 LIMIT_S = 300
-RELAY_ROUNDS = 6
+# The ratio of single rounds scatters by a fifth on a shared machine.
+RELAY_ROUNDS = 12
 RELAY_TIMEOUT_S = 120
 # Of several seeds the mean is shown, but of these the worst.
 WORST = {
