Add a randomized soak of the programs with faults from outside

Change: paddle_testbed.soak starts controllers and gateways as processes, with loopback proxies before the backend servers and the platform's interface. A seed decides on kills, stops, freezes, reloads, torn writes and lost disks, faults of servers and links, and changes of the configuration, several at once.

Of the first seeds, one ended with a process that a reload met before its program had begun (20 ms after the start); nothing in the program can heed that, so the soak waits until a program has begun before it disturbs it again.

Ruled out: proxies between gateways and controllers, whose addresses are given by the settings; processes are frozen and killed there instead. Clocks cannot be moved for one process from outside without rights that the soak does not have.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 PACKAGES := kernel coord router ctl testbed
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
 OUT ?= out/bench.json
+SEEDS ?= 10
 
-.PHONY: setup lint format test demo playground model faults bench slopes
+.PHONY: setup lint format test demo playground model faults bench slopes soak
 
 setup: $(VENV)/.ready
 
@@ -40,6 +41,9 @@
 bench: setup
 	$(BIN)/python -m paddle_testbed.bench --out=$(OUT)
 
+soak: setup
+	$(BIN)/python -m paddle_testbed.soak --count=$(SEEDS)
+
 slopes: setup
 	$(BIN)/python -m paddle_testbed.slopes
 
--- a/packages/testbed/src/paddle_testbed/fakes/_cloud.py
+++ b/packages/testbed/src/paddle_testbed/fakes/_cloud.py
@@ -1,10 +1,13 @@
 """The users' platform: list of servers, usage reports, orders for servers."""
 
 import json
+import time
 
 import attrs
 import gevent.pywsgi
 
+NS_PER_MS = 1_000_000
+
 
 @attrs.frozen(kw_only=True)
 class DutyCall:
@@ -14,6 +17,7 @@
     holder: str
     fence: int
     body: dict
+    at_ms: int = 0
 
 
 class FakeCloud:
@@ -75,6 +79,7 @@
                 holder=environ['HTTP_ROSEMARYPADDLE_DUTY_HOLDER'],
                 fence=fence,
                 body=json.loads(environ['wsgi.input'].read()),
+                at_ms=time.monotonic_ns() // NS_PER_MS,
             )
         )
         return _json(start_response, '200 OK', {})
--- a/packages/testbed/src/paddle_testbed/fakes/_origin.py
+++ b/packages/testbed/src/paddle_testbed/fakes/_origin.py
@@ -60,7 +60,7 @@
         data = b''
         while True:
             while b'\r\n\r\n' not in data:
-                more = sock.recv(RECEIVE_BYTES)
+                more = _receive(sock)
                 if not more:
                     return
                 data += more
@@ -68,7 +68,10 @@
             req = Received(head, b'')
             size = int(req.headers.get(b'content-length', b'0'))
             while len(data) < size:
-                data += sock.recv(RECEIVE_BYTES)
+                more = _receive(sock)
+                if not more:
+                    return
+                data += more
             req.body, data = data[:size], data[size:]
             self.requests.append(req)
             if not self._answer(sock, req):
@@ -101,6 +104,14 @@
         self.aborted += 1
 
 
+def _receive(sock):
+    try:
+        return sock.recv(RECEIVE_BYTES)
+    except ConnectionResetError:
+        # Callers may reset a connection as well as close it.
+        return b''
+
+
 def whole(req, body=b'ok', *, status=b'200 OK', extra=()):
     """Return a stamped answer with a length."""
     return b'\r\n'.join(
--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/soak/_callers.py
@@ -0,0 +1,150 @@
+"""Callers that keep connections open and record every answer."""
+
+import re
+
+import gevent
+import gevent.socket
+import h11
+
+from paddle_testbed.soak import _ledger
+
+HOST = 'soak.example'
+KEY = 'soak-key'
+RECEIVE_BYTES = 65_536
+CONNECT_S = 1.0
+# Longer than any time limit of the routes.
+ANSWER_S = 12.0
+PAUSE_S = (0.0, 0.12)
+KINDS = (_ledger.SAFE, _ledger.SAFE, _ledger.BOOK, _ledger.CHAT)
+_EVENT = re.compile(rb'id: (\d+)\ndata: (\S*)\n\n')
+
+
+class Connection:
+    """One connection to a gateway, for one request at a time."""
+
+    def __init__(self, address):
+        self._sock = gevent.socket.create_connection(address, CONNECT_S)
+        self._sock.settimeout(ANSWER_S)
+        self._state = h11.Connection(h11.CLIENT)
+
+    def close(self):
+        """Close the connection."""
+        self._sock.close()
+
+    def ask(self, attempt):
+        """Send one request and fill in what came back.
+
+        Returns whether the connection can be used again.
+
+        :raises OSError: if it ends before the answer.
+        """
+        head = h11.Request(
+            method='GET',
+            target=f'/{attempt.kind}/x',
+            headers=[
+                ('Host', HOST),
+                ('Authorization', f'Token {KEY}'),
+                ('Rosemarypaddle-Request-Id', attempt.request_id),
+            ],
+        )
+        self._sock.sendall(
+            self._state.send(head) + self._state.send(h11.EndOfMessage())
+        )
+        body = bytearray()
+        try:
+            self._read(attempt, body)
+        finally:
+            _judge(attempt, bytes(body))
+        if self._state.our_state is h11.MUST_CLOSE:
+            return False
+        self._state.start_next_cycle()
+        return True
+
+    def _read(self, attempt, body):
+        while True:
+            event = self._state.next_event()
+            if event is h11.NEED_DATA:
+                data = self._sock.recv(RECEIVE_BYTES)
+                try:
+                    self._state.receive_data(data)
+                    if not data:
+                        raise ConnectionError('closed within the answer')
+                except h11.RemoteProtocolError as exc:
+                    raise ConnectionError(str(exc)) from exc
+            elif isinstance(event, h11.Response):
+                attempt.status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                attempt.is_whole = True
+                return
+
+
+def _judge(attempt, body):
+    """Compare the body with the request."""
+    own = attempt.request_id.encode()
+    if attempt.status != 200:
+        return
+    if attempt.kind == _ledger.CHAT:
+        found = _EVENT.findall(body)
+        attempt.events = [int(number) for number, _data in found]
+        attempt.is_own = all(data == own for _number, data in found)
+    else:
+        attempt.is_own = own.startswith(body)
+        attempt.is_whole = attempt.is_whole and body == own
+
+
+class Caller:
+    """Sends requests one after the other until told to stop."""
+
+    def __init__(self, name, fleet, ledger, rng):
+        self._name = name
+        self._fleet = fleet
+        self._ledger = ledger
+        self._rng = rng
+        self._conn = None
+        self._gateway = None
+        self._count = 0
+        self._leaving = False
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self):
+        """End after the present request."""
+        self._leaving = True
+        self._greenlet.join()
+        if self._conn is not None:
+            self._conn.close()
+
+    def ask_once(self, kind, gateway=None):
+        """Send one request and return the :class:`Attempt`."""
+        self._count += 1
+        attempt = _ledger.Attempt(
+            request_id=f'{self._name}-{self._count}',
+            kind=kind,
+            gateway=gateway or self._gateway,
+            sent_ms=_ledger.now_ms(),
+        )
+        self._ledger.attempts.append(attempt)
+        kept = False
+        try:
+            if self._conn is None:
+                self._conn = Connection(self._fleet.front(attempt.gateway))
+            kept = self._conn.ask(attempt)
+        except (OSError, h11.RemoteProtocolError):
+            # Recorded as an attempt without a whole answer.
+            pass
+        finally:
+            attempt.ended_ms = _ledger.now_ms()
+            if not kept and self._conn is not None:
+                self._conn.close()
+                self._conn = None
+        return attempt
+
+    def _run(self):
+        while not self._leaving:
+            if self._conn is None:
+                self._gateway = self._rng.choice(self._fleet.names('gateway'))
+            attempt = self.ask_once(self._rng.choice(KINDS))
+            gevent.sleep(self._rng.uniform(*PAUSE_S))
+            if attempt.status is None:
+                gevent.sleep(self._rng.uniform(*PAUSE_S))
--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/soak/_ledger.py
@@ -0,0 +1,80 @@
+"""What callers sent and got, and what backend servers ran."""
+
+import time
+
+import attrs
+
+SAFE = 'safe'
+BOOK = 'book'
+CHAT = 'chat'
+EVENTS = 8
+
+
+def now_ms():
+    """Return monotonic time in ms."""
+    return time.monotonic_ns() // 1_000_000
+
+
+@attrs.frozen(kw_only=True)
+class Run:
+    """A request that arrived at a backend server.
+
+    ``is_run`` is false if the server rejected it as not run; ``after`` is the
+    last event that the caller had when a stream was resumed.
+    """
+
+    request_id: str
+    kind: str
+    server: str
+    at_ms: int
+    is_run: bool = True
+    after: int = 0
+
+
+@attrs.define(kw_only=True)
+class Attempt:
+    """A request of a caller; ``status`` is ``None`` without an answer.
+
+    ``is_own`` is false if the body belongs to another request; ``events`` are
+    the numbers of the events of a stream; ``is_whole`` tells whether the
+    answer ended as complete.
+    """
+
+    request_id: str
+    kind: str
+    gateway: str
+    sent_ms: int
+    ended_ms: int | None = None
+    status: int | None = None
+    is_own: bool = True
+    is_whole: bool = False
+    events: list = attrs.field(factory=list)
+
+
+@attrs.frozen(kw_only=True)
+class Disturbance:
+    """A fault of one kind between two times."""
+
+    kind: str
+    target: str
+    begin_ms: int
+    end_ms: int
+
+
+@attrs.define
+class Ledger:
+    """Records of one seed, in the order in which they were made."""
+
+    runs: list = attrs.field(factory=list)
+    attempts: list = attrs.field(factory=list)
+    disturbances: list = attrs.field(factory=list)
+    # Versions of the configuration: handed in, and acknowledged.
+    sent: dict = attrs.field(factory=dict)
+    acknowledged: list = attrs.field(factory=list)
+    # What controllers answered to a read at the end, and shares of requests
+    # that were served after all faults had ended, by gateway.
+    read_back: dict = attrs.field(factory=dict)
+    served_after: dict = attrs.field(factory=dict)
+    # Exits of processes that were not asked for, and of planned stops.
+    own_ends: list = attrs.field(factory=list)
+    stops: list = attrs.field(factory=list)
--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -0,0 +1,355 @@
+"""One seed: processes, callers, faults, and the checks at the end."""
+
+import contextlib
+import copy
+import json
+import pathlib
+import random
+import signal
+import tempfile
+
+import attrs
+import gevent
+
+from paddle_testbed import fakes
+from paddle_testbed import fleet as fleets
+from paddle_testbed.soak import _callers
+from paddle_testbed.soak import _checks
+from paddle_testbed.soak import _faults
+from paddle_testbed.soak import _ledger
+from paddle_testbed.soak import _proxy
+from paddle_testbed.soak import _servers
+
+DOMAINS = ('z0', 'z1')
+FIRST_VERSION = 10
+PROBES = 20
+SETTLE_S = 20
+WATCH_S = 0.1
+FAULT_PAUSE_S = (0.1, 1.2)
+ROUTE = {
+    'host': _callers.HOST,
+    'service': 'plain',
+    'targetLatencyMs': 300,
+    'timeoutMs': 2000,
+    'attempts': 3,
+}
+CONFIG = {
+    'version': FIRST_VERSION,
+    'routes': [
+        {**ROUTE, 'name': 'safe', 'pathPrefix': '/safe/', 'kind': 'safe'},
+        {
+            **ROUTE,
+            'name': 'book',
+            'pathPrefix': '/book/',
+            'kind': 'unsafe',
+        },
+        {
+            **ROUTE,
+            'name': 'chat',
+            'pathPrefix': '/chat/',
+            'kind': 'streaming',
+            'timeoutMs': 8000,
+            'resumable': True,
+            'targetGapMs': 300,
+        },
+    ],
+    'services': [{'name': 'plain', 'connectionLimit': 100}],
+    'limits': {'idleTimeoutMs': 15000},
+    'tenants': [{'name': 'cust', 'accessKeys': [_callers.KEY]}],
+}
+
+
+@attrs.frozen(kw_only=True)
+class SoakOptions:
+    """Size of a seed; ``seconds`` is how long faults begin."""
+
+    seconds: float = 15
+    controllers: int = 3
+    gateways: int = 2
+    servers: int = 4
+    callers: int = 6
+    at_once: int = 3
+
+
+class World:
+    """The processes and stand-ins of one seed."""
+
+    def __init__(self, folder, options, rng):
+        self.ledger = _ledger.Ledger()
+        self.cloud = fakes.FakeCloud()
+        self.platform_proxy = _proxy.Proxy(self.cloud.address)
+        self.servers = [
+            _servers.Server(
+                f'i-{number}', DOMAINS[number % len(DOMAINS)], self.ledger
+            )
+            for number in range(options.servers)
+        ]
+        self.publish_servers()
+        self.fleet = fleets.Fleet(
+            folder,
+            self.platform_proxy,
+            controllers=options.controllers,
+            gateways=options.gateways,
+        )
+        self._taken = set()
+        self._disk_taken = False
+        self._version = FIRST_VERSION
+        self._callers = []
+        self._rng = rng
+
+    def start(self, callers):
+        """Start all processes and callers; wait until requests are served."""
+        self.fleet.start_all()
+        self.ledger.sent[FIRST_VERSION] = CONFIG
+        self.fleet.put(CONFIG)
+        self.ledger.acknowledged.append(FIRST_VERSION)
+        for name in self.fleet.names('gateway'):
+            self.wait_ready(name)
+        gevent.sleep(_checks.CONTACT_MS / 1_000)
+        self._callers = [
+            _callers.Caller(
+                f'c{number}',
+                self.fleet,
+                self.ledger,
+                random.Random(self._rng.random()),
+            )
+            for number in range(callers)
+        ]
+
+    def close(self):
+        """End callers, processes and stand-ins."""
+        for caller in self._callers:
+            caller.stop()
+        self.fleet.stop()
+        for server in self.servers:
+            server.stop()
+        self.platform_proxy.stop()
+        self.cloud.stop()
+
+    def publish_servers(self):
+        """Show the present servers in the platform's list."""
+        self.cloud.entries = [item.entry() for item in self.servers]
+
+    # Machines; each is disturbed by one fault at a time
+
+    @contextlib.contextmanager
+    def machine(self, name):
+        """Take ``name`` if it is free; yields whether it was."""
+        if name in self._taken:
+            yield False
+            return
+        self._taken.add(name)
+        try:
+            yield True
+        finally:
+            self._taken.discard(name)
+
+    @contextlib.contextmanager
+    def one_machine(self, rng, role):
+        """Take a free machine of ``role``; yields ``None`` without one."""
+        free = [
+            item for item in self.fleet.names(role) if item not in self._taken
+        ]
+        if not free:
+            yield None
+            return
+        name = rng.choice(free)
+        with self.machine(name):
+            yield name
+
+    def take_machines(self, stack, role):
+        """Take all free machines of ``role`` until ``stack`` ends."""
+        return [
+            name
+            for name in self.fleet.names(role)
+            if stack.enter_context(self.machine(name))
+        ]
+
+    @contextlib.contextmanager
+    def one_disk(self):
+        """Take the right to lose a disk; yields whether it was free."""
+        if self._disk_taken:
+            yield False
+            return
+        self._disk_taken = True
+        try:
+            yield True
+        finally:
+            self._disk_taken = False
+
+    def log_of(self, name):
+        """Return the path of a controller's register file."""
+        return self.fleet.machines[name].folder / 'data/replica/register.log'
+
+    def stop_and_start(self, name, limit_s):
+        """Stop a process as planned work does, then start it again."""
+        process = self.fleet.machines[name].process
+        begin_ms = _ledger.now_ms()
+        self.fleet.signal(name, signal.SIGTERM)
+        with gevent.Timeout(limit_s, False):
+            while process.poll() is None:
+                gevent.sleep(WATCH_S)
+        spent_ms = _ledger.now_ms() - begin_ms
+        self.ledger.stops.append((name, process.poll(), spent_ms))
+        if process.poll() is None:
+            self.fleet.kill(name)
+        self.start_again(name)
+        if name in self.fleet.names('gateway'):
+            self.wait_ready(name)
+
+    def start_again(self, name):
+        """Start a process and wait until its program has begun.
+
+        Until then a signal meets the interpreter, which ends: a reload 20 ms
+        after the start did so (seed 1572442404).
+        """
+        self.fleet.start(name)
+        process = self.fleet.machines[name].process
+        fleets.wait_for(
+            lambda: _handles(process, signal.SIGHUP), f'{name} did not begin'
+        )
+
+    def wait_ready(self, name):
+        """Wait until a gateway says that it is ready."""
+        fleets.wait_for(
+            lambda: self.fleet.call(name, 'GET', '/api/readiness')[0] == 200,
+            f'{name} was not ready',
+        )
+
+    def wait_counts_again(self, name):
+        """Wait until an emptied controller counts in the replica set."""
+
+        def counts():
+            replica = self.fleet.dump(name).get('replica') or {}
+            return replica.get('voting') and not replica.get('changing')
+
+        fleets.wait_for(counts, f'{name} did not count again', SETTLE_S)
+
+    def hand_in(self, rng):
+        """Hand in a new version at a random controller."""
+        self._version += rng.randint(1, 3)
+        version = self._version
+        document = copy.deepcopy(CONFIG)
+        document['version'] = version
+        document['routes'].append(
+            {
+                **ROUTE,
+                'name': f'extra-{version}',
+                'pathPrefix': f'/extra-{version}/',
+                'kind': 'safe',
+            }
+        )
+        self.ledger.sent[version] = document
+        name = rng.choice(self.fleet.names('controller'))
+        body = json.dumps(document).encode()
+        status, _body = self.fleet.call(
+            name, 'PUT', '/api/configuration', body
+        )
+        if status == 200:
+            self.ledger.acknowledged.append(version)
+
+    def watch(self):
+        """Note processes that ended although nothing disturbed them."""
+        while True:
+            gevent.sleep(WATCH_S)
+            for machine in self.fleet.machines.values():
+                if machine.name in self._taken or machine.process is None:
+                    continue
+                code = machine.process.poll()
+                entry = (machine.name, code)
+                if code is not None and entry not in self.ledger.own_ends:
+                    self.ledger.own_ends.append(entry)
+
+    def settle(self):
+        """Wait until all is calm, then read and probe every machine."""
+        for name in self.fleet.names('gateway'):
+            self.wait_ready(name)
+        newest = max(self.ledger.acknowledged)
+        for name in self.fleet.names('controller'):
+            self.ledger.read_back[name] = self._read(name, newest)
+        for caller in self._callers:
+            caller.stop()
+        for name in self.fleet.names('gateway'):
+            self.ledger.served_after[name] = self._probe(name)
+
+    def _read(self, name, newest):
+        """Return the configuration, the last one read after ``SETTLE_S``."""
+        seen = {}
+
+        def is_newest():
+            status, body = self.fleet.call(name, 'GET', '/api/configuration')
+            if status == 200:
+                seen['document'] = json.loads(body)
+            return seen.get('document', {}).get('version', 0) >= newest
+
+        with contextlib.suppress(fleets.WaitError):
+            # The check reports what was read instead.
+            fleets.wait_for(is_newest, 'not the newest', SETTLE_S)
+        return seen.get('document')
+
+    def _probe(self, name):
+        prober = _callers.Caller(
+            f'p-{name}', self.fleet, self.ledger, self._rng
+        )
+        prober.stop()
+        answers = [
+            prober.ask_once(_callers.KINDS[number % 4], name)
+            for number in range(PROBES)
+        ]
+        return sum(item.is_whole for item in answers) / PROBES
+
+
+def _handles(process, number):
+    """Whether a process has its own handler for a signal, or has ended."""
+    try:
+        status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
+    except FileNotFoundError:
+        return True
+    masks = [
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith('SigCgt:')
+    ]
+    return not masks or masks[0] >> (number - 1) & 1
+
+
+def run_seed(seed, options=None, folder=None):
+    """Play one seed; return ``(findings, World.ledger)``.
+
+    Logs of the processes stay in ``folder`` if it is given.
+    """
+    options = options or SoakOptions()
+    rng = random.Random(seed)
+    with contextlib.ExitStack() as stack:
+        if folder is None:
+            folder = stack.enter_context(
+                tempfile.TemporaryDirectory(prefix=f'paddle-soak-{seed}-')
+            )
+        world = World(pathlib.Path(folder), options, rng)
+        stack.callback(world.close)
+        world.start(options.callers)
+        watch = gevent.spawn(world.watch)
+        stack.callback(watch.kill)
+        _disturb(world, rng, options)
+        gevent.sleep(_checks.CONTACT_MS / 1_000)
+        world.settle()
+        findings = _checks.check_all(world.ledger, world.cloud.calls)
+        return findings, world.ledger
+
+
+def _disturb(world, rng, options):
+    """Begin faults at random, several at once, and wait for their ends."""
+    running = []
+    names = _faults.faults.names()
+    with gevent.Timeout(options.seconds, False):
+        while True:
+            running = [item for item in running if not item.ready()]
+            if len(running) < options.at_once:
+                running.append(_begin(world, rng, rng.choice(names)))
+            gevent.sleep(rng.uniform(*FAULT_PAUSE_S))
+    gevent.joinall(running, raise_error=True)
+
+
+def _begin(world, rng, name):
+    own = random.Random(rng.random())
+    return gevent.spawn(_faults.faults.create, name, world=world, rng=own)
--- /dev/null
+++ b/packages/testbed/tests/test_soak.py
@@ -0,0 +1,261 @@
+"""The soak: its checks find what they are for, and a seed passes.
+
+Each defect below is written into records as a faulty program would leave
+them; a check that misses it would let that fault pass in every seed.
+"""
+
+import attrs
+import gevent
+import gevent.socket
+import pytest
+
+from paddle_testbed import fakes
+from paddle_testbed import soak
+from paddle_testbed.soak import _ledger
+from paddle_testbed.soak import _proxy
+
+GATEWAY = 'front-0'
+# Short, so that each CI run plays it; long enough for a kill and a restart.
+CI_SEED = 7
+CI_OPTIONS = soak.SoakOptions(seconds=5, callers=4)
+
+
+def run(request_id, kind=_ledger.BOOK, **fields):
+    return _ledger.Run(
+        request_id=request_id,
+        kind=kind,
+        **{'server': 'i-1', 'at_ms': 1_000, **fields},
+    )
+
+
+def attempt(request_id, kind=_ledger.BOOK, **fields):
+    defaults = {
+        'gateway': GATEWAY,
+        'sent_ms': 1_000,
+        'ended_ms': 1_050,
+        'status': 200,
+        'is_whole': True,
+    }
+    return _ledger.Attempt(
+        request_id=request_id, kind=kind, **{**defaults, **fields}
+    )
+
+
+def call(holder, fence, at_ms, window=1, counts=None):
+    return fakes.DutyCall(
+        path='/usage',
+        holder=holder,
+        fence=fence,
+        body={'window': window, 'counts': counts or {'cust': 3}},
+        at_ms=at_ms,
+    )
+
+
+def sound():
+    """Return records without a defect."""
+    ledger = soak.Ledger(
+        runs=[run('b1'), run('s1', _ledger.SAFE), run('c1', _ledger.CHAT)],
+        attempts=[
+            attempt('b1'),
+            attempt('s1', _ledger.SAFE),
+            attempt(
+                'c1',
+                _ledger.CHAT,
+                events=list(range(1, _ledger.EVENTS + 1)),
+            ),
+        ],
+        sent={1: {'version': 1}, 2: {'version': 2}},
+        acknowledged=[1, 2],
+        read_back={'core-0': {'version': 2}},
+        served_after={GATEWAY: 1.0},
+        stops=[(GATEWAY, 0, 3_000)],
+    )
+    return ledger, [call('a', 1, 0), call('b', 2, 9_000, window=2)]
+
+
+def doubled_booking(ledger, calls):
+    ledger.runs.append(run('b1', server='i-2'))
+
+
+def false_refusal(ledger, calls):
+    ledger.attempts[0].status = 503
+
+
+def foreign_body(ledger, calls):
+    ledger.attempts[1].is_own = False
+
+
+def denied(ledger, calls):
+    ledger.attempts[1].status = 404
+
+
+def doubled_event(ledger, calls):
+    ledger.attempts[2].events = [1, 2, 2, 3]
+
+
+def early_end(ledger, calls):
+    ledger.attempts[2].events = [1, 2]
+
+
+def too_many_repeats(ledger, calls):
+    ledger.runs.extend(run('s1', _ledger.SAFE) for _ in range(60))
+
+
+def second_count(ledger, calls):
+    calls.append(call('b', 2, 9_100, counts={'cust': 4}))
+
+
+def returning_holder(ledger, calls):
+    calls.append(call('b', 2, 100))
+    calls.append(call('a', 1, 200))
+
+
+def shared_fence(ledger, calls):
+    calls.append(call('c', 2, 9_500, window=2))
+
+
+def older_read(ledger, calls):
+    ledger.read_back['core-0'] = {'version': 1}
+
+
+def other_content(ledger, calls):
+    ledger.read_back['core-0'] = {'version': 2, 'routes': []}
+
+
+def nothing_read(ledger, calls):
+    ledger.read_back['core-0'] = None
+
+
+def not_served_after(ledger, calls):
+    ledger.served_after[GATEWAY] = 0.9
+
+
+def own_end(ledger, calls):
+    ledger.own_ends.append((GATEWAY, 1))
+
+
+def late_stop(ledger, calls):
+    ledger.stops.append((GATEWAY, 0, 9_000))
+
+
+def lost_in_calm(ledger, calls):
+    ledger.attempts[0].status = None
+    ledger.attempts[0].is_whole = False
+
+
+DEFECTS = (
+    doubled_booking,
+    false_refusal,
+    foreign_body,
+    denied,
+    doubled_event,
+    early_end,
+    too_many_repeats,
+    second_count,
+    returning_holder,
+    shared_fence,
+    older_read,
+    other_content,
+    nothing_read,
+    not_served_after,
+    own_end,
+    late_stop,
+    lost_in_calm,
+)
+
+
+def test_sound_records_have_no_finding():
+    ledger, calls = sound()
+    assert soak.check_all(ledger, calls) == []
+
+
+@pytest.mark.parametrize('defect', DEFECTS, ids=lambda item: item.__name__)
+def test_a_defect_is_found(defect):
+    ledger, calls = sound()
+    defect(ledger, calls)
+    assert soak.check_all(ledger, calls)
+
+
+def test_a_request_lost_beside_a_fault_is_no_finding():
+    ledger, calls = sound()
+    lost_in_calm(ledger, calls)
+    ledger.disturbances.append(
+        _ledger.Disturbance(
+            kind='kill', target=GATEWAY, begin_ms=0, end_ms=500
+        )
+    )
+    assert soak.check_all(ledger, calls) == []
+
+
+def test_a_request_lost_beside_a_planned_stop_is_found():
+    # Planned work cuts no request, so it excuses none.
+    ledger, calls = sound()
+    lost_in_calm(ledger, calls)
+    ledger.disturbances.append(
+        _ledger.Disturbance(
+            kind='stop', target=GATEWAY, begin_ms=0, end_ms=5_000
+        )
+    )
+    assert soak.check_all(ledger, calls)
+
+
+@pytest.fixture
+def link():
+    origin = fakes.FakeOrigin(lambda req, sock: fakes.whole(req))
+    proxy = soak.Proxy(origin.address)
+    yield proxy
+    proxy.stop()
+    origin.stop()
+
+
+def ask(proxy):
+    host, port = proxy.address.split(':')
+    sock = gevent.socket.create_connection((host, int(port)), 1)
+    sock.settimeout(0.5)
+    try:
+        sock.sendall(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        return sock.recv(100)
+    finally:
+        sock.close()
+
+
+def test_a_proxy_passes_bytes_on(link):
+    assert ask(link).startswith(b'HTTP/1.1 200')
+
+
+@pytest.mark.parametrize(
+    'mode',
+    [_proxy.Mode.CUT_FORTH, _proxy.Mode.CUT_BACK, _proxy.Mode.SILENT],
+)
+def test_a_proxy_swallows_bytes(link, mode):
+    link.mode = mode
+    with pytest.raises(TimeoutError):
+        ask(link)
+
+
+def test_a_proxy_refuses_connections(link):
+    link.mode = _proxy.Mode.REFUSE
+    with pytest.raises(ConnectionError):
+        ask(link)
+
+
+def test_a_proxy_resets_open_connections(link):
+    host, port = link.address.split(':')
+    sock = gevent.socket.create_connection((host, int(port)), 1)
+    sock.settimeout(2)
+    gevent.sleep(0.1)
+    link.reset_all()
+    with pytest.raises(ConnectionResetError):
+        sock.recv(1)
+
+
+def test_every_fault_has_a_name():
+    assert len(soak.faults.names()) >= 15
+
+
+def test_a_short_seed_has_no_finding(tmp_path):
+    findings, ledger = soak.run_seed(CI_SEED, CI_OPTIONS, tmp_path)
+    assert findings == []
+    assert ledger.disturbances
+    assert len(ledger.attempts) > 50
+    assert attrs.asdict(ledger)['acknowledged']
