Correct a controller's time of day by the median of all controllers

Cause: a controller reads the time of day once, at its start, so that later steps do not matter. One started during a step kept the wrong time; once in charge, it sealed windows of usage that were shifted by the step, and gateways followed it.

Ruled out: following the controller in charge, which may be the wrong one.

Change: every 2 s (250 ms until the first time) each controller asks the others; beyond 200 ms it adopts the median. Fewer than three times decide nothing. The correction is logged (event 3404).

Before: no comparison existed; a wall started 4 s ahead stayed there. After: the test's wall is right after one comparison; a controller with the right time keeps it beside a wrong one.

--- a/packages/router/src/paddle_router/hub/_controller.py
+++ b/packages/router/src/paddle_router/hub/_controller.py
@@ -12,6 +12,7 @@
 import paddle_coord
 import paddle_kernel
 from paddle_router import gateway
+from paddle_router.hub import _clocks
 from paddle_router.hub import _control_api
 from paddle_router.hub import _duties
 from paddle_router.hub import _events
@@ -30,6 +31,7 @@
 DUTY_MS = 400
 SCALING_MS = 500
 RELAY_MS = 500
+CLOCKS_MS = 250
 RELAY_TIMEOUT_MS = 400
 REPLICA_RETRY_MS = 500
 # A change of a register, with its retries; an operator goes to another
@@ -57,6 +59,13 @@
         self.wall = paddle_kernel.SteadyWall(self.clock)
         self.transport = transport or paddle_kernel.TcpTransport()
         self.fleet = _fleet.Fleet(self.clock)
+        self.clocks = _clocks.ClockComparison(
+            self.clock,
+            self.wall,
+            self.transport,
+            members=self._members,
+            own=settings.peer,
+        )
         self.replica = None
         self.forming = None
         self.register = paddle_coord.Proposer(
@@ -133,6 +142,7 @@
         self._run(self.lease.tick, LEASE_TICK_MS)
         self._run(self._read_list, LIST_MS, wake=self._list_wanted)
         self._run(self._relay, RELAY_MS)
+        self._run(self.clocks.step, CLOCKS_MS)
         if self.settings.reports_usage:
             self._run(self.usage.step, DUTY_MS)
         if self.settings.orders_servers:
--- a/packages/router/src/paddle_router/hub/_events.py
+++ b/packages/router/src/paddle_router/hub/_events.py
@@ -10,6 +10,9 @@
 SETTINGS_RELOADED = paddle_kernel.declare_event(
     3403, 'INFO', 'the settings file was read again'
 )
+CLOCK_CORRECTED = paddle_kernel.declare_event(
+    3404, 'WARNING', 'the time of day was corrected by that of others'
+)
 CONFIGURATION_ACCEPTED = paddle_kernel.declare_event(
     3410, 'INFO', 'a configuration was acknowledged'
 )
