Seal a usage window once every gateway has reported after its end

Its logs show why: windows were sealed 4.3 s after their end (3430), all processes were killed 4.0 s after the end of one, and the next controller in charge sealed it with no counts (3430 "counts": {} at 46.7 s).

Ruled out: sealing all windows earlier, which would lose the counts of a frozen gateway; writing open counts to the register every second, which costs a synced write at each replica.

Change: after 15 s in which gateways were heard of, a window is sealed as soon as the report of each of them came at least 1 s after its end; otherwise 4 s after it, as before.

The test fails without the change.

--- a/packages/router/src/paddle_router/hub/_duties.py
+++ b/packages/router/src/paddle_router/hub/_duties.py
@@ -18,6 +18,9 @@
 # Part of the time between the end of a window and its due time that is left
 # for counts to arrive from the gateways.
 SETTLE_PART = 0.4
+# A report that came through another controller is up to this old: passed on
+# every 500 ms, with a call of 400 ms at most.
+RELAYED_MS = 1_000
 # Part of that time after which a window is sealed with the counts at hand.
 LATEST_PART = 0.85
 
@@ -108,12 +111,22 @@
         window = max(window, self._window_now() - WINDOWS_KEPT)
         while True:
             ended_ms = self._parts.wall.now_ms() - (window + 1) * length_ms
-            if ended_ms < settle_ms or not self._may_seal(ended_ms):
+            if ended_ms < settle_ms and not self._is_complete(ended_ms):
+                return
+            if not self._may_seal(ended_ms):
                 return
             if not self._seal(window):
                 return
             window += 1
 
+    def _is_complete(self, ended_ms):
+        """Whether all gateways have reported since the window ended.
+
+        A window is then sealed early: its counts are lost when all processes
+        are killed before.
+        """
+        return self._parts.fleet.has_reports_of_all(ended_ms - RELAYED_MS)
+
     def _may_seal(self, ended_ms):
         """Whether the counts are known, or the report is due anyway."""
         last_ms = LATEST_PART * self._settings.usage_late_ms
--- a/packages/router/src/paddle_router/hub/_fleet.py
+++ b/packages/router/src/paddle_router/hub/_fleet.py
@@ -22,6 +22,8 @@
 # Gateways are counted for the retry budget a while longer, since what they
 # sent still counts in the window of the budget.
 COUNTED_MS = 5_000
+# A gateway that was frozen or cut off may still have counts to report.
+REPORTING_MS = 15_000
 # Usage of a gateway is kept until all windows it took part in were sealed.
 KEPT_MS = 60_000
 
@@ -38,10 +40,12 @@
     def __init__(self, clock):
         self._clock = clock
         # By incarnation: reports that count as load, names that count as
-        # gateways, and reports whose usage is kept.
+        # gateways, and reports whose usage is kept. By name: gateways that
+        # may still report usage.
         self._live = _recent.Recent()
         self._counted = _recent.Recent()
         self._kept = _recent.Recent()
+        self._reporting = _recent.Recent()
         self._sums = _load_sums.LoadSums()
         self._names = collections.Counter()
         self._attached_ms = None
@@ -121,6 +125,21 @@
                     totals[item.customer] += item.requests
         return dict(totals)
 
+    def has_reports_of_all(self, age_ms):
+        """Whether every gateway has reported in the last ``age_ms``.
+
+        Gateways that were not heard of for ``REPORTING_MS`` are left out;
+        false unless gateways were heard of for that long.
+        """
+        now_ms = self._clock.now_ms()
+        self._reporting.end_before(now_ms - REPORTING_MS)
+        if not self.is_informed:
+            return False
+        if now_ms - self._informed_since_ms < REPORTING_MS:
+            return False
+        # The one heard of longest ago comes first.
+        return now_ms - self._reporting.values()[0] <= age_ms
+
     def set_servers(self, servers):
         """Use a list just read; return whether it differs."""
         self.listed_ms = self._clock.now_ms()
@@ -171,6 +190,7 @@
         report = known.report
         key = report.incarnation
         self._kept.see(key, known, now_ms)
+        self._reporting.see(report.name, now_ms, now_ms)
         if self._counted.see(key, known, now_ms) is None:
             self._names[report.name] += 1
         previous = self._live.see(key, known, now_ms)
--- a/packages/router/tests/test_hub_fleet.py
+++ b/packages/router/tests/test_hub_fleet.py
@@ -1,6 +1,7 @@
 """Tests of a controller's soft state and of sealed usage windows."""
 
 import time
+import types
 
 import attrs
 from hypothesis import given
@@ -11,6 +12,7 @@
 from paddle_router.hub import _duties
 from paddle_router.hub import _fleet
 import pytest
+import returns.result
 
 SERVER = gateway.ListedServer(
     id='i-1', service='s', address='10.0.0.1:80', domain='d1', slots=4
@@ -225,3 +227,106 @@
     assert fleet.has_gateways
     clock.advance(700)
     assert fleet.flights() == {}
+
+
+class Register:
+    """A register in one process."""
+
+    def __init__(self):
+        self.data = None
+
+    def read(self, key):
+        return returns.result.Success(self.data)
+
+    def change(self, key, function):
+        found = function(self.data)
+        rejected = isinstance(found, paddle_coord.Reject)
+        self.data = self.data if rejected else found
+        return returns.result.Success(
+            types.SimpleNamespace(
+                value=self.data, applied=not rejected, rejected=None
+            )
+        )
+
+
+class Gate:
+    """Lease that is held; every report is accepted."""
+
+    def number(self):
+        return 1
+
+    def send(self, send):
+        return types.SimpleNamespace(accepted=True)
+
+
+WINDOW_MS = 5_000
+SETTINGS = types.SimpleNamespace(
+    usage_window_ms=WINDOW_MS, usage_late_ms=10_000
+)
+
+
+@pytest.fixture
+def duty(fleet, clock):
+    parts = types.SimpleNamespace(
+        fleet=fleet,
+        gate=Gate(),
+        register=Register(),
+        wall=paddle_kernel.SteadyWall(clock),
+    )
+    fleet.set_servers((SERVER,))
+    return _duties.UsageDuty(SETTINGS, parts)
+
+
+def play(fleet, clock, duty, duration_ms, *, names=('g1', 'g2')):
+    """Let gateways report every 250 ms, then take the duty's steps."""
+    for _ in range(duration_ms // 250):
+        for name in names:
+            now_ms = clock.now_ms()
+            fleet.note((report(name, sequence=now_ms),), True)
+        duty.step()
+        clock.advance(250)
+
+
+def sealed_until(duty):
+    return max(duty.dump()['sealed'], default=0)
+
+
+def ended_ms(clock):
+    """Return how long ago the last whole window ended."""
+    return paddle_kernel.SteadyWall(clock).now_ms() % WINDOW_MS
+
+
+def test_a_window_is_sealed_once_all_gateways_reported_after_it(
+    fleet, clock, duty
+):
+    # A window that was complete for 4 s was lost when all processes were
+    # killed (trouble-3 of diaspoort-rozemarijn).
+    play(fleet, clock, duty, 20_000)
+    clock.advance(-ended_ms(clock) % WINDOW_MS)
+    last = paddle_kernel.SteadyWall(clock).now_ms() // WINDOW_MS - 1
+    play(fleet, clock, duty, 1_000)
+    assert sealed_until(duty) < last
+    play(fleet, clock, duty, 750)
+    assert sealed_until(duty) == last
+
+
+def test_a_window_waits_for_a_gateway_that_is_silent(fleet, clock, duty):
+    # Guards against counts of a frozen gateway that come too late.
+    play(fleet, clock, duty, 20_000)
+    clock.advance(-ended_ms(clock) % WINDOW_MS)
+    last = paddle_kernel.SteadyWall(clock).now_ms() // WINDOW_MS - 1
+    play(fleet, clock, duty, 3_750, names=('g1',))
+    assert sealed_until(duty) < last
+    play(fleet, clock, duty, 750, names=('g1',))
+    assert sealed_until(duty) == last
+
+
+def test_a_new_controller_in_charge_gives_gateways_time(fleet, clock, duty):
+    # It may not have heard of all gateways yet.
+    play(fleet, clock, duty, 8_000)
+    clock.advance(-ended_ms(clock) % WINDOW_MS)
+    last = paddle_kernel.SteadyWall(clock).now_ms() // WINDOW_MS - 1
+    play(fleet, clock, duty, 3_750)
+    assert sealed_until(duty) < last
+    play(fleet, clock, duty, 750)
+    assert sealed_until(duty) == last
