Check in the soak that added routes are served at the end

Cause: the soak checked what controllers read back, not what gateways obey.

Change: after the last fault each gateway has to serve the route that only the configuration in force has. Repeated parts of faults and of a test are one function each.

--- a/packages/router/tests/test_hub_fleet.py
+++ b/packages/router/tests/test_hub_fleet.py
@@ -291,9 +291,11 @@
     return max(duty.dump()['sealed'], default=0)
 
 
-def ended_ms(clock):
-    """Return how long ago the last whole window ended."""
-    return paddle_kernel.SteadyWall(clock).now_ms() % WINDOW_MS
+def end_window(clock):
+    """Advance to the end of the present window and return its number."""
+    wall = paddle_kernel.SteadyWall(clock)
+    clock.advance(-wall.now_ms() % WINDOW_MS)
+    return wall.now_ms() // WINDOW_MS - 1
 
 
 def test_a_window_is_sealed_once_all_gateways_reported_after_it(
@@ -302,8 +304,7 @@
     # A window that was complete for 4 s was lost when all processes were
     # killed (trouble-3 of diaspoort-rozemarijn).
     play(fleet, clock, duty, 20_000)
-    clock.advance(-ended_ms(clock) % WINDOW_MS)
-    last = paddle_kernel.SteadyWall(clock).now_ms() // WINDOW_MS - 1
+    last = end_window(clock)
     play(fleet, clock, duty, 1_000)
     assert sealed_until(duty) < last
     play(fleet, clock, duty, 750)
@@ -313,8 +314,7 @@
 def test_a_window_waits_for_a_gateway_that_is_silent(fleet, clock, duty):
     # Guards against counts of a frozen gateway that come too late.
     play(fleet, clock, duty, 20_000)
-    clock.advance(-ended_ms(clock) % WINDOW_MS)
-    last = paddle_kernel.SteadyWall(clock).now_ms() // WINDOW_MS - 1
+    last = end_window(clock)
     play(fleet, clock, duty, 3_750, names=('g1',))
     assert sealed_until(duty) < last
     play(fleet, clock, duty, 750, names=('g1',))
@@ -324,8 +324,7 @@
 def test_a_new_controller_in_charge_gives_gateways_time(fleet, clock, duty):
     # It may not have heard of all gateways yet.
     play(fleet, clock, duty, 8_000)
-    clock.advance(-ended_ms(clock) % WINDOW_MS)
-    last = paddle_kernel.SteadyWall(clock).now_ms() // WINDOW_MS - 1
+    last = end_window(clock)
     play(fleet, clock, duty, 3_750)
     assert sealed_until(duty) < last
     play(fleet, clock, duty, 750)
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -117,22 +117,22 @@
         world.wait_counts_again(name)
 
 
-@faults.register('stop_gateway')
-def stop_gateway(world, rng):
-    with world.one_machine(rng, 'gateway') as name:
+def _stop_and_start(world, rng, role):
+    with world.one_machine(rng, role) as name:
         if name is None:
             return
         with noted(world, 'stop', name):
             world.stop_and_start(name, STOP_LIMIT_S)
 
 
+@faults.register('stop_gateway')
+def stop_gateway(world, rng):
+    _stop_and_start(world, rng, 'gateway')
+
+
 @faults.register('stop_controller')
 def stop_controller(world, rng):
-    with world.one_machine(rng, 'controller') as name:
-        if name is None:
-            return
-        with noted(world, 'stop', name):
-            world.stop_and_start(name, STOP_LIMIT_S)
+    _stop_and_start(world, rng, 'controller')
 
 
 @faults.register('freeze')
--- a/packages/testbed/src/paddle_testbed/soak/_run.py
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -24,6 +24,8 @@
 FIRST_VERSION = 10
 PROBES = 20
 SETTLE_S = 20
+# Time within which an acknowledged configuration has to be in force.
+CONFIGURATION_S = 2
 WATCH_S = 0.1
 FAULT_PAUSE_S = (0.1, 1.2)
 ROUTE = {
@@ -269,6 +271,8 @@
             self.ledger.read_back[name] = self._read(name, newest)
         for caller in self._callers:
             caller.stop()
+        # The newest version is in force everywhere by then.
+        gevent.sleep(CONFIGURATION_S)
         for name in self.fleet.names('gateway'):
             self.ledger.served_after[name] = self._probe(name)
 
@@ -292,11 +296,22 @@
             f'p-{name}', self.fleet, self.ledger, self._rng
         )
         prober.stop()
-        answers = [
-            prober.ask_once(_callers.KINDS[number % 4], name)
-            for number in range(PROBES)
-        ]
-        return sum(item.is_whole for item in answers) / PROBES
+        kinds = [_callers.KINDS[number % 4] for number in range(PROBES)]
+        kinds += self._added_routes()
+        answers = [prober.ask_once(kind, name) for kind in kinds]
+        return sum(item.is_whole for item in answers) / len(kinds)
+
+    def _added_routes(self):
+        """Return the routes that only the configuration in force has."""
+        return sorted(
+            {
+                route['name']
+                for document in self.ledger.read_back.values()
+                if document
+                for route in document['routes']
+                if route['name'] not in _callers.KINDS
+            }
+        )
 
 
 def _handles(process, number):
--- a/packages/testbed/src/paddle_testbed/soak/_servers.py
+++ b/packages/testbed/src/paddle_testbed/soak/_servers.py
@@ -69,7 +69,8 @@
 
     def _script(self, req, _sock):
         kind = kind_of(req)
-        if kind not in (_ledger.SAFE, _ledger.BOOK, _ledger.CHAT):
+        if not req.id:
+            # A probe of the gateway's own.
             return fakes.whole(req)
         after = int(req.headers.get(b'last-event-id', b'0') or b'0')
         is_run = self.fault is not Fault.REJECTS
