--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -46,7 +46,7 @@
 
 
 def _kill_and_start(world, rng, role):
-    with world.one_machine(rng, role) as name:
+    with world.locks.one_machine(rng, role) as name:
         if name is None:
             return
         with noted(world, 'kill', name):
@@ -71,7 +71,7 @@
         names = [
             name
             for role in ('gateway', 'controller')
-            for name in world.take_machines(stack, role)
+            for name in world.locks.take_machines(stack, role)
         ]
         stack.enter_context(noted(world, 'kill', 'all'))
         for name in names:
@@ -86,7 +86,7 @@
 @faults.register('torn_write')
 def torn_write(world, rng):
     """Leave bytes of an unfinished write at the end of a killed disk."""
-    with world.one_machine(rng, 'controller') as name:
+    with world.locks.one_machine(rng, 'controller') as name:
         if name is None:
             return
         with noted(world, 'kill', name):
@@ -103,10 +103,10 @@
 @faults.register('lost_disk')
 def lost_disk(world, rng):
     """Empty one controller; no other disk is lost until it counts again."""
-    with world.one_disk() as is_free:
+    with world.locks.one_disk() as is_free:
         if not is_free:
             return
-        with world.one_machine(rng, 'controller') as name:
+        with world.locks.one_machine(rng, 'controller') as name:
             if name is None:
                 return
             with noted(world, 'kill', name):
@@ -118,7 +118,7 @@
 
 
 def _stop_and_start(world, rng, role):
-    with world.one_machine(rng, role) as name:
+    with world.locks.one_machine(rng, role) as name:
         if name is None:
             return
         with noted(world, 'stop', name):
@@ -137,7 +137,9 @@
 
 @faults.register('freeze')
 def freeze(world, rng):
-    with world.one_machine(rng, rng.choice(['gateway', 'controller'])) as name:
+    with world.locks.one_machine(
+        rng, rng.choice(['gateway', 'controller'])
+    ) as name:
         if name is None:
             return
         with noted(world, 'freeze', name):
@@ -151,7 +153,7 @@
     """Tell all programs that their settings changed, twice in a row."""
     for _ in range(2):
         for name in world.fleet.machines:
-            with world.machine(name) as is_free:
+            with world.locks.machine(name) as is_free:
                 if is_free:
                     world.fleet.signal(name, signal.SIGHUP)
         pause(rng, (0, 0.3))
--- a/packages/testbed/src/paddle_testbed/soak/_run.py
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -17,6 +17,7 @@
 from paddle_testbed.soak import _checks
 from paddle_testbed.soak import _faults
 from paddle_testbed.soak import _ledger
+from paddle_testbed.soak import _locks
 from paddle_testbed.soak import _proxy
 from paddle_testbed.soak import _servers
 
@@ -93,8 +94,7 @@
             controllers=options.controllers,
             gateways=options.gateways,
         )
-        self._taken = set()
-        self._disk_taken = False
+        self.locks = _locks.Locks(self.fleet)
         self._version = FIRST_VERSION
         self._callers = []
         self._rng = rng
@@ -132,53 +132,6 @@
         """Show the present servers in the platform's list."""
         self.cloud.entries = [item.entry() for item in self.servers]
 
-    # Machines; each is disturbed by one fault at a time
-
-    @contextlib.contextmanager
-    def machine(self, name):
-        """Take ``name`` if it is free; yields whether it was."""
-        if name in self._taken:
-            yield False
-            return
-        self._taken.add(name)
-        try:
-            yield True
-        finally:
-            self._taken.discard(name)
-
-    @contextlib.contextmanager
-    def one_machine(self, rng, role):
-        """Take a free machine of ``role``; yields ``None`` without one."""
-        free = [
-            item for item in self.fleet.names(role) if item not in self._taken
-        ]
-        if not free:
-            yield None
-            return
-        name = rng.choice(free)
-        with self.machine(name):
-            yield name
-
-    def take_machines(self, stack, role):
-        """Take all free machines of ``role`` until ``stack`` ends."""
-        return [
-            name
-            for name in self.fleet.names(role)
-            if stack.enter_context(self.machine(name))
-        ]
-
-    @contextlib.contextmanager
-    def one_disk(self):
-        """Take the right to lose a disk; yields whether it was free."""
-        if self._disk_taken:
-            yield False
-            return
-        self._disk_taken = True
-        try:
-            yield True
-        finally:
-            self._disk_taken = False
-
     def log_of(self, name):
         """Return the path of a controller's register file."""
         return self.fleet.machines[name].folder / 'data/replica/register.log'
@@ -255,7 +208,7 @@
         while True:
             gevent.sleep(WATCH_S)
             for machine in self.fleet.machines.values():
-                if machine.name in self._taken or machine.process is None:
+                if self.locks.is_taken(machine.name) or not machine.process:
                     continue
                 code = machine.process.poll()
                 entry = (machine.name, code)
