Report repairs that do not end in time as findings of the soak

Before: not found. After: a repair that is overdue is a finding; other errors of a fault end the soak.

--- a/packages/testbed/src/paddle_testbed/soak/_checks.py
+++ b/packages/testbed/src/paddle_testbed/soak/_checks.py
@@ -179,6 +179,12 @@
         findings.add(f'process {name}', f'exit code {code}', 'running')
 
 
+@checks.register('machines come back in time')
+def overdue(ledger, calls, findings):
+    for fault, text in ledger.overdue:
+        findings.add(f'fault {fault}', text, 'back in time')
+
+
 @checks.register('planned stops end in time')
 def planned_stops(ledger, calls, findings):
     for name, code, spent_ms in ledger.stops:
--- a/packages/testbed/src/paddle_testbed/soak/_ledger.py
+++ b/packages/testbed/src/paddle_testbed/soak/_ledger.py
@@ -77,4 +77,6 @@
     served_after: dict = attrs.field(factory=dict)
     # Exits of processes that were not asked for, and of planned stops.
     own_ends: list = attrs.field(factory=list)
+    # Faults whose repair did not end in time, and what was waited for.
+    overdue: list = attrs.field(factory=list)
     stops: list = attrs.field(factory=list)
--- a/packages/testbed/src/paddle_testbed/soak/_run.py
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -307,17 +307,22 @@
 
 def _disturb(world, rng, options):
     """Begin faults at random, several at once, and wait for their ends."""
-    running = []
+    begun = []
     names = _faults.faults.names()
     with gevent.Timeout(options.seconds, False):
         while True:
-            running = [item for item in running if not item.ready()]
-            if len(running) < options.at_once:
-                running.append(_begin(world, rng, rng.choice(names)))
+            running = sum(not item.ready() for item in begun)
+            if running < options.at_once:
+                own = random.Random(rng.random())
+                name = rng.choice(names)
+                begun.append(gevent.spawn(_play_fault, world, own, name))
             gevent.sleep(rng.uniform(*FAULT_PAUSE_S))
-    gevent.joinall(running, raise_error=True)
+    # Also raises what those that ended before have raised.
+    gevent.joinall(begun, raise_error=True)
 
 
-def _begin(world, rng, name):
-    own = random.Random(rng.random())
-    return gevent.spawn(_faults.faults.create, name, world=world, rng=own)
+def _play_fault(world, rng, name):
+    try:
+        _faults.faults.create(name, world=world, rng=rng)
+    except fleets.WaitError as exc:
+        world.ledger.overdue.append((name, str(exc)))
--- a/packages/testbed/tests/test_soak.py
+++ b/packages/testbed/tests/test_soak.py
@@ -134,6 +134,10 @@
     ledger.own_ends.append((GATEWAY, 1))
 
 
+def machine_not_back(ledger, calls):
+    ledger.overdue.append(('lost_disk', 'core-1 did not count again'))
+
+
 def late_stop(ledger, calls):
     ledger.stops.append((GATEWAY, 0, 9_000))
 
@@ -159,6 +163,7 @@
     nothing_read,
     not_served_after,
     own_end,
+    machine_not_back,
     late_stop,
     lost_in_calm,
 )
