--- a/packages/router/tests/test_hub_fleet.py
+++ b/packages/router/tests/test_hub_fleet.py
@@ -29,13 +29,22 @@
     return _fleet.Fleet(clock)
 
 
-def report(name='g1', sequence=1, running=2, usage=()):
+def load_report(name, sequence, flights, usage=()):
     return gateway.FrontReport(
         name=name,
         incarnation=f'{name}-x',
         sequence=sequence,
-        flights=(gateway.ServerFlights(id='i-1', running=running),),
-        usage=tuple(
+        flights=flights,
+        usage=usage,
+    )
+
+
+def report(name='g1', sequence=1, running=2, usage=()):
+    return load_report(
+        name,
+        sequence,
+        (gateway.ServerFlights(id='i-1', running=running),),
+        tuple(
             gateway.UsageCount(window=window, customer='c', requests=count)
             for window, count in usage
         ),
@@ -127,16 +136,6 @@
     assert fleet.listing == listing
 
 
-def load_report(name, sequence, flights):
-    return gateway.FrontReport(
-        name=name,
-        incarnation=f'{name}-x',
-        sequence=sequence,
-        flights=flights,
-        usage=(),
-    )
-
-
 counts = st.integers(min_value=0, max_value=50)
 flights_of = st.builds(
     gateway.ServerFlights,
--- a/packages/testbed/src/paddle_testbed/fleet.py
+++ b/packages/testbed/src/paddle_testbed/fleet.py
@@ -163,6 +163,26 @@
         """Return the callers' address of a gateway."""
         return self.machines[name].ip, FRONT_PORT
 
+    def wait_ready(self, name):
+        """Wait until a gateway says that it is ready."""
+        wait_for(
+            lambda: self.call(name, 'GET', '/api/readiness')[0] == 200,
+            f'{name} was not ready',
+        )
+
+    def wait_counts_again(self, name):
+        """Wait until an emptied controller counts in the replica set.
+
+        During the change a majority of the old set is needed as well, and
+        the emptied replica is not part of it.
+        """
+
+        def counts():
+            replica = self.dump(name).get('replica') or {}
+            return replica.get('voting') and not replica.get('changing')
+
+        wait_for(counts, f'{name} did not count again')
+
     def dump(self, name):
         """Return the state dump of a process, ``{}`` without an answer."""
         status, body = self.call(name, 'GET', '/dump')
--- /dev/null
+++ b/packages/testbed/src/paddle_testbed/gateway_bed.py
@@ -0,0 +1,215 @@
+"""A gateway over real sockets, between scripted callers and servers.
+
+Needs ``platform/`` on the import path, as the tests have it.
+"""
+
+import json
+import random
+import zlib
+
+from fleet_adapter import dialect
+import gevent.socket
+import paddle_kernel
+from paddle_router import gateway
+import returns.result
+
+from paddle_testbed import fakes
+
+CONFIG = {
+    'version': 5,
+    'routes': [
+        {
+            'name': 'safe',
+            'host': 'h',
+            'pathPrefix': '/safe/',
+            'kind': 'safe',
+            'timeoutMs': 1500,
+            'targetLatencyMs': 150,
+            'service': 'plain',
+            'attempts': 2,
+        },
+        {
+            'name': 'book',
+            'host': 'h',
+            'pathPrefix': '/book/',
+            'kind': 'unsafe',
+            'timeoutMs': 1500,
+            'targetLatencyMs': 150,
+            'service': 'plain',
+            'attempts': 1,
+        },
+        {
+            'name': 'chat',
+            'host': 'h',
+            'pathPrefix': '/chat/',
+            'kind': 'streaming',
+            'timeoutMs': 4000,
+            'targetLatencyMs': 300,
+            'service': 'plain',
+            'attempts': 2,
+            'resumable': True,
+            'targetGapMs': 300,
+        },
+        {
+            'name': 'report',
+            'host': 'h',
+            'pathPrefix': '/report/',
+            'kind': 'streaming',
+            'timeoutMs': 4000,
+            'targetLatencyMs': 300,
+            'service': 'plain',
+            'attempts': 1,
+        },
+        {
+            'name': 'open',
+            'host': 'h',
+            'pathPrefix': '/open/',
+            'kind': 'safe',
+            'timeoutMs': 1500,
+            'service': 'plain',
+            'public': True,
+        },
+    ],
+    'services': [{'name': 'plain', 'connectionLimit': 50}],
+    'limits': {'maxBodyBytes': 1000, 'headerTimeoutMs': 500},
+    'tenants': [{'name': 'cust', 'accessKeys': ['key1']}],
+}
+
+
+class Controllers:
+    """Stands in for the transport to the controllers."""
+
+    def __init__(self):
+        self.servers = ()
+        self.config = CONFIG
+        self.requests = []
+
+    def call(self, address, message, timeout_ms):
+        self.requests.append(message)
+        content = json.dumps(self.config).encode()
+        return returns.result.Success(
+            gateway.SyncReply(
+                controller=address,
+                members=(address,),
+                confirmed=True,
+                version=self.config['version'],
+                document=zlib.compress(content),
+                listing=str(hash(self.servers)),
+                servers=self.servers,
+                fronts=1,
+                flights=(),
+                true_ms=0,
+            )
+        )
+
+    def close(self):
+        pass
+
+
+class Bed:
+    """A gateway with its stand-ins."""
+
+    def __init__(self):
+        self.controllers = Controllers()
+        self.origins = []
+        host = '127.0.0.1:0'
+        settings = gateway.GatewaySettings(
+            name='g1',
+            failure_domain='d1',
+            listen=host,
+            ready=host,
+            controllers=('c:1',),
+            stop_ms=8_000,
+            retry_ratio=0.2,
+            retry_slack=56,
+            usage_window_ms=5_000,
+        )
+        self.gateway = gateway.Gateway(
+            settings,
+            dialect.FleetDialect(),
+            ready_path='/api/readiness',
+            transport=self.controllers,
+        )
+        self.follower = self.gateway.parts.follower
+
+    def serve(self, *scripts):
+        self.origins = [fakes.FakeOrigin(script) for script in scripts]
+        self.controllers.servers = tuple(
+            gateway.ListedServer(
+                id=f'i-{index}',
+                service='plain',
+                address=origin.address,
+                domain='d1',
+                slots=4,
+            )
+            for index, origin in enumerate(self.origins)
+        )
+        self.follower.step()
+        self.gateway.entry.start()
+        return self
+
+    @property
+    def requests(self):
+        return [req for origin in self.origins for req in origin.requests]
+
+    def connect(self):
+        host, port = paddle_kernel.split_address(self.gateway.entry.address)
+        sock = gevent.socket.create_connection((host, port))
+        sock.settimeout(5)
+        return sock
+
+    def close(self):
+        self.gateway.entry.stop_listening()
+        self.gateway.close()
+        for origin in self.origins:
+            origin.stop()
+
+
+def request(path, *, method='GET', body=b'', extra=(), key='key1'):
+    lines = [
+        f'{method} {path} HTTP/1.1',
+        'Host: h',
+        f'Rosemarypaddle-Request-Id: r{random.random()}',
+        'Rosemarypaddle-Deadline-Milliseconds: 3000',
+    ]
+    if key:
+        lines.append(f'Authorization: Token {key}')
+    if body:
+        lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join([*lines, *extra, '', '']).encode() + body
+
+
+def read_answer(sock):
+    """Return ``(status, headers text, body)``; body is raw to the end."""
+    data = b''
+    while b'\r\n\r\n' not in data:
+        more = sock.recv(65_536)
+        if not more:
+            return None, '', data
+        data += more
+    head, _end, rest = data.partition(b'\r\n\r\n')
+    text = head.decode().lower()
+    status = int(head.split()[1])
+    if 'content-length:' in text:
+        size = int(text.split('content-length:')[1].split()[0])
+        while len(rest) < size:
+            rest += sock.recv(65_536)
+        return status, text, rest
+    while not rest.endswith(b'0\r\n\r\n'):
+        more = sock.recv(65_536)
+        if not more:
+            return status, text, rest + b'<closed>'
+        rest += more
+    return status, text, rest
+
+
+def exchange(bed, data):
+    sock = bed.connect()
+    sock.sendall(data)
+    answer = read_answer(sock)
+    sock.close()
+    return answer
+
+
+def fine(req, _sock):
+    return fakes.whole(req)
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -114,7 +114,7 @@
                 world.fleet.wipe(name)
                 pause(rng, SHORT_S)
                 world.start_again(name)
-        world.wait_counts_again(name)
+        world.fleet.wait_counts_again(name)
 
 
 def _stop_and_start(world, rng, role):
--- a/packages/testbed/src/paddle_testbed/soak/_run.py
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -106,7 +106,7 @@
         self.fleet.put(CONFIG)
         self.ledger.acknowledged.append(FIRST_VERSION)
         for name in self.fleet.names('gateway'):
-            self.wait_ready(name)
+            self.fleet.wait_ready(name)
         gevent.sleep(_checks.CONTACT_MS / 1_000)
         self._callers = [
             _callers.Caller(
@@ -150,7 +150,7 @@
             self.fleet.kill(name)
         self.start_again(name)
         if name in self.fleet.names('gateway'):
-            self.wait_ready(name)
+            self.fleet.wait_ready(name)
 
     def start_again(self, name):
         """Start a process and wait until its program has begun.
@@ -164,22 +164,6 @@
             lambda: _handles(process, signal.SIGHUP), f'{name} did not begin'
         )
 
-    def wait_ready(self, name):
-        """Wait until a gateway says that it is ready."""
-        fleets.wait_for(
-            lambda: self.fleet.call(name, 'GET', '/api/readiness')[0] == 200,
-            f'{name} was not ready',
-        )
-
-    def wait_counts_again(self, name):
-        """Wait until an emptied controller counts in the replica set."""
-
-        def counts():
-            replica = self.fleet.dump(name).get('replica') or {}
-            return replica.get('voting') and not replica.get('changing')
-
-        fleets.wait_for(counts, f'{name} did not count again', SETTLE_S)
-
     def hand_in(self, rng):
         """Hand in a new version at a random controller."""
         self._version += rng.randint(1, 3)
@@ -218,7 +202,7 @@
     def settle(self):
         """Wait until all is calm, then read and probe every machine."""
         for name in self.fleet.names('gateway'):
-            self.wait_ready(name)
+            self.fleet.wait_ready(name)
         newest = max(self.ledger.acknowledged)
         for name in self.fleet.names('controller'):
             self.ledger.read_back[name] = self._read(name, newest)
--- a/packages/testbed/tests/conftest.py
+++ b/packages/testbed/tests/conftest.py
@@ -10,6 +10,7 @@
 
 from paddle_testbed import cluster
 from paddle_testbed import fakes
+from paddle_testbed import gateway_bed
 
 DOMAINS = ('a', 'b', 'c')
 KEY = 'rp-process-test'
@@ -167,3 +168,11 @@
         yield running
     finally:
         running.close()
+
+
+@pytest.fixture
+def bed():
+    """A gateway with stand-ins of controllers and servers."""
+    built = gateway_bed.Bed()
+    yield built
+    built.close()
--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -85,17 +85,10 @@
     fleet.start_all()
     fleet.put(CONFIG)
     for name in fleet.names('gateway'):
-        wait_ready(fleet, name)
+        fleet.wait_ready(name)
     return fleet
 
 
-def wait_ready(fleet, name):
-    fleets.wait_for(
-        lambda: fleet.call(name, 'GET', '/api/readiness')[0] == 200,
-        f'{name} was not ready',
-    )
-
-
 def ask(fleet, name, path='/a/x', key='k1'):
     """Return the status of one request, ``None`` for a closed connection."""
     sock = gevent.socket.create_connection(fleet.front(name), 2)
@@ -115,16 +108,6 @@
     return json.loads(body)['version'] if status == 200 else None
 
 
-def counts_again(fleet, name):
-    """Whether a replica is a member and no change of the set is under way.
-
-    During the change a majority of the old set is needed as well, and the
-    emptied replica is not part of it.
-    """
-    replica = fleet.dump(name).get('replica') or {}
-    return replica.get('voting') and not replica.get('changing')
-
-
 def test_the_whole_path_serves_and_reports_usage(serving, cloud, origin):
     # Guards against a path that works in one process only.
     sent = 0
@@ -153,7 +136,7 @@
     read_end, write_end = os.pipe()
     try:
         serving.start(name, output=write_end)
-        wait_ready(serving, name)
+        serving.wait_ready(name)
         burst = gevent.pool.Pool(BURST_CALLERS)
         began = time.monotonic()
         answers = burst.map(lambda _: ask(serving, name), range(BURST))
@@ -210,10 +193,7 @@
     serving.kill('core-0')
     serving.wipe('core-0')
     serving.start('core-0')
-    fleets.wait_for(
-        lambda: counts_again(serving, 'core-0'),
-        'the emptied replica did not join again',
-    )
+    serving.wait_counts_again('core-0')
     serving.kill('core-1')
     assert read_version(serving, 'core-2') == 20
     assert read_version(serving, 'core-0') == 20
@@ -239,7 +219,7 @@
         lambda: read_version(serving, 'core-1') == 30,
         'the acknowledged version is gone',
     )
-    wait_ready(serving, 'front-0')
+    serving.wait_ready('front-0')
     assert ask(serving, 'front-0') == 200
 
 
@@ -279,7 +259,7 @@
         assert process.wait(timeout=9) == 0
         return
     if role == 'gateway':
-        wait_ready(serving, name)
+        serving.wait_ready(name)
     else:
         fleets.wait_for(
             lambda: read_version(serving, name) == 3, 'not serving'
