Let every controller serve the gateways near it

Cause: all gateways exchanged state with the controller in charge.

Change: a gateway prefers a controller of its own failure domain and orders several by rendezvous hashing. A controller passes sums, the age of its gateways' reports and their unconfirmed usage counts to the one in charge every 150 ms, and takes sums, server list and the confirmation of its configuration from the reply. Contenders that hear of the holder read the lease every 3 s instead of 200 ms. Totals are encoded once in 50 ms, with the sequence of the own report in them, so that a gateway can subtract exactly that.

Ruled out: all controllers to all (9 x 8 messages a period; the sums need 8), gossip (age grows with the rounds), more exchanges at the one in charge (measured: it is the one that has no processor left).

Conclusion: the cost falls on the gateways' own controller; the sums of other controllers' gateways are up to 550 ms old by their periods (two reports of 150 ms and one exchange of 250 ms) instead of one exchange.

--- a/packages/coord/src/paddle_coord/_document.py
+++ b/packages/coord/src/paddle_coord/_document.py
@@ -110,6 +110,17 @@
         self.confirmed_ms = began_ms
         return True
 
+    def confirm(self, version, as_of_ms):
+        """Note that ``version`` was the newest at ``as_of_ms``.
+
+        For a process that hears it from one that asked a majority. Has no
+        effect unless ``version`` is held, since a version has one content.
+        """
+        if self.current is None or self.current.version != version:
+            return
+        if self.confirmed_ms is None or as_of_ms > self.confirmed_ms:
+            self.confirmed_ms = as_of_ms
+
     def age_ms(self):
         """Return how old the last confirmation is, ``None`` without one."""
         if self.confirmed_ms is None:
--- a/packages/router/src/paddle_router/gateway/__init__.py
+++ b/packages/router/src/paddle_router/gateway/__init__.py
@@ -9,11 +9,15 @@
 from paddle_router.gateway._connections import NoConnectionError
 from paddle_router.gateway._dialect import Dialect
 from paddle_router.gateway._follower import Follower
-from paddle_router.gateway._follower import sync_period_ms
 from paddle_router.gateway._gateway import Gateway
 from paddle_router.gateway._http1 import own_headers
+from paddle_router.gateway._messages import ControllerPlace
+from paddle_router.gateway._messages import FrontNews
 from paddle_router.gateway._messages import FrontReport
+from paddle_router.gateway._messages import HubReply
+from paddle_router.gateway._messages import HubReport
 from paddle_router.gateway._messages import ListedServer
+from paddle_router.gateway._messages import LoadTotals
 from paddle_router.gateway._messages import ServerFlights
 from paddle_router.gateway._messages import SyncReply
 from paddle_router.gateway._messages import SyncRequest
@@ -41,18 +45,23 @@
     'CallFacts',
     'Configuration',
     'ConfigurationError',
+    'ControllerPlace',
     'Customer',
     'Dialect',
     'EngineTraits',
     'Follower',
+    'FrontNews',
     'FrontReport',
     'Gateway',
     'GatewaySettings',
     'Handover',
+    'HubReply',
+    'HubReport',
     'Kind',
     'Limits',
     'ListedServer',
     'Load',
+    'LoadTotals',
     'NoConnectionError',
     'PromptPart',
     'Route',
@@ -65,5 +74,4 @@
     'UsageCount',
     'Weight',
     'own_headers',
-    'sync_period_ms',
 ]
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -1,40 +1,44 @@
 """Keeps a gateway's configuration, server list and sums up to date."""
 
+import collections
 import itertools
+import random
 import secrets
 import zlib
 
 import returns.result
 
 import paddle_kernel
+from paddle_router.gateway import _controllers
 from paddle_router.gateway import _events
 from paddle_router.gateway import _messages
 from paddle_router.gateway import _model
 from paddle_router.gateway import _routes
 from paddle_router import policy
 
+# Time between two exchanges until a controller has named another one.
 SYNC_MS = 250
-# Among many gateways each asks more rarely: the controller in charge then
-# answers 500 exchanges a second at most.
-SYNC_MS_PER_GATEWAY = 2
 # Two missed answers and one connection attempt stay below the shortest bound
 # in which a configuration has to be in force (2,000 ms).
 CALL_TIMEOUT_MS = 500
 RETRY_MS = 50
+# A gateway without a configuration asks again after this time, then after
+# half as long again up to SYNC_MS: when all machines start at the same time,
+# all gateways ask the few controllers that their settings name.
+START_MS = 50
+START_GROWTH = 1.5
 # A controller whose configuration is unconfirmed is left after this time.
 UNCONFIRMED_MS = 700
 # True times of instances differ by less; a larger difference is a clock that
 # was wrong when the process started.
 CLOCK_TOLERANCE_MS = 100
-
-
-def sync_period_ms(gateways):
-    """Return the time between two exchanges of a gateway, in ms."""
-    return max(SYNC_MS, SYNC_MS_PER_GATEWAY * gateways)
+# Reports remembered to take the own part out of totals; those in totals are a
+# few exchanges old at most.
+REPORTS_KEPT = 16
 
 
 class Follower:
-    """Exchanges state with one controller at a time.
+    """Exchanges state with one controller at a time, if possible a near one.
 
     ``table`` is the :class:`RouteTable` in use, ``None`` before the first
     configuration; its version never decreases. ``servers`` is the list of
@@ -53,10 +57,17 @@
         self._usage = usage
         self._incarnation = secrets.token_hex(8)
         self._sequence = itertools.count(1)
-        self._members = list(settings.controllers)
+        self._choice = _controllers.ControllerChoice(
+            self._incarnation,
+            settings.failure_domain,
+            settings.controllers,
+            random.Random(),
+        )
         self._address = None
         self._unconfirmed_since_ms = None
-        self._reported = {}
+        # Own loads by the sequence of the report that carried them.
+        self._reported = collections.OrderedDict()
+        self._start_pause_ms = START_MS
         self._listing = ''
         self._listeners = []
         self.table = None
@@ -75,7 +86,7 @@
 
     def step(self):
         """Exchange state once; return the pause until the next step."""
-        address = self._address or self._next_address(None)
+        address = self._choice.choose(self._clock.now_ms())
         if address is None:
             return SYNC_MS
         result = self._transport.call(
@@ -86,20 +97,23 @@
             self._leave(address, _reason(result))
             return RETRY_MS
         self._use(address, reply)
-        return sync_period_ms(self.fronts) if self.is_ready else RETRY_MS
+        if self.is_ready:
+            self._start_pause_ms = START_MS
+            return reply.period_ms or SYNC_MS
+        pause_ms = self._start_pause_ms
+        self._start_pause_ms = min(SYNC_MS, int(pause_ms * START_GROWTH))
+        return pause_ms
 
     def add_controllers(self, addresses):
         """Try these controllers, too; settings name others after a change."""
-        for address in addresses:
-            if address not in self._members:
-                self._members.append(address)
+        self._choice.add(addresses)
 
     def dump(self):
         """Return plain data for the state dump."""
         version = self.table.configuration.version if self.table else None
         return {
             'controller': self._address,
-            'members': self._members,
+            **self._choice.dump(),
             'version': version,
             'listing': self._listing,
             'fronts': self.fronts,
@@ -108,13 +122,17 @@
 
     def _request(self):
         now_ms = self._clock.now_ms()
-        self._reported = {}
+        loads = {}
         for balancer in self._balancers.values():
-            self._reported.update(balancer.own_loads(now_ms))
+            loads.update(balancer.own_loads(now_ms))
+        sequence = next(self._sequence)
+        self._reported[sequence] = loads
+        while len(self._reported) > REPORTS_KEPT:
+            self._reported.popitem(last=False)
         report = _messages.FrontReport(
             name=self._settings.name,
             incarnation=self._incarnation,
-            sequence=next(self._sequence),
+            sequence=sequence,
             flights=tuple(
                 _messages.ServerFlights(
                     id=server_id,
@@ -125,7 +143,7 @@
                     pace_ms=load.pace_ms,
                     read_rate=load.read_rate,
                 )
-                for server_id, load in self._reported.items()
+                for server_id, load in loads.items()
             ),
             usage=self._usage.recent(),
             server_rate=max(
@@ -144,8 +162,7 @@
         now_ms = self._clock.now_ms()
         self.synced_ms = now_ms
         self.fronts = max(1, reply.fronts)
-        if reply.members:
-            self._members = list(reply.members)
+        self._choice.learn(reply.controllers, reply.members)
         if address != self._address:
             paddle_kernel.emit(_events.CONTROLLER_USED, address=address)
         self._address = address
@@ -155,7 +172,8 @@
             self._use_document(reply)
         if reply.listing != self._listing:
             self._use_listing(reply)
-        self._use_loads(reply, now_ms)
+        if reply.totals:
+            self._use_totals(reply, now_ms)
         self._judge(address, reply, now_ms)
 
     def _use_document(self, reply):
@@ -193,10 +211,14 @@
         )
         self._tell()
 
-    def _use_loads(self, reply, now_ms):
+    def _use_totals(self, reply, now_ms):
+        totals = paddle_kernel.codec.decode(
+            _messages.LoadTotals.__name__, reply.totals
+        )
+        counted = self._reported.get(reply.counted, {})
         loads = {}
-        for item in reply.flights:
-            own = self._reported.get(item.id, policy.SharedLoad())
+        for item in totals.flights:
+            own = counted.get(item.id, policy.SharedLoad())
             loads[item.id] = policy.SharedLoad(
                 running=max(0, item.running - own.running),
                 prefill=max(0, item.prefill - own.prefill),
@@ -209,35 +231,20 @@
             balancer.set_others(loads, now_ms)
 
     def _judge(self, address, reply, now_ms):
-        """Follow the controller in charge and leave an unconfirmed one."""
+        """Leave a controller that cannot confirm its configuration."""
         if reply.confirmed:
             self._unconfirmed_since_ms = None
         elif self._unconfirmed_since_ms is None:
             self._unconfirmed_since_ms = now_ms
         elif now_ms - self._unconfirmed_since_ms > UNCONFIRMED_MS:
             self._leave(address, 'not confirmed')
-            return
-        if reply.confirmed and reply.controller not in ('', address):
-            self._address = reply.controller
 
     def _leave(self, address, reason):
         paddle_kernel.emit(
             _events.CONTROLLER_LOST, address=address, reason=reason
         )
         self._unconfirmed_since_ms = None
-        self._address = self._next_address(address)
-
-    def _next_address(self, after):
-        """Return the address that follows ``after`` in turn."""
-        addresses = self._members or list(self._settings.controllers)
-        if not addresses:
-            return None
-        if after not in addresses:
-            # Gateways start at different places, so that the load of a lost
-            # controller spreads.
-            return addresses[hash(self._incarnation) % len(addresses)]
-        index = addresses.index(after) + 1
-        return addresses[index % len(addresses)]
+        self._choice.leave(address, self._clock.now_ms())
 
     def _tell(self):
         for function in self._listeners:
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -185,6 +185,8 @@
         ):
             self.dump.register(name, part.dump)
         self.dump.register('balancers', self._dump_balancers)
+        if isinstance(self.transport, paddle_kernel.TcpTransport):
+            self.dump.register('traffic', self.transport.traffic.dump)
         self.metrics.watch(self)
         self._stopping = False
         self._greenlets = []
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -73,7 +73,7 @@
 
 @attrs.frozen(kw_only=True)
 class SyncRequest:
-    """What a gateway, or a controller for its gateways, knows.
+    """What a gateway knows.
 
     ``version`` and ``listing`` name the configuration and the list held;
     ``attached`` asks for newer ones.
@@ -85,18 +85,35 @@
     attached: bool
 
 
+@attrs.frozen(kw_only=True)
+class ControllerPlace:
+    """Peer address of a controller and its failure domain."""
+
+    address: str
+    domain: str
+
+
+@attrs.frozen(kw_only=True)
+class LoadTotals:
+    """Sums over all gateways, by backend server."""
+
+    flights: tuple[ServerFlights, ...]
+
+
 @attrs.frozen(kw_only=True)
 class SyncReply:
     """What a controller knows.
 
-    ``controller`` is the address of the one in charge, empty if unknown.
-    ``confirmed`` tells whether ``version`` is known to be the newest.
-    ``document`` (compressed by zlib) and ``servers`` are sent only when they
-    are newer than what the caller holds. ``flights`` are sums over all
-    gateways, ``true_ms`` is the agreed time since the Unix epoch.
+    ``controllers`` are those that were heard of lately. ``confirmed`` tells
+    whether ``version`` is known to be the newest. ``document`` (compressed by
+    zlib) and ``servers`` are sent only when they are newer than what the
+    caller holds. ``totals`` is an encoded :class:`LoadTotals` that many
+    replies share, empty if the caller gave no report; ``counted`` is the
+    sequence of the caller's own report in it. ``period_ms`` is the time
+    until the next exchange, ``true_ms`` the agreed time since the Unix epoch.
     """
 
-    controller: str
+    controllers: tuple[ControllerPlace, ...]
     members: tuple[str, ...]
     confirmed: bool
     version: int
@@ -104,16 +121,76 @@
     listing: str
     servers: tuple[ListedServer, ...]
     fronts: int
-    flights: tuple[ServerFlights, ...]
+    totals: bytes
+    counted: int
+    period_ms: int
     true_ms: int
 
 
+@attrs.frozen(kw_only=True)
+class FrontNews:
+    """What a controller passes on of a gateway that exchanges state with it.
+
+    ``sequence`` and ``server_rate`` are those of the gateway's last report,
+    made ``age_ms`` ago. ``usage`` holds the counts that the receiver has not
+    confirmed yet.
+    """
+
+    name: str
+    incarnation: str
+    sequence: int
+    age_ms: int
+    server_rate: int
+    usage: tuple[UsageCount, ...]
+
+
+@attrs.frozen(kw_only=True)
+class HubReport:
+    """What a controller knows of its gateways, for the one in charge.
+
+    ``flights`` are the sums over these gateways.
+    """
+
+    place: ControllerPlace
+    fronts: tuple[FrontNews, ...]
+    flights: tuple[ServerFlights, ...]
+    version: int
+    listing: str
+
+
+@attrs.frozen(kw_only=True)
+class HubReply:
+    """Answer to a :class:`HubReport`.
+
+    Everything but ``in_charge`` counts only from the holder of the lease.
+    ``flights`` are the sums over the gateways of all other controllers,
+    ``fronts`` counts all gateways. ``version`` was the newest configuration
+    ``confirmed_age_ms`` ago; an age of -1 means that it is unknown.
+    ``servers`` is sent only when ``listing`` is not the caller's.
+    """
+
+    in_charge: bool
+    controllers: tuple[ControllerPlace, ...]
+    fronts: int
+    flights: tuple[ServerFlights, ...]
+    version: int
+    confirmed_age_ms: int
+    listing: str
+    list_age_ms: int
+    servers: tuple[ListedServer, ...]
+
+
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('gateway.capnp')))
 paddle_kernel.codec.register_schema(
     _SCHEMA,
     (
+        ControllerPlace,
+        FrontNews,
         FrontReport,
+        HubReply,
+        HubReport,
         ListedServer,
+        LoadTotals,
         ServerFlights,
         SyncReply,
         SyncRequest,
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -44,8 +44,17 @@
   attached @3 :Bool;
 }
 
+struct ControllerPlace {
+  address @0 :Text;
+  domain @1 :Text;
+}
+
+struct LoadTotals {
+  flights @0 :List(ServerFlights);
+}
+
 struct SyncReply {
-  controller @0 :Text;
+  controllers @0 :List(ControllerPlace);
   members @1 :List(Text);
   confirmed @2 :Bool;
   version @3 :UInt64;
@@ -53,6 +62,37 @@
   listing @5 :Text;
   servers @6 :List(ListedServer);
   fronts @7 :UInt32;
-  flights @8 :List(ServerFlights);
-  trueMs @9 :UInt64;
+  totals @8 :Data;
+  counted @9 :UInt64;
+  periodMs @10 :UInt32;
+  trueMs @11 :UInt64;
+}
+
+struct FrontNews {
+  name @0 :Text;
+  incarnation @1 :Text;
+  sequence @2 :UInt64;
+  ageMs @3 :UInt32;
+  serverRate @4 :UInt32;
+  usage @5 :List(UsageCount);
+}
+
+struct HubReport {
+  place @0 :ControllerPlace;
+  fronts @1 :List(FrontNews);
+  flights @2 :List(ServerFlights);
+  version @3 :UInt64;
+  listing @4 :Text;
+}
+
+struct HubReply {
+  inCharge @0 :Bool;
+  controllers @1 :List(ControllerPlace);
+  fronts @2 :UInt32;
+  flights @3 :List(ServerFlights);
+  version @4 :UInt64;
+  confirmedAgeMs @5 :Int64;
+  listing @6 :Text;
+  listAgeMs @7 :Int64;
+  servers @8 :List(ListedServer);
 }
--- a/packages/router/src/paddle_router/hub/_controller.py
+++ b/packages/router/src/paddle_router/hub/_controller.py
@@ -17,6 +17,7 @@
 from paddle_router.hub import _duties
 from paddle_router.hub import _events
 from paddle_router.hub import _fleet
+from paddle_router.hub import _front_sums
 from paddle_router.hub import _gate
 from paddle_router.hub import _platform
 from paddle_router.hub import _scaling
@@ -27,10 +28,17 @@
 # A confirmation older than this is none; three refreshes fit.
 CONFIRMED_MS = 650
 LIST_MS = 500
+# Without one in charge, each controller with gateways reads the list itself;
+# the platform limits and prices the reads of all together.
+LONE_LIST_MS = 1_000
 LEASE_TICK_MS = 200
+# A contender that hears of the holder by its replies reads the lease this
+# often; each read asks all replicas.
+QUIET_LEASE_MS = 3_000
+# Age of the last reply of the holder above which it counts as silent.
+SILENT_MS = 450
 DUTY_MS = 400
 SCALING_MS = 500
-RELAY_MS = 500
 CLOCKS_MS = 250
 RELAY_TIMEOUT_MS = 400
 REPLICA_RETRY_MS = 500
@@ -107,6 +115,14 @@
         self.dump.register(
             'replica', lambda: self.replica.dump() if self.replica else None
         )
+        self._place = gateway.ControllerPlace(
+            address=settings.peer, domain=settings.failure_domain
+        )
+        self.sums = _front_sums.FrontSums(self._place, self.fleet, self.clock)
+        self._lease_ms = None
+        self._lone_list_ms = None
+        self.dump.register('sums', self.sums.dump)
+        self.dump.register('traffic', self.transport.traffic.dump)
         self._peer = paddle_kernel.TcpServer(settings.peer, self._handle)
         self._api = pywsgi.WSGIServer(
             paddle_kernel.split_address(settings.listen),
@@ -139,9 +155,9 @@
         self._api.start()
         self._run(self._keep_membership, paddle_coord.MEMBERSHIP_LOOK_MS)
         self._run(self._refresh, REFRESH_MS)
-        self._run(self.lease.tick, LEASE_TICK_MS)
+        self._run(self._tick_lease, LEASE_TICK_MS)
         self._run(self._read_list, LIST_MS, wake=self._list_wanted)
-        self._run(self._relay, RELAY_MS)
+        self._run(self._relay, _front_sums.REPORT_MS)
         self._run(self.clocks.step, CLOCKS_MS)
         if self.settings.reports_usage:
             self._run(self.usage.step, DUTY_MS)
@@ -237,16 +253,60 @@
             if not self.register.refresh_view().epoch:
                 return
         age_ms = self.document.age_ms()
+        if age_ms is not None:
+            if age_ms < REFRESH_MS:
+                return
+            if age_ms < SILENT_MS and not self._holder_is_silent():
+                return
+            if age_ms < IDLE_REFRESH_MS and not self._is_needed():
+                return
+        self.document.refresh()
+
+    def _is_needed(self):
+        """Whether gateways depend on what this controller knows."""
+        return self.in_charge or self.fleet.serves_gateways
+
+    def _tick_lease(self):
+        """Take part in the contest; rarely while the holder is heard of.
+
+        A read that is left out only delays a takeover: the wait for an
+        unchanged lease starts with the next read.
+        """
+        now_ms = self.clock.now_ms()
         if (
-            age_ms is not None
-            and age_ms < IDLE_REFRESH_MS
-            and not self.fleet.has_gateways
+            not self.in_charge
+            and not self._holder_is_silent()
+            and self._lease_ms is not None
+            and now_ms - self._lease_ms < QUIET_LEASE_MS
         ):
             return
-        self.document.refresh()
+        self._lease_ms = now_ms
+        self.lease.tick()
+        self.fleet.set_in_charge(self.in_charge)
+
+    def _holder_is_silent(self):
+        """Whether no reply of the lease's holder came lately."""
+        age_ms = self.sums.reply_age_ms()
+        return age_ms is None or age_ms > SILENT_MS
+
+    def _may_read_list(self):
+        """Whether to ask the platform; others have the holder's list."""
+        if self.in_charge:
+            return True
+        if not self.fleet.serves_gateways or not self._holder_is_silent():
+            return False
+        now_ms = self.clock.now_ms()
+        if (
+            self._lone_list_ms is not None
+            and now_ms - self._lone_list_ms < LONE_LIST_MS
+            and self.fleet.servers is not None
+        ):
+            return False
+        self._lone_list_ms = now_ms
+        return True
 
     def _read_list(self):
-        if not (self.in_charge or self.fleet.has_gateways):
+        if not self._may_read_list():
             return
         try:
             changed = self.fleet.set_servers(self.platform.list_servers())
@@ -258,70 +318,123 @@
             )
             return
         if changed:
-            paddle_kernel.emit(
-                _events.LIST_READ,
-                listing=self.fleet.listing,
-                servers=len(self.fleet.servers),
-                leaving=[
-                    item.id for item in self.fleet.servers if item.leaving
-                ],
-            )
+            self._log_list()
+
+    def _log_list(self):
+        paddle_kernel.emit(
+            _events.LIST_READ,
+            listing=self.fleet.listing,
+            servers=len(self.fleet.servers),
+            leaving=[item.id for item in self.fleet.servers if item.leaving],
+        )
 
     def _relay(self):
-        """Pass reports of own gateways on to the controller in charge."""
-        reports = self.fleet.own_reports()
-        address = self._charge_address()
-        if self.in_charge or not reports or address is None:
+        """Exchange sums, list and version with the controller in charge."""
+        holder = self.lease.observed_holder
+        if self.in_charge or not holder:
             return
-        self.transport.call(
-            address,
-            gateway.SyncRequest(
-                reports=reports, version=0, listing='', attached=False
-            ),
+        report = self.sums.report(holder, self._version())
+        asked_ms = self.clock.now_ms()
+        reply = self.transport.call(
+            # The holder of a lease is named by address and incarnation.
+            holder.partition('/')[0],
+            report,
             RELAY_TIMEOUT_MS,
-        )
+        ).value_or(None)
+        if isinstance(reply, gateway.HubReply) and reply.in_charge:
+            self._use_reply(report, reply, asked_ms)
 
-    def _charge_address(self):
-        """Return the peer address of the lease's holder, or ``None``."""
-        holder = self.lease.observed_holder
-        return holder.partition('/')[0] if holder else None
+    def _use_reply(self, report, reply, asked_ms):
+        self.sums.use(report, reply, asked_ms)
+        if reply.confirmed_age_ms >= 0:
+            self.document.confirm(
+                reply.version, asked_ms - reply.confirmed_age_ms
+            )
+        if reply.version > self._version():
+            self.document.refresh()
+        if reply.list_age_ms >= 0:
+            # The reply may have been on its way since it was asked for.
+            way_ms = self.clock.now_ms() - asked_ms
+            self._use_list(reply, way_ms + reply.list_age_ms)
+
+    def _use_list(self, reply, age_ms):
+        held_ms = self.fleet.list_age_ms()
+        if reply.listing == self.fleet.listing:
+            self.fleet.confirm_list(age_ms)
+        elif held_ms is None or age_ms < held_ms:
+            self.fleet.set_servers(reply.servers, age_ms)
+            self._log_list()
+
+    def _version(self):
+        current = self.document.current
+        return current.version if current else 0
 
     # Messages
 
     def _handle(self, message):
         if isinstance(message, gateway.SyncRequest):
             return self._sync(message)
+        if isinstance(message, gateway.HubReport):
+            return self._take_report(message)
         if self.replica is None:
             return None
         return self.replica.handle(message)
 
     def _sync(self, message):
-        if message.attached and not self.fleet.has_gateways:
+        if message.attached and not self.fleet.serves_gateways:
             # Gateways that were just started wait for the list.
             self._list_wanted.set()
         self.fleet.note(message.reports, message.attached)
         current = self.document.current
-        version = current.version if current else 0
+        version = self._version()
         age_ms = self.document.age_ms()
         is_newer = message.attached and version > message.version
         listing, servers = message.listing, ()
         if message.attached:
             listing, servers = self.fleet.listing_for(message.listing)
+        totals, counted = b'', 0
+        if message.reports:
+            totals, counted = self.sums.totals(message.reports[0].incarnation)
+        members = self._members()
         return gateway.SyncReply(
-            controller=self._charge_address() or '',
-            members=self._members(),
+            controllers=self.sums.places(),
+            members=members,
             confirmed=age_ms is not None and age_ms < CONFIRMED_MS,
             version=version,
             document=self._packed(current) if is_newer else None,
             listing=listing,
             servers=servers,
-            fronts=self.fleet.count(),
-            flights=tuple(self.fleet.flights().values())
-            if message.attached
-            else (),
+            fronts=self.sums.count(len(members)),
+            totals=totals,
+            counted=counted,
+            period_ms=self.fleet.period_ms(),
             true_ms=self.wall.now_ms(),
         )
 
+    def _take_report(self, report):
+        """Answer another controller that takes this one to be in charge."""
+        in_charge = self.in_charge
+        if in_charge:
+            self.sums.note(report)
+            if report.version > self._version():
+                gevent.spawn(self.document.refresh)
+        confirmed_ms = self.document.age_ms()
+        list_ms = self.fleet.list_age_ms()
+        listing, servers = self.fleet.listing, self.fleet.servers or ()
+        return gateway.HubReply(
+            in_charge=in_charge,
+            controllers=self.sums.places() if in_charge else (),
+            fronts=self.sums.count(len(self._members())),
+            flights=self.sums.flights_for(report.place.address)
+            if in_charge
+            else (),
+            version=self._version(),
+            confirmed_age_ms=-1 if confirmed_ms is None else confirmed_ms,
+            listing=listing,
+            list_age_ms=-1 if list_ms is None else list_ms,
+            servers=() if listing == report.listing else servers,
+        )
+
     def _packed(self, document):
         """Return the compressed content, computed once for a version."""
         if self._packed_version != document.version:
--- a/packages/router/src/paddle_router/hub/_fleet.py
+++ b/packages/router/src/paddle_router/hub/_fleet.py
@@ -10,15 +10,19 @@
 from paddle_router.hub import _load_sums
 from paddle_router.hub import _recent
 
-# A gateway reports every 250 ms, more rarely among many; after six missing
-# reports it is not counted as sending any more.
-LIVE_PERIODS = 6
+# Time between two reports of a gateway; longer at a controller with many, so
+# that it answers 250 exchanges a second at most, a quarter of its processor.
+SYNC_MS = 250
+SYNC_MS_PER_GATEWAY = 4
+# A gateway that misses this many reports is not counted as sending any more.
+# It may report to another controller meanwhile and then counts twice.
+LIVE_PERIODS = 4
 # Three reads of the list fit. An older list may name servers that left, or
 # lack those that a gateway's own list has.
 LIST_FRESH_MS = 1_600
 # Gateways that lose their controller find the next one within 0.9 s and then
-# report within a period.
-INFORMED_MS = 1_050
+# report within a period, and controllers pass their reports on every 150 ms.
+INFORMED_MS = 1_200
 # Gateways are counted for the retry budget a while longer, since what they
 # sent still counts in the window of the budget.
 COUNTED_MS = 5_000
@@ -30,8 +34,28 @@
 
 @attrs.frozen
 class _Known:
-    report: gateway.FrontReport
-    is_attached: bool
+    """The last report of a gateway; ``usage`` maps (window, customer)."""
+
+    name: str
+    incarnation: str
+    sequence: int
+    made_ms: int
+    server_rate: int
+    usage: dict
+    flights: tuple = ()
+    is_attached: bool = False
+
+
+def _merged_usage(known, counts):
+    """Return the counts known of a gateway with newer ones.
+
+    Counts are cumulative, so of two for a window the larger one is newer.
+    """
+    usage = dict(known.usage) if known is not None else {}
+    for item in counts:
+        key = item.window, item.customer
+        usage[key] = max(item.requests, usage.get(key, 0))
+    return usage
 
 
 class Fleet:
@@ -43,23 +67,39 @@
         # gateways, and reports whose usage is kept. By name: gateways that
         # may still report usage.
         self._live = _recent.Recent()
+        self._attached = 0
         self._counted = _recent.Recent()
         self._kept = _recent.Recent()
         self._reporting = _recent.Recent()
         self._sums = _load_sums.LoadSums()
         self._names = collections.Counter()
         self._attached_ms = None
+        self._heard_ms = None
         self._informed_since_ms = None
+        self._in_charge = False
         self.servers = None
         self.listing = ''
         self.listed_ms = None
 
     @property
-    def has_gateways(self):
+    def serves_gateways(self):
         """Whether a gateway exchanged state with this process lately."""
-        if self._attached_ms is None:
-            return False
-        return self._clock.now_ms() - self._attached_ms < self._live_ms()
+        return self._is_recent(self._attached_ms)
+
+    @property
+    def has_gateways(self):
+        """Whether a gateway was heard of lately, also through others."""
+        return self._is_recent(self._heard_ms)
+
+    def set_in_charge(self, in_charge):
+        """Note whether this process holds the lease.
+
+        Other controllers pass on what their gateways report only to the one
+        in charge, so it has to wait for that when it takes over.
+        """
+        if in_charge and not self._in_charge:
+            self._informed_since_ms = self._clock.now_ms()
+        self._in_charge = in_charge
 
     @property
     def is_informed(self):
@@ -68,34 +108,106 @@
         A controller that just took over would otherwise give servers back
         and seal usage windows without knowing the load and the counts.
         """
-        if self.servers is None or self._informed_since_ms is None:
+        if self.servers is None or not self._in_charge:
             return False
         informed_ms = self._clock.now_ms() - self._informed_since_ms
-        needed_ms = INFORMED_MS + self._period_ms()
+        needed_ms = INFORMED_MS + self.period_ms()
         return self.has_gateways and informed_ms >= needed_ms
 
     def note(self, reports, attached):
-        """Keep the reports that are newer than those held."""
+        """Keep the reports of gateways that are newer than those held."""
         now_ms = self._clock.now_ms()
-        if attached and not self.has_gateways:
-            self._informed_since_ms = now_ms
         if attached:
+            self._hear(now_ms)
             self._attached_ms = now_ms
         for report in reports:
             known = self._kept.get(report.incarnation)
-            if known is None or report.sequence > known.report.sequence:
-                self._keep(_Known(report, attached), now_ms)
+            if known is not None and report.sequence <= known.sequence:
+                continue
+            self._keep(
+                _Known(
+                    name=report.name,
+                    incarnation=report.incarnation,
+                    sequence=report.sequence,
+                    made_ms=now_ms,
+                    server_rate=report.server_rate,
+                    usage=_merged_usage(known, report.usage),
+                    flights=report.flights,
+                    is_attached=attached,
+                )
+            )
         self._kept.end_before(now_ms - KEPT_MS)
 
-    def own_reports(self):
-        """Return the reports of gateways that exchange state here."""
+    def note_fronts(self, fronts):
+        """Keep what another controller passed on of its gateways."""
+        now_ms = self._clock.now_ms()
+        for item in fronts:
+            self._hear(now_ms)
+            known = self._kept.get(item.incarnation)
+            if known is not None and item.sequence < known.sequence:
+                continue
+            if known is not None and item.sequence == known.sequence:
+                # Counts may follow later than the report itself.
+                known.usage.update(_merged_usage(known, item.usage))
+                continue
+            self._keep(
+                _Known(
+                    name=item.name,
+                    incarnation=item.incarnation,
+                    sequence=item.sequence,
+                    made_ms=now_ms - item.age_ms,
+                    server_rate=item.server_rate,
+                    usage=_merged_usage(known, item.usage),
+                )
+            )
+        self._kept.end_before(now_ms - KEPT_MS)
+
+    def news(self, confirmed):
+        """Return :class:`FrontNews` of the gateways that report here.
+
+        ``confirmed`` maps incarnations to the counts, by (window, customer),
+        that the receiver has already.
+        """
         self._end_counted()
+        now_ms = self._clock.now_ms()
         return tuple(
-            known.report
+            gateway.FrontNews(
+                name=known.name,
+                incarnation=known.incarnation,
+                sequence=known.sequence,
+                age_ms=now_ms - known.made_ms,
+                server_rate=known.server_rate,
+                usage=tuple(
+                    gateway.UsageCount(
+                        window=key[0], customer=key[1], requests=requests
+                    )
+                    for key, requests in known.usage.items()
+                    if confirmed.get(known.incarnation, {}).get(key)
+                    != requests
+                ),
+            )
             for known in self._counted.values()
             if known.is_attached
         )
 
+    def incarnations(self):
+        """Return the incarnations of all gateways counted."""
+        self._end_counted()
+        return {known.incarnation for known in self._counted.values()}
+
+    def sequences(self):
+        """Return ``{incarnation: sequence}`` of the reports in the sums."""
+        self._end_live()
+        return {
+            known.incarnation: known.sequence
+            for known in self._live.values()
+            if known.is_attached
+        }
+
+    def period_ms(self):
+        """Return the time between two reports of a gateway here."""
+        return max(SYNC_MS, SYNC_MS_PER_GATEWAY * self._attached)
+
     def count(self):
         """Return the number of gateways seen in the last seconds."""
         self._end_counted()
@@ -110,9 +222,9 @@
         """Return the median reading rate that gateways measured, or 0."""
         self._end_live()
         rates = [
-            known.report.server_rate
+            known.server_rate
             for known in self._live.values()
-            if known.report.server_rate
+            if known.server_rate
         ]
         return statistics.median(rates) if rates else 0
 
@@ -120,9 +232,9 @@
         """Return ``{customer: requests}`` of ``window``."""
         totals = collections.Counter()
         for known in self._kept.values():
-            for item in known.report.usage:
-                if item.window == window:
-                    totals[item.customer] += item.requests
+            for (number, customer), requests in known.usage.items():
+                if number == window:
+                    totals[customer] += requests
         return dict(totals)
 
     def has_reports_of_all(self, age_ms):
@@ -137,12 +249,11 @@
             return False
         if now_ms - self._informed_since_ms < REPORTING_MS:
             return False
-        # The one heard of longest ago comes first.
-        return now_ms - self._reporting.values()[0] <= age_ms
+        return now_ms - min(self._reporting.values()) <= age_ms
 
-    def set_servers(self, servers):
-        """Use a list just read; return whether it differs."""
-        self.listed_ms = self._clock.now_ms()
+    def set_servers(self, servers, age_ms=0):
+        """Use a list read ``age_ms`` ago; return whether it differs."""
+        self.confirm_list(age_ms)
         # What changes with every read would be sent to every gateway.
         servers = tuple(
             attrs.evolve(item, cold_ms=0)
@@ -156,6 +267,12 @@
         ).hexdigest()
         return True
 
+    def confirm_list(self, age_ms):
+        """Note that the list held was the platform's ``age_ms`` ago."""
+        listed_ms = self._clock.now_ms() - age_ms
+        if self.listed_ms is None or listed_ms > self.listed_ms:
+            self.listed_ms = listed_ms
+
     def listing_for(self, held):
         """Return the version and servers to send to a gateway.
 
@@ -186,33 +303,44 @@
             },
         }
 
-    def _keep(self, known, now_ms):
-        report = known.report
-        key = report.incarnation
-        self._kept.see(key, known, now_ms)
-        self._reporting.see(report.name, now_ms, now_ms)
-        if self._counted.see(key, known, now_ms) is None:
-            self._names[report.name] += 1
-        previous = self._live.see(key, known, now_ms)
+    def _keep(self, known):
+        key, seen_ms = known.incarnation, known.made_ms
+        self._kept.see(key, known, seen_ms)
+        self._reporting.see(known.name, seen_ms, seen_ms)
+        if self._counted.see(key, known, seen_ms) is None:
+            self._names[known.name] += 1
+        previous = self._live.see(key, known, seen_ms)
         if previous is not None:
-            self._sums.remove(previous.report.flights)
-        self._sums.add(report.flights)
+            self._forget(previous)
+        self._attached += known.is_attached
+        self._sums.add(known.flights)
+
+    def _forget(self, known):
+        self._attached -= known.is_attached
+        self._sums.remove(known.flights)
+
+    def _hear(self, now_ms):
+        if not self.has_gateways:
+            self._informed_since_ms = now_ms
+        self._heard_ms = now_ms
+
+    def _is_recent(self, at_ms):
+        if at_ms is None:
+            return False
+        return self._clock.now_ms() - at_ms < self._live_ms()
 
     def _end_live(self):
         limit_ms = self._clock.now_ms() - self._live_ms()
         for known in self._live.end_before(limit_ms + 1):
-            self._sums.remove(known.report.flights)
+            self._forget(known)
 
     def _end_counted(self):
         limit_ms = self._clock.now_ms() - COUNTED_MS
         for known in self._counted.end_before(limit_ms + 1):
-            name = known.report.name
+            name = known.name
             self._names[name] -= 1
             if not self._names[name]:
                 del self._names[name]
 
-    def _period_ms(self):
-        return gateway.sync_period_ms(self.count())
-
     def _live_ms(self):
-        return LIVE_PERIODS * self._period_ms()
+        return LIVE_PERIODS * self.period_ms()
--- /dev/null
+++ b/packages/router/src/paddle_router/hub/_front_sums.py
@@ -0,0 +1,202 @@
+"""Exchange of sums between the controllers.
+
+Each gateway reports to a controller near it. A controller passes the sums
+over its own gateways on to the one in charge and gets those over all others
+back, so each pays for its own gateways and the one in charge for one message
+a period from each controller, however many gateways there are.
+
+The age of a load in the totals of another controller's gateway is at most
+two periods here, the time between two exchanges of a gateway and
+``SNAPSHOT_MS``.
+"""
+
+import attrs
+
+import paddle_kernel
+
+from paddle_router import gateway
+from paddle_router.hub import _load_sums
+from paddle_router.hub import _recent
+
+REPORT_MS = 150
+# A controller that did not report for this long is not named to gateways, and
+# its sums end; one report may be lost.
+LIVE_MS = 1_000
+# Sums of the one in charge are used for this long after it was last heard of;
+# a successor takes over within 3 s.
+REMOTE_MS = 2_000
+# The number of gateways that the one in charge counted is kept for this long,
+# also over a change of the holder; gateways that left only make the shares of
+# the retry budget smaller meanwhile.
+FRONTS_MS = 10_000
+# Totals are encoded once for all replies within this time.
+SNAPSHOT_MS = 50
+
+
+@attrs.frozen
+class _Part:
+    place: gateway.ControllerPlace
+    flights: tuple
+
+
+class FrontSums:
+    """Sums over the gateways of all controllers, as one of them knows them.
+
+    ``fleet`` holds the gateways of this one.
+    """
+
+    def __init__(self, place, fleet, clock):
+        self._place = place
+        self._fleet = fleet
+        self._clock = clock
+        # Reports of others to this controller, while it is in charge.
+        self._parts = _recent.Recent()
+        self._sums = _load_sums.LoadSums()
+        # The last reply of the one in charge, and when it was asked for.
+        self._reply = None
+        self._reply_ms = None
+        self._fronts = 0
+        self._fronts_ms = None
+        self._holder = None
+        self._confirmed_usage = {}
+        self._snapshot = None
+        self._snapshot_ms = None
+
+    # In charge
+
+    def note(self, report):
+        """Keep the sums that another controller reported."""
+        self._reply = self._reply_ms = None
+        part = _Part(report.place, report.flights)
+        now_ms = self._clock.now_ms()
+        previous = self._parts.see(report.place.address, part, now_ms)
+        if previous is not None:
+            self._sums.remove(previous.flights)
+        self._sums.add(part.flights)
+        self._fleet.note_fronts(report.fronts)
+
+    def flights_for(self, address):
+        """Return the sums over the gateways of all but ``address``."""
+        self._end_parts()
+        sums = self._sums.copy()
+        part = self._parts.get(address)
+        if part is not None:
+            sums.remove(part.flights)
+        sums.add(self._fleet.flights().values())
+        return tuple(sums.flights().values())
+
+    # Not in charge
+
+    def report(self, holder, version):
+        """Return the :class:`HubReport` for ``holder`` of the lease."""
+        if holder != self._holder:
+            # Another process knows no counts of these gateways yet.
+            self._holder = holder
+            self._confirmed_usage = {}
+        return gateway.HubReport(
+            place=self._place,
+            fronts=self._fleet.news(self._confirmed_usage),
+            flights=tuple(self._fleet.flights().values()),
+            version=version,
+            listing=self._fleet.listing,
+        )
+
+    def use(self, report, reply, asked_ms):
+        """Keep what the one in charge answered to ``report``."""
+        self._reply = reply
+        self._reply_ms = asked_ms
+        self._fronts = reply.fronts
+        self._fronts_ms = asked_ms
+        self._drop_parts(self._clock.now_ms() + 1)
+        for front in report.fronts:
+            known = self._confirmed_usage.setdefault(front.incarnation, {})
+            for item in front.usage:
+                known[item.window, item.customer] = item.requests
+        live = self._fleet.incarnations()
+        for incarnation in set(self._confirmed_usage) - live:
+            del self._confirmed_usage[incarnation]
+
+    def reply_age_ms(self):
+        """Return the age of the last reply, ``None`` without one."""
+        if self._reply_ms is None:
+            return None
+        return self._clock.now_ms() - self._reply_ms
+
+    # For gateways
+
+    def places(self):
+        """Return the controllers heard of lately, this one included."""
+        self._end_parts()
+        places = {self._place.address: self._place}
+        if self._has_reply():
+            places.update((x.address, x) for x in self._reply.controllers)
+        for part in self._parts.values():
+            places[part.place.address] = part.place
+        return tuple(places[key] for key in sorted(places))
+
+    def count(self, controllers):
+        """Return the number of all gateways.
+
+        Without a count of the one in charge, as many as here are taken to be
+        at each of the ``controllers``: a share of the retry budget that is
+        too large could break it.
+        """
+        own = self._fleet.count()
+        now_ms = self._clock.now_ms()
+        if (
+            self._fronts_ms is not None
+            and now_ms - self._fronts_ms < FRONTS_MS
+        ):
+            return max(own, self._fronts)
+        if len(self._parts):
+            return own
+        return own * max(1, controllers)
+
+    def totals(self, incarnation):
+        """Return the encoded totals and the sequence counted in them.
+
+        The sequence is that of the last report of the gateway
+        ``incarnation``.
+        """
+        now_ms = self._clock.now_ms()
+        if (
+            self._snapshot is None
+            or now_ms - self._snapshot_ms >= SNAPSHOT_MS
+            or incarnation not in self._snapshot[1]
+        ):
+            self._snapshot = self._take_snapshot()
+            self._snapshot_ms = now_ms
+        encoded, sequences = self._snapshot
+        return encoded, sequences.get(incarnation, 0)
+
+    def all_flights(self):
+        """Return the sums over all gateways by server id."""
+        self._end_parts()
+        sums = self._sums.copy()
+        sums.add(self._fleet.flights().values())
+        if self._has_reply():
+            sums.add(self._reply.flights)
+        return sums.flights()
+
+    def dump(self):
+        """Return plain data for the state dump."""
+        return {
+            'controllers': [attrs.asdict(item) for item in self.places()],
+            'reply_age_ms': self.reply_age_ms(),
+        }
+
+    def _take_snapshot(self):
+        totals = gateway.LoadTotals(flights=tuple(self.all_flights().values()))
+        _kind, encoded = paddle_kernel.codec.encode(totals)
+        return encoded, self._fleet.sequences()
+
+    def _has_reply(self):
+        age_ms = self.reply_age_ms()
+        return age_ms is not None and age_ms < REMOTE_MS
+
+    def _end_parts(self):
+        self._drop_parts(self._clock.now_ms() - LIVE_MS)
+
+    def _drop_parts(self, limit_ms):
+        for part in self._parts.end_before(limit_ms):
+            self._sums.remove(part.flights)
--- a/packages/router/src/paddle_router/hub/_load_sums.py
+++ b/packages/router/src/paddle_router/hub/_load_sums.py
@@ -28,8 +28,16 @@
     def __init__(self):
         self._sums = {}
 
+    def copy(self):
+        """Return an independent copy."""
+        other = LoadSums()
+        other._sums = {
+            key: _Sum(*attrs.astuple(item)) for key, item in self._sums.items()
+        }
+        return other
+
     def add(self, flights):
-        """Add the ``ServerFlights`` of a gateway."""
+        """Add the ``ServerFlights`` of a gateway, or of several."""
         for item in flights:
             total = self._sums.get(item.id)
             if total is None:
--- a/packages/router/src/paddle_router/hub/_scaling.py
+++ b/packages/router/src/paddle_router/hub/_scaling.py
@@ -103,7 +103,11 @@
         ids = {
             item.id for item in fleet.servers if item.service == service.name
         }
-        flights = [item for key, item in fleet.flights().items() if key in ids]
+        flights = [
+            item
+            for key, item in self._parts.sums.all_flights().items()
+            if key in ids
+        ]
         slots = [item.slots for item in fleet.servers if item.id in ids]
         return policy.Demand(
             read_rate=sum(item.read_rate for item in flights),
--- a/packages/testbed/src/paddle_testbed/fleet.py
+++ b/packages/testbed/src/paddle_testbed/fleet.py
@@ -208,7 +208,7 @@
             data.mkdir(exist_ok=True)
         return {
             'nodeName': machine.name,
-            'zone': f'z{len(machine.name) % 2}',
+            'zone': f'z{int(machine.name.rpartition("-")[2]) % 2}',
             'ipAddress': ip,
             'listen': listen,
             'internalPorts': PEER_PORTS,
--- a/packages/testbed/src/paddle_testbed/gateway_bed.py
+++ b/packages/testbed/src/paddle_testbed/gateway_bed.py
@@ -89,7 +89,7 @@
         content = json.dumps(self.config).encode()
         return returns.result.Success(
             gateway.SyncReply(
-                controller=address,
+                controllers=(),
                 members=(address,),
                 confirmed=True,
                 version=self.config['version'],
@@ -97,7 +97,9 @@
                 listing=str(hash(self.servers)),
                 servers=self.servers,
                 fronts=1,
-                flights=(),
+                totals=b'',
+                counted=0,
+                period_ms=250,
                 true_ms=0,
             )
         )
