Read several frames with one call and log malformed ones

Cause: a peer's frame took two receive calls and two Cap'n Proto decodings (an envelope and the message). A malformed frame closed its connection without a log line; an error in a handler ended its greenlet with a bare traceback.

Change: a buffered reader, call id and message name in the frame header instead of an envelope, events 1002 and 1003.

Tests: frames cut at any place; a malformed message and a failing handler beside calls that go on. The latter two failed before.

--- a/packages/kernel/src/paddle_kernel/_events.py
+++ b/packages/kernel/src/paddle_kernel/_events.py
@@ -56,6 +56,12 @@
 SETTINGS_UNREADABLE = declare(
     1001, 'ERROR', 'changed settings cannot be used; the old ones stay'
 )
+FRAME_REFUSED = declare(
+    1002, 'WARNING', 'a connection to a peer ended on a malformed message'
+)
+HANDLER_FAILED = declare(
+    1003, 'ERROR', 'a message of a peer could not be handled'
+)
 
 
 def declared():
--- a/packages/kernel/src/paddle_kernel/_transport.py
+++ b/packages/kernel/src/paddle_kernel/_transport.py
@@ -1,7 +1,6 @@
 """Calls between processes: the interface and its TCP implementation."""
 
 import itertools
-import pathlib
 import struct
 import typing
 
@@ -17,13 +16,16 @@
 
 from paddle_kernel import _clock
 from paddle_kernel import _codec
+from paddle_kernel import _events
 
-FRAME_HEADER = struct.Struct('!I')
+# Bytes that follow, the call's id and the length of the kind's name.
+FRAME_HEADER = struct.Struct('!IQB')
+_REST = struct.Struct('!QB')
+_SIZE = struct.Struct('!I')
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 RECEIVE_BYTES = 65_536
 
 capnp.remove_import_hook()
-_schema = capnp.load(str(pathlib.Path(__file__).with_name('wire.capnp')))
 
 
 @attrs.frozen
@@ -69,46 +71,58 @@
 def pack(call_id, message):
     """Return the frame that carries ``message``."""
     kind, body = _codec.codec.encode(message)
-    envelope = _schema.Envelope.new_message(
-        callId=call_id, kind=kind, body=body
-    )
-    data = envelope.to_bytes()
-    return FRAME_HEADER.pack(len(data)) + data
+    name = kind.encode('ascii')
+    size = _REST.size + len(name) + len(body)
+    return FRAME_HEADER.pack(size, call_id, len(name)) + name + body
 
 
 def unpack(data):
-    """Return ``(call_id, message)`` from the payload of a frame."""
+    """Return ``(call_id, message)`` from what follows the size of a frame.
+
+    :raises FrameError: if it cannot be decoded.
+    """
     try:
-        with _schema.Envelope.from_bytes(data) as reader:
-            call_id, kind, body = reader.callId, reader.kind, reader.body
-        return call_id, _codec.codec.decode(kind, body)
-    except (capnp.KjException, ValueError) as exc:
+        call_id, length = _REST.unpack_from(data)
+        end = _REST.size + length
+        kind = data[_REST.size : end].decode('ascii')
+        return call_id, _codec.codec.decode(kind, data[end:])
+    except (capnp.KjException, struct.error, ValueError) as exc:
         raise FrameError(f'cannot decode a frame: {exc}') from exc
 
 
-def _receive_exactly(sock, size):
-    parts = []
-    while size:
-        data = sock.recv(min(size, RECEIVE_BYTES))
-        if not data:
-            raise EOFError
-        parts.append(data)
-        size -= len(data)
-    return b''.join(parts)
-
-
-def receive(sock, traffic):
-    """Return ``(call_id, message)`` from the next frame of ``sock``.
+class FrameReader:
+    """Reads frames from a socket, several with one system call."""
 
-    :raises EOFError: at the end of the connection.
-    :raises FrameError: if the frame is too long or cannot be decoded.
-    """
-    header = _receive_exactly(sock, FRAME_HEADER.size)
-    (size,) = FRAME_HEADER.unpack(header)
-    if size > MAX_FRAME_BYTES:
-        raise FrameError(f'frame of {size} bytes exceeds {MAX_FRAME_BYTES}')
-    traffic.received += FRAME_HEADER.size + size
-    return unpack(_receive_exactly(sock, size))
+    def __init__(self, sock, traffic):
+        self._sock = sock
+        self._traffic = traffic
+        self._data = bytearray()
+
+    def read(self):
+        """Return ``(call_id, message)`` of the next frame.
+
+        :raises EOFError: at the end of the connection.
+        :raises FrameError: if the frame is too long or cannot be decoded.
+        """
+        self._fill(_SIZE.size)
+        (size,) = _SIZE.unpack_from(self._data)
+        if size > MAX_FRAME_BYTES:
+            raise FrameError(
+                f'frame of {size} bytes exceeds {MAX_FRAME_BYTES}'
+            )
+        end = _SIZE.size + size
+        self._fill(end)
+        payload = bytes(memoryview(self._data)[_SIZE.size : end])
+        del self._data[:end]
+        self._traffic.received += end
+        return unpack(payload)
+
+    def _fill(self, size):
+        while len(self._data) < size:
+            data = self._sock.recv(RECEIVE_BYTES)
+            if not data:
+                raise EOFError
+            self._data += data
 
 
 def split_address(address):
@@ -149,24 +163,39 @@
         for sock in list(self._connections):
             sock.close()
 
-    def _serve(self, sock, _peer):
+    def _serve(self, sock, peer):
         sock.setsockopt(
             gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1
         )
         lock = gevent.lock.Semaphore()
+        reader = FrameReader(sock, self.traffic)
         self._connections.add(sock)
         try:
             while True:
-                call_id, message = receive(sock, self.traffic)
+                call_id, message = reader.read()
                 gevent.spawn(self._answer, sock, lock, call_id, message)
-        except (EOFError, OSError, FrameError):
+        except (EOFError, OSError):
+            # The caller is gone and with it every answer that it waits for.
             pass
+        except FrameError as exc:
+            _events.emit(
+                _events.FRAME_REFUSED, peer=_peer_text(peer), error=str(exc)
+            )
         finally:
             self._connections.discard(sock)
             sock.close()
 
     def _answer(self, sock, lock, call_id, message):
-        answer = self._handler(message)
+        try:
+            answer = self._handler(message)
+        except Exception as exc:
+            # The caller meets its time limit; other calls go on.
+            _events.emit(
+                _events.HANDLER_FAILED,
+                message=type(message).__name__,
+                error=f'{type(exc).__name__}: {exc}',
+            )
+            return
         if answer is None:
             return
         frame = pack(call_id, answer)
@@ -182,6 +211,7 @@
     """One client connection; matches answers to calls by their id."""
 
     def __init__(self, address, connect_timeout_ms, traffic):
+        self._address = address
         self._traffic = traffic
         self._sock = gevent.socket.create_connection(
             split_address(address), connect_timeout_ms / _clock.MS_PER_S
@@ -223,14 +253,21 @@
             fut.set_exception(EOFError())
 
     def _read(self):
+        reader = FrameReader(self._sock, self._traffic)
         try:
             while True:
-                call_id, answer = receive(self._sock, self._traffic)
+                call_id, answer = reader.read()
                 self._received += 1
                 fut = self._waiting.get(call_id)
                 if fut is not None:
                     fut.set(answer)
-        except (EOFError, OSError, FrameError):
+        except (EOFError, OSError):
+            # Waiting calls are told by close().
+            self.close()
+        except FrameError as exc:
+            _events.emit(
+                _events.FRAME_REFUSED, peer=self._address, error=str(exc)
+            )
             self.close()
 
 
@@ -275,6 +312,10 @@
             return conn
 
 
+def _peer_text(peer):
+    return f'{peer[0]}:{peer[1]}'
+
+
 def broadcast(transport, calls, timeout_ms):
     """Yield ``(address, result)`` for each call as results arrive.
 
--- a/packages/kernel/tests/test_kernel_transport.py
+++ b/packages/kernel/tests/test_kernel_transport.py
@@ -1,9 +1,87 @@
 """Tests of frames and calls between processes."""
 
+import io
+
 import gevent
+import gevent.socket
+import hypothesis
+from hypothesis import strategies as st
+import paddle_coord as coord
 import paddle_kernel as kernel
+from paddle_kernel import _transport
+import pytest
 import returns.result
 
+REPORT = coord.DemandReport('d', 'i', 'live', ())
+
+
+class Pieces:
+    """A socket that delivers its bytes in given pieces."""
+
+    def __init__(self, data, sizes):
+        self._data = io.BytesIO(data)
+        self._sizes = iter(sizes)
+
+    def recv(self, _size):
+        return self._data.read(next(self._sizes, 1))
+
+
+@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+@hypothesis.given(st.lists(st.integers(1, 200), max_size=20))
+def test_frames_are_read_however_they_are_cut(sizes):
+    # Guards against a reader that loses what follows a frame.
+    data = b''.join(_transport.pack(number, REPORT) for number in range(5))
+    reader = _transport.FrameReader(Pieces(data, sizes), kernel.Traffic())
+    found = [reader.read() for _ in range(5)]
+    assert found == [(number, REPORT) for number in range(5)]
+    with pytest.raises(EOFError):
+        reader.read()
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    events = []
+    monkeypatch.setattr(
+        kernel._events,
+        'emit',
+        lambda event, **fields: events.append((event.number, fields)),
+    )
+    return events
+
+
+def test_a_malformed_message_ends_its_connection_with_a_line(logged):
+    # Guards against a peer that fails silently for its operator.
+    server = kernel.TcpServer('127.0.0.1:0', lambda message: message).start()
+    transport = kernel.TcpTransport()
+    assert transport.call(server.address, REPORT, 2_000).unwrap() == REPORT
+    bad = gevent.socket.create_connection(
+        kernel.split_address(server.address), 2
+    )
+    bad.sendall(b'\0\0\0\x20' + b'\xff' * 32)
+    assert bad.recv(1) == b''
+    assert transport.call(server.address, REPORT, 2_000).unwrap() == REPORT
+    transport.close()
+    server.stop()
+    assert [number for number, _fields in logged] == [1002]
+
+
+def test_an_error_in_a_handler_costs_only_its_call(logged):
+    # Guards against one unexpected message that stops a process or hangs
+    # the connection it shares with others.
+    def handler(message):
+        if message.daemon == 'bad':
+            raise KeyError(message.daemon)
+        return message
+
+    server = kernel.TcpServer('127.0.0.1:0', handler).start()
+    transport = kernel.TcpTransport()
+    bad = coord.DemandReport('bad', 'i', 'live', ())
+    assert transport.call(server.address, bad, 100).failure().kind == 'timeout'
+    assert transport.call(server.address, REPORT, 2_000).unwrap() == REPORT
+    transport.close()
+    server.stop()
+    assert [number for number, _fields in logged] == [1003]
+
 
 def test_call_to_a_closed_port_is_refused_and_not_sent():
     # Guards against reporting an unsent message as possibly delivered.
