Keep replicas that join at the same time from dropping one another

Cause: a replica works out the new set from the view it saw. If another change came first, it finished that one and then put its own list in force, which lacked the replica that had just joined. Besides, every member resumed a change as soon as it saw one: nine replicas rewrote all keys at the same time, and their ballots conflicted.

Change: a join names the epoch it was worked out from and fails in a later one. A change in progress is left to its beginner for 0.8 to 1.6 s.

--- a/packages/coord/src/paddle_coord/_self_forming.py
+++ b/packages/coord/src/paddle_coord/_self_forming.py
@@ -10,6 +10,7 @@
 
 import os
 import pathlib
+import random
 
 import attrs
 import paddle_kernel as kernel
@@ -30,6 +31,12 @@
 # A member that answered nothing for this long is taken for gone when another
 # replica joins; it joins again by itself if it comes back.
 ABSENT_MS = 1_200
+# A change of the set is left to whoever began it for this long; a change
+# takes 100 to 400 ms. If all replicas resume it at the same time, each
+# rewrites every key and their ballots conflict.
+RESUME_MS = 800
+# The wait varies by up to this much, so that one replica resumes first.
+RESUME_SPREAD_MS = 800
 
 
 @attrs.frozen
@@ -43,13 +50,18 @@
 class SelfForming:
     """Keeps one replica a member; :meth:`step` is called periodically."""
 
-    def __init__(self, replica, transport, clock, placement, *, may_found):
+    def __init__(
+        self, replica, transport, clock, placement, *, may_found, rng=None
+    ):
         self._replica = replica
         self._transport = transport
         self._clock = clock
         self._placement = placement
         self._may_found = may_found
         self._absent_since_ms = {}
+        self._rng = rng or random.Random()
+        # The epoch of the change seen in progress, and when to resume it.
+        self._changing = (0, 0)
         self.known = set(placement.seeds)
 
     @classmethod
@@ -85,6 +97,8 @@
         member = newest.member(status.identity)
         if member is not None and not newest.changing:
             return
+        if newest.changing and not self._is_left(newest):
+            return
         found = self._look()
         newest = max(
             (item.view for item in found.values()),
@@ -132,11 +146,23 @@
             ),
         )
         if view.changing or view.member(status.identity) is not None:
-            self._report('resumed', change.resume())
+            if not view.changing or self._is_left(view):
+                self._report('resumed', change.resume())
             return
         addresses = self._wanted(view, found)
         if addresses is not None:
-            self._report('joined', change.replace(addresses))
+            joined = change.replace_at(view.epoch, addresses)
+            self._report('joined', joined)
+
+    def _is_left(self, view):
+        """Whether whoever began the change seems not to finish it."""
+        now_ms = self._clock.now_ms()
+        epoch, resume_ms = self._changing
+        if epoch != view.epoch:
+            wait_ms = RESUME_MS + self._rng.randint(0, RESUME_SPREAD_MS)
+            resume_ms = now_ms + wait_ms
+            self._changing = (view.epoch, resume_ms)
+        return now_ms >= resume_ms
 
     def _wanted(self, view, found):
         """Return the addresses of the set with this replica in it.
--- a/packages/coord/src/paddle_coord/_view_change.py
+++ b/packages/coord/src/paddle_coord/_view_change.py
@@ -72,6 +72,23 @@
             )
         )
 
+    def replace_at(self, epoch, new_addresses):
+        """Like :meth:`replace`, but only in the view of ``epoch``.
+
+        For addresses that were worked out from that view: in a later one
+        they would leave out a replica that joined since. A change that comes
+        first is left to whoever began it.
+        """
+        return self.resume().bind(
+            lambda view: (
+                self._members(view, new_addresses).bind(
+                    lambda members: self._start(view, members, finishes=False)
+                )
+                if view.epoch == epoch
+                else failure(f'the set is at epoch {view.epoch}, not {epoch}')
+            )
+        )
+
     def resume(self):
         """Finish a change in progress.
 
@@ -91,7 +108,7 @@
             return self._finish(view) if view.changing else _success(view)
         return self._enter(decode_view(decided.unwrap()))
 
-    def _start(self, view, members):
+    def _start(self, view, members, *, finishes=True):
         if _view.identities(members) == _view.identities(view.new):
             return _success(view)
         wanted = _view.transitional(view, members)
@@ -100,7 +117,8 @@
             return decided
         if decided.unwrap() == wanted:
             return self._enter(wanted)
-        self._enter(decided.unwrap())
+        if finishes:
+            self._enter(decided.unwrap())
         return failure('another change came first; check and repeat')
 
     def _members(self, view, addresses):
--- a/packages/coord/tests/test_coord_self_forming.py
+++ b/packages/coord/tests/test_coord_self_forming.py
@@ -1,5 +1,7 @@
 """Tests of replica sets that form themselves, and of the document."""
 
+import types
+
 import paddle_coord as coord
 import paddle_kernel as kernel
 import pytest
@@ -135,6 +137,71 @@
     assert formed.members() == ['a:1', 'b:1', 'c:1', 'd:1', 'e:1', 'f:1']
 
 
+def begin_change(formed, address):
+    """Let ``address`` join, and lose it in the middle of the change."""
+
+    def stop_at_rewrite(step):
+        # The first prepare of a joint quorum belongs to the rewriting.
+        if type(step.message).__name__ == 'ListKeys':
+            return kernel.DROP
+        return kernel.DELIVER
+
+    formed.start(address)
+    formed.network.on_call = stop_at_rewrite
+    formed.settle(2)
+    formed.network.on_call = lambda step: kernel.DELIVER
+    assert formed.proposer().refresh_view().changing
+
+
+def rewrites_of(formed, rounds):
+    """Return which processes list the keys to rewrite them."""
+    before = len(formed.network.steps)
+    formed.settle(rounds)
+    return {
+        step.source
+        for step in formed.network.steps[before:]
+        if type(step.message).__name__ == 'ListKeys'
+    }
+
+
+def test_a_join_worked_out_from_an_older_set_drops_nobody(formed):
+    # Two replicas joined at the same time; the later one left out the earlier
+    # one, which joined again and left out another.
+    formed.start('f:1')
+    formed.start('g:1')
+    joining = formed.tasks['g:1']
+    look = joining._look
+    # The first look only tells who else is a member.
+    formed.tasks['f:1'].step()
+    joining.step()
+
+    def look_and_lose_the_race():
+        found = look()
+        formed.tasks['f:1'].step()
+        return found
+
+    joining._look = look_and_lose_the_race
+    joining.step()
+    assert 'f:1' in formed.members()
+    joining._look = look
+    formed.settle(4)
+    assert {'f:1', 'g:1'} <= set(formed.members())
+
+
+def test_a_change_in_progress_is_left_to_its_beginner(formed):
+    # All replicas resumed each change: nine rewrote every key at the same
+    # time, and a set of nine took seconds to form.
+    begin_change(formed, 'f:1')
+    assert rewrites_of(formed, 2) <= {'f:1'}
+
+
+def test_a_change_whose_beginner_is_gone_is_resumed(formed):
+    begin_change(formed, 'f:1')
+    formed.tasks['f:1'] = types.SimpleNamespace(step=lambda view: None)
+    formed.settle(12)
+    assert not formed.proposer().refresh_view().changing
+
+
 def document(formed, name='one'):
     register = coord.Proposer(
         formed.network.transport(name), SEEDS, formed.clock, name
