Bound what an answer of a server may take, and skip answers without an id

A second copy that a server sent late, on a connection that was in use again, reached the next caller.

Change: named bounds in _answer_limits; a success without a signature fails at its head; a plain answer above 256 KiB is passed on as it arrives; streams are judged by whole events against the pause after which callers leave; on a used connection an answer without id is skipped like one of another request.

Ruled out: cutting a plain answer by its size (an answer of any size is the caller's), and refusing every answer without id (the first one of a connection cannot be a copy of an earlier one).

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -66,6 +66,12 @@
     last_event_ms: int = 0
     last_event_id: bytes | None = None
 
+    def note_answer(self, status):
+        """Note that an answer with ``status`` goes to the caller now."""
+        self.status = status
+        self.answered = True
+        self.reason = ''
+
     def note_events(self, now_ms):
         """Keep the time of the first event and the longest pause."""
         if self.first_ms is None:
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -5,6 +5,7 @@
 import paddle_kernel
 from paddle_kernel import MS_PER_S
 from paddle_router import _sse
+from paddle_router.gateway import _answer_limits
 from paddle_router.gateway import _call
 from paddle_router.gateway import _connections
 from paddle_router.gateway import _events
@@ -21,6 +22,7 @@
 # Status codes by which a server promises nothing unless it says "not run".
 PROMISES = frozenset({408, 421, 429, 503})
 ID_FIELD = b'id:'
+DATA_FIELD = b'data:'
 
 
 class Exchange:
@@ -40,6 +42,8 @@
         # The answer was read to its end, so the connection can be kept.
         self._whole = False
         self._at_fault = True
+        self._silence = None
+        self._last_event_ms = 0
 
     def run(self, caller, balancer):
         """Return ``None`` when answered, otherwise the :class:`Step`."""
@@ -78,27 +82,44 @@
             self._parts.pool.discard(conn)
 
     def _exchange(self, caller):
-        call = self._call
-        patience = self._patience()
+        self._silence = gevent.Timeout(self._patience(), _SilenceError)
         try:
-            with gevent.Timeout(patience, _SilenceError):
-                head = self._send_and_read_head()
-        except _SilenceError:
-            return self._fail(_call.Step.SILENT, 'no answer in time')
+            with self._silence:
+                return self._exchange_in_time(caller)
+        except _SilenceError as exc:
+            detail = str(exc) or 'no answer in time'
+            return self._fail(_call.Step.SILENT, detail)
         except (_http1.BrokenAnswerError, OSError) as exc:
             return self._fail(_call.Step.BROKEN, str(exc))
+
+    def _exchange_in_time(self, caller):
+        head = self._send_and_read_head()
         if not self._facts.has_run:
             self._at_fault = False
             return self._fail(_call.Step.NOT_RUN, f'status {head.status_code}')
-        try:
-            if call.route.kind is _model.Kind.STREAM and _is_success(head):
-                return self._relay(caller, head)
-            return self._pass_whole(caller, head)
-        except _http1.BrokenAnswerError as exc:
-            return self._fail(_call.Step.BROKEN, str(exc))
+        if _is_success(head) and not self._facts.is_stamped:
+            return self._fail(
+                _call.Step.BROKEN, 'a success without a signature'
+            )
+        if self._call.route.kind is _model.Kind.STREAM and _is_success(head):
+            self._silence.close()
+            return self._relay(caller, head)
+        return self._pass_plain(caller, head)
 
     def _patience(self):
-        """Return how long the answer's head may take, in s, or ``None``."""
+        """Return how long a silent server is waited for, in s, or ``None``.
+
+        Until the head of a stream, or the whole of a plain answer.
+        """
+        call = self._call
+        patience = self._retry_patience()
+        if call.route.kind is not _model.Kind.STREAM:
+            return patience
+        pause = _answer_limits.longest_pause_ms(call.route) / MS_PER_S
+        return pause if patience is None else min(pause, patience)
+
+    def _retry_patience(self):
+        """Return after how many s another server is asked, or ``None``."""
         call = self._call
         if not call.route.is_idempotent:
             return None
@@ -153,32 +174,83 @@
 
     def _read_own_head(self):
         """Return the head of the answer to this request."""
-        while True:
-            head = self._conn.read_head()
-            self._facts = self._dialect.read_answer(
-                head.status_code, head.headers
+        head = self._next_head()
+        if not self._is_own():
+            with gevent.Timeout(
+                _answer_limits.SKIPPED_MS / MS_PER_S,
+                _http1.BrokenAnswerError('only answers of others in time'),
+            ):
+                head = self._skip_to_own_head()
+        if self._facts.load is not None:
+            self._parts.note_load(
+                self._call.service, self._server.id, self._facts.load
             )
-            wanted = self._call.facts.request_id
-            if wanted is None or self._facts.request_id in (None, wanted):
-                break
+        return head
+
+    def _next_head(self):
+        head = self._conn.read_head()
+        self._facts = self._dialect.read_answer(head.status_code, head.headers)
+        return head
+
+    def _is_own(self):
+        """Whether the head just read belongs to this request.
+
+        Without an id it may be a second copy of an earlier answer, unless
+        the connection is new.
+        """
+        wanted = self._call.facts.request_id
+        found = self._facts.request_id
+        if wanted is None or found == wanted:
+            return True
+        return found is None and self._conn.used == 1
+
+    def _skip_to_own_head(self):
+        for _ in range(_answer_limits.SKIPPED_ANSWERS):
             paddle_kernel.emit(
                 _events.ANSWER_SKIPPED,
-                request=wanted,
+                request=self._call.facts.request_id,
                 found=self._facts.request_id,
                 server=self._server.id,
             )
             self._conn.skip_answer()
-        if self._facts.load is not None:
-            self._parts.note_load(
-                self._call.service, self._server.id, self._facts.load
-            )
-        return head
+            head = self._next_head()
+            if self._is_own():
+                return head
+        raise _http1.BrokenAnswerError('too many answers of others')
 
-    def _pass_whole(self, caller, head):
-        call = self._call
+    def _pass_plain(self, caller, head):
+        """Pass a plain answer on, whole unless it is long."""
         parts = []
+        size = 0
         while (data := self._conn.read_data()) is not None:
             parts.append(data)
+            size += len(data)
+            if size > _answer_limits.WHOLE_BYTES:
+                return self._pass_long(caller, head, parts)
+        self._silence.close()
+        return self._pass_whole(caller, head, parts)
+
+    def _pass_long(self, caller, head, parts):
+        """Pass a long answer on as it arrives."""
+        if not _is_success(head):
+            return self._fail(_call.Step.BROKEN, 'a failure without end')
+        self._silence.close()
+        self._note_begin()
+        self._call.note_answer(head.status_code)
+        caller.begin(
+            head.status_code,
+            self._dialect.answer_headers(head.headers.raw_items()),
+        )
+        caller.data(b''.join(parts))
+        while (data := self._conn.read_data()) is not None:
+            caller.data(data)
+        self._whole = True
+        self._at_fault = False
+        caller.end()
+        return None
+
+    def _pass_whole(self, caller, head, parts):
+        call = self._call
         self._whole = True
         self._at_fault = head.status_code >= 500
         self._note_begin()
@@ -188,11 +260,6 @@
             body=b''.join(parts),
             stamped=self._facts.is_stamped,
         )
-        if _is_success(head) and not answer.stamped:
-            self._whole = False
-            return self._fail(
-                _call.Step.BROKEN, 'a success without a signature'
-            )
         if head.status_code >= 500 and self._retries_failure():
             return self._fail(_call.Step.BROKEN, f'status {head.status_code}')
         headers = self._dialect.answer_headers(answer.headers)
@@ -201,9 +268,7 @@
             # The server may have run it, which these codes would deny.
             status = 502
             headers = self._dialect.without_stamp(headers)
-        call.status = status
-        call.answered = True
-        call.reason = ''
+        call.note_answer(status)
         caller.answer(status, headers, answer.body)
         return None
 
@@ -218,11 +283,8 @@
 
     def _relay(self, caller, head):
         """Pass on events as they arrive."""
-        if not self._facts.is_stamped:
-            return self._fail(
-                _call.Step.BROKEN, 'a success without a signature'
-            )
         splitter = _sse.EventSplitter()
+        self._last_event_ms = self._clock.now_ms()
         while True:
             try:
                 data = self._read_in_time()
@@ -235,6 +297,8 @@
             events = splitter.feed(data)
             if events:
                 self._pass_events(caller, head, events)
+            if len(splitter.rest) > _answer_limits.EVENT_BYTES:
+                return self._fail(_call.Step.BROKEN, 'an event without end')
         if splitter.rest or not self._call.answered:
             self._pass_events(caller, head, [splitter.rest])
         self._whole = True
@@ -243,27 +307,28 @@
         return None
 
     def _read_in_time(self):
-        """Return the next bytes; a silent resumable stream is given up."""
+        """Return the next bytes; a stream without events is given up."""
         call = self._call
-        if not call.route.can_resume or call.attempts >= call.route.attempts:
-            return self._conn.read_data()
-        wait_ms = max(2 * call.route.target_ms, 8 * call.route.gap_ms, 1_000)
-        with gevent.Timeout(wait_ms / MS_PER_S, _SilenceError):
+        wait_ms = _answer_limits.longest_pause_ms(call.route)
+        if call.route.can_resume and call.attempts < call.route.attempts:
+            wait_ms = _answer_limits.resumable_pause_ms(call.route)
+        left_ms = self._last_event_ms + wait_ms - self._clock.now_ms()
+        with gevent.Timeout(max(0, left_ms) / MS_PER_S, _SilenceError):
             return self._conn.read_data()
 
     def _pass_events(self, caller, head, events):
         call = self._call
         now_ms = self._clock.now_ms()
         self._note_begin()
+        if any(_has_content(event) for event in events):
+            self._last_event_ms = now_ms
         call.note_events(now_ms)
         self._events += len(events)
         self._parts.balancers[call.service].observe(
             self._flight, now_ms, self._events
         )
         if not call.answered:
-            call.answered = True
-            call.reason = ''
-            call.status = head.status_code
+            call.note_answer(head.status_code)
             caller.begin(
                 head.status_code,
                 self._dialect.answer_headers(head.headers.raw_items()),
@@ -313,6 +378,13 @@
     return 200 <= head.status_code < 300
 
 
+def _has_content(event):
+    """Whether an event is more than comments that keep a connection open."""
+    return event.startswith((ID_FIELD, DATA_FIELD)) or any(
+        line.startswith((ID_FIELD, DATA_FIELD)) for line in event.splitlines()
+    )
+
+
 def _last_id(events):
     """Return the id of the newest event that has one, or ``None``."""
     for event in reversed(events):
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -118,6 +118,9 @@
     def _may_try_again(self, call, step, budget):
         if step is _call.Step.NOT_SENT:
             return self.has_other(call)
+        if call.answered and not call.route.can_resume:
+            # A part of a long plain answer has reached the caller.
+            return False
         may_run_again = step is _call.Step.NOT_RUN or call.route.is_idempotent
         return (
             may_run_again
--- a/packages/router/src/paddle_router/gateway/_http1.py
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -15,6 +15,7 @@
 import h11
 
 from paddle_kernel import MS_PER_S
+from paddle_router.gateway import _answer_limits
 
 RECEIVE_BYTES = 65_536
 # Framing or one connection's own business; never passed on.
@@ -297,6 +298,8 @@
         self._h11 = None
         self._rest = b''
         self._method = b'GET'
+        self._received = 0
+        self._delivered = 0
 
     def is_quiet(self):
         """Whether the idle connection is open and nothing was received."""
@@ -323,6 +326,7 @@
         :raises OSError: if the connection breaks.
         """
         self._method = method
+        self._received = self._delivered = 0
         self.used += 1
         self._restart()
         self.sent_all = False
@@ -348,13 +352,14 @@
 
         :raises BrokenAnswerError: if there is none.
         """
-        while True:
+        for _ in range(_answer_limits.INTERIM_HEADS):
             event = self._event()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
                 return event
             raise BrokenAnswerError(f'closed before an answer: {event!r}')
+        raise BrokenAnswerError('too many interim heads')
 
     def read_data(self):
         """Return the next bytes of the body, ``None`` at its end.
@@ -363,6 +368,7 @@
         """
         event = self._event()
         if isinstance(event, h11.Data):
+            self._delivered += len(event.data)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
@@ -370,8 +376,11 @@
 
     def skip_answer(self):
         """Forget the answer just read; the next one is ours."""
-        while self.read_data() is not None:
-            continue
+        skipped = 0
+        while (data := self.read_data()) is not None:
+            skipped += len(data)
+            if skipped > _answer_limits.SKIPPED_BYTES:
+                raise BrokenAnswerError('the answer of another has no end')
         if self._h11.their_state is not h11.DONE:
             raise BrokenAnswerError('closed after the answer of another')
         rest = bytes(self._h11.trailing_data[0])
@@ -415,6 +424,11 @@
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._h11.receive_data(self.sock.recv(RECEIVE_BYTES))
+                data = self.sock.recv(RECEIVE_BYTES)
+                self._received += len(data)
+                framing = self._received - self._delivered
+                if framing > _answer_limits.FRAMING_BYTES + self._delivered:
+                    raise BrokenAnswerError('heads or chunk sizes without end')
+                self._h11.receive_data(data)
         except (h11.RemoteProtocolError, OSError) as exc:
             raise BrokenAnswerError(str(exc)) from exc
--- a/packages/testbed/src/paddle_testbed/fakes/__init__.py
+++ b/packages/testbed/src/paddle_testbed/fakes/__init__.py
@@ -11,6 +11,7 @@
 from paddle_testbed.fakes._origin import event
 from paddle_testbed.fakes._origin import FakeOrigin
 from paddle_testbed.fakes._origin import Received
+from paddle_testbed.fakes._origin import STAMP
 from paddle_testbed.fakes._origin import STREAM_END
 from paddle_testbed.fakes._origin import stream_head
 from paddle_testbed.fakes._origin import whole
@@ -26,6 +27,7 @@
     'FakePlatform',
     'FakeService',
     'Received',
+    'STAMP',
     'STREAM_END',
     'event',
     'stream_head',
