Move running streams when their server leaves

Change: when the list shows that a server leaves, each gateway has the runs of its streams there stopped and copied to another server, and sends the request there with the name of the copy and the last event that was passed on. A copy that is not taken goes on at its source.

Weighed: a first copy while the run goes on (a copy takes some 10 ms, so the pause it would save is below the targets) and backups of all runs.

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -27,13 +27,15 @@
     """How an attempt ended without an answer for the caller.
 
     Nothing was sent; the server says that it did not run the request; the
-    answer broke off or never came; the server was silent for too long.
+    answer broke off or never came; the server was silent for too long; the
+    run was stopped on purpose and goes on elsewhere.
     """
 
     NOT_SENT = 'not_sent'
     NOT_RUN = 'not_run'
     BROKEN = 'broken'
     SILENT = 'silent'
+    MOVED = 'moved'
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -45,6 +47,7 @@
     to. ``answered`` is set once a byte of the answer may have been written,
     ``began`` once a server has begun to run it. ``status`` and ``reason``
     describe the final answer, ``first_ms`` and ``longest_gap_ms`` its events.
+    ``continuation`` says where a run that was stopped goes on.
     """
 
     req: _http1.Request
@@ -65,6 +68,7 @@
     longest_gap_ms: int = 0
     last_event_ms: int = 0
     last_event_id: bytes | None = None
+    continuation: object = None
 
     def note_answer(self, status):
         """Note that an answer with ``status`` goes to the caller now."""
--- a/packages/router/src/paddle_router/gateway/_dialect.py
+++ b/packages/router/src/paddle_router/gateway/_dialect.py
@@ -33,5 +33,20 @@
     def answer_headers(self, headers) -> list:
         """Return the headers for the caller, without framing."""
 
+    def move_request(self, request_id, source, target) -> tuple:
+        """Return ``(method, target, headers, body)`` of a call to ``source``.
+
+        It stops the run of ``request_id`` and copies it to ``target``; both
+        are :class:`ListedServer`.
+        """
+
+    def read_move(self, body) -> str | None:
+        """Return the name of the copy in the answer to such a call.
+
+        ``None`` if the answer names none.
+
+        :raises ValueError: if it cannot be read.
+        """
+
     def without_stamp(self, headers) -> list:
         """Return ``headers`` without the mark of the server's own answer."""
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -31,6 +31,12 @@
 REQUEST_FAILED = paddle_kernel.declare_event(
     3315, 'ERROR', 'a request failed on an internal error'
 )
+STREAM_MOVED = paddle_kernel.declare_event(
+    3317, 'INFO', 'the run of a stream was copied to another server'
+)
+MOVE_FAILED = paddle_kernel.declare_event(
+    3318, 'WARNING', 'the run of a stream could not be moved'
+)
 ANSWER_SKIPPED = paddle_kernel.declare_event(
     3316, 'WARNING', 'an answer to another request was skipped'
 )
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -11,6 +11,7 @@
 from paddle_router.gateway import _events
 from paddle_router.gateway import _http1
 from paddle_router.gateway import _model
+from paddle_router.gateway import _moves
 from paddle_router.gateway import _routes
 
 # Silence of a server, in latency targets, after which an idempotent request
@@ -43,6 +44,7 @@
         self._whole = False
         self._at_fault = True
         self._silence = None
+        self._stream = None
         self._last_event_ms = 0
 
     def run(self, caller, balancer):
@@ -142,9 +144,12 @@
             customer=call.customer.name if call.customer else None,
             urgency=self._urgency(),
             last_event_id=call.last_event_id,
+            copy=_copy(call.continuation),
         )
         headers = self._dialect.call_headers(call.req.headers, handover)
-        call.attempts += 1
+        if call.continuation is None:
+            # A run that goes on is not another attempt.
+            call.attempts += 1
         call.may_have_run = True
         call.server_id = self._server.id
         self._flight.sent_ms = self._clock.now_ms()
@@ -282,9 +287,27 @@
         )
 
     def _relay(self, caller, head):
-        """Pass on events as they arrive."""
-        splitter = _sse.EventSplitter()
+        """Pass on events as they arrive; the run may be moved meanwhile."""
         self._last_event_ms = self._clock.now_ms()
+        self._stream = _moves.RunningStream(
+            self._call, self._server, self._flight
+        )
+        self._parts.moves.begin(self._stream)
+        try:
+            step = self._relay_events(caller, head)
+        finally:
+            self._parts.moves.end(self._stream)
+        if step is not _call.Step.BROKEN or self._stream.fut is None:
+            return step
+        # The server closes a stream that it stops without its end.
+        self._call.continuation = self._stream.fut.get()
+        if self._call.continuation is None:
+            return step
+        self._at_fault = False
+        return _call.Step.MOVED
+
+    def _relay_events(self, caller, head):
+        splitter = _sse.EventSplitter()
         while True:
             try:
                 data = self._read_in_time()
@@ -324,6 +347,8 @@
             self._last_event_ms = now_ms
         call.note_events(now_ms)
         self._events += len(events)
+        self._stream.note(len(events), now_ms - self._flight.last_ms)
+        self._parts.moves.consider(self._stream)
         self._parts.balancers[call.service].observe(
             self._flight, now_ms, self._events
         )
@@ -378,6 +403,12 @@
     return 200 <= head.status_code < 300
 
 
+def _copy(continuation):
+    if continuation is None:
+        return None
+    return continuation.source, continuation.handle
+
+
 def _has_content(event):
     """Whether an event is more than comments that keep a connection open."""
     return event.startswith((ID_FIELD, DATA_FIELD)) or any(
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import gevent
 
 import paddle_kernel
@@ -111,16 +112,19 @@
             step = self._attempt(conn, call)
             if step is None:
                 return
+            if step is _call.Step.MOVED or self._goes_on_at_source(call, step):
+                continue
+            call.continuation = None
             if not self._may_try_again(call, step, budget):
                 self._give_up(conn, call, step)
                 return
 
     def _may_try_again(self, call, step, budget):
-        if step is _call.Step.NOT_SENT:
-            return self.has_other(call)
         if call.answered and not call.route.can_resume:
-            # A part of a long plain answer has reached the caller.
+            # A part of the answer has reached the caller.
             return False
+        if step is _call.Step.NOT_SENT and not call.answered:
+            return self.has_other(call)
         may_run_again = step is _call.Step.NOT_RUN or call.route.is_idempotent
         return (
             may_run_again
@@ -129,6 +133,19 @@
             and budget.take(self._clock.now_ms())
         )
 
+    def _goes_on_at_source(self, call, step):
+        """Whether a stopped run goes on where it was stopped.
+
+        After a copy that the other server did not take.
+        """
+        found = call.continuation
+        if found is None or found.target_id == found.source_id:
+            return False
+        if step not in (_call.Step.NOT_SENT, _call.Step.NOT_RUN):
+            return False
+        call.continuation = attrs.evolve(found, target_id=found.source_id)
+        return True
+
     def has_other(self, call):
         """Return whether a server that was not tried takes ``call``."""
         balancer = self._parts.balancers.get(call.service)
@@ -156,10 +173,16 @@
         balancer = self._parts.balancers.get(call.service)
         now_ms = self._clock.now_ms()
         flight = None
-        if balancer is not None:
+        if call.continuation is not None:
+            flight = balancer.place(
+                call.continuation.target_id, self._work(call), now_ms
+            )
+        elif balancer is not None:
             flight = balancer.choose(self._work(call), now_ms)
         if flight is None:
             call.reason = 'no server'
+            if call.continuation is not None:
+                return _call.Step.NOT_SENT
             call.tried.update(self._parts.server_ids(call.service))
             return _call.Step.NOT_SENT
         server = self._parts.server(flight.server_id)
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -14,6 +14,7 @@
 from paddle_router.gateway import _follower
 from paddle_router.gateway import _forward
 from paddle_router.gateway import _metrics
+from paddle_router.gateway import _moves
 from paddle_router.gateway import _usage_counts
 from paddle_router import policy
 
@@ -82,6 +83,7 @@
         self.pool = _connections.ConnectionPool(clock)
         self.balancers = {}
         self.budgets = _Budgets(settings)
+        self.moves = _moves.Moves(self)
         self.usage = _usage_counts.UsageCounts(
             self.wall, settings.usage_window_ms
         )
@@ -123,9 +125,18 @@
                 )
             self.balancers[service].sync(groups[service], now_ms)
         self.pool.keep_only(item.address for item in servers)
+        self.moves.leave(servers)
+
+    def engine_traits(self, service):
+        """Return the :class:`EngineTraits` of a service or ``None``."""
+        found = self.follower.table.configuration.services.get(service)
+        return found.engine if found is not None else None
 
     def server(self, server_id):
-        """Return the listed server."""
+        """Return the listed server.
+
+        :raises KeyError: if it is not listed any more.
+        """
         return self._servers[server_id]
 
     def server_ids(self, service):
--- a/packages/router/src/paddle_router/gateway/_model.py
+++ b/packages/router/src/paddle_router/gateway/_model.py
@@ -57,10 +57,16 @@
 
 @attrs.frozen(kw_only=True)
 class EngineTraits:
-    """What is told about the model engines of a service."""
+    """What is told about the model engines of a service.
+
+    An event of a stream holds ``stride`` tokens. With ``moves``, a run can be
+    stopped and go on at another server.
+    """
 
     slots: int
     kv_tokens: int
+    stride: int = 1
+    moves: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -179,10 +185,15 @@
 
 @attrs.frozen(kw_only=True)
 class Handover:
-    """What the gateway adds to a request for a backend server."""
+    """What the gateway adds to a request for a backend server.
+
+    ``copy`` names the memory of a stopped run that it goes on from, as the
+    address that made it and its handle.
+    """
 
     left_ms: int
     server_id: str
     customer: str | None
     urgency: int | None
     last_event_id: bytes | None = None
+    copy: tuple[str, str] | None = None
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -312,6 +312,18 @@
         chosen = self._rng.choice(near)
         return self._occupy(chosen, work, now_ms, ranks.get(chosen.engine.id))
 
+    def place(self, server_id, work, now_ms):
+        """Return a :class:`SharedFlight` at a given server.
+
+        For a run whose memory is there; ``None`` if it is not listed.
+        """
+        state = self._states.get(server_id)
+        if state is None:
+            return None
+        return self._occupy(
+            state, attrs.evolve(work, prompt_tokens=0), now_ms, None
+        )
+
     def can_place(self, avoid):
         """Return whether a server outside ``avoid`` takes new work."""
         return any(
@@ -344,6 +356,12 @@
         if not flight.work.gap_ms:
             state.window.add(now_ms, paced=1, pace_ms=now_ms - flight.sent_ms)
 
+    def forget(self, flight):
+        """Free the place of a request that was not sent."""
+        state = self._states.get(flight.server_id)
+        if state is not None:
+            state.flights.discard(flight)
+
     def hold(self, flight, now_ms):
         """Leave the server of ``flight`` alone; it could not be reached."""
         state = self._states.get(flight.server_id)
--- /dev/null
+++ b/packages/testbed/tests/test_gateway_moves.py
@@ -0,0 +1,226 @@
+"""Streams that go on at another server when theirs leaves."""
+
+import copy
+import json
+
+import attrs
+import gevent
+import pytest
+
+from paddle_testbed import fakes
+from paddle_testbed import gateway_bed
+
+request = gateway_bed.request
+exchange = gateway_bed.exchange
+
+LAST = 8
+PAUSE_S = 0.1
+
+
+class Engine:
+    """Script of a model engine that can stop a run and continue one."""
+
+    def __init__(self, *, move_status=200, takes=True):
+        self.move_status = move_status
+        self.takes = takes
+        self.moves = []
+        self.runs = []
+        self.stopped = set()
+        self.delay_s = 0
+
+    def __call__(self, req, _sock):
+        if req.line.startswith(b'POST /api/kv-move'):
+            return self._move(req)
+        if not self.takes and b'kv-from' in req.headers:
+            return fakes.whole(
+                req,
+                b'full',
+                status=b'503 Full',
+                extra=(b'Rosemarypaddle-Not-Run: 1',),
+            )
+        return self._run(req)
+
+    def _move(self, req):
+        order = json.loads(req.body)
+        self.moves.append(order)
+        if self.move_status != 404:
+            self.stopped.add(order['identifier'].encode())
+        document = {} if self.move_status == 404 else {'handle': 'h7'}
+        body = json.dumps(document).encode()
+        return [
+            2 * PAUSE_S,
+            b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s'
+            % (self.move_status, len(body), body),
+        ]
+
+    def _run(self, req):
+        self.runs.append(req)
+        self.stopped.discard(req.id)
+        first = int(req.headers.get(b'last-event-id', b'0')) + 1
+        yield fakes.stream_head(req)
+        yield self.delay_s
+        for number in range(first, LAST + 1):
+            if req.id in self.stopped:
+                # Within an event, as an engine that stops may do.
+                yield b'20\r\nid: %d\nda' % number
+                yield None
+            yield fakes.event(number)
+            yield PAUSE_S
+        yield fakes.STREAM_END
+
+
+@pytest.fixture
+def moving(bed):
+    """Return a function that serves by engines that move runs."""
+    config = copy.deepcopy(gateway_bed.CONFIG)
+    config['services'][0]['engine'] = {
+        'slots': 4,
+        'kvCacheTokens': 1000,
+        'stride': 1,
+        'moves': True,
+    }
+    bed.controllers.config = config
+
+    def serve(*engines):
+        bed.serve(*engines)
+        return bed
+
+    return serve
+
+
+def leave(bed, engines, *, spot=True):
+    """Let the server that runs the stream leave; return its number."""
+    while not any(engine.runs for engine in engines):
+        gevent.sleep(0.01)
+    gevent.sleep(3.5 * PAUSE_S)
+    number = next(i for i, engine in enumerate(engines) if engine.runs)
+    servers = list(bed.controllers.servers)
+    servers[number] = attrs.evolve(servers[number], leaving=True, spot=spot)
+    bed.controllers.servers = tuple(servers)
+    bed.follower.step()
+    return number
+
+
+def ids(body):
+    return [
+        int(part.split(b'\n')[0])
+        for part in body.replace(b'id: ', b'|').split(b'|')[1:]
+    ]
+
+
+def start(bed, path='/report/x'):
+    raw = request(
+        path,
+        method='POST',
+        body=b'p',
+        extra=('Rosemarypaddle-Token-Counts: 10,8',),
+    )
+    return gevent.spawn(exchange, bed, raw)
+
+
+def test_a_stream_goes_on_when_its_server_is_reclaimed(moving):
+    # It was cut in the middle: 36 of 38 failed streams of a quiet day.
+    engines = [Engine(), Engine()]
+    bed = moving(*engines)
+    caller = start(bed)
+    number = leave(bed, engines)
+    source, target = engines[number], engines[1 - number]
+    status, _text, body = caller.get(timeout=5)
+    assert status == 200 and body.endswith(b'0\r\n\r\n')
+    assert ids(body) == list(range(1, LAST + 1))
+    (order,) = source.moves
+    assert order['final'] is True
+    assert order['target'] == bed.origins[1 - number].address
+    (run,) = target.runs
+    address = bed.origins[number].address.encode()
+    assert run.headers[b'kv-from'] == address + b'/h7'
+    assert run.id == source.runs[0].id
+
+
+def test_a_stream_that_begins_at_a_leaving_server_is_moved(moving):
+    # Three streams of a reclaimed domain had no event yet when the list
+    # showed that their servers leave.
+    engines = [Engine(), Engine()]
+    for engine in engines:
+        engine.delay_s = 5 * PAUSE_S
+    bed = moving(*engines)
+    caller = start(bed)
+    number = leave(bed, engines)
+    assert not engines[number].moves
+    status, _text, body = caller.get(timeout=5)
+    assert status == 200 and ids(body) == list(range(1, LAST + 1))
+    assert engines[number].moves and engines[1 - number].runs
+
+
+def test_a_run_without_room_elsewhere_goes_on_at_its_server(moving):
+    engines = [Engine(move_status=503), Engine(move_status=503)]
+    bed = moving(*engines)
+    caller = start(bed)
+    number = leave(bed, engines)
+    status, _text, body = caller.get(timeout=5)
+    assert status == 200 and ids(body) == list(range(1, LAST + 1))
+    assert len(engines[number].runs) == 2
+    assert not engines[1 - number].runs
+
+
+def test_a_copy_that_is_not_taken_goes_on_at_its_server(moving):
+    # Guards against a second run of a request that must not be repeated.
+    engines = [Engine(), Engine()]
+    bed = moving(*engines)
+    caller = start(bed)
+    while not any(engine.runs for engine in engines):
+        gevent.sleep(0.01)
+    for engine in engines:
+        engine.takes = bool(engine.runs)
+    number = leave(bed, engines)
+    status, _text, body = caller.get(timeout=5)
+    assert status == 200 and ids(body) == list(range(1, LAST + 1))
+    assert len(engines[number].runs) == 2
+    assert not engines[1 - number].runs
+
+
+def test_a_copy_that_nobody_takes_ends_the_stream(moving):
+    engines = [Engine(), Engine()]
+    bed = moving(*engines)
+    caller = start(bed)
+    while not any(engine.runs for engine in engines):
+        gevent.sleep(0.01)
+    for engine in engines:
+        engine.takes = False
+    leave(bed, engines)
+    status, _text, body = caller.get(timeout=5)
+    assert status == 200 and not body.endswith(b'0\r\n\r\n')
+    assert sum(len(engine.runs) for engine in engines) == 1
+
+
+def test_a_run_that_cannot_be_moved_goes_on(moving):
+    # The run ended meanwhile, or the server knows nothing of it.
+    engines = [Engine(move_status=404), Engine(move_status=404)]
+    bed = moving(*engines)
+    caller = start(bed)
+    leave(bed, engines)
+    status, _text, body = caller.get(timeout=5)
+    assert status == 200 and ids(body) == list(range(1, LAST + 1))
+    assert sum(len(engine.runs) for engine in engines) == 1
+
+
+def test_a_stream_that_ends_in_time_is_not_moved(moving):
+    # A server that drains serves on for some seconds; moves are priced.
+    engines = [Engine(), Engine()]
+    bed = moving(*engines)
+    caller = start(bed)
+    leave(bed, engines, spot=False)
+    status, _text, body = caller.get(timeout=5)
+    assert status == 200 and ids(body) == list(range(1, LAST + 1))
+    assert not any(engine.moves for engine in engines)
+
+
+def test_a_caller_cannot_name_a_copy(moving):
+    engines = [Engine(), Engine()]
+    bed = moving(*engines)
+    raw = request(
+        '/report/x', method='POST', body=b'p', extra=('Kv-From: 10.0.0.1:1/x',)
+    )
+    assert exchange(bed, raw)[0] == 200
+    (run,) = [run for engine in engines for run in engine.runs]
+    assert b'kv-from' not in run.headers
