Move streams shortly before their server is gone

Change: the platform's list says how long a reclaimed server still runs; the controller turns that into a time that stays the same over reads, and a gateway moves a run within the last 900 ms if its estimated end is later.

--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -12,7 +12,11 @@
 class ListedServer:
     """A backend server of the platform's list.
 
-    ``cold_ms`` is how much longer it stays slow after its start.
+    ``cold_ms`` is how much longer it stays slow after its start and
+    ``leaves_ms`` how long a reclaimed one still runs, both at the time at
+    which the list was read; -1 if unknown. A list that is passed on has
+    ``leaves_at_ms`` instead, the agreed time since the Unix epoch, 0 if
+    unknown.
     """
 
     id: str
@@ -24,6 +28,8 @@
     cold_ms: int = 0
     spot: bool = False
     version: int = 0
+    leaves_ms: int = -1
+    leaves_at_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -28,8 +28,15 @@
 # the same link. Later the server is usually gone.
 MOVE_MS = 1_500
 ANSWER_BYTES = 65_536
-# A stream with less than this to go ends before its server leaves.
+# Moves begin this long before the server is gone: late, since a stream that
+# ends in time needs none, but with time for some dozen copies one after the
+# other.
+LEAD_MS = 900
+# A stream with less than this to go is not moved where it is not known when
+# the server is gone.
 SHORT_MS = 400
+# Error of a server's end: clocks of instances agree to 200 ms.
+END_MARGIN_MS = 200
 # Weight of a new pause in the pace of a stream; its pauses vary by half.
 PACE_GAIN = 0.2
 # Pause between events until a stream has shown its own; a batch in use makes
@@ -135,8 +142,11 @@
         service = self._parts.engine_traits(stream.call.service)
         if service is None or not service.moves or not stream.events:
             return False
-        limit_ms = SHORT_MS if server.spot else DRAIN_MS
-        return stream.left_ms(service.stride) > limit_ms
+        left_ms = stream.left_ms(service.stride)
+        if server.leaves_at_ms:
+            ends_ms = server.leaves_at_ms - self._parts.wall.now_ms()
+            return ends_ms < LEAD_MS and left_ms > ends_ms - END_MARGIN_MS
+        return left_ms > (SHORT_MS if server.spot else DRAIN_MS)
 
     def _start(self, stream):
         if not self._parts.budgets.of(stream.call.service).take(
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -10,6 +10,8 @@
   coldMs @6 :UInt32;
   spot @7 :Bool;
   version @8 :Int64;
+  leavesMs @9 :Int64;
+  leavesAtMs @10 :UInt64;
 }
 
 struct ServerFlights {
--- a/packages/router/src/paddle_router/hub/_controller.py
+++ b/packages/router/src/paddle_router/hub/_controller.py
@@ -66,7 +66,7 @@
         self.clock = clock or paddle_kernel.SystemClock()
         self.wall = paddle_kernel.SteadyWall(self.clock)
         self.transport = transport or paddle_kernel.TcpTransport()
-        self.fleet = _fleet.Fleet(self.clock)
+        self.fleet = _fleet.Fleet(self.clock, self.wall)
         self.clocks = _clocks.ClockComparison(
             self.clock,
             self.wall,
--- a/packages/router/src/paddle_router/hub/_fleet.py
+++ b/packages/router/src/paddle_router/hub/_fleet.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+import paddle_kernel
 from paddle_router import gateway
 from paddle_router.hub import _load_sums
 from paddle_router.hub import _recent
@@ -61,8 +62,9 @@
 class Fleet:
     """What gateways reported and the platform listed."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, wall=None):
         self._clock = clock
+        self._wall = wall or paddle_kernel.SteadyWall(clock)
         # By incarnation: reports that count as load, names that count as
         # gateways, and reports whose usage is kept. By name: gateways that
         # may still report usage.
@@ -254,9 +256,9 @@
     def set_servers(self, servers, age_ms=0):
         """Use a list read ``age_ms`` ago; return whether it differs."""
         self.confirm_list(age_ms)
-        # What changes with every read would be sent to every gateway.
+        known = {item.id: item for item in self.servers or ()}
         servers = tuple(
-            attrs.evolve(item, cold_ms=0)
+            self._lasting(item, known.get(item.id), age_ms)
             for item in sorted(servers, key=lambda item: item.id)
         )
         if servers == self.servers:
@@ -267,6 +269,20 @@
         ).hexdigest()
         return True
 
+    def _lasting(self, server, known, age_ms):
+        """Return ``server`` without what changes with every read.
+
+        It would make each list a new one for every gateway.
+        """
+        leaves_at_ms = server.leaves_at_ms
+        if known is not None and known.leaves_at_ms:
+            leaves_at_ms = known.leaves_at_ms
+        elif server.leaves_ms >= 0:
+            leaves_at_ms = self._wall.now_ms() - age_ms + server.leaves_ms
+        return attrs.evolve(
+            server, cold_ms=0, leaves_ms=-1, leaves_at_ms=leaves_at_ms
+        )
+
     def confirm_list(self, age_ms):
         """Note that the list held was the platform's ``age_ms`` ago."""
         listed_ms = self._clock.now_ms() - age_ms
--- a/packages/router/tests/test_hub_fleet.py
+++ b/packages/router/tests/test_hub_fleet.py
@@ -141,6 +141,19 @@
     assert fleet.listing == listing
 
 
+def test_the_end_of_a_reclaimed_server_stays_as_first_read(fleet, clock):
+    # The platform gives the time left, which changes with every read.
+    leaving = attrs.evolve(SERVER, leaving=True, spot=True, leaves_ms=1_000)
+    fleet.set_servers((leaving,))
+    (first,) = fleet.servers
+    listing = fleet.listing
+    clock.advance(510)
+    assert not fleet.set_servers((attrs.evolve(leaving, leaves_ms=483),))
+    assert fleet.listing == listing
+    wall = paddle_kernel.SteadyWall(clock)
+    assert first.leaves_at_ms == wall.now_ms() - 510 + 1_000
+
+
 counts = st.integers(min_value=0, max_value=50)
 flights_of = st.builds(
     gateway.ServerFlights,
--- a/packages/testbed/tests/test_gateway_moves.py
+++ b/packages/testbed/tests/test_gateway_moves.py
@@ -27,6 +27,7 @@
         self.runs = []
         self.stopped = set()
         self.delay_s = 0
+        self.pause_s = PAUSE_S
 
     def __call__(self, req, _sock):
         if req.line.startswith(b'POST /api/kv-move'):
@@ -65,7 +66,7 @@
                 yield b'20\r\nid: %d\nda' % number
                 yield None
             yield fakes.event(number)
-            yield PAUSE_S
+            yield self.pause_s
         yield fakes.STREAM_END
 
 
@@ -88,14 +89,17 @@
     return serve
 
 
-def leave(bed, engines, *, spot=True):
+def leave(bed, engines, *, spot=True, in_ms=None):
     """Let the server that runs the stream leave; return its number."""
     while not any(engine.runs for engine in engines):
         gevent.sleep(0.01)
     gevent.sleep(3.5 * PAUSE_S)
     number = next(i for i, engine in enumerate(engines) if engine.runs)
     servers = list(bed.controllers.servers)
-    servers[number] = attrs.evolve(servers[number], leaving=True, spot=spot)
+    at_ms = bed.gateway.parts.wall.now_ms() + in_ms if in_ms else 0
+    servers[number] = attrs.evolve(
+        servers[number], leaving=True, spot=spot, leaves_at_ms=at_ms
+    )
     bed.controllers.servers = tuple(servers)
     bed.follower.step()
     return number
@@ -137,6 +141,32 @@
     assert run.id == source.runs[0].id
 
 
+def test_a_stream_that_ends_before_its_server_is_not_moved(moving):
+    # Of 13 runs moved on a quiet day, the most would have ended in time.
+    engines = [Engine(), Engine()]
+    bed = moving(*engines)
+    caller = start(bed)
+    leave(bed, engines, in_ms=1_500)
+    status, _text, body = caller.get(timeout=5)
+    assert status == 200 and ids(body) == list(range(1, LAST + 1))
+    assert not any(engine.moves for engine in engines)
+
+
+def test_a_stream_is_moved_late_but_before_its_server_is_gone(moving):
+    engines = [Engine(), Engine()]
+    for engine in engines:
+        engine.pause_s = 0.3
+    bed = moving(*engines)
+    caller = start(bed)
+    number = leave(bed, engines, in_ms=1_500)
+    gevent.sleep(0.3)
+    assert not engines[number].moves
+    gevent.sleep(0.8)
+    assert engines[number].moves
+    status, _text, body = caller.get(timeout=8)
+    assert status == 200 and ids(body) == list(range(1, LAST + 1))
+
+
 def test_a_stream_that_begins_at_a_leaving_server_is_moved(moving):
     # Three streams of a reclaimed domain had no event yet when the list
     # showed that their servers leave.
