Count rejections against a server and leave one out that is another

Cause: an answer that says "not run" counted as a good answer that came at once, so a full, faulty or replaced server looked idle and drew the traffic.

Change: a rejection is a failure of the server in the sums; after a 421 the server is left out for 5 s, as the list names it for some seconds more.

Ruled out: a second server for routes with one attempt. The protocol bounds the servers that a request may be sent to, not only those that run it.

--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -97,7 +97,12 @@
     def _exchange_in_time(self, caller):
         head = self._send_and_read_head()
         if not self._facts.has_run:
-            self._at_fault = False
+            # A server that rejects at once looks idle; counted as sound, it
+            # would be chosen again and again.
+            if self._facts.is_gone:
+                self._parts.balancers[self._call.service].note_gone(
+                    self._flight, self._clock.now_ms()
+                )
             return self._fail(_call.Step.NOT_RUN, f'status {head.status_code}')
         if _is_success(head) and not self._facts.is_stamped:
             return self._fail(
--- a/packages/router/src/paddle_router/gateway/_model.py
+++ b/packages/router/src/paddle_router/gateway/_model.py
@@ -172,11 +172,13 @@
     """What the headers of a backend server's answer say.
 
     ``has_run`` is false only if the server states that it did not run the
-    request. ``idle_ms`` is the time after which an idle connection is closed.
+    request, ``is_gone`` is set if it is not the server that was meant.
+    ``idle_ms`` is the time after which an idle connection is closed.
     """
 
     request_id: str | None = None
     has_run: bool = True
+    is_gone: bool = False
     is_stamped: bool = False
     load: Load | None = None
     idle_ms: int | None = None
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -58,6 +58,9 @@
 # A server that refused a connection is left alone this long, then doubled.
 HOLD_MIN_MS = 300
 HOLD_MAX_MS = 2_000
+# A server that is not the one listed at its address is gone for good; the list
+# names it for some seconds more, longer while the platform is slow.
+GONE_MS = 5_000
 # Sums of other gateways older than this are not used.
 OTHERS_LIFETIME_MS = 2_000
 # A load report with an answer is as of that answer; streams last 1 to 2 s.
@@ -179,6 +182,10 @@
     )
     hold_until_ms: int = 0
     hold_ms: int = HOLD_MIN_MS
+    gone_until_ms: int | None = None
+
+    def is_gone(self, now_ms):
+        return self.gone_until_ms is not None and now_ms < self.gone_until_ms
 
     def fresh_others(self, now_ms):
         if now_ms - self.others_ms > OTHERS_LIFETIME_MS:
@@ -289,7 +296,9 @@
         states = [
             state
             for state in self._states.values()
-            if not state.engine.leaving and state.engine.id not in work.avoid
+            if not state.engine.leaving
+            and not state.is_gone(now_ms)
+            and state.engine.id not in work.avoid
         ]
         open_states = [x for x in states if x.hold_until_ms <= now_ms]
         states = open_states or states
@@ -356,6 +365,12 @@
         if not flight.work.gap_ms:
             state.window.add(now_ms, paced=1, pace_ms=now_ms - flight.sent_ms)
 
+    def note_gone(self, flight, now_ms):
+        """Leave the server of ``flight`` out; another has its address."""
+        state = self._states.get(flight.server_id)
+        if state is not None:
+            state.gone_until_ms = now_ms + GONE_MS
+
     def forget(self, flight):
         """Free the place of a request that was not sent."""
         state = self._states.get(flight.server_id)
--- a/packages/router/tests/test_gateway_policies.py
+++ b/packages/router/tests/test_gateway_policies.py
@@ -107,6 +107,27 @@
     assert late.count('s1') <= 1
 
 
+def test_a_server_whose_address_another_has_is_left_out():
+    # The list names it for seconds more, and its rejections come at once: it
+    # looked idle and sound, and 523 requests of a day were refused.
+    built = balancer(3)
+    work = policy.EngineWork(target_ms=150)
+    gone = built.choose(work, NOW)
+    built.note_gone(gone, NOW)
+    built.finish(gone, NOW + 2, False)
+    for index in range(30):
+        flight = built.choose(work, NOW + 10 * index)
+        assert flight.server_id != gone.server_id
+        built.finish(flight, NOW + 10 * index + 5, True)
+    assert built.choose(work, NOW + 6_000) is not None
+
+
+def test_no_server_is_chosen_while_all_are_gone():
+    built = balancer(1)
+    built.note_gone(built.choose(SHORT, NOW), NOW)
+    assert built.choose(SHORT, NOW + 10) is None
+
+
 def test_an_unreachable_server_is_left_alone_and_tried_again():
     built = balancer(2)
     flight = built.choose(SHORT, NOW)
--- a/packages/testbed/tests/test_gateway_path.py
+++ b/packages/testbed/tests/test_gateway_path.py
@@ -172,6 +172,32 @@
     assert code == 503 and 'retry-after' in text
 
 
+def test_a_server_that_rejects_at_once_gets_few_requests(bed):
+    # Its answers come sooner than those of the others.
+    def rejects(req, _sock):
+        return fakes.whole(
+            req, b'', status=b'503 Full', extra=(b'Rosemarypaddle-Not-Run: 1',)
+        )
+
+    bed.serve(rejects, fine)
+    found = [
+        exchange(bed, request('/book/x', method='POST'))[0] for _ in range(20)
+    ]
+    assert found.count(503) <= 3
+
+
+def test_a_server_that_is_another_one_gets_one_request(bed):
+    # The list still named a server whose address another one has.
+    def another(req, _sock):
+        return fakes.whole(req, b'', status=b'421 Misdirected')
+
+    bed.serve(another, fine)
+    found = [
+        exchange(bed, request('/book/x', method='POST'))[0] for _ in range(20)
+    ]
+    assert found.count(503) <= 1
+
+
 def test_a_request_that_must_not_run_twice_is_sent_once(bed):
     bed.serve(lambda req, sock: [None], lambda req, sock: [None])
     for _ in range(6):
