--- a/packages/router/src/paddle_router/hub/_controller.py
+++ b/packages/router/src/paddle_router/hub/_controller.py
@@ -2,7 +2,6 @@
 
 import pathlib
 import secrets
-import zlib
 
 import falcon
 import gevent
@@ -21,12 +20,11 @@
 from paddle_router.hub import _gate
 from paddle_router.hub import _platform
 from paddle_router.hub import _scaling
+from paddle_router.hub import _state_exchange
 
 # Gateways learn a change one exchange (250 ms) after this.
 REFRESH_MS = 200
 IDLE_REFRESH_MS = 1_000
-# A confirmation older than this is none; three refreshes fit.
-CONFIRMED_MS = 650
 LIST_MS = 500
 # Without one in charge, each controller with gateways reads the list itself;
 # the platform limits and prices the reads of all together.
@@ -35,12 +33,9 @@
 # A contender that hears of the holder by its replies reads the lease this
 # often; each read asks all replicas.
 QUIET_LEASE_MS = 3_000
-# Age of the last reply of the holder above which it counts as silent.
-SILENT_MS = 450
 DUTY_MS = 400
 SCALING_MS = 500
 CLOCKS_MS = 250
-RELAY_TIMEOUT_MS = 400
 REPLICA_RETRY_MS = 500
 # A change of a register, with its retries; an operator goes to another
 # controller after a second.
@@ -71,7 +66,7 @@
             self.clock,
             self.wall,
             self.transport,
-            members=self._members,
+            members=self.members,
             own=settings.peer,
         )
         self.replica = None
@@ -115,13 +110,15 @@
         self.dump.register(
             'replica', lambda: self.replica.dump() if self.replica else None
         )
-        self._place = gateway.ControllerPlace(
-            address=settings.peer, domain=settings.failure_domain
+        self.exchange = _state_exchange.StateExchange(
+            self,
+            gateway.ControllerPlace(
+                address=settings.peer, domain=settings.failure_domain
+            ),
         )
-        self.sums = _front_sums.FrontSums(self._place, self.fleet, self.clock)
         self._lease_ms = None
         self._lone_list_ms = None
-        self.dump.register('sums', self.sums.dump)
+        self.dump.register('sums', self.exchange.sums.dump)
         self.dump.register('traffic', self.transport.traffic.dump)
         self._peer = paddle_kernel.TcpServer(settings.peer, self._handle)
         self._api = pywsgi.WSGIServer(
@@ -130,9 +127,7 @@
             log=None,
             error_log=None,
         )
-        self._packed_version = None
-        self._packed_content = b''
-        self._list_wanted = gevent.event.Event()
+        self.list_wanted = gevent.event.Event()
         self._greenlets = []
 
     @property
@@ -156,8 +151,8 @@
         self._run(self._keep_membership, paddle_coord.MEMBERSHIP_LOOK_MS)
         self._run(self._refresh, REFRESH_MS)
         self._run(self._tick_lease, LEASE_TICK_MS)
-        self._run(self._read_list, LIST_MS, wake=self._list_wanted)
-        self._run(self._relay, _front_sums.REPORT_MS)
+        self._run(self._read_list, LIST_MS, wake=self.list_wanted)
+        self._run(self.exchange.relay, _front_sums.REPORT_MS)
         self._run(self.clocks.step, CLOCKS_MS)
         if self.settings.reports_usage:
             self._run(self.usage.step, DUTY_MS)
@@ -256,7 +251,10 @@
         if age_ms is not None:
             if age_ms < REFRESH_MS:
                 return
-            if age_ms < SILENT_MS and not self._holder_is_silent():
+            if (
+                age_ms < _state_exchange.SILENT_MS
+                and not self.exchange.holder_is_silent()
+            ):
                 return
             if age_ms < IDLE_REFRESH_MS and not self._is_needed():
                 return
@@ -275,7 +273,7 @@
         now_ms = self.clock.now_ms()
         if (
             not self.in_charge
-            and not self._holder_is_silent()
+            and not self.exchange.holder_is_silent()
             and self._lease_ms is not None
             and now_ms - self._lease_ms < QUIET_LEASE_MS
         ):
@@ -284,16 +282,14 @@
         self.lease.tick()
         self.fleet.set_in_charge(self.in_charge)
 
-    def _holder_is_silent(self):
-        """Whether no reply of the lease's holder came lately."""
-        age_ms = self.sums.reply_age_ms()
-        return age_ms is None or age_ms > SILENT_MS
-
     def _may_read_list(self):
         """Whether to ask the platform; others have the holder's list."""
         if self.in_charge:
             return True
-        if not self.fleet.serves_gateways or not self._holder_is_silent():
+        if (
+            not self.fleet.serves_gateways
+            or not self.exchange.holder_is_silent()
+        ):
             return False
         now_ms = self.clock.now_ms()
         if (
@@ -318,131 +314,21 @@
             )
             return
         if changed:
-            self._log_list()
-
-    def _log_list(self):
-        paddle_kernel.emit(
-            _events.LIST_READ,
-            listing=self.fleet.listing,
-            servers=len(self.fleet.servers),
-            leaving=[item.id for item in self.fleet.servers if item.leaving],
-        )
-
-    def _relay(self):
-        """Exchange sums, list and version with the controller in charge."""
-        holder = self.lease.observed_holder
-        if self.in_charge or not holder:
-            return
-        report = self.sums.report(holder, self._version())
-        asked_ms = self.clock.now_ms()
-        reply = self.transport.call(
-            # The holder of a lease is named by address and incarnation.
-            holder.partition('/')[0],
-            report,
-            RELAY_TIMEOUT_MS,
-        ).value_or(None)
-        if isinstance(reply, gateway.HubReply) and reply.in_charge:
-            self._use_reply(report, reply, asked_ms)
-
-    def _use_reply(self, report, reply, asked_ms):
-        self.sums.use(report, reply, asked_ms)
-        if reply.confirmed_age_ms >= 0:
-            self.document.confirm(
-                reply.version, asked_ms - reply.confirmed_age_ms
-            )
-        if reply.version > self._version():
-            self.document.refresh()
-        if reply.list_age_ms >= 0:
-            # The reply may have been on its way since it was asked for.
-            way_ms = self.clock.now_ms() - asked_ms
-            self._use_list(reply, way_ms + reply.list_age_ms)
-
-    def _use_list(self, reply, age_ms):
-        held_ms = self.fleet.list_age_ms()
-        if reply.listing == self.fleet.listing:
-            self.fleet.confirm_list(age_ms)
-        elif held_ms is None or age_ms < held_ms:
-            self.fleet.set_servers(reply.servers, age_ms)
-            self._log_list()
-
-    def _version(self):
-        current = self.document.current
-        return current.version if current else 0
+            self.exchange.log_list()
 
     # Messages
 
     def _handle(self, message):
         if isinstance(message, gateway.SyncRequest):
-            return self._sync(message)
+            return self.exchange.sync(message)
         if isinstance(message, gateway.HubReport):
-            return self._take_report(message)
+            return self.exchange.take_report(message)
         if self.replica is None:
             return None
         return self.replica.handle(message)
 
-    def _sync(self, message):
-        if message.attached and not self.fleet.serves_gateways:
-            # Gateways that were just started wait for the list.
-            self._list_wanted.set()
-        self.fleet.note(message.reports, message.attached)
-        current = self.document.current
-        version = self._version()
-        age_ms = self.document.age_ms()
-        is_newer = message.attached and version > message.version
-        listing, servers = message.listing, ()
-        if message.attached:
-            listing, servers = self.fleet.listing_for(message.listing)
-        totals, counted = b'', 0
-        if message.reports:
-            totals, counted = self.sums.totals(message.reports[0].incarnation)
-        members = self._members()
-        return gateway.SyncReply(
-            controllers=self.sums.places(),
-            members=members,
-            confirmed=age_ms is not None and age_ms < CONFIRMED_MS,
-            version=version,
-            document=self._packed(current) if is_newer else None,
-            listing=listing,
-            servers=servers,
-            fronts=self.sums.count(len(members)),
-            totals=totals,
-            counted=counted,
-            period_ms=self.fleet.period_ms(),
-            true_ms=self.wall.now_ms(),
-        )
-
-    def _take_report(self, report):
-        """Answer another controller that takes this one to be in charge."""
-        in_charge = self.in_charge
-        if in_charge:
-            self.sums.note(report)
-            if report.version > self._version():
-                gevent.spawn(self.document.refresh)
-        confirmed_ms = self.document.age_ms()
-        list_ms = self.fleet.list_age_ms()
-        listing, servers = self.fleet.listing, self.fleet.servers or ()
-        return gateway.HubReply(
-            in_charge=in_charge,
-            controllers=self.sums.places() if in_charge else (),
-            fronts=self.sums.count(len(self._members())),
-            flights=self.sums.flights_for(report.place.address)
-            if in_charge
-            else (),
-            version=self._version(),
-            confirmed_age_ms=-1 if confirmed_ms is None else confirmed_ms,
-            listing=listing,
-            list_age_ms=-1 if list_ms is None else list_ms,
-            servers=() if listing == report.listing else servers,
-        )
-
-    def _packed(self, document):
-        """Return the compressed content, computed once for a version."""
-        if self._packed_version != document.version:
-            self._packed_version = document.version
-            self._packed_content = zlib.compress(document.content, 1)
-        return self._packed_content
-
-    def _members(self):
+    def members(self):
+        """Return the peer addresses of the replica set."""
         return tuple(item.address for item in self.register.view.new)
 
     def _application(self, dialect, config_path):
--- a/packages/router/src/paddle_router/hub/_scaling.py
+++ b/packages/router/src/paddle_router/hub/_scaling.py
@@ -105,7 +105,7 @@
         }
         flights = [
             item
-            for key, item in self._parts.sums.all_flights().items()
+            for key, item in self._parts.exchange.sums.all_flights().items()
             if key in ids
         ]
         slots = [item.slots for item in fleet.servers if item.id in ids]
