Let a successor seal windows early once it has heard of all gateways

Window had ended 3.9 s before and was not sealed: a successor waited 15 s until it took any window for complete, and sealed after 4 s otherwise. Its counts were lost, and 0 was sealed for it.

Change: controllers learn from the one in charge how many gateways may still report. A successor takes a window for complete once that many have reported after its end. A gateway that is silent keeps the window open as before.

--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -170,7 +170,8 @@
 
     Everything but ``in_charge`` counts only from the holder of the lease.
     ``flights`` are the sums over the gateways of all other controllers,
-    ``fronts`` counts all gateways. ``version`` was the newest configuration
+    ``fronts`` counts all gateways and ``reporting`` those whose usage may
+    still arrive. ``version`` was the newest configuration
     ``confirmed_age_ms`` ago; an age of -1 means that it is unknown.
     ``servers`` is sent only when ``listing`` is not the caller's.
     """
@@ -184,6 +185,7 @@
     listing: str
     list_age_ms: int
     servers: tuple[ListedServer, ...]
+    reporting: int = 0
 
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('gateway.capnp')))
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -97,4 +97,5 @@
   listing @6 :Text;
   listAgeMs @7 :Int64;
   servers @8 :List(ListedServer);
+  reporting @9 :UInt32;
 }
--- a/packages/router/src/paddle_router/hub/_fleet.py
+++ b/packages/router/src/paddle_router/hub/_fleet.py
@@ -2,6 +2,7 @@
 
 import collections
 import hashlib
+import math
 import statistics
 
 import attrs
@@ -29,6 +30,8 @@
 COUNTED_MS = 5_000
 # A gateway that was frozen or cut off may still have counts to report.
 REPORTING_MS = 15_000
+# What the controller in charge before said of that number is used this long.
+EXPECTED_MS = 60_000
 # Usage of a gateway is kept until all windows it took part in were sealed.
 KEPT_MS = 60_000
 
@@ -79,6 +82,8 @@
         self._heard_ms = None
         self._informed_since_ms = None
         self._in_charge = False
+        self._expected = 0
+        self._expected_ms = None
         self.servers = None
         self.listing = ''
         self.listed_ms = None
@@ -243,16 +248,39 @@
         """Whether every gateway has reported in the last ``age_ms``.
 
         Gateways that were not heard of for ``REPORTING_MS`` are left out;
-        false unless gateways were heard of for that long.
+        false unless gateways were heard of for that long, or as many of them
+        as the controller in charge before knew.
         """
         now_ms = self._clock.now_ms()
-        self._reporting.end_before(now_ms - REPORTING_MS)
+        reporting = self.reporting()
         if not self.is_informed:
             return False
-        if now_ms - self._informed_since_ms < REPORTING_MS:
+        if (
+            now_ms - self._informed_since_ms < REPORTING_MS
+            and reporting < self._expected_reports(now_ms)
+        ):
             return False
         return now_ms - min(self._reporting.values()) <= age_ms
 
+    def reporting(self):
+        """Return the number of gateways whose usage may still arrive."""
+        self._reporting.end_before(self._clock.now_ms() - REPORTING_MS)
+        return len(self._reporting)
+
+    def expect_reports(self, count):
+        """Note how many gateways the controller in charge knows."""
+        self._expected = count
+        self._expected_ms = self._clock.now_ms()
+
+    def _expected_reports(self, now_ms):
+        if (
+            not self._expected
+            or self._expected_ms is None
+            or now_ms - self._expected_ms > EXPECTED_MS
+        ):
+            return math.inf
+        return self._expected
+
     def set_servers(self, servers, age_ms=0):
         """Use a list read ``age_ms`` ago; return whether it differs."""
         self.confirm_list(age_ms)
--- a/packages/router/src/paddle_router/hub/_front_sums.py
+++ b/packages/router/src/paddle_router/hub/_front_sums.py
@@ -107,6 +107,7 @@
         self._reply_ms = asked_ms
         self._fronts = reply.fronts
         self._fronts_ms = asked_ms
+        self._fleet.expect_reports(reply.reporting)
         self._drop_parts(self._clock.now_ms() + 1)
         for front in report.fronts:
             known = self._confirmed_usage.setdefault(front.incarnation, {})
--- a/packages/router/src/paddle_router/hub/_state_exchange.py
+++ b/packages/router/src/paddle_router/hub/_state_exchange.py
@@ -138,6 +138,7 @@
             listing=listing,
             list_age_ms=-1 if list_ms is None else list_ms,
             servers=() if listing == report.listing else servers,
+            reporting=self._parts.fleet.reporting(),
         )
 
     def _packed(self, document):
--- a/packages/router/tests/test_hub_fleet.py
+++ b/packages/router/tests/test_hub_fleet.py
@@ -360,3 +360,29 @@
     assert sealed_until(duty) < last
     play(fleet, clock, duty, 750)
     assert sealed_until(duty) == last
+
+
+def test_a_successor_seals_early_once_it_heard_of_all_gateways(
+    fleet, clock, duty
+):
+    # All machines lost power 4 s after the end of a window that a successor,
+    # in charge for 8 s, had not sealed (deploy/days/core-cuts.toml of
+    # hormi-reititin, seed 299513838265).
+    fleet.expect_reports(2)
+    play(fleet, clock, duty, 3_000)
+    last = end_window(clock)
+    play(fleet, clock, duty, 1_000)
+    assert sealed_until(duty) < last
+    play(fleet, clock, duty, 750)
+    assert sealed_until(duty) == last
+
+
+def test_a_successor_waits_for_gateways_that_it_has_not_heard_of(
+    fleet, clock, duty
+):
+    # Guards against a window sealed without the counts of a frozen gateway.
+    fleet.expect_reports(3)
+    play(fleet, clock, duty, 3_000)
+    last = end_window(clock)
+    play(fleet, clock, duty, 3_750)
+    assert sealed_until(duty) < last
