Rank requests at engines by customer and then by route

The urgency was the customer's priority alone wherever there is one.

Change: the rank orders pairs of customer's and route's priority; the customer's goes first, as the protocol says. With more than ten pairs neighbours share a rank.

Ruled out: the route's priority alone (the protocol puts the customer's first).

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -47,7 +47,8 @@
     to. ``answered`` is set once a byte of the answer may have been written,
     ``began`` once a server has begun to run it. ``status`` and ``reason``
     describe the final answer, ``first_ms`` and ``longest_gap_ms`` its events.
-    ``continuation`` says where a run that was stopped goes on.
+    ``continuation`` says where a run that was stopped goes on, ``urgency`` is
+    the rank for engines.
     """
 
     req: _http1.Request
@@ -69,6 +70,7 @@
     last_event_ms: int = 0
     last_event_id: bytes | None = None
     continuation: object = None
+    urgency: int = 0
 
     def note_answer(self, status):
         """Note that an answer with ``status`` goes to the caller now."""
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -12,7 +12,6 @@
 from paddle_router.gateway import _http1
 from paddle_router.gateway import _model
 from paddle_router.gateway import _moves
-from paddle_router.gateway import _routes
 
 # Silence of a server, in latency targets, after which an idempotent request
 # is sent to another one. An engine that is only busy must not lose its work,
@@ -176,11 +175,14 @@
         return self._read_own_head()
 
     def _urgency(self):
-        """Return the rank for an engine, ``None`` for a plain service."""
+        """Return the rank for an engine, ``None`` for a plain service.
+
+        Engines admit and preempt by it.
+        """
         call = self._call
         if call.route.kind is not _model.Kind.STREAM:
             return None
-        return _routes.rank_of(call.route, call.customer)
+        return call.urgency
 
     def _read_own_head(self):
         """Return the head of the answer to this request."""
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -103,6 +103,7 @@
             service=_routes.choose_service(route, self._rng),
             end_ms=req.received_ms + allowed_ms,
             last_event_id=facts.last_event_id,
+            urgency=table.urgency(route, customer),
         )
 
     # Attempts
--- a/packages/router/src/paddle_router/gateway/_routes.py
+++ b/packages/router/src/paddle_router/gateway/_routes.py
@@ -1,7 +1,10 @@
-"""Choice of the route by host and longest path prefix."""
+"""Choice of the route by host and longest path prefix, and ranks."""
 
 import bisect
 
+# Ranks that engines tell apart; 0 is served first.
+URGENCIES = 10
+
 
 class RouteTable:
     """The routes of one configuration, searchable by host and path."""
@@ -12,6 +15,7 @@
         for route in configuration.routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
+        self._urgencies = _urgencies(configuration)
 
     def find(self, host, target):
         """Return the route of a request, ``None`` without a match.
@@ -32,6 +36,16 @@
             end = path.rfind('/', 0, end)
         return None
 
+    def urgency(self, route, customer):
+        """Return the rank of a request for an engine; 0 is the highest.
+
+        The customer's priority goes first, the route's decides among
+        requests of customers with the same one. A customer without a
+        priority comes after those that have one.
+        """
+        given = None if customer is None else customer.priority
+        return self._urgencies[given, route.priority]
+
     def customer(self, key):
         """Return the customer that holds ``key`` or ``None``."""
         customers = self.configuration.customers
@@ -53,8 +67,14 @@
     return route.services[min(index, len(bounds) - 1)].service
 
 
-def rank_of(route, customer):
-    """Return the priority of a request; 0 is the highest."""
-    if customer is not None and customer.priority is not None:
-        return customer.priority
-    return route.priority
+def _urgencies(configuration):
+    """Return ``{(customer's priority, route's priority): rank}``."""
+    customers = (configuration.customers or {}).values()
+    given = sorted({x.priority for x in customers} - {None})
+    own = sorted({route.priority for route in configuration.routes})
+    order = [(first, second) for first in (*given, None) for second in own]
+    # With more pairs than ranks, neighbours in the order share one.
+    shared = max(URGENCIES, len(order))
+    return {
+        pair: index * URGENCIES // shared for index, pair in enumerate(order)
+    }
