--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -4,7 +4,6 @@
 
 import paddle_kernel
 from paddle_kernel import MS_PER_S
-from paddle_router import _sse
 from paddle_router.gateway import _answer_limits
 from paddle_router.gateway import _call
 from paddle_router.gateway import _connections
@@ -12,6 +11,7 @@
 from paddle_router.gateway import _http1
 from paddle_router.gateway import _model
 from paddle_router.gateway import _moves
+from paddle_router.gateway import _stream
 
 # Silence of a server, in latency targets, after which an idempotent request
 # is sent to another one. An engine that is only busy must not lose its work,
@@ -21,8 +21,6 @@
 STREAM_PATIENCE_MS = 1_500
 # Status codes by which a server promises nothing unless it says "not run".
 PROMISES = frozenset({408, 421, 429, 503})
-ID_FIELD = b'id:'
-DATA_FIELD = b'data:'
 
 
 class Exchange:
@@ -38,13 +36,10 @@
         self._server = server
         self._conn = None
         self._facts = _model.AnswerFacts()
-        self._events = 0
         # The answer was read to its end, so the connection can be kept.
         self._whole = False
         self._at_fault = True
         self._silence = None
-        self._stream = None
-        self._last_event_ms = 0
 
     def run(self, caller, balancer):
         """Return ``None`` when answered, otherwise the :class:`Step`."""
@@ -247,7 +242,7 @@
         if not _is_success(head):
             return self._fail(_call.Step.BROKEN, 'a failure without end')
         self._silence.close()
-        self._note_begin()
+        self._parts.note_begin(self._call)
         self._call.note_answer(head.status_code)
         caller.begin(
             head.status_code,
@@ -265,7 +260,7 @@
         call = self._call
         self._whole = True
         self._at_fault = head.status_code >= 500
-        self._note_begin()
+        self._parts.note_begin(self._call)
         answer = _call.Answer(
             status=head.status_code,
             headers=head.headers.raw_items(),
@@ -295,92 +290,29 @@
 
     def _relay(self, caller, head):
         """Pass on events as they arrive; the run may be moved meanwhile."""
-        self._last_event_ms = self._clock.now_ms()
-        self._stream = _moves.RunningStream(
-            self._call, self._server, self._flight
-        )
-        self._parts.moves.begin(self._stream)
+        stream = _moves.RunningStream(self._call, self._server, self._flight)
+        self._parts.moves.begin(stream)
         try:
-            step = self._relay_events(caller, head)
+            _stream.StreamRelay(
+                self._parts, stream, self._conn, caller, head
+            ).run()
+        except _http1.BrokenAnswerError as exc:
+            step = self._fail(_call.Step.BROKEN, str(exc))
+        else:
+            self._whole = True
+            self._at_fault = False
+            return None
         finally:
-            self._parts.moves.end(self._stream)
-        if step is not _call.Step.BROKEN or self._stream.fut is None:
+            self._parts.moves.end(stream)
+        if stream.fut is None:
             return step
         # The server closes a stream that it stops without its end.
-        self._call.continuation = self._stream.fut.get()
+        self._call.continuation = stream.fut.get()
         if self._call.continuation is None:
             return step
         self._at_fault = False
         return _call.Step.MOVED
 
-    def _relay_events(self, caller, head):
-        splitter = _sse.EventSplitter()
-        while True:
-            try:
-                data = self._read_in_time()
-            except (_http1.BrokenAnswerError, _SilenceError) as exc:
-                return self._fail(
-                    _call.Step.BROKEN, str(exc) or 'silent stream'
-                )
-            if data is None:
-                break
-            events = splitter.feed(data)
-            if events:
-                self._pass_events(caller, head, events)
-            if len(splitter.rest) > _answer_limits.EVENT_BYTES:
-                return self._fail(_call.Step.BROKEN, 'an event without end')
-        if splitter.rest or not self._call.answered:
-            self._pass_events(caller, head, [splitter.rest])
-        self._whole = True
-        self._at_fault = False
-        caller.end()
-        return None
-
-    def _read_in_time(self):
-        """Return the next bytes; a stream without events is given up."""
-        call = self._call
-        wait_ms = _answer_limits.longest_pause_ms(call.route)
-        if call.route.can_resume and call.attempts < call.route.attempts:
-            wait_ms = _answer_limits.resumable_pause_ms(call.route)
-        left_ms = self._last_event_ms + wait_ms - self._clock.now_ms()
-        with gevent.Timeout(max(0, left_ms) / MS_PER_S, _SilenceError):
-            return self._conn.read_data()
-
-    def _pass_events(self, caller, head, events):
-        call = self._call
-        now_ms = self._clock.now_ms()
-        self._note_begin()
-        if any(_has_content(event) for event in events):
-            self._last_event_ms = now_ms
-        call.note_events(now_ms)
-        self._events += len(events)
-        self._stream.note(len(events), now_ms - self._flight.last_ms)
-        self._parts.moves.consider(self._stream)
-        self._parts.balancers[call.service].observe(
-            self._flight, now_ms, self._events
-        )
-        if not call.answered:
-            call.note_answer(head.status_code)
-            caller.begin(
-                head.status_code,
-                self._dialect.answer_headers(head.headers.raw_items()),
-            )
-        caller.data(b''.join(events))
-        found = _last_id(events)
-        if found is not None:
-            call.last_event_id = found
-
-    def _note_begin(self):
-        call = self._call
-        if not call.began:
-            call.began = True
-            self._parts.metrics.note_latency(
-                call.route.kind.value,
-                self._clock.now_ms() - call.req.received_ms,
-            )
-            if call.customer is not None:
-                self._parts.usage.note(call.customer.name)
-
     def _fail(self, step, detail):
         self._call.reason = f'{step.value}: {detail}'[:200]
         self._parts.metrics.failures.labels(step.value).inc()
@@ -414,19 +346,3 @@
     if continuation is None:
         return None
     return continuation.source, continuation.handle
-
-
-def _has_content(event):
-    """Whether an event is more than comments that keep a connection open."""
-    return event.startswith((ID_FIELD, DATA_FIELD)) or any(
-        line.startswith((ID_FIELD, DATA_FIELD)) for line in event.splitlines()
-    )
-
-
-def _last_id(events):
-    """Return the id of the newest event that has one, or ``None``."""
-    for event in reversed(events):
-        for line in event.splitlines():
-            if line.startswith(ID_FIELD):
-                return line[len(ID_FIELD) :].strip()
-    return None
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -155,6 +155,18 @@
             return 1
         return max(2, found.connection_limit // self.follower.fronts)
 
+    def note_begin(self, call):
+        """Note that a server has begun to run ``call``; once for each."""
+        if call.began:
+            return
+        call.began = True
+        self.metrics.note_latency(
+            call.route.kind.value,
+            self.clock.now_ms() - call.req.received_ms,
+        )
+        if call.customer is not None:
+            self.usage.note(call.customer.name)
+
     def note_load(self, service, server_id, load):
         """Note the load that a server reported with an answer."""
         self.balancers[service].report(
