Let gateways ask the lease's holder when their controller cannot reach it

Cause, found by reading: since gateways exchange state with controllers near them, usage and loads reach the one in charge through its peers only. Where its links refuse or lose what the others send (core cuts that leave the holder its lease), the counts of all other gateways would be missing when windows are sealed after 4 s.

Change: a controller tells its gateways the address of a holder that is silent for 450 ms; after 800 ms of that they ask the holder directly for 5 s. A holder that is gone costs one call.

--- a/packages/router/src/paddle_router/gateway/_controllers.py
+++ b/packages/router/src/paddle_router/gateway/_controllers.py
@@ -16,6 +16,9 @@
 HOLD_MAX_MS = 16_000
 # Part of that time that varies, so that gateways do not return together.
 HOLD_SPREAD = 0.5
+# A gateway whose controllers cannot reach the holder of the lease asks the
+# holder itself for this long.
+DIRECT_MS = 5_000
 
 
 @attrs.define
@@ -35,6 +38,7 @@
         self._places = ()
         self._members = ()
         self._holds = {}
+        self._direct = (None, 0)
 
     def learn(self, places, members):
         """Use the controllers of a reply; empty values change nothing."""
@@ -49,6 +53,10 @@
             if address not in self._seeds:
                 self._seeds.append(address)
 
+    def go_to(self, address, now_ms):
+        """Ask ``address`` for a while, wherever it is."""
+        self._direct = (address, now_ms + DIRECT_MS)
+
     def leave(self, address, now_ms):
         """Note that ``address`` did not answer usably."""
         hold = self._holds.get(address)
@@ -61,9 +69,13 @@
     def choose(self, now_ms):
         """Return the address to ask next, ``None`` if none is known.
 
+        That of :meth:`go_to` comes first for its time.
         Live controllers of the own domain come first, then live ones of
         others, then members of the replica set and the seeds.
         """
+        direct, until_ms = self._direct
+        if now_ms < until_ms and not self._is_held(direct, now_ms):
+            return direct
         near = [x.address for x in self._places if x.domain == self._domain]
         groups = (
             near,
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -30,6 +30,9 @@
 START_GROWTH = 1.5
 # A controller whose configuration is unconfirmed is left after this time.
 UNCONFIRMED_MS = 700
+# Time without the holder of the lease after which a gateway asks it directly;
+# usage and loads do not get on meanwhile.
+UNHEARD_MS = 800
 # True times of instances differ by less; a larger difference is a clock that
 # was wrong when the process started.
 CLOCK_TOLERANCE_MS = 100
@@ -66,6 +69,7 @@
         )
         self._address = None
         self._unconfirmed_since_ms = None
+        self._unheard_since_ms = None
         # Own loads by the sequence of the report that carried them.
         self._reported = collections.OrderedDict()
         self._start_pause_ms = START_MS
@@ -229,7 +233,14 @@
             balancer.set_others(loads, now_ms)
 
     def _judge(self, address, reply, now_ms):
-        """Leave a controller that cannot confirm its configuration."""
+        """Leave a controller that is cut off from the others."""
+        if not reply.unheard_holder:
+            self._unheard_since_ms = None
+        elif self._unheard_since_ms is None:
+            self._unheard_since_ms = now_ms
+        elif now_ms - self._unheard_since_ms > UNHEARD_MS:
+            self._unheard_since_ms = None
+            self._choice.go_to(reply.unheard_holder, now_ms)
         if reply.confirmed:
             self._unconfirmed_since_ms = None
         elif self._unconfirmed_since_ms is None:
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -110,6 +110,8 @@
     :func:`pack_loads`), empty if the caller gave no report; ``counted`` is the
     sequence of the caller's own report in it. ``period_ms`` is the time
     until the next exchange, ``true_ms`` the agreed time since the Unix epoch.
+    ``unheard_holder`` is the address of the lease's holder while the
+    controller cannot reach it, so that it cannot pass anything on.
     """
 
     controllers: tuple[ControllerPlace, ...]
@@ -124,6 +126,7 @@
     counted: int
     period_ms: int
     true_ms: int
+    unheard_holder: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -64,6 +64,7 @@
   counted @9 :UInt64;
   periodMs @10 :UInt32;
   trueMs @11 :UInt64;
+  unheardHolder @12 :Text;
 }
 
 struct FrontNews {
--- a/packages/router/src/paddle_router/hub/_state_exchange.py
+++ b/packages/router/src/paddle_router/hub/_state_exchange.py
@@ -46,6 +46,13 @@
         age_ms = self.sums.reply_age_ms()
         return age_ms is None or age_ms > SILENT_MS
 
+    def _unheard_holder(self):
+        """Return the address of the lease's holder if it is silent."""
+        holder = self._parts.lease.observed_holder
+        if self._parts.in_charge or not holder or not self.holder_is_silent():
+            return ''
+        return holder.partition('/')[0]
+
     def _use_reply(self, report, reply, asked_ms):
         self.sums.use(report, reply, asked_ms)
         if reply.confirmed_age_ms >= 0:
@@ -111,6 +118,7 @@
             counted=counted,
             period_ms=self._parts.fleet.period_ms(),
             true_ms=self._parts.wall.now_ms(),
+            unheard_holder=self._unheard_holder(),
         )
 
     def take_report(self, report):
--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -97,6 +97,7 @@
         self.counted = 0
         self.running = 0
         self.confirmed = True
+        self.unheard_holder = ''
         self.fails = ()
 
     def call(self, address, message, _timeout_ms):
@@ -120,6 +121,9 @@
                 counted=self.counted,
                 period_ms=250,
                 true_ms=0,
+                unheard_holder=''
+                if address == 'd3/h'
+                else self.unheard_holder,
             )
         )
 
@@ -212,3 +216,39 @@
     assert pauses[0] == _follower.START_MS
     assert pauses == sorted(pauses)
     assert pauses[-1] == _follower.SYNC_MS
+
+
+def test_a_holder_that_controllers_cannot_reach_is_asked_directly(
+    follower, controller, clock
+):
+    # The controller in charge refuses the others, not the gateways: usage and
+    # loads would not reach it for as long as that lasts.
+    controller.unheard_holder = 'd3/h'
+    for _ in range(6):
+        follower.step()
+        clock.advance(250)
+    assert controller.addresses[-1] == 'd3/h'
+    assert controller.addresses.count('d1/a') >= 3
+
+
+def test_a_holder_that_is_gone_costs_one_call(follower, controller, clock):
+    controller.unheard_holder = 'd3/h'
+    controller.fails = ('d3/h',)
+    for _ in range(10):
+        follower.step()
+        clock.advance(250)
+    assert controller.addresses.count('d3/h') == 1
+    assert controller.addresses[-1] == 'd1/a'
+
+
+def test_the_gateway_returns_to_the_controller_near_it(
+    follower, controller, clock
+):
+    controller.unheard_holder = 'd3/h'
+    for _ in range(6):
+        follower.step()
+        clock.advance(250)
+    controller.unheard_holder = ''
+    clock.advance(_controllers.DIRECT_MS)
+    follower.step()
+    assert controller.addresses[-1] == 'd1/a'
--- a/packages/router/tests/test_hub_state_exchange.py
+++ b/packages/router/tests/test_hub_state_exchange.py
@@ -116,6 +116,23 @@
     assert exchange.holder_is_silent()
 
 
+def test_gateways_learn_of_a_holder_that_does_not_answer(
+    exchange, parts, charge, clock
+):
+    parts.members = lambda: ('c0', 'c1')
+    parts.list_wanted = types.SimpleNamespace(set=lambda: None)
+    parts.wall = paddle_kernel.SteadyWall(clock)
+    ask = gateway.SyncRequest(
+        reports=(), version=0, listing='', attached=False
+    )
+    exchange.relay()
+    assert exchange.sync(ask).unheard_holder == ''
+    clock.advance(_state_exchange.SILENT_MS)
+    assert exchange.sync(ask).unheard_holder == 'c0'
+    parts.in_charge = True
+    assert exchange.sync(ask).unheard_holder == ''
+
+
 def test_a_confirmation_counts_from_before_the_call(exchange, parts, charge):
     # Guards against a version taken for the newest after it was overtaken.
     document = parts.document
