--- a/packages/testbed/tests/test_specs.py
+++ b/packages/testbed/tests/test_specs.py
@@ -8,6 +8,7 @@
 from paddle_testbed.specs import deletion
 from paddle_testbed.specs import document
 from paddle_testbed.specs import founding
+from paddle_testbed.specs import moves
 from paddle_testbed.specs import register
 from paddle_testbed.specs import replacement
 import pytest
@@ -38,17 +39,21 @@
 
 
 @pytest.mark.parametrize(
-    'spec', document.SPECS + founding.SPECS, ids=lambda item: item.name
+    'spec',
+    document.SPECS + founding.SPECS + moves.SPECS,
+    ids=lambda item: item.name,
 )
-def test_documents_and_foundings_keep_their_promises(spec):
+def test_documents_foundings_and_moves_keep_their_promises(spec):
     outcome = model.check(spec)
     assert outcome.proved
     assert outcome.violated is None
 
 
 @pytest.mark.parametrize(
-    'spec', document.DEFECTS + founding.DEFECTS, ids=lambda item: item.name
+    'spec',
+    document.DEFECTS + founding.DEFECTS + moves.DEFECTS,
+    ids=lambda item: item.name,
 )
-def test_a_defect_of_documents_or_foundings_is_refuted(spec):
+def test_a_defect_of_documents_foundings_or_moves_is_refuted(spec):
     # Guards against a model that has become too weak to show a defect.
     assert model.check(spec).violated is not None
