Do not leave starting controllers for longer with each try

Found by a new process test (front-1 did not follow core-1 within 5 s, once in three runs, beside load): a gateway that starts before the controllers tries them every 50 ms while all are left alone, and each try doubled the time for which one is left, up to 16 s. Service went on through the others.

Change: a try while a controller is left alone does not lengthen that; among several that are left the one tried longest ago is next.

Tests: the choice while all start (failed first); as processes, a gateway follows the controller of its domain, and usage stays exact while its controller is frozen.

--- a/packages/router/src/paddle_router/gateway/_controllers.py
+++ b/packages/router/src/paddle_router/gateway/_controllers.py
@@ -25,6 +25,7 @@
 class _Hold:
     until_ms: int
     length_ms: int
+    tried_ms: int
 
 
 class ControllerChoice:
@@ -60,11 +61,17 @@
     def leave(self, address, now_ms):
         """Note that ``address`` did not answer usably."""
         hold = self._holds.get(address)
+        if hold is not None and now_ms < hold.until_ms:
+            # Tried because no other one is left, as when all of them start.
+            hold.tried_ms = now_ms
+            return
         length_ms = HOLD_MIN_MS
         if hold is not None and now_ms - hold.until_ms < HOLD_MAX_MS:
             length_ms = min(2 * hold.length_ms, HOLD_MAX_MS)
         varied_ms = length_ms * (1 + HOLD_SPREAD * (self._rng.random() - 0.5))
-        self._holds[address] = _Hold(now_ms + int(varied_ms), length_ms)
+        self._holds[address] = _Hold(
+            now_ms + int(varied_ms), length_ms, now_ms
+        )
 
     def choose(self, now_ms):
         """Return the address to ask next, ``None`` if none is known.
@@ -91,7 +98,7 @@
         held = {item for group in groups for item in group}
         if not held:
             return None
-        return min(held, key=lambda item: self._holds[item].until_ms)
+        return min(held, key=lambda item: self._holds[item].tried_ms)
 
     def dump(self):
         """Return plain data for the state dump."""
--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -59,6 +59,19 @@
         found.leave('seed', now_ms)
 
 
+def test_controllers_that_start_are_tried_in_turn_and_not_left_longer():
+    # Each try while all were left doubled the time: a gateway that started
+    # before the controllers left the one near it for 16 s.
+    found = choice(seeds=('d1/a', 'd2/b', 'd3/c'))
+    found.learn(places('d1/a', 'd2/b', 'd3/c'), ())
+    tried = []
+    for now_ms in range(0, 1_500, 50):
+        tried.append(found.choose(now_ms))
+        found.leave(tried[-1], now_ms)
+    assert set(tried[3:6]) == {'d1/a', 'd2/b', 'd3/c'}
+    assert found.choose(_controllers.HOLD_MIN_MS * 3 // 2) == 'd1/a'
+
+
 def test_gateways_of_a_lost_controller_spread_over_the_others():
     names = [f'd{number}/c' for number in range(1, 7)]
     chosen = collections.Counter()
--- a/packages/testbed/src/paddle_testbed/fleet.py
+++ b/packages/testbed/src/paddle_testbed/fleet.py
@@ -55,9 +55,10 @@
 class Fleet:
     """Controllers and gateways of one system under ``folder``."""
 
-    def __init__(self, folder, cloud, *, controllers, gateways):
+    def __init__(self, folder, cloud, *, controllers, gateways, bounds=None):
         self.folder = pathlib.Path(folder)
         self.cloud = cloud
+        self.bounds = {**BOUNDS, **(bounds or {})}
         self.machines = {}
         for index in range(controllers):
             self.add(f'core-{index}', 'controller')
@@ -216,7 +217,7 @@
             'seeds': self.seeds,
             'firstStart': first_start,
             'dataDirectory': str(data),
-            'bounds': BOUNDS,
+            'bounds': self.bounds,
             'cloud': {
                 'address': self.cloud.address,
                 'duties': ['usage'],
--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -80,8 +80,7 @@
     built.stop()
 
 
-@pytest.fixture
-def serving(fleet):
+def start(fleet):
     fleet.start_all()
     fleet.put(CONFIG)
     for name in fleet.names('gateway'):
@@ -89,6 +88,28 @@
     return fleet
 
 
+@pytest.fixture
+def serving(fleet):
+    return start(fleet)
+
+
+@pytest.fixture
+def reporting_later(tmp_path, cloud):
+    """Processes with the users' bound on reports of usage.
+
+    The shorter one of the other tests leaves no time for a takeover.
+    """
+    built = fleets.Fleet(
+        tmp_path,
+        cloud,
+        controllers=3,
+        gateways=2,
+        bounds={'usageLateS': 10},
+    )
+    yield start(built)
+    built.stop()
+
+
 def ask(fleet, name, path='/a/x', key='k1'):
     """Return the status of one request, ``None`` for a closed connection."""
     sock = gevent.socket.create_connection(fleet.front(name), 2)
@@ -198,6 +219,60 @@
     assert ask(serving, 'front-0') == 200
 
 
+def followed(fleet, name):
+    """Return the address of the controller that a gateway follows."""
+    return fleet.dump(name)['follower']['controller']
+
+
+def wait_follows(fleet, name, controller, *, wait_s=5):
+    """Wait until a gateway follows ``controller``."""
+    address = f'{fleet.machines[controller].ip}:{fleets.PEER_PORTS[0]}'
+    fleets.wait_for(
+        lambda: followed(fleet, name) == address,
+        f'{name} did not follow {controller}',
+        wait_s=wait_s,
+    )
+    return address
+
+
+def test_a_gateway_follows_the_controller_of_its_domain(serving):
+    # One controller served all gateways while the others idled. The second
+    # domain has one controller.
+    wait_follows(serving, 'front-1', 'core-1')
+
+
+def test_usage_stays_exact_while_a_gateway_changes_its_controller(
+    reporting_later, cloud
+):
+    # A frozen controller holds counts that it has not passed on; the gateway
+    # reports them to another one meanwhile. The frozen one may be in charge.
+    serving = reporting_later
+    frozen = wait_follows(serving, 'front-1', 'core-1')
+    sent = sum(ask(serving, 'front-1') == 200 for _ in range(10))
+    serving.signal('core-1', signal.SIGSTOP)
+    sent += sum(ask(serving, 'front-1') == 200 for _ in range(10))
+    fleets.wait_for(
+        lambda: followed(serving, 'front-1') != frozen,
+        'the frozen controller was not left',
+        wait_s=2,
+    )
+    sent += sum(ask(serving, 'front-1') == 200 for _ in range(10))
+    gevent.sleep(3)
+    serving.signal('core-1', signal.SIGCONT)
+    assert sent == 30
+    fleets.wait_for(
+        lambda: (
+            sum(
+                reports[0].get('cust', 0) for reports in cloud.usage().values()
+            )
+            >= sent
+        ),
+        'the usage was not reported',
+    )
+    counts = [reports[0].get('cust', 0) for reports in cloud.usage().values()]
+    assert sum(counts) == sent
+
+
 def test_an_acknowledged_version_survives_a_lost_disk(serving):
     # Guards against an emptied replica that votes as if it had voted before.
     serving.put(changed(20))
