Seal windows that the first controller in charge could not seal

Cause, traced from the logs of a failed process test: the first controller in charge was frozen one second after its lease and before any seal. Its successor began with the window of its own takeover (168), and the 30 requests of window 167 were never reported, although the gateway's counts had reached it.

Change: without any sealed window the first one is the oldest with counts.

Ruled out: the bound of 4 s for reports in test fleets (the test failed with 10 s, too).

--- a/packages/router/src/paddle_router/hub/_duties.py
+++ b/packages/router/src/paddle_router/hub/_duties.py
@@ -106,7 +106,7 @@
         settle_ms = int(SETTLE_PART * self._settings.usage_late_ms)
         length_ms = self._settings.usage_window_ms
         newest = self._sealed.newest
-        window = self._first if newest is None else newest + 1
+        window = self._first_window() if newest is None else newest + 1
         # After a long stop old windows are beyond their time.
         window = max(window, self._window_now() - WINDOWS_KEPT)
         while True:
@@ -119,6 +119,15 @@
                 return
             window += 1
 
+    def _first_window(self):
+        """Return the window to seal first when none was sealed ever.
+
+        Gateways may hold counts of windows that a predecessor was in charge
+        for and could not seal.
+        """
+        oldest = self._parts.fleet.oldest_window()
+        return self._first if oldest is None else min(self._first, oldest)
+
     def _is_complete(self, ended_ms):
         """Whether all gateways have reported since the window ended.
 
--- a/packages/router/src/paddle_router/hub/_fleet.py
+++ b/packages/router/src/paddle_router/hub/_fleet.py
@@ -244,6 +244,17 @@
                     totals[customer] += requests
         return dict(totals)
 
+    def oldest_window(self):
+        """Return the oldest window with counts, ``None`` without any."""
+        return min(
+            (
+                window
+                for known in self._kept.values()
+                for window, _customer in known.usage
+            ),
+            default=None,
+        )
+
     def has_reports_of_all(self, age_ms):
         """Whether every gateway has reported in the last ``age_ms``.
 
--- a/packages/router/tests/test_hub_fleet.py
+++ b/packages/router/tests/test_hub_fleet.py
@@ -386,3 +386,15 @@
     last = end_window(clock)
     play(fleet, clock, duty, 3_750)
     assert sealed_until(duty) < last
+
+
+def test_a_successor_seals_windows_that_nobody_sealed(fleet, clock, duty):
+    # The first controller in charge froze 1 s after the first requests; its
+    # successor began with the window of its takeover.
+    wall = paddle_kernel.SteadyWall(clock)
+    first = wall.now_ms() // WINDOW_MS - 1
+    fleet.note((report(usage=((first, 20),)),), True)
+    play(fleet, clock, duty, 8_000)
+    assert duty.dump()['sealed'][0] == first
+    sealed = _duties.SealedWindows.from_bytes(duty._parts.register.data)
+    assert sealed.windows[first] == {'c': 20}
