--- a/packages/router/src/paddle_router/gateway/_metrics.py
+++ b/packages/router/src/paddle_router/gateway/_metrics.py
@@ -49,6 +49,16 @@
                 'Connections opened to backend servers.',
                 lambda: gateway.parts.pool.opened,
             ),
+            (
+                'moves_begun',
+                'Streams whose server was asked to move their run.',
+                lambda: gateway.parts.moves.begun,
+            ),
+            (
+                'streams_moved',
+                'Streams whose run was copied to go on elsewhere.',
+                lambda: gateway.parts.moves.moved,
+            ),
         ):
             gauge = prometheus_client.Gauge(
                 f'paddle_gateway_{name}', text, registry=self.registry
--- a/packages/router/src/paddle_router/hub/_fleet.py
+++ b/packages/router/src/paddle_router/hub/_fleet.py
@@ -13,7 +13,7 @@
 from paddle_router.hub import _recent
 
 # Time between two reports of a gateway; longer at a controller with many, so
-# that it answers 250 exchanges a second at most, a quarter of its processor.
+# that it answers 250 exchanges a second at most.
 SYNC_MS = 250
 SYNC_MS_PER_GATEWAY = 4
 # A gateway that misses this many reports is not counted as sending any more.
--- a/packages/router/src/paddle_router/hub/_front_sums.py
+++ b/packages/router/src/paddle_router/hub/_front_sums.py
@@ -5,14 +5,13 @@
 back, so each pays for its own gateways and the one in charge for one message
 a period from each controller, however many gateways there are.
 
-The age of a load in the totals of another controller's gateway is at most
-two periods here, the time between two exchanges of a gateway and
-``SNAPSHOT_MS``.
+The load of another controller's gateway in the totals is as old as two
+periods, the time between two exchanges of a gateway and ``SNAPSHOT_MS`` at
+most, without the time on the way.
 """
 
 import attrs
 
-
 from paddle_router import gateway
 from paddle_router.hub import _load_sums
 from paddle_router.hub import _recent
