--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -61,10 +61,10 @@
 from paddle_router.policy._retry import decide as decide_retry
 from paddle_router.policy._retry import RetryBudget
 from paddle_router.policy._retry import WindowBudget
-from paddle_router.policy._shared_load import EngineWork
-from paddle_router.policy._shared_load import SharedFlight
-from paddle_router.policy._shared_load import SharedLoad
 from paddle_router.policy._shared_load import SharedLoadBalancer
+from paddle_router.policy._shared_server import EngineWork
+from paddle_router.policy._shared_server import SharedFlight
+from paddle_router.policy._shared_server import SharedLoad
 from paddle_router.policy._slots import own_slots
 from paddle_router.policy._slots import share_of
 from paddle_router.policy._tiered_fair import TieredFairScheduler
