Do not offer a run to a server that took no copy of it

Callers saw pauses: a run that was stopped and copied, and whose copy the other server rejected, went on at its server and was stopped again at its next event, as long as the retry budget lasted.

The new test makes the run long enough, so that it does not depend on time.

Cause: the target was chosen among all servers that stay, those that rejected a copy included. Now servers that the request has been at are left out.

--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -216,6 +216,8 @@
             self._parts.server_ids(service)
             - {stream.server.id}
             - set(self._leaving)
+            # Among them those that took no copy of this run.
+            - stream.call.tried
         )
         if not others:
             raise _MoveError('no other server')
--- a/packages/testbed/tests/test_gateway_moves.py
+++ b/packages/testbed/tests/test_gateway_moves.py
@@ -209,6 +209,23 @@
     assert not engines[1 - number].runs
 
 
+def test_a_server_that_took_no_copy_is_not_offered_another(moving):
+    # A run with more than 400 ms to go was stopped again and again.
+    engines = [Engine(), Engine()]
+    for engine in engines:
+        engine.pause_s = 3 * PAUSE_S
+    bed = moving(*engines)
+    caller = start(bed)
+    while not any(engine.runs for engine in engines):
+        gevent.sleep(0.01)
+    for engine in engines:
+        engine.takes = bool(engine.runs)
+    number = leave(bed, engines)
+    status, _text, body = caller.get(timeout=8)
+    assert status == 200 and ids(body) == list(range(1, LAST + 1))
+    assert len(engines[number].moves) == 1
+
+
 def test_a_copy_that_nobody_takes_ends_the_stream(moving):
     engines = [Engine(), Engine()]
     bed = moving(*engines)
