--- a/packages/router/src/paddle_router/gateway/_connections.py
+++ b/packages/router/src/paddle_router/gateway/_connections.py
@@ -46,20 +46,25 @@
         self._addresses = collections.defaultdict(_Address)
         self.opened = 0
 
-    def acquire(self, address, *, limit):
+    def acquire(self, address, *, limit, owner=None):
         """Return a connection; ``limit`` bounds those open to the address.
 
+        ``owner`` is the server there; one that was opened to another server
+        at the same address is not used again.
+
         :raises NoConnectionError: if none can be opened.
         """
         state = self._addresses[address]
         while state.idle:
             conn = state.idle.pop()
-            if self._is_usable(conn):
+            if conn.owner == owner and self._is_usable(conn):
                 return conn
             self.discard(conn)
         if state.open >= limit:
             raise NoConnectionError(f'{address}: {limit} connections in use')
-        return self._open(address, state)
+        conn = self._open(address, state)
+        conn.owner = owner
+        return conn
 
     def release(self, conn, *, idle_ms):
         """Keep ``conn``; the server closes it after ``idle_ms`` idle."""
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -55,3 +55,18 @@
 LISTING_USED = paddle_kernel.declare_event(
     3324, 'INFO', 'the list of backend servers changed'
 )
+SERVER_LEAVES = paddle_kernel.declare_event(
+    3330, 'INFO', 'a backend server says in its answers that it leaves'
+)
+QUIET_TIME_ODD = paddle_kernel.declare_event(
+    3331, 'WARNING', 'a server names a quiet time that is not used as it is'
+)
+ALL_SERVERS_LEAVE = paddle_kernel.declare_event(
+    3332, 'WARNING', 'all servers of a service leave; they serve until then'
+)
+SERVER_QUIET = paddle_kernel.declare_event(
+    3333, 'INFO', 'a backend server wants no requests for a time'
+)
+REQUEST_WAITS = paddle_kernel.declare_event(
+    3334, 'INFO', 'a request waits until a server may be asked again'
+)
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -19,6 +19,9 @@
 PATIENCE_TARGETS = 2.0
 PATIENCE_MIN_MS = 300
 STREAM_PATIENCE_MS = 1_500
+# A server that names a shorter time while it rejects is penalised as one that
+# names none: each request that asks again costs its caller an attempt.
+HEEDED_QUIET_MS = 250
 # Status codes by which a server promises nothing unless it says "not run".
 PROMISES = frozenset({408, 421, 429, 503})
 
@@ -48,6 +51,7 @@
             self._conn = self._parts.pool.acquire(
                 self._server.address,
                 limit=self._parts.connection_limit(call.service),
+                owner=self._server.incarnation,
             )
         except _connections.NoConnectionError as exc:
             balancer.hold(self._flight, self._clock.now_ms())
@@ -61,15 +65,29 @@
             step = self._exchange(caller)
             if step is _call.Step.NOT_RUN:
                 call.may_have_run = before
+                if self._facts.quiet_ms:
+                    # It may be asked again once that time is over.
+                    call.tried.discard(self._server.id)
             return step
         except _call.CallerLeft:
             self._at_fault = False
             raise
         finally:
-            ok = not self._at_fault
-            balancer.finish(self._flight, self._clock.now_ms(), ok)
+            self._leave(balancer)
+            self._parts.waiting.poke(call.service)
             self._let_go()
 
+    def _leave(self, balancer):
+        """Give the place at the server back, with a verdict on the server."""
+        if not self._facts.has_run and (
+            (self._facts.quiet_ms or 0) >= HEEDED_QUIET_MS
+        ):
+            # Nothing goes there for that time, so it needs no penalty.
+            balancer.forget(self._flight)
+            return
+        ok = not self._at_fault
+        balancer.finish(self._flight, self._clock.now_ms(), ok)
+
     def _let_go(self):
         conn = self._conn
         if self._whole and conn.finish() and not self._facts.closes:
@@ -199,6 +217,7 @@
     def _next_head(self):
         head = self._conn.read_head()
         self._facts = self._dialect.read_answer(head.status_code, head.headers)
+        self._parts.notes.note(self._server, self._facts)
         return head
 
     def _is_own(self):
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -15,6 +15,7 @@
 from paddle_router.gateway import _model
 from paddle_router.gateway import _packed_loads
 from paddle_router.gateway import _routes
+from paddle_router.gateway import _server_notes
 from paddle_router import policy
 
 # Time between two exchanges until a controller has named another one.
@@ -50,7 +51,16 @@
     """
 
     def __init__(
-        self, settings, dialect, clock, wall, transport, *, balancers, usage
+        self,
+        settings,
+        dialect,
+        clock,
+        wall,
+        transport,
+        *,
+        balancers,
+        usage,
+        notices,
     ):
         self._settings = settings
         self._dialect = dialect
@@ -59,6 +69,7 @@
         self._transport = transport
         self._balancers = balancers
         self._usage = usage
+        self._notices = notices
         self._incarnation = secrets.token_hex(8)
         self._sequence = itertools.count(1)
         self._choice = _controllers.ControllerChoice(
@@ -155,6 +166,9 @@
                 (item.server_rate() for item in self._balancers.values()),
                 default=0,
             ),
+            leaving=_server_notes.leaving_incarnations(
+                self._notices, self.servers
+            ),
         )
         return _messages.SyncRequest(
             reports=(report,),
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -125,12 +125,12 @@
             # A part of the answer has reached the caller.
             return False
         if step is _call.Step.NOT_SENT and not call.answered:
-            return self.has_other(call)
+            return self._can_go_on(call)
         may_run_again = step is _call.Step.NOT_RUN or call.route.is_idempotent
         return (
             may_run_again
             and call.attempts < call.route.attempts
-            and self.has_other(call)
+            and self._can_go_on(call)
             and budget.take(self._clock.now_ms())
         )
 
@@ -148,9 +148,15 @@
         return True
 
     def has_other(self, call):
-        """Return whether a server that was not tried takes ``call``."""
+        """Return whether a server that was not tried takes ``call`` now."""
         balancer = self._parts.balancers.get(call.service)
-        return balancer is not None and balancer.can_place(call.tried)
+        return balancer is not None and balancer.can_place(
+            call.tried, self._clock.now_ms()
+        )
+
+    def _can_go_on(self, call):
+        """Whether a server takes ``call``, now or after a quiet time."""
+        return self.has_other(call) or self._parts.waiting.may_wait(call)
 
     def _give_up(self, conn, call, step):
         call.reason = call.reason or step.value
@@ -179,7 +185,8 @@
                 call.continuation.target_id, self._work(call), now_ms
             )
         elif balancer is not None:
-            flight = balancer.choose(self._work(call), now_ms)
+            flight = self._parts.waiting.place(call, self._work(call))
+            self._parts.note_choice(call.service)
         if flight is None:
             call.reason = 'no server'
             if call.continuation is not None:
@@ -209,8 +216,7 @@
         if status in (429, 503):
             wait_ms = RETRY_AFTER_MS
             if call is not None:
-                left_ms = call.end_ms - self._clock.now_ms()
-                wait_ms = max(0, min(wait_ms, left_ms // 3))
+                wait_ms = self._return_ms(call)
             headers.append(
                 (b'Retry-After', f'{wait_ms / MS_PER_S:.3f}'.encode())
             )
@@ -220,6 +226,14 @@
             call.answered = True
         conn.answer(status, headers, body)
 
+    def _return_ms(self, call):
+        """Return after how long the caller of ``call`` should come back."""
+        free_ms = self._parts.waiting.wait_ms(call)
+        if free_ms is not None:
+            return free_ms
+        left_ms = call.end_ms - self._clock.now_ms()
+        return max(0, min(RETRY_AFTER_MS, left_ms // 3))
+
     def _log_refused(self, req, exc):
         paddle_kernel.emit(
             _events.REQUEST_DONE,
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -15,7 +15,9 @@
 from paddle_router.gateway import _forward
 from paddle_router.gateway import _metrics
 from paddle_router.gateway import _moves
+from paddle_router.gateway import _server_notes
 from paddle_router.gateway import _usage_counts
+from paddle_router.gateway import _waiting
 from paddle_router import policy
 
 BALANCER = 'shared_load'
@@ -84,6 +86,16 @@
         self.wall = paddle_kernel.SteadyWall(clock)
         self.pool = _connections.ConnectionPool(clock)
         self.balancers = {}
+        self.metrics = _metrics.GatewayMetrics()
+        self.notices = policy.ServerNotices(drain_ms=settings.drain_ms)
+        self.waiting = _waiting.Waiting(self)
+        self.notes = _server_notes.ServerNotes(
+            self.notices,
+            clock,
+            self.metrics,
+            on_leaving=self.apply,
+            on_quiet=self.waiting.poke_all,
+        )
         self.budgets = _Budgets(settings, clock)
         self.moves = _moves.Moves(self)
         self.usage = _usage_counts.UsageCounts(
@@ -97,13 +109,15 @@
             transport,
             balancers=self.balancers,
             usage=self.usage,
+            notices=self.notices,
         )
+        self._last_resort = set()
         self._servers = {}
         self._rng = random.Random()
         self.follower.on_change(self.apply)
 
     def apply(self):
-        """Use the follower's present list of servers."""
+        """Use the present list of servers and what they say of themselves."""
         now_ms = self.clock.now_ms()
         servers = self.follower.servers or ()
         self._servers = {item.id: item for item in servers}
@@ -112,6 +126,7 @@
             groups[item.service].append(
                 policy.Engine(
                     id=item.id,
+                    born_ms=item.born_ms,
                     failure_domain=item.domain,
                     slots=item.slots,
                     cheap=item.spot,
@@ -124,10 +139,21 @@
                     BALANCER,
                     rng=self._rng,
                     failure_domain=self.settings.failure_domain,
+                    notices=self.notices,
                 )
             self.balancers[service].sync(groups[service], now_ms)
+            self.waiting.poke_all(service)
+        self.notices.keep((item.incarnation for item in servers), now_ms)
         self.pool.keep_only(item.address for item in servers)
-        self.moves.leave(servers)
+        self.moves.leave(_server_notes.with_notices(self.notices, servers))
+
+    def note_choice(self, service):
+        """Log once that all servers of ``service`` leave, after a choice."""
+        if not self.balancers[service].is_last_resort:
+            self._last_resort.discard(service)
+        elif service not in self._last_resort:
+            self._last_resort.add(service)
+            paddle_kernel.emit(_events.ALL_SERVERS_LEAVE, service=service)
 
     def engine_traits(self, service):
         """Return the :class:`EngineTraits` of a service or ``None``."""
@@ -193,8 +219,7 @@
         self.clock = clock or paddle_kernel.SystemClock()
         self.transport = transport or paddle_kernel.TcpTransport()
         self.parts = Parts(settings, dialect, self.clock, self.transport)
-        self.metrics = _metrics.GatewayMetrics()
-        self.parts.metrics = self.metrics
+        self.metrics = self.parts.metrics
         self.entry = _entry.Entry(
             settings.listen,
             self.parts.follower,
@@ -210,6 +235,9 @@
         ):
             self.dump.register(name, part.dump)
         self.dump.register('balancers', self._dump_balancers)
+        self.dump.register(
+            'notices', lambda: self.parts.notices.dump(self.clock.now_ms())
+        )
         if isinstance(self.transport, paddle_kernel.TcpTransport):
             self.dump.register('traffic', self.transport.traffic.dump)
         self.metrics.watch(self)
--- a/packages/router/src/paddle_router/gateway/_http1.py
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -293,6 +293,7 @@
         self.idle_since_ms = 0
         self.idle_limit_ms = None
         self.used = 0
+        self.owner = None
         self.sent_all = True
         self._max_head_bytes = max_head_bytes
         self._h11 = None
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -6,6 +6,7 @@
 import capnp
 
 import paddle_kernel
+from paddle_router import policy
 
 
 @attrs.frozen(kw_only=True)
@@ -16,7 +17,8 @@
     ``leaves_ms`` how long a reclaimed one still runs, both at the time at
     which the list was read; -1 if unknown. A list that is passed on has
     ``leaves_at_ms`` instead, the agreed time since the Unix epoch, 0 if
-    unknown.
+    unknown. ``born_ms`` is the start of this incarnation, in ms since the
+    Unix epoch, 0 if unknown.
     """
 
     id: str
@@ -30,6 +32,12 @@
     version: int = 0
     leaves_ms: int = -1
     leaves_at_ms: int = 0
+    born_ms: int = 0
+
+    @property
+    def incarnation(self):
+        """The :class:`paddle_router.policy.Incarnation` that is listed."""
+        return policy.Incarnation(self.id, self.born_ms)
 
 
 @attrs.frozen(kw_only=True)
@@ -66,7 +74,8 @@
     """State of one gateway; ``sequence`` grows with each report.
 
     ``server_rate`` is the measured number of prompt tokens that an engine
-    reads a second, 0 if unknown.
+    reads a second, 0 if unknown. ``leaving`` are the servers that have said
+    that they leave and are not listed so.
     """
 
     name: str
@@ -75,6 +84,7 @@
     flights: tuple[ServerFlights, ...]
     usage: tuple[UsageCount, ...]
     server_rate: int = 0
+    leaving: tuple[policy.Incarnation, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -150,7 +160,8 @@
 class HubReport:
     """What a controller knows of its gateways, for the one in charge.
 
-    ``loads`` are the sums over these gateways (see :func:`pack_loads`).
+    ``loads`` are the sums over these gateways (see :func:`pack_loads`),
+    ``leaving`` the servers of which they heard that they leave.
     """
 
     place: ControllerPlace
@@ -158,6 +169,7 @@
     loads: bytes
     version: int
     listing: str
+    leaving: tuple[policy.Incarnation, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -193,6 +205,7 @@
         FrontReport,
         HubReply,
         HubReport,
+        policy.Incarnation,
         ListedServer,
         ServerFlights,
         SyncReply,
--- a/packages/router/src/paddle_router/gateway/_metrics.py
+++ b/packages/router/src/paddle_router/gateway/_metrics.py
@@ -37,12 +37,34 @@
             registry=self.registry,
         )
 
+        self.quiet_answers = prometheus_client.Counter(
+            'paddle_gateway_quiet_answers',
+            'Answers by which a server asked for no requests for a time.',
+            registry=self.registry,
+        )
+        self.servers_leaving = prometheus_client.Counter(
+            'paddle_gateway_servers_leaving',
+            'Servers whose answers said first that they leave.',
+            registry=self.registry,
+        )
+        self.waited = prometheus_client.Histogram(
+            'paddle_gateway_waited_seconds',
+            'Time that requests waited for a server to be asked again.',
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+
     def watch(self, gateway):
         """Add gauges that read the state of ``gateway`` when collected."""
         follower = gateway.parts.follower
         for name, text, function in (
             ('busy', 'Requests in progress.', lambda: gateway.entry.busy),
             ('ready', 'Whether callers are taken.', lambda: gateway.ready),
+            (
+                'waiting',
+                'Requests that wait for a server to be asked again.',
+                lambda: gateway.parts.waiting.count,
+            ),
             ('fronts', 'Gateways counted.', lambda: follower.fronts),
             (
                 'connections_opened',
--- a/packages/router/src/paddle_router/gateway/_model.py
+++ b/packages/router/src/paddle_router/gateway/_model.py
@@ -174,6 +174,9 @@
     ``has_run`` is false only if the server states that it did not run the
     request, ``is_gone`` is set if it is not the server that was meant.
     ``idle_ms`` is the time after which an idle connection is closed.
+    ``is_leaving`` is set if the server says that it leaves; ``quiet_ms`` is
+    the time for which it wants no request, and ``odd_quiet`` the text of one
+    that cannot be used.
     """
 
     request_id: str | None = None
@@ -183,6 +186,9 @@
     load: Load | None = None
     idle_ms: int | None = None
     closes: bool = False
+    is_leaving: bool = False
+    quiet_ms: float | None = None
+    odd_quiet: str | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -233,12 +233,19 @@
             raise _MoveError('no other server')
         # The flight of the continuing request takes this one's place.
         balancer.forget(flight)
+        if flight.server_id in self._leaving:
+            raise _MoveError('all other servers leave')
         return self._parts.server(flight.server_id)
 
     def _post(self, stream, target):
+        if self._parts.notices.is_quiet(
+            stream.server.incarnation, self._parts.clock.now_ms()
+        ):
+            raise _MoveError('the server wants no requests')
         conn = self._parts.pool.acquire(
             stream.server.address,
             limit=self._parts.connection_limit(stream.call.service) + 1,
+            owner=stream.server.incarnation,
         )
         is_whole = False
         try:
@@ -248,6 +255,12 @@
                 )
             )
             head = conn.read_head()
+            self._parts.notes.note(
+                stream.server,
+                self._parts.dialect.read_answer(
+                    head.status_code, head.headers
+                ),
+            )
             parts = []
             size = 0
             while (data := conn.read_data()) is not None:
--- a/packages/router/src/paddle_router/gateway/_settings.py
+++ b/packages/router/src/paddle_router/gateway/_settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from paddle_router import policy
+
 
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
@@ -13,7 +15,8 @@
     to the forced end. ``retry_ratio`` and ``retry_slack`` bound the sends
     beyond the first of each request in ``retry_window_ms``, over all gateways
     together;
-    ``usage_window_ms`` is the length of a usage window.
+    ``usage_window_ms`` is the length of a usage window. ``drain_ms`` is how
+    long a backend server takes work after it has said that it leaves.
     """
 
     name: str
@@ -26,3 +29,4 @@
     retry_slack: float
     retry_window_ms: int
     usage_window_ms: int
+    drain_ms: int = policy.DRAIN_MS
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -68,6 +68,7 @@
         self._parts.balancers[call.service].observe(
             self._flight, now_ms, self._stream.events
         )
+        self._parts.waiting.poke(call.service)
         if not call.answered:
             call.note_answer(self._head.status_code)
             self._caller.begin(
--- /dev/null
+++ b/packages/router/src/paddle_router/gateway/_waiting.py
@@ -0,0 +1,152 @@
+"""Requests that wait at the gateway until a server may be asked again."""
+
+import gevent.event
+
+import paddle_kernel
+from paddle_kernel import MS_PER_S
+from paddle_router.gateway import _events
+from paddle_router.gateway import _model
+from paddle_router import policy
+
+# Time of a plain answer until a service has shown its own; of the users'
+# services the slower ones take 80 ms.
+DEFAULT_ANSWER_MS = 80
+# A server that takes requests again answers the first of them within this
+# time; only the first request in the line looks that often.
+LOOK_MS = 50
+
+
+class Waiting:
+    """The lines of all services.
+
+    A request joins one only if every server that it could go to wants quiet,
+    and only if it will be served in its time.
+    """
+
+    def __init__(self, parts):
+        self._parts = parts
+        self._clock = parts.clock
+        self._lines = {}
+        self._turned_away = {}
+
+    @property
+    def count(self):
+        """The number of requests that wait."""
+        return sum(len(line) for line in self._lines.values())
+
+    def place(self, call, work):
+        """Return a flight for ``call``, ``None`` if it cannot be placed now.
+
+        May wait; ``call.wait_ms`` then says when a place will be free.
+        """
+        balancer = self._parts.balancers.get(call.service)
+        if balancer is None:
+            return None
+        if not self._lines.get(call.service):
+            flight = balancer.choose(work, self._clock.now_ms())
+            if flight is not None:
+                return flight
+        if not self._is_worth(call, balancer):
+            return None
+        return self._wait(call, work, balancer)
+
+    def may_wait(self, call):
+        """Whether ``call`` could be served after waiting for a server."""
+        balancer = self._parts.balancers.get(call.service)
+        return balancer is not None and self._is_worth(call, balancer)
+
+    def wait_ms(self, call):
+        """Return when a place will be free for ``call``, from now.
+
+        ``None`` if that is not known, or if no time was named.
+        """
+        balancer = self._parts.balancers.get(call.service)
+        if balancer is None:
+            return None
+        now_ms = self._clock.now_ms()
+        opening = balancer.opening(frozenset(), now_ms)
+        if opening is None or opening.at_ms <= now_ms:
+            return None
+        # Callers who were told to come back take the places before.
+        told, at_ms = self._turned_away.get(call.service, (0, 0))
+        if at_ms != opening.at_ms:
+            told = 0
+        self._turned_away[call.service] = told + 1, opening.at_ms
+        line = self._lines.get(call.service)
+        position = told + (len(line) if line else 0)
+        rounds = opening.rounds_before(position)
+        answer_ms = self._answer_ms(call, balancer)
+        return opening.at_ms + rounds * answer_ms - now_ms
+
+    def poke(self, service):
+        """Let the first request look for a place again."""
+        line = self._lines.get(service)
+        if line:
+            line.first().set()
+
+    def poke_all(self, service):
+        """Let every request judge again whether it waits."""
+        line = self._lines.get(service)
+        for event in line.payloads() if line else ():
+            event.set()
+
+    def _is_worth(self, call, balancer):
+        """Whether ``call`` will be served in its time if it waits."""
+        now_ms = self._clock.now_ms()
+        opening = balancer.opening(call.tried, now_ms)
+        if opening is None:
+            return False
+        line = self._lines.get(call.service)
+        ahead = 0
+        if line:
+            ahead = line.ahead(call.urgency, call.req.received_ms)
+        answer_ms = self._answer_ms(call, balancer)
+        rounds = opening.rounds_before(ahead) + 1
+        return opening.at_ms + rounds * answer_ms <= call.end_ms
+
+    def _answer_ms(self, call, balancer):
+        if call.route.kind is _model.Kind.STREAM:
+            # Its first event is due by then.
+            return call.route.target_ms
+        known_ms = balancer.answer_ms(self._clock.now_ms())
+        return known_ms or DEFAULT_ANSWER_MS
+
+    def _wait(self, call, work, balancer):
+        line = self._lines.setdefault(call.service, policy.WaitingLine())
+        event = gevent.event.Event()
+        place = line.join(call.urgency, call.req.received_ms, event)
+        began_ms = self._clock.now_ms()
+        paddle_kernel.emit(
+            _events.REQUEST_WAITS,
+            request=call.facts.request_id,
+            service=call.service,
+            urgency=call.urgency,
+            waiting=len(line),
+        )
+        try:
+            return self._wait_in(line, place, event, call, work, balancer)
+        finally:
+            line.leave(place)
+            if not line:
+                del self._lines[call.service]
+            self._parts.metrics.waited.observe(
+                (self._clock.now_ms() - began_ms) / MS_PER_S
+            )
+            self.poke(call.service)
+
+    def _wait_in(self, line, place, event, call, work, balancer):
+        while True:
+            pause_ms = None
+            if line.is_first(place):
+                now_ms = self._clock.now_ms()
+                flight = balancer.choose(work, now_ms)
+                if flight is not None:
+                    return flight
+                opening = balancer.opening(call.tried, now_ms)
+                if opening is None:
+                    return None
+                pause_ms = max(LOOK_MS, opening.at_ms - now_ms)
+            if not self._is_worth(call, balancer):
+                return None
+            event.wait(None if pause_ms is None else pause_ms / MS_PER_S)
+            event.clear()
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -12,6 +12,12 @@
   version @8 :Int64;
   leavesMs @9 :Int64;
   leavesAtMs @10 :UInt64;
+  bornMs @11 :UInt64;
+}
+
+struct Incarnation {
+  id @0 :Text;
+  bornMs @1 :UInt64;
 }
 
 struct ServerFlights {
@@ -37,6 +43,7 @@
   flights @3 :List(ServerFlights);
   usage @4 :List(UsageCount);
   serverRate @5 :UInt32;
+  leaving @6 :List(Incarnation);
 }
 
 struct SyncRequest {
@@ -82,6 +89,7 @@
   loads @2 :Data;
   version @3 :UInt64;
   listing @4 :Text;
+  leaving @5 :List(Incarnation);
 }
 
 struct HubReply {
--- a/packages/router/src/paddle_router/hub/_controller.py
+++ b/packages/router/src/paddle_router/hub/_controller.py
@@ -305,7 +305,9 @@
         if not self._may_read_list():
             return
         try:
-            changed = self.fleet.set_servers(self.platform.list_servers())
+            changed = self.fleet.set_servers(
+                self.platform.list_servers(), is_own_read=True
+            )
         except (OSError, _platform.PlatformError) as exc:
             paddle_kernel.emit(
                 _events.LIST_FAILED,
--- a/packages/router/src/paddle_router/hub/_fleet.py
+++ b/packages/router/src/paddle_router/hub/_fleet.py
@@ -1,7 +1,6 @@
 """Soft state of a controller: gateways, their load and the server list."""
 
 import collections
-import hashlib
 import math
 import statistics
 
@@ -11,6 +10,7 @@
 from paddle_router import gateway
 from paddle_router.hub import _load_sums
 from paddle_router.hub import _recent
+from paddle_router.hub import _server_list
 
 # Time between two reports of a gateway; longer at a controller with many, so
 # that it answers 250 exchanges a second at most.
@@ -84,9 +84,7 @@
         self._in_charge = False
         self._expected = 0
         self._expected_ms = None
-        self.servers = None
-        self.listing = ''
-        self.listed_ms = None
+        self.list = _server_list.ServerList(clock, self._wall)
 
     @property
     def serves_gateways(self):
@@ -128,6 +126,7 @@
             self._hear(now_ms)
             self._attached_ms = now_ms
         for report in reports:
+            self.list.note_leaving(report.leaving, report.name)
             known = self._kept.get(report.incarnation)
             if known is not None and report.sequence <= known.sequence:
                 continue
@@ -292,41 +291,23 @@
             return math.inf
         return self._expected
 
-    def set_servers(self, servers, age_ms=0):
-        """Use a list read ``age_ms`` ago; return whether it differs."""
-        self.confirm_list(age_ms)
-        known = {item.id: item for item in self.servers or ()}
-        servers = tuple(
-            self._lasting(item, known.get(item.id), age_ms)
-            for item in sorted(servers, key=lambda item: item.id)
-        )
-        if servers == self.servers:
-            return False
-        self.servers = servers
-        self.listing = hashlib.blake2b(
-            repr(servers).encode(), digest_size=8
-        ).hexdigest()
-        return True
+    @property
+    def servers(self):
+        """The servers listed, ``None`` before the first list."""
+        return self.list.servers
 
-    def _lasting(self, server, known, age_ms):
-        """Return ``server`` without what changes with every read.
+    @property
+    def listing(self):
+        """The version of the list of servers."""
+        return self.list.listing
 
-        It would make each list a new one for every gateway.
-        """
-        leaves_at_ms = server.leaves_at_ms
-        if known is not None and known.leaves_at_ms:
-            leaves_at_ms = known.leaves_at_ms
-        elif server.leaves_ms >= 0:
-            leaves_at_ms = self._wall.now_ms() - age_ms + server.leaves_ms
-        return attrs.evolve(
-            server, cold_ms=0, leaves_ms=-1, leaves_at_ms=leaves_at_ms
-        )
+    def set_servers(self, servers, age_ms=0, *, is_own_read=False):
+        """Use a list read ``age_ms`` ago; return whether it differs."""
+        return self.list.use(servers, age_ms, is_own_read=is_own_read)
 
     def confirm_list(self, age_ms):
         """Note that the list held was the platform's ``age_ms`` ago."""
-        listed_ms = self._clock.now_ms() - age_ms
-        if self.listed_ms is None or listed_ms > self.listed_ms:
-            self.listed_ms = listed_ms
+        self.list.confirm(age_ms)
 
     def listing_for(self, held):
         """Return the version and servers to send to a gateway.
@@ -343,9 +324,9 @@
 
     def list_age_ms(self):
         """Return the age of the list, ``None`` without one."""
-        if self.listed_ms is None:
+        if self.list.listed_ms is None:
             return None
-        return self._clock.now_ms() - self.listed_ms
+        return self._clock.now_ms() - self.list.listed_ms
 
     def dump(self):
         """Return plain data for the state dump."""
@@ -353,6 +334,7 @@
             'gateways': self.count(),
             'servers': len(self.servers or ()),
             'list_age_ms': self.list_age_ms(),
+            'notices': self.list.dump(),
             'flights': {
                 key: item.running for key, item in self.flights().items()
             },
--- a/packages/router/src/paddle_router/hub/_front_sums.py
+++ b/packages/router/src/paddle_router/hub/_front_sums.py
@@ -73,6 +73,7 @@
             self._sums.remove(previous.flights)
         self._sums.add(part.flights)
         self._fleet.note_fronts(report.fronts)
+        self._fleet.list.note_leaving(report.leaving, report.place.address)
 
     def flights_for(self, address):
         """Return the sums over the gateways of all but ``address``."""
@@ -98,6 +99,7 @@
             loads=gateway.pack_loads(self._fleet.flights().values()),
             version=version,
             listing=self._fleet.listing,
+            leaving=self._fleet.list.leaving(),
         )
 
     def use(self, report, reply, asked_ms):
--- a/packages/router/src/paddle_router/hub/_state_exchange.py
+++ b/packages/router/src/paddle_router/hub/_state_exchange.py
@@ -75,8 +75,8 @@
             # The reply holds no servers; another list was read meanwhile.
             return
         elif held_ms is None or age_ms < held_ms:
-            fleet.set_servers(reply.servers, age_ms)
-            self.log_list()
+            if fleet.set_servers(reply.servers, age_ms):
+                self.log_list()
 
     def log_list(self):
         """Log the list of servers held."""
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -8,6 +8,7 @@
 from paddle_router.policy._admission import FIRST_TOKEN
 from paddle_router.policy._admission import INTER_TOKEN
 from paddle_router.policy._admission import Prediction
+from paddle_router.policy._availability import Opening
 from paddle_router.policy._engine_state import Ejection
 from paddle_router.policy._fifo import FifoScheduler
 from paddle_router.policy._fleet_size import Bounds as FleetBounds
@@ -61,6 +62,11 @@
 from paddle_router.policy._retry import decide as decide_retry
 from paddle_router.policy._retry import RetryBudget
 from paddle_router.policy._retry import WindowBudget
+from paddle_router.policy._server_notices import DRAIN_MS
+from paddle_router.policy._server_notices import GradualReturn
+from paddle_router.policy._server_notices import Incarnation
+from paddle_router.policy._server_notices import MOST_QUIET_MS
+from paddle_router.policy._server_notices import ServerNotices
 from paddle_router.policy._shared_load import SharedLoadBalancer
 from paddle_router.policy._shared_server import EngineWork
 from paddle_router.policy._shared_server import SharedFlight
@@ -68,6 +74,7 @@
 from paddle_router.policy._slots import own_slots
 from paddle_router.policy._slots import share_of
 from paddle_router.policy._tiered_fair import TieredFairScheduler
+from paddle_router.policy._waiting_line import WaitingLine
 
 __all__ = [
     'Action',
@@ -79,6 +86,7 @@
     'DEADLINE',
     'DEFAULT_SERVER_RATE',
     'DRAINING',
+    'DRAIN_MS',
     'Demand',
     'DemandForecast',
     'Ejection',
@@ -89,7 +97,9 @@
     'FleetBounds',
     'FleetSize',
     'Flight',
+    'GradualReturn',
     'INTER_TOKEN',
+    'Incarnation',
     'LEAVING',
     'LIVE',
     'LeastReportedLoadBalancer',
@@ -100,9 +110,11 @@
     'Limits',
     'Load',
     'LoadReport',
+    'MOST_QUIET_MS',
     'OVERFLOW',
     'ObservedBalancer',
     'Offer',
+    'Opening',
     'Order',
     'PlanView',
     'Planner',
@@ -115,6 +127,7 @@
     'STARTING',
     'Scheduler',
     'Server',
+    'ServerNotices',
     'SharedFlight',
     'SharedLoad',
     'SharedLoadBalancer',
@@ -123,6 +136,7 @@
     'Ticket',
     'TieredFairScheduler',
     'Turn',
+    'WaitingLine',
     'WindowBudget',
     'Work',
     'balancers',
--- a/packages/router/src/paddle_router/policy/_hooks.py
+++ b/packages/router/src/paddle_router/policy/_hooks.py
@@ -117,9 +117,14 @@
 
 @attrs.frozen(kw_only=True)
 class Engine:
-    """A backend server that can be chosen."""
+    """A backend server that can be chosen.
+
+    ``born_ms`` is its start in ms since the Unix epoch, 0 if unknown; another
+    one is another incarnation under the same id.
+    """
 
     id: str
+    born_ms: int = 0
     failure_domain: str = ''
     slots: int = 8
     cheap: bool = False
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -19,8 +19,10 @@
 
 import attrs
 
+from paddle_router.policy import _availability
 from paddle_router.policy import _hooks
 from paddle_router.policy import _prompt_parts
+from paddle_router.policy import _server_notices
 from paddle_router.policy import _shared_server
 
 # Prompt tokens a server reads per ms until answers have shown it; the lower
@@ -79,12 +81,19 @@
 
 @_hooks.balancers.register('shared_load')
 class SharedLoadBalancer:
-    """See the module; one instance serves one service."""
+    """See the module; one instance serves one service.
 
-    def __init__(self, *, rng, failure_domain=''):
+    ``notices`` is what servers say of themselves, shared by the services of a
+    gateway. ``is_last_resort`` is set while all servers leave.
+    """
+
+    def __init__(self, *, rng, failure_domain='', notices=None):
         self._rng = rng
         self._domain = failure_domain
+        self._notices = notices or _server_notices.ServerNotices()
+        self._availability = _availability.Availability(self._notices)
         self._states = {}
+        self.is_last_resort = False
         self._rate = DEFAULT_READ_RATE
         self._rate_seen = False
         self._gaps = set()
@@ -96,10 +105,14 @@
             del self._states[server_id]
         for server_id, engine in listed.items():
             state = self._states.get(server_id)
-            if state is None:
-                self._states[server_id] = _shared_server.ServerState(engine)
-            else:
-                state.engine = engine
+            if state is None or state.engine.born_ms != engine.born_ms:
+                state = _shared_server.ServerState(engine)
+                self._states[server_id] = state
+            state.engine = engine
+            if not engine.leaving:
+                state.listed_leaving_ms = None
+            elif state.listed_leaving_ms is None:
+                state.listed_leaving_ms = now_ms
 
     def set_others(self, loads, now_ms):
         """Use ``{server id: SharedLoad}`` of the other gateways."""
@@ -117,13 +130,9 @@
 
     def choose(self, work, now_ms):
         """Return a :class:`SharedFlight`, ``None`` without a server."""
-        states = [
-            state
-            for state in self._states.values()
-            if not state.engine.leaving
-            and not state.is_gone(now_ms)
-            and state.engine.id not in work.avoid
-        ]
+        states, self.is_last_resort = self._availability.usable(
+            self._outside(work.avoid), now_ms
+        )
         open_states = [x for x in states if x.hold_until_ms <= now_ms]
         states = open_states or states
         if not states:
@@ -148,28 +157,39 @@
     def place(self, server_id, work, now_ms):
         """Return a :class:`SharedFlight` at a given server.
 
-        For a run whose memory is there; ``None`` if it is not listed.
+        For a run whose memory is there; ``None`` if it is not listed or wants
+        no requests.
         """
         state = self._states.get(server_id)
-        if state is None:
+        if state is None or self._availability.is_quiet(state, now_ms):
             return None
         return self._occupy(
             state, attrs.evolve(work, prompt_tokens=0), now_ms, None
         )
 
-    def can_place(self, avoid):
-        """Return whether a server outside ``avoid`` takes new work."""
-        return any(
-            not state.engine.leaving and server_id not in avoid
-            for server_id, state in self._states.items()
-        )
+    def can_place(self, avoid, now_ms):
+        """Return whether a server outside ``avoid`` takes new work now."""
+        states, _last = self._availability.usable(self._outside(avoid), now_ms)
+        return bool(states)
+
+    def opening(self, avoid, now_ms):
+        """Return the next :class:`Opening` of servers outside ``avoid``.
+
+        ``None`` if none of them will take a request.
+        """
+        return self._availability.opening(self._outside(avoid), now_ms)
+
+    def answer_ms(self, now_ms):
+        """Return the median time of a plain answer, ``None`` if unknown."""
+        return self._median_pace(now_ms)
 
     def observe(self, flight, now_ms, tokens):
         """Note an event of the answer; the first one starts the run."""
-        state = self._states.get(flight.server_id)
+        state = self._state_of(flight)
         if not flight.started:
             flight.started = True
             self._learn_rate(flight, now_ms)
+            _end_return(flight, taken=True)
         elif state is not None:
             state.window.add(now_ms, paced=1, pace_ms=now_ms - flight.last_ms)
         flight.last_ms = now_ms
@@ -177,7 +197,8 @@
 
     def finish(self, flight, now_ms, ok):
         """Free the place; ``ok`` is false only for a fault of the server."""
-        state = self._states.get(flight.server_id)
+        _end_return(flight, taken=ok)
+        state = self._state_of(flight)
         if state is None:
             return
         state.flights.discard(flight)
@@ -191,19 +212,21 @@
 
     def note_gone(self, flight, now_ms):
         """Leave the server of ``flight`` out; another has its address."""
-        state = self._states.get(flight.server_id)
+        state = self._state_of(flight)
         if state is not None:
             state.gone_until_ms = now_ms + GONE_MS
 
     def forget(self, flight):
         """Free the place of a request that was not sent."""
-        state = self._states.get(flight.server_id)
+        _end_return(flight, taken=False)
+        state = self._state_of(flight)
         if state is not None:
             state.flights.discard(flight)
 
     def hold(self, flight, now_ms):
         """Leave the server of ``flight`` alone; it could not be reached."""
-        state = self._states.get(flight.server_id)
+        _end_return(flight, taken=False)
+        state = self._state_of(flight)
         if state is None:
             return
         state.flights.discard(flight)
@@ -253,6 +276,20 @@
             for server_id, state in self._states.items()
         }
 
+    def _outside(self, avoid):
+        return [
+            state
+            for server_id, state in self._states.items()
+            if server_id not in avoid
+        ]
+
+    def _state_of(self, flight):
+        """Return the state of the incarnation that was sent ``flight``."""
+        state = self._states.get(flight.server_id)
+        if state is None or state.engine.born_ms != flight.born_ms:
+            return None
+        return state
+
     def _is_tight(self, work):
         """Whether the stream allows the shortest pauses of all seen."""
         if not work.gap_ms:
@@ -320,6 +357,7 @@
         uncached = work.prompt_tokens - state.cached(work.parts, now_ms)
         flight = _shared_server.SharedFlight(
             state.engine.id,
+            state.engine.born_ms,
             work,
             now_ms,
             max(0, uncached),
@@ -330,6 +368,9 @@
         state.remember(work.parts, now_ms)
         state.window.add(now_ms, tokens=flight.uncached)
         state.flights.add(flight)
+        if state.returning is not None:
+            flight.returning = state.returning
+            state.returning.note_sent()
         return flight
 
     def _learn_rate(self, flight, now_ms):
@@ -345,3 +386,14 @@
         paces = [state.pace_ms(now_ms) for state in self._states.values()]
         paces = [pace for pace in paces if pace]
         return statistics.median_low(paces) if len(paces) > 1 else None
+
+
+def _end_return(flight, *, taken):
+    """Note what became of a request that was sent after a quiet time."""
+    returning, flight.returning = flight.returning, None
+    if returning is None:
+        return
+    if taken:
+        returning.note_taken()
+    else:
+        returning.note_lost()
--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -9,6 +9,7 @@
 import attrs
 
 from paddle_router.policy import _hooks
+from paddle_router.policy import _server_notices
 
 # Virtual good answers, so that one failure is no verdict.
 PRIOR_ANSWERS = 4
@@ -62,10 +63,12 @@
     """A request of this gateway at a server.
 
     ``place`` is that of the server in the order of the prompt's shared part,
-    ``None`` without one.
+    ``None`` without one. ``returning`` is set if it was sent in the time
+    after a quiet one.
     """
 
     server_id: str
+    born_ms: int
     work: EngineWork
     sent_ms: int
     uncached: int
@@ -74,6 +77,7 @@
     place: int | None = None
     started: bool = False
     events: int = 0
+    returning: _server_notices.GradualReturn | None = None
 
 
 class _Window:
@@ -116,6 +120,13 @@
     hold_until_ms: int = 0
     hold_ms: int = HOLD_MIN_MS
     gone_until_ms: int | None = None
+    listed_leaving_ms: int | None = None
+    quiet_ended_ms: int | None = None
+    returning: _server_notices.GradualReturn | None = None
+
+    @property
+    def incarnation(self):
+        return _server_notices.Incarnation(self.engine.id, self.engine.born_ms)
 
     def is_gone(self, now_ms):
         return self.gone_until_ms is not None and now_ms < self.gone_until_ms
--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -8,6 +8,7 @@
 from paddle_router import gateway
 from paddle_router.gateway import _controllers
 from paddle_router.gateway import _follower
+from paddle_router import policy
 import pytest
 import returns.result
 
@@ -183,6 +184,7 @@
         controller,
         balancers={'s': balancer},
         usage=Usage(),
+        notices=policy.ServerNotices(),
     )
 
 
--- a/packages/router/tests/test_gateway_policies.py
+++ b/packages/router/tests/test_gateway_policies.py
@@ -143,7 +143,7 @@
 def test_leaving_servers_get_nothing():
     built = balancer(2, leaving=(0,))
     assert {built.choose(SHORT, NOW).server_id for _ in range(9)} == {'s1'}
-    assert not built.can_place({'s1'})
+    assert not built.can_place({'s1'}, NOW)
 
 
 def test_the_reading_rate_is_learned_from_long_prompts():
--- a/packages/router/tests/test_hub_state_exchange.py
+++ b/packages/router/tests/test_hub_state_exchange.py
@@ -2,6 +2,7 @@
 
 import types
 
+import attrs
 import paddle_coord
 import paddle_kernel
 from paddle_router import gateway
@@ -149,3 +150,85 @@
     charge.version = 5
     exchange.relay()
     assert parts.document.age_ms() is None
+
+
+# Servers that say that they leave
+
+
+def leaving(fleet):
+    return [item.id for item in fleet.servers if item.leaving]
+
+
+def heard(server, name='g1'):
+    return gateway.FrontReport(
+        name=name,
+        incarnation=f'{name}-x',
+        sequence=1,
+        flights=(),
+        usage=(),
+        leaving=(server.incarnation,),
+    )
+
+
+def test_what_one_gateway_heard_is_marked_for_all(exchange, parts, charge):
+    # The platform's list says ready for a second or more.
+    parts.fleet.set_servers(SERVERS)
+    parts.fleet.note((heard(SERVERS[1]),), attached=True)
+    assert leaving(parts.fleet) == ['i-1']
+    report = exchange.sums.report('c0/1', 0)
+    charge.fleet.set_servers(SERVERS, is_own_read=True)
+    charge.fleet.list.note_leaving(report.leaving, 'c1')
+    assert leaving(charge.fleet) == ['i-1']
+    # The list is a new one, so that it is passed on.
+    assert charge.fleet.listing == parts.fleet.listing
+
+
+def test_a_later_list_that_says_ready_changes_nothing(parts):
+    parts.fleet.set_servers(SERVERS, is_own_read=True)
+    parts.fleet.note((heard(SERVERS[1]),), attached=True)
+    parts.fleet.set_servers(SERVERS, is_own_read=True)
+    assert leaving(parts.fleet) == ['i-1']
+
+
+def test_a_holder_that_knows_less_is_told_and_brings_no_server_back(
+    exchange, parts, charge
+):
+    # A successor in charge has heard nothing yet.
+    charge.fleet.set_servers(SERVERS, is_own_read=True)
+    exchange.relay()
+    parts.fleet.note((heard(SERVERS[1]),), attached=True)
+    charge.fleet = _fleet.Fleet(charge.clock)
+    charge.fleet.set_servers(SERVERS, is_own_read=True)
+    exchange.relay()
+    assert leaving(parts.fleet) == ['i-1']
+    told = exchange.sums.report('c0/2', 0).leaving
+    assert [item.id for item in told] == ['i-1']
+
+
+def test_a_mark_that_a_successor_lacks_is_no_new_start(parts, clock):
+    # The list that was passed on had the mark, the platform's has it not yet.
+    marked = [attrs.evolve(item, leaving=item.id == 'i-1') for item in SERVERS]
+    parts.fleet.set_servers(marked)
+    parts.fleet.note((heard(SERVERS[1]),), attached=True)
+    clock.advance(500)
+    parts.fleet.set_servers(SERVERS, is_own_read=True)
+    assert leaving(parts.fleet) == ['i-1']
+
+
+@pytest.mark.parametrize('between', ['gone', 'draining'])
+def test_a_server_that_starts_again_under_its_id_is_a_new_one(parts, between):
+    fleet = parts.fleet
+    fleet.set_servers(SERVERS, is_own_read=True)
+    fleet.note((heard(SERVERS[1]),), attached=True)
+    if between == 'gone':
+        fleet.set_servers(SERVERS[:1], is_own_read=True)
+    else:
+        draining = attrs.evolve(SERVERS[1], leaving=True)
+        fleet.set_servers((SERVERS[0], draining), is_own_read=True)
+    fleet.set_servers(SERVERS, is_own_read=True)
+    assert leaving(fleet) == []
+    assert fleet.servers[1].born_ms > 0
+    # The next reads do not make it another one again.
+    listing = fleet.listing
+    fleet.set_servers(SERVERS, is_own_read=True)
+    assert fleet.listing == listing
--- a/packages/testbed/src/paddle_testbed/fakes/_origin.py
+++ b/packages/testbed/src/paddle_testbed/fakes/_origin.py
@@ -127,7 +127,7 @@
     )
 
 
-def stream_head(req):
+def stream_head(req, *, extra=()):
     """Return the head of a chunked stream of events."""
     return b'\r\n'.join(
         [
@@ -136,6 +136,7 @@
             STAMP,
             b'Content-Type: text/event-stream',
             b'Transfer-Encoding: chunked',
+            *extra,
             b'',
             b'',
         ]
--- a/packages/testbed/src/paddle_testbed/gateway_bed.py
+++ b/packages/testbed/src/paddle_testbed/gateway_bed.py
@@ -137,6 +137,12 @@
 
     def serve(self, *scripts):
         self.origins = [fakes.FakeOrigin(script) for script in scripts]
+        self.set_servers()
+        self.gateway.entry.start()
+        return self
+
+    def set_servers(self, **fields):
+        """List all servers with ``fields`` in their entries."""
         self.controllers.servers = tuple(
             gateway.ListedServer(
                 id=f'i-{index}',
@@ -144,12 +150,11 @@
                 address=origin.address,
                 domain='d1',
                 slots=4,
+                **fields,
             )
             for index, origin in enumerate(self.origins)
         )
         self.follower.step()
-        self.gateway.entry.start()
-        return self
 
     @property
     def requests(self):
--- a/packages/testbed/tests/conftest.py
+++ b/packages/testbed/tests/conftest.py
@@ -6,6 +6,7 @@
 
 import geventhttpclient
 import geventhttpclient.response
+import loguru
 import pytest
 
 from paddle_testbed import cluster
@@ -176,3 +177,22 @@
     built = gateway_bed.Bed()
     yield built
     built.close()
+
+
+class EventLog:
+    """The numbers of the events logged, in order."""
+
+    def __init__(self):
+        self.numbers = []
+
+    def __call__(self, message):
+        self.numbers.append(message.record['extra'].get('event'))
+
+
+@pytest.fixture
+def events():
+    """Record the events that this process logs."""
+    log = EventLog()
+    number = loguru.logger.add(log, level='DEBUG')
+    yield log
+    loguru.logger.remove(number)
--- /dev/null
+++ b/packages/testbed/tests/test_gateway_server_notices.py
@@ -0,0 +1,344 @@
+"""Servers that say in their answers that they leave or want no requests.
+
+Both are scripted: a server that leaves sets a header in all its answers, one
+that is full turns requests away and names a time.
+"""
+
+import itertools
+import time
+
+import gevent
+import pytest
+
+from paddle_testbed import fakes
+from paddle_testbed import gateway_bed
+
+request = gateway_bed.request
+exchange = gateway_bed.exchange
+fine = gateway_bed.fine
+
+LEAVING = b'Server-Leaving: 1'
+NOT_RUN = b'Rosemarypaddle-Not-Run: 1'
+REQUESTS = 20
+PAUSE_S = 0.02
+BOOKING = {'method': 'POST', 'body': b'b'}
+CHAT = {'method': 'POST', 'body': b'p'}
+
+
+def leaves(req, _sock):
+    return fakes.whole(req, extra=(LEAVING,))
+
+
+def leaves_and_fails(req, _sock):
+    return fakes.whole(req, status=b'500 Failed', extra=(LEAVING,))
+
+
+def leaves_and_streams(req, _sock):
+    head = fakes.stream_head(req, extra=(LEAVING,))
+    return [head, fakes.event(1), 0.05, fakes.event(2), fakes.STREAM_END]
+
+
+def streams(req, _sock):
+    begin = int(req.headers.get(b'last-event-id', b'0')) + 1
+    events = [fakes.event(number) for number in range(begin, 3)]
+    return [fakes.stream_head(req), *events, fakes.STREAM_END]
+
+
+def leaves_and_breaks(req, _sock):
+    head = fakes.stream_head(req, extra=(LEAVING,))
+    return [head, fakes.event(1), None]
+
+
+def leaves_and_rejects(req, _sock):
+    return fakes.whole(
+        req, b'', status=b'503 Stopping', extra=(LEAVING, NOT_RUN)
+    )
+
+
+def leaves_too_late(req, _sock):
+    """Answer another request first, as a second copy of an old answer."""
+    stray = fakes.Received(b'GET / HTTP/1.1', b'')
+    stray.headers = {b'rosemarypaddle-request-id': b'other'}
+    return fakes.whole(stray, b'old', extra=(LEAVING,)) + fakes.whole(req)
+
+
+def quiet_for(value):
+    """Return a script that turns requests away for ``value`` seconds."""
+
+    def script(req, _sock):
+        wish = b'Retry-After: ' + value
+        return fakes.whole(req, b'', status=b'503 Full', extra=(NOT_RUN, wish))
+
+    return script
+
+
+def quiet_once(value, good=fine):
+    """Return a script that turns the first request away, then serves."""
+    count = itertools.count()
+    turns_away = quiet_for(value)
+
+    def script(req, sock):
+        return good(req, sock) if next(count) else turns_away(req, sock)
+
+    return script
+
+
+def times_of(origin):
+    """Record when requests arrive at ``origin``; return the list."""
+    times = []
+    script = origin.script
+
+    def timed(req, sock):
+        times.append(time.monotonic())
+        return script(req, sock)
+
+    origin.script = timed
+    return times
+
+
+def ask_all(bed, path, count=REQUESTS, **options):
+    """Send requests one after the other; return their statuses."""
+    statuses = []
+    for number in range(count):
+        raw = request(f'{path}{number}', **options)
+        statuses.append(exchange(bed, raw)[0])
+        gevent.sleep(PAUSE_S)
+    return statuses
+
+
+# Leaving
+
+
+@pytest.mark.parametrize(
+    ('script', 'good', 'path', 'options'),
+    [
+        (leaves, fine, '/safe/', {}),
+        (leaves, fine, '/book/', BOOKING),
+        (leaves_and_fails, fine, '/safe/', {}),
+        (leaves_and_rejects, fine, '/safe/', {}),
+        (leaves_too_late, fine, '/safe/', {}),
+        (leaves_and_streams, streams, '/chat/', CHAT),
+        (leaves_and_breaks, streams, '/chat/', CHAT),
+    ],
+)
+def test_a_server_that_says_it_leaves_is_not_asked_again(
+    bed, script, good, path, options
+):
+    # It was asked as often as the others until a list showed it leaving.
+    bed.serve(script, good)
+    ask_all(bed, path, **options)
+    assert len(bed.origins[0].requests) <= 1
+    assert len(bed.origins[1].requests) >= REQUESTS - 1
+
+
+def test_a_stream_that_breaks_off_goes_on_at_a_server_that_stays(bed):
+    bed.serve(leaves_and_breaks, leaves_and_breaks, streams)
+    statuses = ask_all(bed, '/chat/', count=6, **CHAT)
+    assert statuses == [200] * 6
+    assert len(bed.origins[0].requests) <= 1
+    assert len(bed.origins[1].requests) <= 1
+
+
+def test_an_answer_of_another_incarnation_says_nothing_about_the_listed(bed):
+    # Addresses are used again: a 421 comes from whoever has it now.
+    count = itertools.count()
+
+    def script(req, sock):
+        if next(count):
+            return fine(req, sock)
+        return fakes.whole(req, b'', status=b'421 Other', extra=(LEAVING,))
+
+    bed.serve(script)
+    ask_all(bed, '/safe/', count=1)
+    (listed,) = bed.controllers.servers
+    assert not bed.gateway.parts.notices.is_leaving(listed.incarnation)
+
+
+@pytest.mark.parametrize('change', ['list', 'configuration', 'reload'])
+def test_leaving_is_kept_over_what_knows_less(bed, change):
+    # An older list still says ready, and a controller may not know yet.
+    bed.serve(leaves, fine)
+    ask_all(bed, '/safe/', count=6)
+    if change == 'list':
+        bed.controllers.servers = tuple(reversed(bed.controllers.servers))
+    elif change == 'configuration':
+        bed.controllers.config = {**bed.controllers.config, 'version': 6}
+    else:
+        bed.gateway.reload(('c:2',))
+    bed.follower.step()
+    ask_all(bed, '/safe/')
+    assert len(bed.origins[0].requests) <= 1
+
+
+def test_a_new_incarnation_under_the_same_id_starts_fresh(bed):
+    bed.serve(leaves, fine)
+    ask_all(bed, '/safe/', count=6)
+    bed.origins[0].script = fine
+    bed.set_servers(born_ms=1_000)
+    ask_all(bed, '/safe/')
+    assert len(bed.origins[0].requests) > 2
+
+
+def test_a_service_whose_servers_all_leave_stays_served_for_the_drain(
+    bed, events
+):
+    # The bound of the test's gateway is 3 s, of which it leaves half a second.
+    bed.serve(leaves, leaves)
+    statuses = ask_all(bed, '/safe/')
+    assert statuses == [200] * REQUESTS
+    gevent.sleep(2.6)
+    assert ask_all(bed, '/safe/', count=3) == [503] * 3
+    assert [number for number in events.numbers if number == 3332] == [3332]
+
+
+def test_gateways_tell_each_other_which_servers_leave(bed):
+    bed.serve(leaves, fine)
+    ask_all(bed, '/safe/', count=6)
+    bed.follower.step()
+    (report,) = bed.controllers.requests[-1].reports
+    assert [item.id for item in report.leaving] == ['i-0']
+
+
+# Quiet
+
+
+@pytest.mark.parametrize(
+    ('path', 'options'), [('/safe/', {}), ('/book/', BOOKING)]
+)
+def test_the_only_server_is_not_asked_before_its_time(bed, path, options):
+    # It was asked 38 times in 1.9 s, 28 of them while it wanted none.
+    bed.serve(quiet_for(b'2'))
+    times = times_of(bed.origins[0])
+    end_s = time.monotonic() + 1.9
+    while time.monotonic() < end_s:
+        exchange(bed, request(f'{path}x', **options))
+        gevent.sleep(PAUSE_S)
+    # A request that had the time for it may have waited for the end.
+    assert all(at_s - times[0] >= 2 for at_s in times[1:])
+
+
+def test_another_server_serves_while_one_wants_quiet(bed):
+    # The penalty for failures ended before the time that the server named.
+    bed.serve(quiet_once(b'1.5'), fine)
+    times = times_of(bed.origins[0])
+    end_s = time.monotonic() + 2.5
+    statuses = []
+    while time.monotonic() < end_s:
+        statuses.append(exchange(bed, request('/safe/x'))[0])
+        gevent.sleep(PAUSE_S)
+    assert set(statuses) == {200}
+    first, *later = times
+    assert later and later[0] - first >= 1.5
+
+
+def test_a_refused_caller_is_told_when_a_place_will_be_free(bed):
+    bed.serve(quiet_for(b'2'))
+    exchange(bed, request('/book/x', **BOOKING))
+    status, text, _body = exchange(bed, request('/book/y', **BOOKING))
+    assert status == 503
+    told_s = float(text.split('retry-after:')[1].split()[0])
+    assert 1.7 < told_s < 3.0
+
+
+def test_requests_with_time_left_wait_in_order_of_rank(bed):
+    # The chat outranks the lookup that arrived before it.
+    bed.controllers.config = {
+        **bed.controllers.config,
+        'routes': [
+            {**route, 'priority': 0 if route['name'] == 'chat' else 2}
+            for route in bed.controllers.config['routes']
+        ],
+    }
+
+    def serves(req, sock):
+        if b'/chat/' in req.line:
+            return streams(req, sock)
+        return fine(req, sock)
+
+    bed.serve(quiet_once(b'0.6', serves))
+    exchange(bed, request('/book/x', **BOOKING))
+    begun = []
+    for raw in (
+        request('/safe/x'),
+        request('/safe/y'),
+        request('/chat/x', **CHAT),
+    ):
+        begun.append(gevent.spawn(exchange, bed, raw))
+        gevent.sleep(0.05)
+    gevent.joinall(begun)
+    assert [item.value[0] for item in begun] == [200] * 3
+    lines = [req.line.split()[1] for req in bed.requests[1:]]
+    assert lines[0] == b'/chat/x'
+
+
+def test_load_returns_gradually_after_a_quiet_time(bed):
+    # All that waited arrived in the same ms.
+    def slow(req, _sock):
+        return [0.1, fakes.whole(req)]
+
+    bed.serve(quiet_once(b'0.5', slow))
+    exchange(bed, request('/book/x', **BOOKING))
+    times = times_of(bed.origins[0])
+    begun = [
+        gevent.spawn(exchange, bed, request(f'/safe/{number}'))
+        for number in range(4)
+    ]
+    gevent.joinall(begun)
+    assert [item.value[0] for item in begun] == [200] * 4
+    assert times[1] - times[0] >= 0.09
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'Fri, 04 Dec 2026 12:00:00 GMT',
+        b'-5',
+        b'inf',
+        b'nan',
+        b'1e9',
+        b'two',
+        b'',
+        b'9' * 4_000,
+    ],
+)
+def test_an_odd_time_is_no_reason_to_give_a_server_up(bed, value, events):
+    bed.serve(quiet_once(value))
+    exchange(bed, request('/safe/x'))
+    gevent.sleep(0.35)
+    (listed,) = bed.controllers.servers
+    until_ms = bed.gateway.parts.notices.quiet_until_ms(listed.incarnation)
+    assert (until_ms or 0) - bed.gateway.clock.now_ms() <= 60_000
+    if value != b'9' * 4_000:
+        assert exchange(bed, request('/safe/y'))[0] == 200
+    assert 3331 in events.numbers
+
+
+def test_both_answers_in_one_exchange_of_several_tries_count(bed):
+    bed.serve(quiet_for(b'5'), leaves_and_rejects, fine)
+    ask_all(bed, '/safe/')
+    assert len(bed.origins[0].requests) <= 1
+    assert len(bed.origins[1].requests) <= 1
+
+
+def test_pipelined_requests_keep_to_it_too(bed):
+    bed.serve(quiet_for(b'5'))
+    sock = bed.connect()
+    sock.sendall(request('/safe/1') + request('/safe/2') + request('/safe/3'))
+    data = b''
+    with gevent.Timeout(5):
+        while data.count(b'HTTP/1.1 503') < 3:
+            data += sock.recv(65_536)
+    assert len(bed.requests) == 1
+
+
+def test_a_frozen_gateway_keeps_to_the_time_that_was_named(bed):
+    # The clock goes on while the process stands still.
+    bed.serve(quiet_for(b'1'))
+    times = times_of(bed.origins[0])
+    exchange(bed, request('/book/x', **BOOKING))
+    waiting = gevent.spawn(exchange, bed, request('/book/y', **BOOKING))
+    gevent.sleep(0.05)
+    time.sleep(0.5)
+    waiting.join()
+    # It waited for the rest of the time, not for all of it once more.
+    assert 1.0 <= times[1] - times[0] < 1.3
