--- a/packages/kernel/src/paddle_kernel/__init__.py
+++ b/packages/kernel/src/paddle_kernel/__init__.py
@@ -18,6 +18,7 @@
 from paddle_kernel._events import emit
 from paddle_kernel._events import Event
 from paddle_kernel._events import SETTINGS_UNREADABLE
+from paddle_kernel._events import SIGNAL_RECEIVED
 from paddle_kernel._findings import Finding
 from paddle_kernel._findings import Findings
 from paddle_kernel._findings import FindingsError
@@ -63,6 +64,7 @@
     'MemoryNetwork',
     'Registry',
     'SETTINGS_UNREADABLE',
+    'SIGNAL_RECEIVED',
     'StateDump',
     'SteadyWall',
     'Step',
--- a/packages/kernel/src/paddle_kernel/_events.py
+++ b/packages/kernel/src/paddle_kernel/_events.py
@@ -63,6 +63,8 @@
     1003, 'ERROR', 'a message of a peer could not be handled'
 )
 
+SIGNAL_RECEIVED = declare(1004, 'INFO', 'the process received a signal')
+
 
 def declared():
     """Return all declared events ordered by number."""
--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -353,6 +353,36 @@
     assert process.poll() is None
 
 
+def reported_signals(fleet, name):
+    """Return the signals that the process of a machine logged, in order."""
+    process = fleet.machines[name].process
+    lines = (fleet.machines[name].folder / 'log').read_text().splitlines()
+    found = [json.loads(line) for line in lines if '"event": 1004' in line]
+    return [item['signal'] for item in found if item['pid'] == process.pid]
+
+
+@pytest.mark.parametrize('role', ['gateway', 'controller'])
+@pytest.mark.parametrize('is_new', [False, True])
+def test_each_signal_of_a_series_is_reported(serving, role, is_new):
+    # A stop left no line until it began, and none while a program was loaded.
+    name = serving.names(role)[0]
+    process = serving.machines[name].process
+    if is_new:
+        serving.kill(name)
+        serving.start(name)
+        process = serving.machines[name].process
+        fleets.wait_for(lambda: is_loading(process), 'not loading')
+    series = [signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP]
+    for number in series[:2] if is_new else series:
+        serving.signal(name, number)
+        gevent.sleep(0.1)
+    if is_new:
+        serving.signal(name, signal.SIGTERM)
+    assert process.wait(timeout=9) == 0
+    wanted = ['SIGHUP', 'SIGHUP', 'SIGTERM']
+    assert reported_signals(serving, name)[:3] == wanted
+
+
 def test_sighup_leaves_requests_alone(serving, origin):
     origin.script = lambda req, sock: [0.3, fakes.whole(req)]
     asking = gevent.spawn(ask, serving, 'front-0')
