Let the soak play servers that leave or want quiet, and series of signals

Faults: a server says that it leaves before the list shows it and is replaced at its address; one turns requests away and names a time; signals come in series around a stop; gateways are restarted one soon after the other beside changes. Checks: each signal is reported, leaving servers get no new requests, quiet times are kept, each with a written defect that it finds.

--- a/packages/testbed/src/paddle_testbed/fleet.py
+++ b/packages/testbed/src/paddle_testbed/fleet.py
@@ -27,6 +27,7 @@
 POLL_S = 0.05
 WAIT_S = 20
 BOUNDS = {
+    'drainMs': 3_000,
     'gracePeriodS': 8,
     'leaseDurationMs': 3_000,
     'retryBudgetRatio': 0.2,
--- a/packages/testbed/src/paddle_testbed/soak/__main__.py
+++ b/packages/testbed/src/paddle_testbed/soak/__main__.py
@@ -51,7 +51,9 @@
         f'seed {seed}: {len(findings)} findings, {whole} of '
         f'{len(ledger.attempts)} requests whole, '
         f'{len(ledger.disturbances)} faults ({", ".join(kinds)}), '
-        f'{len(ledger.acknowledged)} versions acknowledged',
+        f'{len(ledger.acknowledged)} versions acknowledged, '
+        f'{len(ledger.wishes)} answers of servers that leave or want quiet, '
+        f'{len(ledger.signals)} signals',
         flush=True,
     )
     for finding in findings:
--- a/packages/testbed/src/paddle_testbed/soak/_checks.py
+++ b/packages/testbed/src/paddle_testbed/soak/_checks.py
@@ -22,6 +22,14 @@
 LOSS_SLACK_MS = 200
 BUDGET_WINDOW_MS = 10_000
 SERVED_AFTER_MIN = 0.95
+# Requests may be on their way when a server asks for quiet, and two may come
+# later.
+QUIET_GRACE_MS = 500
+QUIET_REQUESTS = 2
+# A signal that arrives while a process ends leaves no line.
+ENDING_MS = 500
+# Times of day are read when the log is, and may have been corrected since.
+CLOCK_MS = 200
 STOP_LIMIT_MS = fleets.BOUNDS['gracePeriodS'] * 1_000 + 500
 
 checks = paddle_kernel.Registry('check')
@@ -113,6 +121,101 @@
     return bisect.bisect_right(times, end) - bisect.bisect_left(times, begin)
 
 
+@checks.register('servers that leave get no new requests')
+def leaving(ledger, calls, findings):
+    """Counted from an answer that said so and reached the caller."""
+    attempts = {item.request_id: item for item in ledger.attempts}
+    heard = {}
+    for wish in ledger.wishes:
+        attempt = attempts.get(wish.request_id)
+        if wish.quiet_ms or attempt is None or not attempt.is_whole:
+            continue
+        key = wish.server, attempt.gateway
+        heard[key] = min(heard.get(key, attempt.ended_ms), attempt.ended_ms)
+    drain_ms = fleets.BOUNDS['drainMs']
+    for run in ledger.runs:
+        attempt = attempts.get(run.request_id)
+        if attempt is None:
+            continue
+        heard_ms = heard.get((run.server, attempt.gateway))
+        if heard_ms is None or attempt.sent_ms <= heard_ms + drain_ms:
+            continue
+        targets = (attempt.gateway, 'all')
+        if not _is_excused(ledger, targets, heard_ms, run.at_ms):
+            findings.add(
+                f'{run.kind} {run.request_id} from {attempt.gateway}',
+                f'at {run.server} {run.at_ms - heard_ms} ms after it said '
+                'that it leaves',
+                f'sent by its caller within {drain_ms} ms',
+            )
+
+
+@checks.register('servers that want quiet have it')
+def quiet(ledger, calls, findings):
+    attempts = {item.request_id: item for item in ledger.attempts}
+    arrivals = collections.defaultdict(list)
+    for run in ledger.runs:
+        attempt = attempts.get(run.request_id)
+        if attempt is not None:
+            arrivals[run.server, attempt.gateway].append(run.at_ms)
+    for wish in ledger.wishes:
+        attempt = attempts.get(wish.request_id)
+        if not wish.quiet_ms or attempt is None:
+            continue
+        begin_ms = wish.at_ms + QUIET_GRACE_MS
+        end_ms = wish.at_ms + wish.quiet_ms
+        count = sum(
+            begin_ms < at_ms < end_ms
+            for at_ms in arrivals[wish.server, attempt.gateway]
+        )
+        targets = (attempt.gateway, 'all', wish.server, wish.address)
+        if count > QUIET_REQUESTS and not _is_excused(
+            ledger, targets, wish.at_ms, end_ms
+        ):
+            findings.add(
+                f'{wish.server} asked {attempt.gateway} for quiet',
+                f'{count} requests within {wish.quiet_ms} ms',
+                f'{QUIET_REQUESTS}',
+            )
+
+
+def _is_excused(ledger, targets, begin_ms, end_ms):
+    """Whether one of ``targets`` was disturbed between two times."""
+    return any(
+        item.target in targets
+        and item.begin_ms <= end_ms
+        and item.end_ms >= begin_ms
+        for item in ledger.disturbances
+    )
+
+
+@checks.register('each signal is reported')
+def signals(ledger, calls, findings):
+    """Two of a sort may be one for the process if they meet."""
+    for sent in ledger.signals:
+        ended_ms = ledger.ended.get(sent.pid)
+        if ended_ms is not None and sent.at_ms > ended_ms - ENDING_MS:
+            continue
+        targets = (sent.machine, 'all')
+        if any(
+            item.kind == 'kill'
+            and item.target in targets
+            and 0 <= item.begin_ms - sent.at_ms < ENDING_MS
+            for item in ledger.disturbances
+        ):
+            continue
+        if not any(
+            (item.pid, item.name) == (sent.pid, sent.name)
+            and item.at_ms >= sent.at_ms - CLOCK_MS
+            for item in ledger.reported
+        ):
+            findings.add(
+                f'process {sent.pid} of {sent.machine}',
+                f'{sent.name} was not reported',
+                'a log line for each signal',
+            )
+
+
 @checks.register('windows of usage are reported with one count')
 def usage(ledger, calls, findings):
     reported = {}
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -19,6 +19,10 @@
 # A stopped gateway serves for gracePeriodS (8 s) at most.
 STOP_LIMIT_S = 10
 TORN_BYTES = (1, 40)
+SERIES_S = (0.0, 0.3)
+# A server that says that it leaves goes on for longer than drainMs.
+LEAVING_S = (3.5, 5.0)
+MOST_RESTARTS = 6
 
 faults = paddle_kernel.Registry('fault')
 
@@ -155,14 +159,16 @@
         for name in world.fleet.machines:
             with world.locks.machine(name) as is_free:
                 if is_free:
-                    world.fleet.signal(name, signal.SIGHUP)
+                    world.signal(name, signal.SIGHUP)
         pause(rng, (0, 0.3))
 
 
 @faults.register('server_fault')
 def server_fault(world, rng):
     server = rng.choice(world.servers)
-    kinds = [item for item in _servers.Fault if item.value != 'none']
+    # One that wants quiet is no excuse for a lost request.
+    harmless = (_servers.Fault.NONE, _servers.Fault.WANTS_QUIET)
+    kinds = [item for item in _servers.Fault if item not in harmless]
     server.fault = rng.choice(kinds)
     with noted(world, server.fault.value, server.name):
         pause(rng, MIDDLE_S)
@@ -222,6 +228,80 @@
     world.publish_servers()
 
 
+@faults.register('server_leaves')
+def server_leaves(world, rng):
+    """A server says that it leaves, is listed so later, and is replaced."""
+    staying = [
+        item
+        for item in world.servers
+        if item.state == 'ready' and not item.leaves
+    ]
+    if len(staying) < 3:
+        return
+    server = rng.choice(staying)
+    server.leaves = True
+    pause(rng, SHORT_S)
+    server.state = 'draining'
+    world.publish_servers()
+    pause(rng, LEAVING_S)
+    server.start_again()
+    world.publish_servers()
+
+
+@faults.register('server_quiet')
+def server_quiet(world, rng):
+    server = rng.choice(world.servers)
+    if server.fault is not _servers.Fault.NONE:
+        return
+    server.quiet_s = rng.uniform(*MIDDLE_S)
+    server.fault = _servers.Fault.WANTS_QUIET
+    pause(rng, MIDDLE_S)
+    if server.fault is _servers.Fault.WANTS_QUIET:
+        server.fault = _servers.Fault.NONE
+
+
+@faults.register('signal_series')
+def signal_series(world, rng):
+    """Signals in quick succession to one process, around its stop."""
+    role = rng.choice(['gateway', 'controller'])
+    with world.locks.one_machine(rng, role) as name:
+        if name is None:
+            return
+        with noted(world, 'stop', name):
+            for _ in range(rng.randint(0, 3)):
+                world.signal(name, signal.SIGHUP)
+                pause(rng, SERIES_S)
+            later = [
+                (
+                    rng.uniform(*SERIES_S),
+                    rng.choice([signal.SIGHUP, signal.SIGTERM]),
+                )
+                for _ in range(rng.randint(0, 4))
+            ]
+            world.stop_and_start(name, STOP_LIMIT_S, later)
+            world.signal(name, signal.SIGHUP)
+
+
+@faults.register('restart_series')
+def restart_series(world, rng):
+    """Gateways are restarted one soon after the other, beside changes."""
+    with contextlib.ExitStack() as stack:
+        names = world.locks.take_machines(stack, 'gateway')
+        rng.shuffle(names)
+        begun = []
+        # One goes on serving.
+        for name in names[1:MOST_RESTARTS]:
+            begun.append(gevent.spawn(_restart, world, name))
+            begun.append(gevent.spawn(world.hand_in, rng))
+            pause(rng, SHORT_S)
+        gevent.joinall(begun, raise_error=True)
+
+
+def _restart(world, name):
+    with noted(world, 'stop', name):
+        world.stop_and_start(name, STOP_LIMIT_S)
+
+
 @faults.register('change')
 def change(world, rng):
     """Hand in versions in quick succession at several controllers."""
--- a/packages/testbed/src/paddle_testbed/soak/_ledger.py
+++ b/packages/testbed/src/paddle_testbed/soak/_ledger.py
@@ -51,6 +51,31 @@
     events: list = attrs.field(factory=list)
 
 
+@attrs.frozen(kw_only=True)
+class Wish:
+    """What a server said in its answer to a request.
+
+    ``quiet_ms`` is the time for which it wants no request, 0 if it leaves;
+    ``address`` is where it is listed.
+    """
+
+    request_id: str
+    server: str
+    address: str
+    at_ms: int
+    quiet_ms: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Signal:
+    """A signal that was sent to a process or that one logged."""
+
+    machine: str
+    pid: int
+    name: str
+    at_ms: int
+
+
 @attrs.frozen(kw_only=True)
 class Disturbance:
     """A fault of one kind between two times."""
@@ -66,6 +91,11 @@
     """Records of one seed, in the order in which they were made."""
 
     runs: list = attrs.field(factory=list)
+    wishes: list = attrs.field(factory=list)
+    # Signals sent and logged, and when processes that were told to stop ended.
+    signals: list = attrs.field(factory=list)
+    reported: list = attrs.field(factory=list)
+    ended: dict = attrs.field(factory=dict)
     attempts: list = attrs.field(factory=list)
     disturbances: list = attrs.field(factory=list)
     # Versions of the configuration: handed in, and acknowledged.
--- a/packages/testbed/src/paddle_testbed/soak/_run.py
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -2,15 +2,18 @@
 
 import contextlib
 import copy
+import datetime
 import json
 import pathlib
 import random
 import signal
 import tempfile
+import time
 
 import attrs
 import gevent
 
+import paddle_kernel
 from paddle_testbed import fakes
 from paddle_testbed import fleet as fleets
 from paddle_testbed.soak import _callers
@@ -136,14 +139,35 @@
         """Return the path of a controller's register file."""
         return self.fleet.machines[name].folder / 'data/replica/register.log'
 
-    def stop_and_start(self, name, limit_s):
-        """Stop a process as planned work does, then start it again."""
+    def signal(self, name, number):
+        """Send a signal to the process of a machine and record it."""
+        self.ledger.signals.append(
+            _ledger.Signal(
+                machine=name,
+                pid=self.fleet.machines[name].process.pid,
+                name=signal.Signals(number).name,
+                at_ms=_ledger.now_ms(),
+            )
+        )
+        self.fleet.signal(name, number)
+
+    def stop_and_start(self, name, limit_s, later=()):
+        """Stop a process as planned work does, then start it again.
+
+        ``later`` are more signals for it, as pairs of a pause in s and a
+        number.
+        """
         process = self.fleet.machines[name].process
         begin_ms = _ledger.now_ms()
-        self.fleet.signal(name, signal.SIGTERM)
+        self.signal(name, signal.SIGTERM)
+        for pause_s, number in later:
+            gevent.sleep(pause_s)
+            if process.poll() is None:
+                self.signal(name, number)
         with gevent.Timeout(limit_s, False):
             while process.poll() is None:
                 gevent.sleep(WATCH_S)
+        self.ledger.ended[process.pid] = _ledger.now_ms()
         spent_ms = _ledger.now_ms() - begin_ms
         self.ledger.stops.append((name, process.poll(), spent_ms))
         if process.poll() is None:
@@ -212,6 +236,8 @@
         gevent.sleep(CONFIGURATION_S)
         for name in self.fleet.names('gateway'):
             self.ledger.served_after[name] = self._probe(name)
+        for machine in self.fleet.machines.values():
+            self.ledger.reported.extend(_logged_signals(machine))
 
     def _read(self, name, newest):
         """Return the configuration, the last one read after ``SETTLE_S``."""
@@ -251,6 +277,27 @@
         )
 
 
+def _logged_signals(machine):
+    """Return the signals that the processes of a machine logged."""
+    wall_ms = time.time_ns() // 1_000_000 - _ledger.now_ms()
+    event = f'"event": {paddle_kernel.SIGNAL_RECEIVED.number},'
+    found = []
+    for text in (machine.folder / 'log').read_text().splitlines():
+        if event not in text:
+            continue
+        line = json.loads(text)
+        at = datetime.datetime.fromisoformat(line['time'])
+        found.append(
+            _ledger.Signal(
+                machine=machine.name,
+                pid=line['pid'],
+                name=line['signal'],
+                at_ms=int(at.timestamp() * 1_000 - wall_ms),
+            )
+        )
+    return found
+
+
 def _handles(process, number):
     """Whether a process has its own handler for a signal, or has ended."""
     try:
--- a/packages/testbed/tests/test_soak.py
+++ b/packages/testbed/tests/test_soak.py
@@ -51,6 +51,16 @@
     )
 
 
+def sent_signal(**fields):
+    defaults = {
+        'machine': GATEWAY,
+        'pid': 7,
+        'name': 'SIGHUP',
+        'at_ms': 5_000,
+    }
+    return _ledger.Signal(**{**defaults, **fields})
+
+
 def sound():
     """Return records without a defect."""
     ledger = soak.Ledger(
@@ -69,6 +79,8 @@
         read_back={'core-0': {'version': 2}},
         served_after={GATEWAY: 1.0},
         stops=[(GATEWAY, 0, 3_000)],
+        signals=[sent_signal()],
+        reported=[sent_signal(at_ms=5_010)],
     )
     return ledger, [call('a', 1, 0), call('b', 2, 9_000, window=2)]
 
@@ -147,6 +159,34 @@
     ledger.attempts[0].is_whole = False
 
 
+def unreported_signal(ledger, calls):
+    ledger.signals.append(sent_signal(name='SIGTERM'))
+
+
+def asked_after_it_left(ledger, calls):
+    ledger.wishes.append(
+        _ledger.Wish(request_id='s1', server='i-1', address='a', at_ms=1_000)
+    )
+    ledger.attempts.append(attempt('s2', _ledger.SAFE, sent_ms=4_060))
+    ledger.runs.append(run('s2', _ledger.SAFE, at_ms=4_065))
+
+
+def asked_in_a_quiet_time(ledger, calls):
+    ledger.wishes.append(
+        _ledger.Wish(
+            request_id='s1',
+            server='i-1',
+            address='a',
+            at_ms=1_000,
+            quiet_ms=2_000,
+        )
+    )
+    for number in range(3):
+        name = f'q{number}'
+        ledger.attempts.append(attempt(name, _ledger.SAFE, sent_ms=1_600))
+        ledger.runs.append(run(name, _ledger.SAFE, at_ms=1_610))
+
+
 DEFECTS = (
     doubled_booking,
     false_refusal,
@@ -166,6 +206,9 @@
     machine_not_back,
     late_stop,
     lost_in_calm,
+    unreported_signal,
+    asked_after_it_left,
+    asked_in_a_quiet_time,
 )
 
 
