Give engines ranks that a change of the configuration keeps

Cause: ranks numbered the pairs of priorities in use, so a new pair numbered the others anew: a report sent before the change went before a chat sent after it, and so did one of a gateway that still used the old configuration.

Change: where priorities fit into ten ranks, a rank is worked out from the priorities alone. Only streams count, by service. Requests that wait and streams that are moved go by the pair itself, which no rank is shared of.

Ruled out: ranks by route first (the protocol puts the customer's priority first).

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -47,8 +47,9 @@
     to. ``answered`` is set once a byte of the answer may have been written,
     ``began`` once a server has begun to run it. ``status`` and ``reason``
     describe the final answer, ``first_ms`` and ``longest_gap_ms`` its events.
-    ``continuation`` says where a run that was stopped goes on, ``urgency`` is
-    the rank for engines.
+    ``continuation`` says where a run that was stopped goes on. ``rank`` is
+    the key by which requests go before others, ``urgency`` the rank that
+    engines are told, ``None`` for a plain service.
     """
 
     req: _http1.Request
@@ -70,7 +71,8 @@
     last_event_ms: int = 0
     last_event_id: bytes | None = None
     continuation: object = None
-    urgency: int = 0
+    rank: tuple[int, int] = (0, 0)
+    urgency: int | None = None
 
     def note_answer(self, status):
         """Note that an answer with ``status`` goes to the caller now."""
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -161,7 +161,7 @@
             left_ms=max(1, left_ms),
             server_id=self._server.id,
             customer=call.customer.name if call.customer else None,
-            urgency=self._urgency(),
+            urgency=call.urgency,
             last_event_id=call.last_event_id,
             copy=_copy(call.continuation),
         )
@@ -182,6 +182,8 @@
             uncached=self._flight.uncached,
             attempt=call.attempts,
             kept=self._conn.used > 0,
+            rank=call.rank,
+            urgency=call.urgency,
             left_ms=left_ms,
         )
         self._conn.send(
@@ -189,16 +191,6 @@
         )
         return self._read_own_head()
 
-    def _urgency(self):
-        """Return the rank for an engine, ``None`` for a plain service.
-
-        Engines admit and preempt by it.
-        """
-        call = self._call
-        if call.route.kind is not _model.Kind.STREAM:
-            return None
-        return call.urgency
-
     def _read_own_head(self):
         """Return the head of the answer to this request."""
         head = self._next_head()
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -95,15 +95,17 @@
         allowed_ms = route.timeout_ms
         if facts.deadline_ms is not None:
             allowed_ms = min(allowed_ms, facts.deadline_ms)
+        service = _routes.choose_service(route, self._rng)
         return _call.Call(
             req=req,
             facts=facts,
             route=route,
             customer=customer,
-            service=_routes.choose_service(route, self._rng),
+            service=service,
             end_ms=req.received_ms + allowed_ms,
             last_event_id=facts.last_event_id,
-            urgency=table.urgency(route, customer),
+            rank=_routes.priority(route, customer),
+            urgency=table.urgency(route, customer, service),
         )
 
     # Attempts
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -283,4 +283,4 @@
 
 def _rank(stream):
     """Return the order of moves: by rank, then the longest run first."""
-    return stream.call.urgency, -stream.events
+    return stream.call.rank, -stream.events
--- a/packages/router/src/paddle_router/gateway/_routes.py
+++ b/packages/router/src/paddle_router/gateway/_routes.py
@@ -1,6 +1,10 @@
 """Choice of the route by host and longest path prefix, and ranks."""
 
 import bisect
+import collections
+
+from paddle_router.gateway import _model
+from paddle_router import policy
 
 # Ranks that engines tell apart; 0 is served first.
 URGENCIES = 10
@@ -15,7 +19,7 @@
         for route in configuration.routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
-        self._urgencies = _urgencies(configuration)
+        self._ranks = _engine_ranks(configuration)
 
     def find(self, host, target):
         """Return the route of a request, ``None`` without a match.
@@ -36,15 +40,14 @@
             end = path.rfind('/', 0, end)
         return None
 
-    def urgency(self, route, customer):
-        """Return the rank of a request for an engine; 0 is the highest.
+    def urgency(self, route, customer, service):
+        """Return the rank for an engine, ``None`` for a plain request.
 
-        The customer's priority goes first, the route's decides among
-        requests of customers with the same one. A customer without a
-        priority comes after those that have one.
+        0 is the highest.
         """
-        given = None if customer is None else customer.priority
-        return self._urgencies[given, route.priority]
+        if route.kind is not _model.Kind.STREAM:
+            return None
+        return self._ranks[service][priority(route, customer)]
 
     def customer(self, key):
         """Return the customer that holds ``key`` or ``None``."""
@@ -67,14 +70,28 @@
     return route.services[min(index, len(bounds) - 1)].service
 
 
-def _urgencies(configuration):
-    """Return ``{(customer's priority, route's priority): rank}``."""
-    customers = (configuration.customers or {}).values()
-    given = sorted({x.priority for x in customers} - {None})
-    own = sorted({route.priority for route in configuration.routes})
-    order = [(first, second) for first in (*given, None) for second in own]
-    # With more pairs than ranks, neighbours in the order share one.
-    shared = max(URGENCIES, len(order))
+def priority(route, customer):
+    """Return the key by which requests are ordered; the lowest goes first."""
+    return policy.priority_pair(
+        None if customer is None else customer.priority, route.priority
+    )
+
+
+def _engine_ranks(configuration):
+    """Return ``{service: {key of requests: rank}}`` for streams."""
+    known = set((configuration.customers or {}).values())
+    pairs = collections.defaultdict(set)
+    for route in configuration.routes:
+        if route.kind is not _model.Kind.STREAM:
+            continue
+        customers = set(known)
+        if route.is_public or configuration.customers is None:
+            customers.add(None)
+        for item in route.services:
+            pairs[item.service].update(
+                priority(route, customer) for customer in customers
+            )
     return {
-        pair: index * URGENCIES // shared for index, pair in enumerate(order)
+        service: policy.engine_ranks(found, URGENCIES)
+        for service, found in pairs.items()
     }
--- a/packages/router/src/paddle_router/gateway/_waiting.py
+++ b/packages/router/src/paddle_router/gateway/_waiting.py
@@ -99,7 +99,7 @@
         line = self._lines.get(call.service)
         ahead = 0
         if line:
-            ahead = line.ahead(call.urgency, call.req.received_ms)
+            ahead = line.ahead(call.rank, call.req.received_ms)
         answer_ms = self._answer_ms(call, balancer)
         rounds = opening.rounds_before(ahead) + 1
         return opening.at_ms + rounds * answer_ms <= call.end_ms
@@ -114,13 +114,13 @@
     def _wait(self, call, work, balancer):
         line = self._lines.setdefault(call.service, policy.WaitingLine())
         event = gevent.event.Event()
-        place = line.join(call.urgency, call.req.received_ms, event)
+        place = line.join(call.rank, call.req.received_ms, event)
         began_ms = self._clock.now_ms()
         paddle_kernel.emit(
             _events.REQUEST_WAITS,
             request=call.facts.request_id,
             service=call.service,
-            urgency=call.urgency,
+            rank=call.rank,
             waiting=len(line),
         )
         try:
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -57,6 +57,8 @@
 from paddle_router.policy._planners import StaticPeakPlanner
 from paddle_router.policy._preset import PolicyPreset
 from paddle_router.policy._preset import PolicySet
+from paddle_router.policy._ranks import engine_ranks
+from paddle_router.policy._ranks import priority_pair
 from paddle_router.policy._retry import Action
 from paddle_router.policy._retry import Attempt
 from paddle_router.policy._retry import decide as decide_retry
@@ -142,9 +144,11 @@
     'balancers',
     'cheapest_mix',
     'decide_retry',
+    'engine_ranks',
     'offline_cost',
     'own_slots',
     'planners',
+    'priority_pair',
     'schedulers',
     'servers_needed',
     'share_of',
--- a/packages/router/src/paddle_router/policy/_waiting_line.py
+++ b/packages/router/src/paddle_router/policy/_waiting_line.py
@@ -12,15 +12,16 @@
 
 @attrs.frozen(order=True)
 class _Place:
-    rank: int
+    rank: object
     arrived_ms: int
     number: int
 
 
 class WaitingLine:
-    """Waiting requests by rank, then by arrival; rank 0 goes first.
+    """Waiting requests by rank, then by arrival; the lowest goes first.
 
-    A place is what :meth:`join` returns; ``payload`` belongs to the caller.
+    Ranks are of any type that has an order. A place is what :meth:`join`
+    returns; ``payload`` belongs to the caller.
     """
 
     def __init__(self):
--- a/packages/testbed/tests/test_gateway_moves.py
+++ b/packages/testbed/tests/test_gateway_moves.py
@@ -138,6 +138,9 @@
     (run,) = target.runs
     address = bed.origins[number].address.encode()
     assert run.headers[b'kv-from'] == address + b'/h7'
+    # It is as urgent there as before.
+    urgency = b'rosemarypaddle-request-urgency'
+    assert run.headers[urgency] == source.runs[0].headers[urgency]
     assert run.id == source.runs[0].id
 
 
