--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -3,6 +3,8 @@
 import copy
 import json
 
+from hypothesis import given
+from hypothesis import strategies as st
 import pytest
 
 from fleet_adapter import cloud
@@ -189,6 +191,68 @@
     assert read(200, [(name, b'3,0')]).load is None
 
 
+def answer(status, *headers):
+    return dialect.FleetDialect().read_answer(status, headers)
+
+
+@pytest.mark.parametrize(
+    ('value', 'leaves'), [(b'1', True), (b' 1 ', True), (b'0', False)]
+)
+def test_a_server_says_in_any_answer_that_it_leaves(value, leaves):
+    for status in (200, 404, 500, 503):
+        assert answer(status, (b'server-leaving', value)).is_leaving is leaves
+    assert not answer(200).is_leaving
+
+
+@pytest.mark.parametrize(
+    ('values', 'quiet_ms'),
+    [
+        ([b'2'], 2_000),
+        ([b'0.25'], 250),
+        ([b'.5'], 500),
+        ([b'1', b'3'], 3_000),
+        ([b'soon', b'3'], 3_000),
+        ([b'-1'], None),
+        ([b'1e3'], None),
+        ([b'Fri, 04 Dec 2026 12:00:00 GMT'], None),
+    ],
+)
+def test_a_quiet_time_is_read_in_seconds(values, quiet_ms):
+    headers = [(b'Retry-After', value) for value in values]
+    facts = answer(503, *headers)
+    assert facts.quiet_ms == quiet_ms
+    assert (facts.odd_quiet is None) == (quiet_ms is not None)
+    # Other answers mean by it when the caller may come back.
+    assert answer(429, *headers).quiet_ms is None
+
+
+@given(
+    st.integers(200, 599),
+    st.lists(
+        st.tuples(
+            st.sampled_from(
+                [
+                    b'Retry-After',
+                    b'Server-Leaving',
+                    b'Keep-Alive',
+                    b'Connection',
+                    b'Rosemarypaddle-Server-Load',
+                    b'Rosemarypaddle-Not-Run',
+                    b'Rosemarypaddle-Request-Id',
+                ]
+            ),
+            st.binary(max_size=40)
+            | st.from_regex(rb'[0-9.,eE+-]{0,12}', fullmatch=True),
+        ),
+        max_size=6,
+    ),
+)
+def test_no_head_of_a_server_is_too_odd_to_be_read(status, headers):
+    facts = answer(status, *headers)
+    assert facts.quiet_ms is None or facts.quiet_ms >= 0
+    assert facts.idle_ms is None or facts.idle_ms >= 0
+
+
 ENTRY = {
     'identifier': 'i-1',
     'service': 's1',
@@ -215,6 +279,15 @@
     assert cloud._server('text') is None
 
 
+@pytest.mark.parametrize(
+    ('value', 'born_ms'),
+    [(1_764_000_000_123, 1_764_000_000_123), ('1', 0), (-1, 0), (True, 0)],
+)
+def test_the_start_of_a_server_is_read_if_it_is_a_number(value, born_ms):
+    assert cloud._server({**ENTRY, 'born': value}).born_ms == born_ms
+    assert cloud._server(ENTRY).born_ms == 0
+
+
 def test_a_draining_entry_is_leaving():
     assert cloud._server({**ENTRY, 'state': 'draining'}).leaving
     assert not cloud._server(ENTRY).leaving
