Let waiting requests hold nobody up and be followed by the next

Two faults in the lines of requests that wait for a server that wants quiet, found by reading and shown by tests that failed first. A request that may not go to a server (it broke its answer) waited for another one, and all that came later waited behind it, although that server takes them; they were served after 1 s, now at once. When the first in a line gave up, the next one had no timer for the end of the quiet time and waited until its time limit; it is woken now.

--- a/packages/router/src/paddle_router/policy/_waiting_line.py
+++ b/packages/router/src/paddle_router/policy/_waiting_line.py
@@ -53,6 +53,10 @@
         key = _Place(rank, arrived_ms, 0)
         return bisect.bisect_left(self._places, key)
 
+    def first_place(self):
+        """Return the first place of a line that is not empty."""
+        return self._places[0]
+
     def first(self):
         """Return the payload of the first request, ``None`` if empty."""
         return self._payloads[self._places[0]] if self._places else None
--- a/packages/testbed/tests/test_gateway_server_notices.py
+++ b/packages/testbed/tests/test_gateway_server_notices.py
@@ -271,6 +271,41 @@
     assert lines[0] == b'/chat/x'
 
 
+def test_a_request_that_waits_for_one_server_holds_up_no_other(bed):
+    # Its first server broke the answer, the other one wants quiet. Callers
+    # who came later waited behind it, although the first server takes them.
+    count = itertools.count()
+
+    def breaks(req, _sock):
+        if b'/safe/first' in req.line:
+            return [b'', None]
+        return fakes.whole(req)
+
+    bed.serve(quiet_once(b'1'), breaks)
+    while not bed.origins[0].requests:
+        exchange(bed, request(f'/book/{next(count)}', **BOOKING))
+    waiting = gevent.spawn(exchange, bed, request('/safe/first'))
+    gevent.sleep(0.1)
+    assert bed.gateway.parts.waiting.count == 1
+    with gevent.Timeout(0.3):
+        assert exchange(bed, request('/safe/later'))[0] == 200
+    assert waiting.get(timeout=3)[0] == 200
+
+
+def test_the_next_in_line_is_served_if_the_first_gives_up(bed):
+    # Only the first one has a timer for the end of the quiet time.
+    bed.serve(quiet_once(b'0.8'))
+    exchange(bed, request('/book/x', **BOOKING))
+    first = bed.connect()
+    first.sendall(request('/safe/first'))
+    gevent.sleep(0.05)
+    second = gevent.spawn(exchange, bed, request('/safe/second'))
+    gevent.sleep(0.1)
+    first.close()
+    with gevent.Timeout(1.0):
+        assert second.get()[0] == 200
+
+
 def test_load_returns_gradually_after_a_quiet_time(bed):
     # All that waited arrived in the same ms.
     def slow(req, _sock):
