Log the list when a gateway's report marks a server

The controller logged the list only when it had read or received another one, so that a server heard to leave appeared in no line of the controllers. Tests of the exchange pass; nothing else changed.

--- a/packages/router/src/paddle_router/hub/_state_exchange.py
+++ b/packages/router/src/paddle_router/hub/_state_exchange.py
@@ -93,7 +93,10 @@
         if message.attached and not self._parts.fleet.serves_gateways:
             # Gateways that were just started wait for the list.
             self._parts.list_wanted.set()
+        listing = self._parts.fleet.listing
         self._parts.fleet.note(message.reports, message.attached)
+        if self._parts.fleet.listing != listing:
+            self.log_list()
         current = self._parts.document.current
         version = self._version()
         age_ms = self._parts.document.age_ms()
@@ -125,7 +128,10 @@
         """Answer another controller that takes this one to be in charge."""
         in_charge = self._parts.in_charge
         if in_charge:
+            listing = self._parts.fleet.listing
             self.sums.note(report)
+            if self._parts.fleet.listing != listing:
+                self.log_list()
             if report.version > self._version():
                 gevent.spawn(self._parts.document.refresh)
         confirmed_ms = self._parts.document.age_ms()
