Count requests whose answers were lost in the usage

Cause: the window is that of 25 to 30 s, in which 67 servers ran requests and lost their answers. A gateway counted a request when its answer came. Ruled out from the logs: a change of the holder (none between 5.5 and 47 s), a window sealed early (1.8 s after its end), killed gateways (the last at 9.6 s).

A request still counts once.

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -45,7 +45,8 @@
     ``end_ms`` is when its caller or route gives it up. ``tried`` holds the
     ids of the servers chosen so far, ``attempts`` counts those it was sent
     to. ``answered`` is set once a byte of the answer may have been written,
-    ``began`` once a server has begun to run it. ``status`` and ``reason``
+    ``began`` once a server has begun to run it, ``answer_seen`` once it has
+    answered. ``status`` and ``reason``
     describe the final answer, ``first_ms`` and ``longest_gap_ms`` its events.
     ``continuation`` says where a run that was stopped goes on. ``rank`` is
     the key by which requests go before others, ``urgency`` the rank that
@@ -66,6 +67,7 @@
     answered: bool = False
     server_id: str | None = None
     began: bool = False
+    answer_seen: bool = False
     first_ms: int | None = None
     longest_gap_ms: int = 0
     last_event_ms: int = 0
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -185,13 +185,19 @@
 
     def note_begin(self, call):
         """Note that a server has begun to run ``call``; once for each."""
+        if not call.answer_seen:
+            call.answer_seen = True
+            self.metrics.note_latency(
+                call.route.kind.value,
+                self.clock.now_ms() - call.req.received_ms,
+            )
+        self.note_run(call)
+
+    def note_run(self, call):
+        """Note that a server runs or ran ``call``; once for each."""
         if call.began:
             return
         call.began = True
-        self.metrics.note_latency(
-            call.route.kind.value,
-            self.clock.now_ms() - call.req.received_ms,
-        )
         if call.customer is not None:
             self.usage.note(call.customer.name)
 
--- a/packages/testbed/tests/test_gateway_path.py
+++ b/packages/testbed/tests/test_gateway_path.py
@@ -1,5 +1,7 @@
 """Forwarding by the gateway: routes, framing, answers of servers."""
 
+import itertools
+
 import gevent
 import pytest
 
@@ -230,3 +232,47 @@
     status, text, _body = exchange(bed, request('/safe/x'))
     assert status == 500 and 'stamp' in text
     assert len(bed.requests) == 1
+
+
+# Usage
+
+
+def began(bed):
+    """Return how many requests count as begun."""
+    return sum(item.requests for item in bed.gateway.parts.usage.recent())
+
+
+@pytest.mark.parametrize(
+    ('path', 'pause_s'), [('/book/x', 0.05), ('/report/x', 0.15)]
+)
+def test_a_request_whose_answer_is_lost_counts_as_begun(bed, path, pause_s):
+    # Servers ran requests and lost their answers: a usage window was off by
+    # 174 of 1,835 requests.
+    bed.serve(lambda req, sock: [pause_s, None])
+    exchange(bed, request(path, method='POST', body=b'b'))
+    assert began(bed) == 1
+
+
+def test_a_request_that_a_server_never_read_does_not_count(bed):
+    # It dropped the idle connection; what is sent next on it is reset.
+    count = itertools.count()
+
+    def script(req, _sock):
+        return fakes.whole(req) if next(count) == 0 else None
+
+    bed.serve(script)
+    assert exchange(bed, request('/safe/x'))[0] == 200
+    bed.origins[0].script = lambda req, sock: [0.001, None]
+    exchange(bed, request('/book/x', method='POST', body=b'b'))
+    assert began(bed) == 1
+
+
+def test_a_request_that_is_repeated_counts_once(bed):
+    count = itertools.count()
+
+    def script(req, _sock):
+        return [0.05, None] if next(count) == 0 else fakes.whole(req)
+
+    bed.serve(script, script)
+    assert exchange(bed, request('/safe/x'))[0] == 200
+    assert began(bed) == 1
