Order the replacement of a server that says that it leaves at once

The platform counts such a server until it lists it as leaving, so the order of the wanted number changed nothing for those seconds. Now servers that were only heard to leave are ordered on top, up to the largest number; once they are listed as leaving the order is the wanted number again.

--- a/packages/router/src/paddle_router/hub/_scaling.py
+++ b/packages/router/src/paddle_router/hub/_scaling.py
@@ -60,6 +60,7 @@
     def _plan(self, service):
         now_ms = self._parts.clock.now_ms()
         existing = self._existing(service)
+        going = self._going(service)
         wanted = self._sizes[service.name].wanted(
             self._demand(service), _bounds(service), existing, now_ms
         )
@@ -81,7 +82,15 @@
             surplus = max(0, existing[kind] - count)
             count += max(0, surplus - spare)
             spare -= min(surplus, spare)
-            self._order(service, kind, count, existing[kind], now_ms)
+            # The platform still counts those that it does not list so.
+            extra = going[kind]
+            self._order(
+                service,
+                kind,
+                min(count + extra, service.scaling.maximum),
+                existing[kind] + extra,
+                now_ms,
+            )
 
     def _firm_places(self, service):
         """Return the firm servers by domain, leaving ones included."""
@@ -98,6 +107,15 @@
             if item.service == service.name and not item.leaving
         )
 
+    def _going(self, service):
+        """Count the servers that only said in answers that they leave."""
+        heard = set(self._parts.fleet.list.leaving())
+        return collections.Counter(
+            (item.domain, item.spot)
+            for item in self._parts.fleet.servers
+            if item.service == service.name and item.incarnation in heard
+        )
+
     def _demand(self, service):
         fleet = self._parts.fleet
         ids = {
