Test that streams are moved once their server says that it leaves

The list shows it later; the answer to another request is enough. The test passes on the code as it is. The set-up of copies that are not taken is one function for two tests.

--- a/packages/testbed/tests/test_gateway_moves.py
+++ b/packages/testbed/tests/test_gateway_moves.py
@@ -28,10 +28,14 @@
         self.stopped = set()
         self.delay_s = 0
         self.pause_s = PAUSE_S
+        self.leaves = False
 
     def __call__(self, req, _sock):
         if req.line.startswith(b'POST /api/kv-move'):
             return self._move(req)
+        if req.line.startswith(b'GET /safe/'):
+            says = (b'Server-Leaving: 1',) if self.leaves else ()
+            return [PAUSE_S, fakes.whole(req, extra=says)]
         if not self.takes and b'kv-from' in req.headers:
             return fakes.whole(
                 req,
@@ -105,6 +109,14 @@
     return number
 
 
+def take_no_copies(engines):
+    """Let the server without the run reject copies of it."""
+    while not any(engine.runs for engine in engines):
+        gevent.sleep(0.01)
+    for engine in engines:
+        engine.takes = bool(engine.runs)
+
+
 def ids(body):
     return [
         int(part.split(b'\n')[0])
@@ -144,6 +156,29 @@
     assert run.id == source.runs[0].id
 
 
+def test_a_stream_is_moved_once_its_server_says_that_it_leaves(moving):
+    # The answer to another request says so, and the list not yet.
+    engines = [Engine(), Engine()]
+    for engine in engines:
+        engine.pause_s = 4 * PAUSE_S
+    bed = moving(*engines)
+    caller = start(bed)
+    while not any(engine.runs for engine in engines):
+        gevent.sleep(0.01)
+    gevent.sleep(6 * PAUSE_S)
+    number = next(i for i, engine in enumerate(engines) if engine.runs)
+    engines[number].leaves = True
+    # Enough at the same time that the server with the stream gets some.
+    lookups = [
+        gevent.spawn(exchange, bed, request('/safe/x')) for _ in range(8)
+    ]
+    gevent.joinall(lookups)
+    assert bed.gateway.parts.notices.heard()
+    status, _text, body = caller.get(timeout=8)
+    assert status == 200 and ids(body) == list(range(1, LAST + 1))
+    assert engines[number].moves and engines[1 - number].runs
+
+
 def test_a_stream_that_ends_before_its_server_is_not_moved(moving):
     # Of 13 runs moved on a quiet day, the most would have ended in time.
     engines = [Engine(), Engine()]
@@ -201,10 +236,7 @@
     engines = [Engine(), Engine()]
     bed = moving(*engines)
     caller = start(bed)
-    while not any(engine.runs for engine in engines):
-        gevent.sleep(0.01)
-    for engine in engines:
-        engine.takes = bool(engine.runs)
+    take_no_copies(engines)
     number = leave(bed, engines)
     status, _text, body = caller.get(timeout=5)
     assert status == 200 and ids(body) == list(range(1, LAST + 1))
@@ -219,10 +251,7 @@
         engine.pause_s = 3 * PAUSE_S
     bed = moving(*engines)
     caller = start(bed)
-    while not any(engine.runs for engine in engines):
-        gevent.sleep(0.01)
-    for engine in engines:
-        engine.takes = bool(engine.runs)
+    take_no_copies(engines)
     number = leave(bed, engines)
     status, _text, body = caller.get(timeout=8)
     assert status == 200 and ids(body) == list(range(1, LAST + 1))
