Do not ask a signal's report of a process that was killed while it was loaded

Soak, on: SIGHUP to process 31680 of core-0 was not reported. Trace: the log of core-0 has no line at all between the end of process 31659 at 13:16:21 and the first lines of 31681 at 13:16:26; the process had been started again and was killed before it could write. The check excused only kills within half a second of the signal, taken from the list of disturbances. It now goes by the process: when it was started and killed; tests have both cases that are allowed, and a signal that a process did not report for seconds before it was killed is still found.

--- a/packages/testbed/src/paddle_testbed/soak/__main__.py
+++ b/packages/testbed/src/paddle_testbed/soak/__main__.py
@@ -32,6 +32,7 @@
     1572442404: 'a reload met a program that was being loaded and ended it',
     1268783226: 'a stop met a program that was being loaded: exit code -15',
     560662964: 'a torn write on a disk that was just emptied (of the soak)',
+    2134026849: 'a process was killed while it was loaded (of the soak)',
 }
 
 
--- a/packages/testbed/src/paddle_testbed/soak/_checks.py
+++ b/packages/testbed/src/paddle_testbed/soak/_checks.py
@@ -28,6 +28,8 @@
 QUIET_REQUESTS = 2
 # A signal that arrives while a process ends leaves no line.
 ENDING_MS = 500
+# A program is loaded in half a second alone, longer beside many others.
+LOADING_MS = 2_000
 # Times of day are read when the log is, and may have been corrected since.
 CLOCK_MS = 200
 STOP_LIMIT_MS = fleets.BOUNDS['gracePeriodS'] * 1_000 + 500
@@ -193,16 +195,7 @@
 def signals(ledger, calls, findings):
     """Two of a sort may be one for the process if they meet."""
     for sent in ledger.signals:
-        ended_ms = ledger.ended.get(sent.pid)
-        if ended_ms is not None and sent.at_ms > ended_ms - ENDING_MS:
-            continue
-        targets = (sent.machine, 'all')
-        if any(
-            item.kind == 'kill'
-            and item.target in targets
-            and 0 <= item.begin_ms - sent.at_ms < ENDING_MS
-            for item in ledger.disturbances
-        ):
+        if _could_not_report(ledger, sent):
             continue
         if not any(
             (item.pid, item.name) == (sent.pid, sent.name)
@@ -216,6 +209,23 @@
             )
 
 
+def _could_not_report(ledger, sent):
+    """Whether the process ended soon after the signal, or never began.
+
+    One that is killed while it is loaded has no log yet.
+    """
+    killed_ms = ledger.killed.get(sent.pid)
+    started_ms = ledger.started.get(sent.pid)
+    if None not in (killed_ms, started_ms) and (
+        killed_ms - started_ms < LOADING_MS
+    ):
+        return True
+    return any(
+        ended_ms is not None and sent.at_ms > ended_ms - ENDING_MS
+        for ended_ms in (killed_ms, ledger.ended.get(sent.pid))
+    )
+
+
 @checks.register('windows of usage are reported with one count')
 def usage(ledger, calls, findings):
     reported = {}
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -54,7 +54,7 @@
         if name is None:
             return
         with noted(world, 'kill', name):
-            world.fleet.kill(name)
+            world.kill(name)
             pause(rng, MIDDLE_S)
             world.start_again(name)
 
@@ -79,7 +79,7 @@
         ]
         stack.enter_context(noted(world, 'kill', 'all'))
         for name in names:
-            world.fleet.kill(name)
+            world.kill(name)
         pause(rng, SHORT_S)
         rng.shuffle(names)
         for name in names:
@@ -94,7 +94,7 @@
         if name is None:
             return
         with noted(world, 'kill', name):
-            world.fleet.kill(name)
+            world.kill(name)
             path = world.log_of(name)
             # A disk that was just emptied has no file yet.
             if path.exists():
@@ -114,7 +114,7 @@
             if name is None:
                 return
             with noted(world, 'kill', name):
-                world.fleet.kill(name)
+                world.kill(name)
                 world.fleet.wipe(name)
                 pause(rng, SHORT_S)
                 world.start_again(name)
--- a/packages/testbed/src/paddle_testbed/soak/_ledger.py
+++ b/packages/testbed/src/paddle_testbed/soak/_ledger.py
@@ -92,9 +92,12 @@
 
     runs: list = attrs.field(factory=list)
     wishes: list = attrs.field(factory=list)
-    # Signals sent and logged, and when processes that were told to stop ended.
+    # Signals sent and logged.
     signals: list = attrs.field(factory=list)
     reported: list = attrs.field(factory=list)
+    # When processes were started again, were killed, and ended after a stop.
+    started: dict = attrs.field(factory=dict)
+    killed: dict = attrs.field(factory=dict)
     ended: dict = attrs.field(factory=dict)
     attempts: list = attrs.field(factory=list)
     disturbances: list = attrs.field(factory=list)
--- a/packages/testbed/src/paddle_testbed/soak/_run.py
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -151,6 +151,12 @@
         )
         self.fleet.signal(name, number)
 
+    def kill(self, name):
+        """Kill the process of a machine and record it."""
+        pid = self.fleet.machines[name].process.pid
+        self.ledger.killed[pid] = _ledger.now_ms()
+        self.fleet.kill(name)
+
     def stop_and_start(self, name, limit_s, later=()):
         """Stop a process as planned work does, then start it again.
 
@@ -171,7 +177,7 @@
         spent_ms = _ledger.now_ms() - begin_ms
         self.ledger.stops.append((name, process.poll(), spent_ms))
         if process.poll() is None:
-            self.fleet.kill(name)
+            self.kill(name)
         self.start_again(name)
         if name in self.fleet.names('gateway'):
             self.fleet.wait_ready(name)
@@ -184,6 +190,7 @@
         """
         self.fleet.start(name)
         process = self.fleet.machines[name].process
+        self.ledger.started[process.pid] = _ledger.now_ms()
         fleets.wait_for(
             lambda: _handles(process, signal.SIGHUP), f'{name} did not begin'
         )
--- a/packages/testbed/tests/test_soak.py
+++ b/packages/testbed/tests/test_soak.py
@@ -159,6 +159,12 @@
     ledger.attempts[0].is_whole = False
 
 
+def unreported_before_a_kill(ledger, calls):
+    ledger.signals.append(sent_signal(pid=8))
+    ledger.started[8] = 1_000
+    ledger.killed[8] = 6_000
+
+
 def unreported_signal(ledger, calls):
     ledger.signals.append(sent_signal(name='SIGTERM'))
 
@@ -207,6 +213,7 @@
     late_stop,
     lost_in_calm,
     unreported_signal,
+    unreported_before_a_kill,
     asked_after_it_left,
     asked_in_a_quiet_time,
 )
@@ -247,6 +254,19 @@
     assert soak.check_all(ledger, calls)
 
 
+@pytest.mark.parametrize(
+    ('started_ms', 'killed_ms'), [(1_000, 5_100), (4_500, 6_400)]
+)
+def test_a_process_that_was_killed_need_not_report(started_ms, killed_ms):
+    # Right after the signal, or while it was being loaded (seed 2134026849:
+    # the killed process had not written one line).
+    ledger, calls = sound()
+    ledger.signals.append(sent_signal(pid=8))
+    ledger.started[8] = started_ms
+    ledger.killed[8] = killed_ms
+    assert soak.check_all(ledger, calls) == []
+
+
 @pytest.fixture
 def link():
     origin = fakes.FakeOrigin(lambda req, sock: fakes.whole(req))
