Log what a failed attempt had received and its shared prompt parts

Event 3312 did not tell a request that was answered with a head and no event from one that waited for its head or was streaming, and event 3311 named the last shared part only. So the logs could not show whether the requests that were first answered by a crashing server share a part, nor rule out that the load of the server matters. The attempt that failed now logs both; requests that succeed write as many bytes as before.

test_gateway_path: the three new cases fail without the change, as the fields do not exist.

--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -54,6 +54,7 @@
         # can be reused.
         self._is_response_complete = False
         self._is_server_at_fault = True
+        self._is_head_read = False
         self._silence_timeout = None
 
     def run(self, caller, balancer):
@@ -223,7 +224,7 @@
             request=call.metadata.request_id,
             server=self._server.id,
             address=self._server.address,
-            shared=_last_shared_part_id(call.metadata),
+            shared=(call.metadata.shared_part_ids or (None,))[-1],
             place=self._flight.affinity_rank,
             uncached=self._flight.uncached,
             attempt=call.attempts,
@@ -258,6 +259,7 @@
 
     def _read_next_head(self):
         head = self._conn.read_head()
+        self._is_head_read = True
         self._response_metadata = self._dialect.parse_response_headers(
             head.status_code, head.headers
         )
@@ -401,19 +403,22 @@
             detail=detail[:200],
             attempt=self._call.attempts,
             kept=self._conn is not None and self._conn.use_count > 1,
+            received=self._received(),
+            shared=self._call.metadata.shared_part_ids,
         )
         return outcome
 
+    def _received(self):
+        """Return how much of the response had been received, as a word."""
+        if self._flight.started:
+            return 'events'
+        return 'head' if self._is_head_read else 'nothing'
+
 
 class _SilenceTimeoutError(Exception):
     """A server did not respond within the silence limit."""
 
 
-def _last_shared_part_id(metadata):
-    """Return the id of the last prompt part shared with other requests."""
-    return metadata.parts[-2].id if len(metadata.parts) > 1 else None
-
-
 def _is_success(head):
     return 200 <= head.status_code < 300
 
--- a/packages/router/src/paddle_router/gateway/_model.py
+++ b/packages/router/src/paddle_router/gateway/_model.py
@@ -163,6 +163,11 @@
     parts: tuple[PromptPart, ...] = ()
     last_event_id: bytes | None = None
 
+    @property
+    def shared_part_ids(self):
+        """The ids of all parts but the last, which is the request's own."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 @attrs.frozen(kw_only=True)
 class Load:
--- a/packages/testbed/tests/conftest.py
+++ b/packages/testbed/tests/conftest.py
@@ -181,13 +181,23 @@
 
 
 class EventLog:
-    """Log sink that records the numbers of events in order."""
+    """Log sink that records the events in order.
+
+    ``numbers`` holds their numbers, ``records`` pairs of number and fields.
+    """
 
     def __init__(self):
         self.numbers = []
+        self.records = []
 
     def __call__(self, message):
-        self.numbers.append(message.record['extra'].get('event'))
+        extra = message.record['extra']
+        self.numbers.append(extra.get('event'))
+        self.records.append((extra.get('event'), extra.get('fields')))
+
+    def fields_of(self, number):
+        """Return the fields of all events with ``number``."""
+        return [fields for found, fields in self.records if found == number]
 
 
 @pytest.fixture
--- a/packages/testbed/tests/test_gateway_path.py
+++ b/packages/testbed/tests/test_gateway_path.py
@@ -292,3 +292,34 @@
     harness.serve(script, script)
     assert exchange(harness, request('/safe/x'))[0] == 200
     assert started_requests(harness) == 1
+
+
+# Logs
+
+
+@pytest.mark.parametrize(
+    ('steps', 'received'),
+    [
+        ([b'', None], 'nothing'),
+        ([fakes.stream_head, None], 'head'),
+        ([fakes.stream_head, fakes.event(1), None], 'events'),
+    ],
+)
+def test_a_failed_attempt_is_logged_with_its_prompt_parts(
+    harness, events, steps, received
+):
+    # Without them, logs do not show what requests that crash servers share.
+    def respond(req, _sock):
+        return [step(req) if callable(step) else step for step in steps]
+
+    harness.serve(respond)
+    raw = request(
+        '/report/x',
+        method='POST',
+        body=b'p',
+        extra=('Rosemarypaddle-Prompt-Prefix: a1:30,b2:20,c3:10',),
+    )
+    exchange(harness, raw)
+    (fields,) = events.fields_of(3312)
+    assert fields['received'] == received
+    assert fields['shared'] == ('a1', 'b2')
