Reproduce prompts that crash one server after the other

Callers of other requests lose their streams while requests with one prompt part go from server to server. The test starts three controllers and three gateways as processes, with six scripted servers that crash for 2 s when they begin to answer such a part, and one such request in twenty.

The scripted server can crash and come back; before, it could only close one connection.

--- a/packages/testbed/src/paddle_testbed/fakes/_origin.py
+++ b/packages/testbed/src/paddle_testbed/fakes/_origin.py
@@ -4,6 +4,8 @@
 that a script returns, so that tests can answer as a faulty server would.
 """
 
+import socket as plain_socket
+
 import gevent
 import gevent.server
 
@@ -32,20 +34,18 @@
 class FakeOrigin:
     """Answers each request with the result of ``script(request, sock)``.
 
-    The script returns bytes, or a list of bytes, pauses in seconds and
-    ``None`` to close the connection; a result of ``None`` sends no answer.
-    ``aborted`` counts the connections that the other side closed before the
-    answer was sent.
+    The script returns bytes, or a list of bytes, pauses in seconds, functions
+    to call and ``None`` to close the connection; a result of ``None`` sends no
+    answer. ``aborted`` counts the connections that the other side closed
+    before the answer was sent.
     """
 
     def __init__(self, script):
         self.script = script
         self.requests = []
         self.aborted = 0
-        self._server = gevent.server.StreamServer(
-            ('127.0.0.1', 0), self._serve
-        )
-        self._server.start()
+        self._connections = set()
+        self._server = self._listen(('127.0.0.1', 0))
 
     @property
     def address(self):
@@ -57,7 +57,34 @@
         """Stop listening and close all connections."""
         self._server.stop(timeout=0)
 
+    def crash(self, down_s):
+        """End all connections; listen again after ``down_s`` seconds."""
+        address = self._server.address
+        self._server.stop(timeout=0)
+        for sock in self._connections:
+            try:
+                sock.shutdown(plain_socket.SHUT_RDWR)
+            except OSError:
+                # The other side has closed it already.
+                continue
+        gevent.spawn_later(down_s, self._restart, address)
+
+    def _restart(self, address):
+        self._server = self._listen(address)
+
+    def _listen(self, address):
+        server = gevent.server.StreamServer(address, self._serve)
+        server.start()
+        return server
+
     def _serve(self, sock, _peer):
+        self._connections.add(sock)
+        try:
+            self._serve_requests(sock)
+        finally:
+            self._connections.discard(sock)
+
+    def _serve_requests(self, sock):
         data = b''
         while True:
             while b'\r\n\r\n' not in data:
@@ -87,7 +114,9 @@
         for step in [steps] if isinstance(steps, bytes) else steps:
             if step is None:
                 return False
-            if isinstance(step, bytes):
+            if callable(step):
+                step()
+            elif isinstance(step, bytes):
                 try:
                     sock.sendall(step)
                 except OSError:
@@ -108,8 +137,9 @@
 def _receive(sock):
     try:
         return sock.recv(RECEIVE_BYTES)
-    except ConnectionResetError:
-        # A reset by the caller counts as a closed connection.
+    except OSError:
+        # A reset by the caller, or a crash of this server, counts as a closed
+        # connection.
         return b''
 
 
--- /dev/null
+++ b/packages/testbed/tests/test_crashing_prompts.py
@@ -0,0 +1,191 @@
+"""Tests of prompt parts that crash each server that answers them.
+
+The programs run as processes. Several gateways get requests with such a part;
+each server that begins to answer one goes down for some seconds and cuts the
+responses to all other requests.
+"""
+
+import itertools
+import time
+
+import gevent
+import gevent.socket
+import pytest
+
+from paddle_testbed import fakes
+from paddle_testbed import fleet as fleets
+
+HOST = 'h.example'
+SERVERS = 6
+DOWN_S = 2.0
+EVENTS = 6
+EVENT_GAP_S = 0.02
+# The users count requests with the part that are sent later than this after
+# the fifth crash, and allow three of them.
+CONTACT_S = 3.0
+COUNTED_CRASHES = 5
+ALLOWED_REQUESTS = 3
+RUN_S = 12.0
+SEND_INTERVAL_S = 0.04
+# One request in so many has the crashing part.
+CRASHING_INTERVAL = 20
+PREAMBLE = 'a1:300'
+CRASHING_PART = 'dead'
+CONFIG = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'r',
+            'host': HOST,
+            'pathPrefix': '/a/',
+            'kind': 'streaming',
+            'timeoutMs': 4000,
+            'targetLatencyMs': 300,
+            'targetGapMs': 300,
+            'service': 'engines',
+            'attempts': 1,
+        }
+    ],
+    'services': [
+        {'name': 'engines', 'healthPath': '/health', 'connectionLimit': 100}
+    ],
+    'tenants': [{'name': 'cust', 'accessKeys': ['k1']}],
+}
+
+
+class CrashingServer:
+    """A backend server that a prompt part crashes."""
+
+    def __init__(self, name):
+        self.name = name
+        self.crashes = []
+        # Arrival times of requests with the crashing part.
+        self.arrivals = []
+        self.origin = fakes.FakeOrigin(self._respond)
+
+    def list_entry(self):
+        return {
+            'identifier': self.name,
+            'service': 'engines',
+            'address': self.origin.address,
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+        }
+
+    def _respond(self, req, _sock):
+        head = fakes.stream_head(req)
+        prefix = req.headers.get(b'rosemarypaddle-prompt-prefix', b'')
+        if CRASHING_PART.encode() in prefix:
+            self.arrivals.append(time.monotonic())
+            return [EVENT_GAP_S, head, EVENT_GAP_S, self._crash, None]
+        steps = [head]
+        for number in range(1, EVENTS + 1):
+            steps += [EVENT_GAP_S, fakes.event(number)]
+        return [*steps, fakes.STREAM_END]
+
+    def _crash(self):
+        self.crashes.append(time.monotonic())
+        self.origin.crash(DOWN_S)
+
+
+@pytest.fixture
+def servers():
+    built = [CrashingServer(f'i-{number}') for number in range(SERVERS)]
+    yield built
+    for item in built:
+        item.origin.stop()
+
+
+@pytest.fixture
+def fleet(tmp_path, servers):
+    cloud = fakes.FakeCloud()
+    cloud.entries = [item.list_entry() for item in servers]
+    built = fleets.Fleet(tmp_path, cloud, controllers=3, gateways=3)
+    built.start_all()
+    built.put_configuration(CONFIG)
+    for name in built.names('gateway'):
+        built.wait_ready(name)
+    yield built
+    built.stop()
+    cloud.stop()
+
+
+def send_stream(address, parts):
+    """Send a request with the prompt ``parts``; return whether it is served.
+
+    A response is complete if it ends with the last chunk.
+    """
+    try:
+        sock = gevent.socket.create_connection(address, 2)
+        sock.settimeout(5)
+        sock.sendall(
+            f'POST /a/x HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'Rosemarypaddle-Request-Id: r{time.monotonic_ns()}\r\n'
+            'Rosemarypaddle-Model: m\r\n'
+            'Rosemarypaddle-Token-Counts: 600,60\r\n'
+            f'Rosemarypaddle-Prompt-Prefix: {parts}\r\n'
+            'Rosemarypaddle-Deadline-Milliseconds: 4000\r\n'
+            'Authorization: Token k1\r\nContent-Length: 1\r\n\r\np'.encode()
+        )
+        data = b''
+        while not data.endswith(fakes.STREAM_END):
+            received = sock.recv(65_536)
+            if not received:
+                return False
+            data += received
+            if not data.startswith(b'HTTP/1.1 200'):
+                return False
+        return True
+    except OSError:
+        return False
+    finally:
+        sock.close()
+
+
+def send_mixed_load(fleet):
+    """Send sound requests and some with the crashing part, in turn.
+
+    Returns ``(time, greenlet)`` of the sound ones; each greenlet's value is
+    whether the request was served.
+    """
+    addresses = itertools.cycle(
+        fleet.gateway_address(name) for name in fleet.names('gateway')
+    )
+    sound = []
+    start_s = time.monotonic()
+    for number in itertools.count():
+        now_s = time.monotonic()
+        if now_s - start_s > RUN_S:
+            return sound
+        parts = f'{PREAMBLE},b{number % 7}:200,e{number}:100'
+        is_crashing = number % CRASHING_INTERVAL == CRASHING_INTERVAL - 1
+        if is_crashing:
+            parts = f'{PREAMBLE},{CRASHING_PART}:200,e{number}:100'
+        request = gevent.spawn(send_stream, next(addresses), parts)
+        if not is_crashing:
+            sound.append((now_s, request))
+        gevent.sleep(SEND_INTERVAL_S)
+
+
+def test_a_part_that_crashes_servers_stops_reaching_them(fleet, servers):
+    # Guards against requests with such a part that crash one server after the
+    # other, since nothing connects the crashes.
+    sound = send_mixed_load(fleet)
+    gevent.joinall([request for _sent_s, request in sound])
+    crashes = sorted(at_s for item in servers for at_s in item.crashes)
+    arrivals = [at_s for item in servers for at_s in item.arrivals]
+    assert len(crashes) >= 2
+    if len(crashes) >= COUNTED_CRASHES:
+        limit_s = crashes[COUNTED_CRASHES - 1] + CONTACT_S
+        late = [at_s for at_s in arrivals if at_s > limit_s]
+        assert len(late) <= ALLOWED_REQUESTS
+    # Sound requests share the first part and the caller's key.
+    served = [
+        request.value
+        for sent_s, request in sound
+        if sent_s > crashes[-1] + DOWN_S
+    ]
+    assert len(served) >= 20
+    assert served.count(True) >= 0.95 * len(served)
