Refuse requests with a prompt part that crashes servers

Callers' streams were cut and callers got 502 when a request with one prompt part crashed each server that began to answer it, one server after the other.

Cause: attempts were not connected. Nothing remembered what a request held when its server crashed; parts of a prompt were used for placing only. Ruled out: repeats (attempt 1 in every line), and size (the crashed servers held 1 to 9 requests).

A gateway whose request ends before its first event now checks whether the server still accepts connections. If not, it reports the shared parts of the prompt. The lease holder asks all gateways which of these parts they have served lately, and refuses a part that explains three crashes and was not served. Requests with it get 503 and the time for which it is refused; sound requests with the same first part or key are served.

--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -18,6 +18,7 @@
 from paddle_router.controller import _fleet
 from paddle_router.controller import _gateway_sums
 from paddle_router.controller import _platform
+from paddle_router.controller import _prompt_crashes
 from paddle_router.controller import _scaling
 from paddle_router.controller import _state_exchange
 from paddle_router import gateway
@@ -125,6 +126,7 @@
         self._lease_read_ms = None
         self._fallback_list_read_ms = None
         self.dump.register('sums', self.exchange.sums.dump)
+        self.dump.register('prompt_crashes', self.exchange.prompt_crashes.dump)
         self.dump.register('traffic', self.transport.traffic.dump)
         self._peer_server = paddle_kernel.TcpServer(
             settings.peer, self._handle
@@ -161,6 +163,10 @@
         self._run(self._tick_lease, LEASE_TICK_PERIOD_MS)
         self._run(self._read_list, LIST_PERIOD_MS, wake=self.list_requested)
         self._run(self.exchange.relay, _gateway_sums.RELAY_PERIOD_MS)
+        self._run(
+            self.exchange.decide_on_prompt_parts,
+            _prompt_crashes.DECISION_PERIOD_MS,
+        )
         self._run(self.clocks.step, CLOCK_CHECK_PERIOD_MS)
         if self.settings.reports_usage:
             self._run(self.usage.step, USAGE_PERIOD_MS)
--- a/packages/router/src/paddle_router/controller/_events.py
+++ b/packages/router/src/paddle_router/controller/_events.py
@@ -53,3 +53,8 @@
 REPLICA_FAILED = paddle_kernel.declare_event(
     3450, 'ERROR', 'the replica cannot be opened; retrying'
 )
+PROMPT_PART_BLAMED = paddle_kernel.declare_event(
+    3460,
+    'WARNING',
+    'a prompt part crashed several servers; its requests are refused',
+)
--- /dev/null
+++ b/packages/router/src/paddle_router/controller/_prompt_crashes.py
@@ -0,0 +1,88 @@
+"""Collects the gateways' observations of prompt parts that crash servers.
+
+The controllers pass the observations of their gateways on to the lease holder,
+which decides for all. Every instance keeps the decisions in force and reports
+them, so they outlast a change of the lease holder and a restart of all
+controllers.
+"""
+
+import paddle_kernel
+from paddle_router.controller import _events
+from paddle_router.controller import _gateway_sums
+from paddle_router import policy
+
+DECISION_PERIOD_MS = 150
+
+
+class PromptCrashCollection:
+    """The evidence of one controller and the decisions in force."""
+
+    def __init__(self, wall, fleet):
+        self._wall = wall
+        self._fleet = fleet
+        self._evidence = policy.PromptCrashes()
+        # Suspects as the lease holder named them.
+        self._suspects = ()
+        # Reports that the lease holder has not confirmed, by id.
+        self._unconfirmed = {}
+        self._holder = None
+
+    def add(self, report):
+        """Add the evidence in a report of a gateway or a controller."""
+        now_ms = self._wall.now_ms()
+        new = self._evidence.add_reports(report.crashes, now_ms)
+        self._unconfirmed.update((item.id, item) for item in new)
+        self._evidence.add_served(report.served, now_ms)
+        self._evidence.add_refused(report.refused, now_ms)
+
+    def decide(self):
+        """Decide on suspects and refused parts, as the lease holder."""
+        # The lease holder passes nothing on; a later one gets all reports.
+        self._unconfirmed = {}
+        self._holder = None
+        period_ms = self._fleet.period_ms() + _gateway_sums.RELAY_PERIOD_MS
+        # One period to announce a suspect, one for the replies.
+        blames = self._evidence.decide(
+            self._wall.now_ms(), 2 * period_ms + DECISION_PERIOD_MS
+        )
+        self._suspects = self._evidence.suspects
+        for blame in blames:
+            paddle_kernel.emit(
+                _events.PROMPT_PART_BLAMED,
+                part=blame.part.id,
+                until_ms=blame.part.until_ms,
+                servers=[item.id for item in blame.servers],
+            )
+
+    def report_fields(self, holder):
+        """Return the fields of a :class:`ControllerReport` on crashes."""
+        if holder != self._holder:
+            # A new holder has no reports and asks for its own suspects.
+            self._holder = holder
+            self._suspects = ()
+            self._unconfirmed = {
+                item.id: item for item in self._evidence.reports()
+            }
+        return {
+            'crashes': tuple(self._unconfirmed.values()),
+            'served': self._evidence.served(self._suspects),
+            'refused': self._evidence.refused(self._wall.now_ms()),
+        }
+
+    def apply_reply(self, report, reply):
+        """Apply the lease holder's reply to ``report``."""
+        for item in report.crashes:
+            self._unconfirmed.pop(item.id, None)
+        self._suspects = reply.suspects
+        self._evidence.add_refused(reply.refused, self._wall.now_ms())
+
+    def reply_fields(self):
+        """Return the fields on crashes of a reply to a report."""
+        return {
+            'suspects': self._suspects,
+            'refused': self._evidence.refused(self._wall.now_ms()),
+        }
+
+    def dump(self):
+        """Return plain data for the state dump."""
+        return self._evidence.dump()
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -2,11 +2,13 @@
 
 import zlib
 
+import attrs
 import gevent
 
 import paddle_kernel
 from paddle_router.controller import _events
 from paddle_router.controller import _gateway_sums
+from paddle_router.controller import _prompt_crashes
 from paddle_router import gateway
 
 # A confirmation of the version that is older than this is not used; three
@@ -29,6 +31,9 @@
         self.sums = _gateway_sums.GatewaySums(
             location, controller.fleet, controller.clock
         )
+        self.prompt_crashes = _prompt_crashes.PromptCrashCollection(
+            controller.wall, controller.fleet
+        )
         self._compressed_version = None
         self._compressed_content = b''
 
@@ -37,7 +42,10 @@
         holder = self._controller.lease.observed_holder
         if self._controller.holds_lease or not holder:
             return
-        report = self.sums.report(holder, self._version())
+        report = attrs.evolve(
+            self.sums.report(holder, self._version()),
+            **self.prompt_crashes.report_fields(holder),
+        )
         requested_ms = self._controller.clock.now_ms()
         reply = self._controller.transport.call(
             # The lease names its holder as address/incarnation.
@@ -48,6 +56,11 @@
         if isinstance(reply, gateway.ControllerReply) and reply.in_charge:
             self._apply_reply(report, reply, requested_ms)
 
+    def decide_on_prompt_parts(self):
+        """Decide which prompt parts are refused, as the lease holder."""
+        if self._controller.holds_lease:
+            self.prompt_crashes.decide()
+
     def is_holder_silent(self):
         """Whether the lease holder has not replied recently."""
         age_ms = self.sums.reply_age_ms()
@@ -66,6 +79,7 @@
 
     def _apply_reply(self, report, reply, requested_ms):
         self.sums.apply_reply(report, reply, requested_ms)
+        self.prompt_crashes.apply_reply(report, reply)
         if reply.confirmed_age_ms >= 0:
             self._controller.document.confirm(
                 reply.version, requested_ms - reply.confirmed_age_ms
@@ -112,6 +126,8 @@
         self._controller.fleet.add_reports(request.reports, request.attached)
         if self._controller.fleet.listing != listing:
             self.log_list()
+        for item in request.reports:
+            self.prompt_crashes.add(item)
         current = self._controller.document.current
         version = self._version()
         age_ms = self._controller.document.age_ms()
@@ -139,6 +155,7 @@
             period_ms=self._controller.fleet.period_ms(),
             true_ms=self._controller.wall.now_ms(),
             unheard_holder=self._silent_holder(),
+            **self.prompt_crashes.reply_fields(),
         )
 
     def handle_report(self, report):
@@ -147,6 +164,7 @@
         if holds_lease:
             listing = self._controller.fleet.listing
             self.sums.add_report(report)
+            self.prompt_crashes.add(report)
             if self._controller.fleet.listing != listing:
                 self.log_list()
             if report.version > self._version():
@@ -174,6 +192,7 @@
             list_age_ms=-1 if list_age_ms is None else list_age_ms,
             servers=() if listing == report.listing else servers,
             reporting=self._controller.fleet.reporting_count(),
+            **self.prompt_crashes.reply_fields(),
         )
 
     def _compressed(self, document):
--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -29,7 +29,8 @@
     ``NOT_SENT``: no request was sent. ``NOT_RUN``: the server states that it
     did not run the request. ``BROKEN``: the response was missing, incomplete
     or an error. ``SILENT``: the server did not respond in time. ``MOVED``: the
-    run was stopped to continue on another server.
+    run was stopped to continue on another server. ``REFUSED``: the prompt has
+    a part that crashes servers; nothing was sent.
     """
 
     NOT_SENT = 'not_sent'
@@ -37,6 +38,7 @@
     BROKEN = 'broken'
     SILENT = 'silent'
     MOVED = 'moved'
+    REFUSED = 'refused'
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -72,3 +72,11 @@
 REQUEST_WAITING = paddle_kernel.declare_event(
     3334, 'INFO', 'a request waits until a server accepts requests again'
 )
+SERVER_CRASHED = paddle_kernel.declare_event(
+    3335, 'WARNING', 'a server crashed before it answered a request'
+)
+PROMPT_PART_REFUSED = paddle_kernel.declare_event(
+    3336,
+    'WARNING',
+    'requests with a prompt part that crashes servers are refused',
+)
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -326,6 +326,7 @@
             caller.data(data)
         self._is_response_complete = True
         self._is_server_at_fault = False
+        self._record_served()
         caller.end()
         return None
 
@@ -334,6 +335,8 @@
         self._is_response_complete = True
         self._is_server_at_fault = head.status_code >= 500
         self._components.record_response(self._call)
+        if _is_success(head):
+            self._record_served()
         response = _call.Response(
             status=head.status_code,
             headers=head.headers.raw_items(),
@@ -379,6 +382,7 @@
         else:
             self._is_response_complete = True
             self._is_server_at_fault = False
+            self._record_served()
             return None
         finally:
             self._components.moves.remove(stream)
@@ -391,7 +395,20 @@
         self._is_server_at_fault = False
         return _call.AttemptOutcome.MOVED
 
+    def _record_served(self):
+        self._components.prompt_crashes.record_served(
+            self._call, self._flight.sent_ms
+        )
+
     def _fail(self, outcome, detail):
+        if (
+            outcome is _call.AttemptOutcome.BROKEN
+            and not self._is_response_complete
+            and not self._flight.started
+        ):
+            self._components.prompt_crashes.check_server(
+                self._call, self._server
+            )
         self._call.reason = f'{outcome.value}: {detail}'[:200]
         self._components.metrics.failures.labels(outcome.value).inc()
         paddle_kernel.emit(
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -3,7 +3,6 @@
 import collections
 import itertools
 import random
-import secrets
 import zlib
 
 import returns.result
@@ -63,6 +62,8 @@
         balancers,
         usage,
         notices,
+        prompt_crashes,
+        incarnation,
     ):
         self._settings = settings
         self._dialect = dialect
@@ -72,7 +73,8 @@
         self._balancers = balancers
         self._usage = usage
         self._notices = notices
-        self._incarnation = secrets.token_hex(8)
+        self._prompt_crashes = prompt_crashes
+        self._incarnation = incarnation
         self._sequence = itertools.count(1)
         self._selector = _controllers.ControllerSelector(
             self._incarnation,
@@ -173,6 +175,7 @@
             leaving=_server_notices.unlisted_leaving_incarnations(
                 self._notices, self.servers
             ),
+            **self._prompt_crashes.report_fields(),
         )
         return _messages.SyncRequest(
             reports=(report,),
@@ -197,6 +200,7 @@
             self._apply_listing(reply)
         if reply.totals:
             self._apply_totals(reply, now_ms)
+        self._prompt_crashes.apply_reply(reply)
         self._check_controller(address, reply, now_ms)
 
     def _apply_configuration(self, reply):
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -126,6 +126,8 @@
                 return
 
     def _can_retry(self, call, outcome, budget):
+        if outcome is _call.AttemptOutcome.REFUSED:
+            return False
         if call.response_started and not call.route.can_resume:
             # Part of the response may have reached the caller, and the stream
             # cannot be resumed.
@@ -181,6 +183,8 @@
 
     def _fail_call(self, conn, call, outcome):
         call.reason = call.reason or outcome.value
+        if outcome is _call.AttemptOutcome.REFUSED:
+            self._components.metrics.refused_prompts.inc()
         if call.response_started:
             conn.abort_response()
         elif call.may_have_run:
@@ -201,6 +205,8 @@
         balancer = self._components.balancers.get(call.service)
         now_ms = self._clock.now_ms()
         flight = None
+        if self._has_refused_part(call):
+            return _call.AttemptOutcome.REFUSED
         if call.continuation is not None:
             flight = balancer.place(
                 call.continuation.target_id, self._engine_work(call), now_ms
@@ -216,12 +222,29 @@
                 return _call.AttemptOutcome.NOT_SENT
             call.tried.update(self._components.server_ids(call.service))
             return _call.AttemptOutcome.NOT_SENT
+        if self._has_refused_part(call):
+            # The part was refused while the request waited for a server.
+            balancer.cancel(flight)
+            return _call.AttemptOutcome.REFUSED
         server = self._components.server(flight.server_id)
         call.tried.add(flight.server_id)
         return _exchange.Exchange(
             self, self._components, call, flight, server
         ).run(conn, balancer)
 
+    def _has_refused_part(self, call):
+        """Return whether the prompt has a part that crashes servers.
+
+        A run that is continued elsewhere has shown that it has none.
+        """
+        if call.continuation is not None:
+            return False
+        refused = self._components.prompt_crashes.refused_part(call)
+        if refused is None:
+            return False
+        call.reason = f'prompt part {refused.id} crashes servers'
+        return True
+
     def _engine_work(self, call):
         metadata = call.metadata
         return policy.EngineWork(
@@ -251,6 +274,9 @@
 
     def _retry_after_ms(self, call):
         """Return the Retry-After time for the caller of ``call``."""
+        refused = self._components.prompt_crashes.refused_part(call)
+        if refused is not None:
+            return self._components.prompt_crashes.retry_after_ms(refused)
         free_ms = self._components.waiting.retry_after_ms(call)
         if free_ms is not None:
             return free_ms
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -2,6 +2,7 @@
 
 import collections
 import random
+import secrets
 
 import falcon
 import gevent
@@ -15,6 +16,7 @@
 from paddle_router.gateway import _forward
 from paddle_router.gateway import _metrics
 from paddle_router.gateway import _moves
+from paddle_router.gateway import _prompt_crashes
 from paddle_router.gateway import _server_notices
 from paddle_router.gateway import _usage_counts
 from paddle_router.gateway import _waiting
@@ -106,6 +108,10 @@
         self.usage = _usage_counts.UsageCounts(
             self.wall, settings.usage_window_ms
         )
+        incarnation = secrets.token_hex(8)
+        self.prompt_crashes = _prompt_crashes.PromptCrashRecorder(
+            self, incarnation
+        )
         self.follower = _follower.Follower(
             settings,
             dialect,
@@ -115,6 +121,8 @@
             balancers=self.balancers,
             usage=self.usage,
             notices=self.notices,
+            prompt_crashes=self.prompt_crashes,
+            incarnation=incarnation,
         )
         self._last_resort_services = set()
         self._servers = {}
@@ -246,6 +254,7 @@
         for name, part in (
             ('follower', self.components.follower),
             ('connections', self.components.pool),
+            ('prompt_crashes', self.components.prompt_crashes),
             ('entry', self.entry),
         ):
             self.dump.register(name, part.dump)
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -75,7 +75,9 @@
 
     ``server_rate`` is the measured number of prompt tokens that an engine
     processes per second, 0 if unknown. ``leaving`` contains servers that have
-    announced their shutdown but are not listed as leaving yet.
+    announced their shutdown but are not listed as leaving yet. ``crashes``
+    contains the last crashes, ``served`` when suspects were served, and
+    ``refused`` the parts that are refused here.
     """
 
     name: str
@@ -85,6 +87,9 @@
     usage: tuple[UsageCount, ...]
     server_rate: int = 0
     leaving: tuple[policy.Incarnation, ...] = ()
+    crashes: tuple[policy.CrashReport, ...] = ()
+    served: tuple[policy.ServedPart, ...] = ()
+    refused: tuple[policy.RefusedPart, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -121,7 +126,9 @@
     sequence number of the gateway's own report in them. ``period_ms`` is the
     time until the next exchange, ``true_ms`` the synchronized time in ms since
     the Unix epoch. ``unheard_holder`` is the address of the lease holder while
-    the controller cannot reach it and so cannot pass reports on.
+    the controller cannot reach it and so cannot pass reports on. Of the prompt
+    parts in ``suspects`` the gateway reports when they were served; requests
+    with a part in ``refused`` are not sent.
     """
 
     controllers: tuple[ControllerLocation, ...]
@@ -137,6 +144,8 @@
     period_ms: int
     true_ms: int
     unheard_holder: str = ''
+    suspects: tuple[str, ...] = ()
+    refused: tuple[policy.RefusedPart, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -161,7 +170,8 @@
     """Report of a controller about its gateways to the lease holder.
 
     ``loads`` contains the sums over these gateways (see :func:`pack_loads`),
-    ``leaving`` the servers that announced their shutdown to them.
+    ``leaving`` the servers that announced their shutdown to them. ``crashes``,
+    ``served`` and ``refused`` are as in :class:`GatewayReport`.
     """
 
     place: ControllerLocation
@@ -170,6 +180,9 @@
     version: int
     listing: str
     leaving: tuple[policy.Incarnation, ...] = ()
+    crashes: tuple[policy.CrashReport, ...] = ()
+    served: tuple[policy.ServedPart, ...] = ()
+    refused: tuple[policy.RefusedPart, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -181,7 +194,8 @@
     all other controllers. ``fronts`` counts all gateways, ``reporting`` those
     whose usage may still arrive. ``version`` was the newest configuration
     ``confirmed_age_ms`` ago; -1 if unknown. ``servers`` is sent only if
-    ``listing`` differs from that of the report.
+    ``listing`` differs from that of the report. ``suspects`` and ``refused``
+    are as in :class:`SyncReply`.
     """
 
     in_charge: bool
@@ -194,13 +208,18 @@
     list_age_ms: int
     servers: tuple[ListedServer, ...]
     reporting: int = 0
+    suspects: tuple[str, ...] = ()
+    refused: tuple[policy.RefusedPart, ...] = ()
 
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('gateway.capnp')))
 paddle_kernel.codec.register_schema(
     _SCHEMA,
     (
+        policy.CrashReport,
         policy.Incarnation,
+        policy.RefusedPart,
+        policy.ServedPart,
         ListedServer,
         ServerFlights,
         SyncReply,
--- a/packages/router/src/paddle_router/gateway/_metrics.py
+++ b/packages/router/src/paddle_router/gateway/_metrics.py
@@ -47,6 +47,16 @@
             'Servers that announced their shutdown in a response.',
             registry=self.registry,
         )
+        self.server_crashes = prometheus_client.Counter(
+            'paddle_gateway_server_crashes',
+            'Servers that crashed before they answered a request.',
+            registry=self.registry,
+        )
+        self.refused_prompts = prometheus_client.Counter(
+            'paddle_gateway_refused_prompts',
+            'Requests refused for a prompt part that crashes servers.',
+            registry=self.registry,
+        )
         self.waited = prometheus_client.Histogram(
             'paddle_gateway_waited_seconds',
             'Time that requests waited for a server to accept requests.',
--- /dev/null
+++ b/packages/router/src/paddle_router/gateway/_prompt_crashes.py
@@ -0,0 +1,176 @@
+"""Prompt parts that crash servers, as one gateway observes them.
+
+The controllers decide which parts are refused, from the observations of all
+gateways; see :class:`paddle_router.policy.PromptCrashes`.
+"""
+
+import collections
+import itertools
+
+import gevent
+
+import paddle_kernel
+from paddle_router.gateway import _connections
+from paddle_router.gateway import _events
+from paddle_router import policy
+
+# A server that crashes ends its connections one after the other and then stops
+# listening; after this time it refuses connections.
+CRASH_CHECK_DELAY_MS = 20
+# Reports are repeated in this time, so that they outlast a lost exchange and a
+# change of the lease holder.
+REPEAT_MS = 30_000
+# Bounds on memory and on the size of a message.
+MAX_REPORTS = 16
+MAX_PARTS_PER_REPORT = 64
+MAX_SERVED_PARTS = 4_096
+
+
+class PromptCrashRecorder:
+    """Records crashes and served prompt parts; knows the refused parts.
+
+    ``components`` are the :class:`GatewayComponents`, ``incarnation`` is the
+    id of this gateway process in reports.
+    """
+
+    def __init__(self, components, incarnation):
+        self._components = components
+        self._clock = components.clock
+        self._wall = components.wall
+        self._incarnation = incarnation
+        self._numbers = itertools.count(1)
+        # Prompts of requests whose server is being checked, by server.
+        self._unchecked = {}
+        self._reports = collections.deque(maxlen=MAX_REPORTS)
+        # When the newest served request with a part was sent.
+        self._served_ms = collections.OrderedDict()
+        self._suspects = ()
+        self._refused_until_ms = {}
+
+    def refused_part(self, call):
+        """Return the :class:`RefusedPart` that ``call`` has, or ``None``."""
+        if not self._refused_until_ms:
+            return None
+        now_ms = self._wall.now_ms()
+        for part in call.metadata.shared_part_ids:
+            until_ms = self._refused_until_ms.get(part, 0)
+            if until_ms > now_ms:
+                return policy.RefusedPart(id=part, until_ms=until_ms)
+        return None
+
+    def retry_after_ms(self, refused):
+        """Return the time until requests with ``refused`` are sent again."""
+        return max(0, refused.until_ms - self._wall.now_ms())
+
+    def record_served(self, call, sent_ms):
+        """Record that ``call``, sent at ``sent_ms``, was served completely."""
+        offset_ms = self._wall.now_ms() - self._clock.now_ms()
+        for part in call.metadata.shared_part_ids:
+            self._served_ms[part] = sent_ms + offset_ms
+            self._served_ms.move_to_end(part)
+        while len(self._served_ms) > MAX_SERVED_PARTS:
+            self._served_ms.popitem(last=False)
+
+    def check_server(self, call, server):
+        """Find out whether ``server`` crashed before it answered ``call``."""
+        if not call.metadata.shared_part_ids:
+            return
+        calls = self._unchecked.setdefault(server.incarnation, [])
+        calls.append(call)
+        if len(calls) == 1:
+            gevent.spawn(self._check, server)
+
+    def report_fields(self):
+        """Return the fields of a :class:`GatewayReport` on crashes."""
+        now_ms = self._wall.now_ms()
+        return {
+            'crashes': tuple(
+                item
+                for item in self._reports
+                if now_ms - item.at_ms <= REPEAT_MS
+            ),
+            'served': tuple(
+                policy.ServedPart(id=part, sent_ms=self._served_ms[part])
+                for part in self._suspects
+                if part in self._served_ms
+            ),
+            'refused': tuple(
+                policy.RefusedPart(id=part, until_ms=until_ms)
+                for part, until_ms in self._refused_until_ms.items()
+            ),
+        }
+
+    def apply_reply(self, reply):
+        """Apply the suspects and refused parts of a :class:`SyncReply`."""
+        self._suspects = reply.suspects
+        now_ms = self._wall.now_ms()
+        for item in reply.refused:
+            if item.id not in self._refused_until_ms:
+                paddle_kernel.emit(
+                    _events.PROMPT_PART_REFUSED,
+                    part=item.id,
+                    for_ms=item.until_ms - now_ms,
+                )
+            self._refused_until_ms[item.id] = item.until_ms
+        self._refused_until_ms = {
+            part: until_ms
+            for part, until_ms in self._refused_until_ms.items()
+            if until_ms > now_ms
+        }
+
+    def dump(self):
+        """Return plain data for the state dump."""
+        return {
+            'reports': [
+                {
+                    'id': item.id,
+                    'server': item.server.id,
+                    'at_ms': item.at_ms,
+                    'parts': list(item.parts),
+                }
+                for item in self._reports
+            ],
+            'suspects': list(self._suspects),
+            'refused_until_ms': dict(self._refused_until_ms),
+        }
+
+    def _check(self, server):
+        at_ms = self._wall.now_ms()
+        self._clock.sleep_ms(CRASH_CHECK_DELAY_MS)
+        is_crashed = self._refuses_connections(server)
+        calls = self._unchecked.pop(server.incarnation)
+        if not is_crashed:
+            return
+        self._components.metrics.server_crashes.inc()
+        for call in calls:
+            report = policy.CrashReport(
+                id=f'{self._incarnation}/{next(self._numbers)}',
+                server=server.incarnation,
+                at_ms=at_ms,
+                parts=call.metadata.shared_part_ids[-MAX_PARTS_PER_REPORT:],
+            )
+            self._reports.append(report)
+            paddle_kernel.emit(
+                _events.SERVER_CRASHED,
+                request=call.metadata.request_id,
+                server=server.id,
+                address=server.address,
+                shared=report.parts,
+            )
+
+    def _refuses_connections(self, server):
+        """Return whether no process listens at the server's address.
+
+        A timeout may be a fault of the network and does not count.
+        """
+        pool = self._components.pool
+        try:
+            conn = pool.acquire(
+                server.address,
+                limit=self._components.connection_limit(server.service),
+                owner=server.incarnation,
+            )
+        except _connections.NoConnectionError as exc:
+            return isinstance(exc.__cause__, ConnectionRefusedError)
+        pool.release(conn, idle_ms=None)
+        return False
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -20,6 +20,23 @@
   bornMs @1 :UInt64;
 }
 
+struct CrashReport {
+  id @0 :Text;
+  server @1 :Incarnation;
+  atMs @2 :UInt64;
+  parts @3 :List(Text);
+}
+
+struct ServedPart {
+  id @0 :Text;
+  sentMs @1 :UInt64;
+}
+
+struct RefusedPart {
+  id @0 :Text;
+  untilMs @1 :UInt64;
+}
+
 struct ServerFlights {
   id @0 :Text;
   running @1 :UInt32;
@@ -44,6 +61,9 @@
   usage @4 :List(UsageCount);
   serverRate @5 :UInt32;
   leaving @6 :List(Incarnation);
+  crashes @7 :List(CrashReport);
+  served @8 :List(ServedPart);
+  refused @9 :List(RefusedPart);
 }
 
 struct SyncRequest {
@@ -72,6 +92,8 @@
   periodMs @10 :UInt32;
   trueMs @11 :UInt64;
   unheardHolder @12 :Text;
+  suspects @13 :List(Text);
+  refused @14 :List(RefusedPart);
 }
 
 struct FrontNews {
@@ -90,6 +112,9 @@
   version @3 :UInt64;
   listing @4 :Text;
   leaving @5 :List(Incarnation);
+  crashes @6 :List(CrashReport);
+  served @7 :List(ServedPart);
+  refused @8 :List(RefusedPart);
 }
 
 struct HubReply {
@@ -103,4 +128,6 @@
   listAgeMs @7 :Int64;
   servers @8 :List(ListedServer);
   reporting @9 :UInt32;
+  suspects @10 :List(Text);
+  refused @11 :List(RefusedPart);
 }
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -57,6 +57,10 @@
 from paddle_router.policy._planners import StaticPeakPlanner
 from paddle_router.policy._preset import PolicyPreset
 from paddle_router.policy._preset import PolicySet
+from paddle_router.policy._prompt_crashes import CrashReport
+from paddle_router.policy._prompt_crashes import PromptCrashes
+from paddle_router.policy._prompt_crashes import RefusedPart
+from paddle_router.policy._prompt_crashes import ServedPart
 from paddle_router.policy._ranks import engine_ranks
 from paddle_router.policy._ranks import priority_pair
 from paddle_router.policy._retry import Action
@@ -85,6 +89,7 @@
     'Balancer',
     'BoundedCheapPlanner',
     'ClassPolicy',
+    'CrashReport',
     'DEADLINE',
     'DEFAULT_SERVER_RATE',
     'DRAINING',
@@ -122,12 +127,15 @@
     'PolicyPreset',
     'PolicySet',
     'Prediction',
+    'PromptCrashes',
     'Refusal',
+    'RefusedPart',
     'RetryBudget',
     'RoundRobinBalancer',
     'STARTING',
     'Scheduler',
     'SchedulingDecision',
+    'ServedPart',
     'Server',
     'ServerNotices',
     'SharedFlight',
--- /dev/null
+++ b/packages/router/src/paddle_router/policy/_prompt_crashes.py
@@ -0,0 +1,309 @@
+"""Finds prompt parts that crash each server that answers them.
+
+A part of a prompt can trigger a defect of the engine: each server that begins
+to answer a request with the part crashes and cuts the responses to all other
+requests. The prompts that a server had not begun to answer when it crashed are
+the candidates. A part is blamed if it is among them in several crashes and no
+request with it has been served around that time.
+
+Parts are shared: every request of a route may begin with the same part, so
+most candidates are sound. They are cleared by requests with the same part that
+were served. Once a part is blamed, the crashes that it explains do not count
+against the others.
+
+Times are ms since the Unix epoch by the synchronized clock of the instances,
+so that evidence can be merged in any order and several times.
+"""
+
+import collections
+
+import attrs
+
+from paddle_router.policy import _server_notices
+
+# Crashes after which a part is refused. With two, a rarely used part that
+# waited at two servers that crashed for another reason would be refused.
+CRASHES_TO_REFUSE = 3
+# A part is not blamed for a crash if a request that was sent with it at most
+# this long before the crash, or later, has been served.
+SERVED_VALIDITY_MS = 5_000
+# How long requests with a blamed part are refused. Afterwards one more crash
+# is enough to refuse them again.
+REFUSAL_MS = 600_000
+# Reports of one server within this time belong to the same crash: the clocks
+# of instances differ by less, and a server takes longer to restart and fail.
+SAME_CRASH_MS = 1_000
+# Crashes are remembered this long, so that a part in a few requests a minute
+# is found too.
+RETENTION_MS = 600_000
+# Parts of crashes in this time are suspects, of which gateways report when
+# they were served last.
+SUSPICION_MS = 30_000
+# Bounds on memory and message size.
+MAX_REPORTS = 512
+MAX_SUSPECTS = 64
+MAX_REFUSED = 64
+
+
+@attrs.frozen(kw_only=True)
+class CrashReport:
+    """A request that a server had not begun to answer when it crashed.
+
+    ``id`` identifies the report, ``parts`` holds the ids of the prompt's
+    shared parts in order.
+    """
+
+    id: str
+    server: _server_notices.Incarnation
+    at_ms: int
+    parts: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class ServedPart:
+    """A prompt part with which a request that was sent at ``sent_ms`` ended.
+
+    The response was complete, so the part did not crash that server.
+    """
+
+    id: str
+    sent_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class RefusedPart:
+    """A prompt part whose requests are refused until ``until_ms``."""
+
+    id: str
+    until_ms: int
+
+
+@attrs.define(eq=False)
+class _Crash:
+    """A crash and the positions of the candidate parts in their prompts."""
+
+    server: _server_notices.Incarnation
+    at_ms: int
+    positions: dict = attrs.field(factory=dict)
+
+    def add(self, report):
+        for position, part in enumerate(report.parts):
+            self.positions[part] = max(
+                position, self.positions.get(part, position)
+            )
+
+
+@attrs.frozen
+class Blame:
+    """A part that is refused from now on, and the crashes that it explains."""
+
+    part: RefusedPart
+    servers: tuple[_server_notices.Incarnation, ...]
+
+
+class PromptCrashes:
+    """Evidence on crashes, and the prompt parts that it leads to refuse.
+
+    All ``add`` methods may get the same facts again, in any order.
+    """
+
+    def __init__(self):
+        # Report ids by arrival, to recognize repeated reports.
+        self._reports = collections.OrderedDict()
+        self._crashes = []
+        self._served_ms = {}
+        self._refused_until_ms = {}
+        self._suspected_since_ms = {}
+
+    @property
+    def suspects(self):
+        """The ids of parts that may have crashed a server."""
+        return tuple(self._suspected_since_ms)
+
+    def add_reports(self, reports, now_ms):
+        """Add :class:`CrashReport` objects; return those that are new."""
+        new = [
+            attrs.evolve(item, at_ms=min(item.at_ms, now_ms))
+            for item in reports
+            if item.id not in self._reports
+        ]
+        for item in new:
+            self._reports[item.id] = item
+            self._crash_of(item).add(item)
+        return new
+
+    def add_served(self, served, now_ms):
+        """Add :class:`ServedPart` objects."""
+        for item in served:
+            self._served_ms[item.id] = max(
+                min(item.sent_ms, now_ms), self._served_ms.get(item.id, 0)
+            )
+
+    def add_refused(self, refused, now_ms):
+        """Add :class:`RefusedPart` objects that other instances decided on.
+
+        A time further away than ``REFUSAL_MS`` comes from a wrong clock.
+        """
+        for item in refused:
+            until_ms = min(item.until_ms, now_ms + REFUSAL_MS)
+            if until_ms > now_ms:
+                self._refused_until_ms[item.id] = max(
+                    until_ms, self._refused_until_ms.get(item.id, 0)
+                )
+
+    def reports(self):
+        """Return all :class:`CrashReport` objects, oldest first."""
+        return tuple(self._reports.values())
+
+    def served(self, parts):
+        """Return a :class:`ServedPart` for each of ``parts`` that was."""
+        return tuple(
+            ServedPart(id=part, sent_ms=self._served_ms[part])
+            for part in parts
+            if part in self._served_ms
+        )
+
+    def refused(self, now_ms):
+        """Return the :class:`RefusedPart` objects in force, newest first."""
+        return tuple(
+            RefusedPart(id=part, until_ms=until_ms)
+            for part, until_ms in sorted(
+                self._refused_until_ms.items(), key=lambda item: -item[1]
+            )
+            if until_ms > now_ms
+        )[:MAX_REFUSED]
+
+    def decide(self, now_ms, collection_ms):
+        """Update suspects and refused parts; return the new blames.
+
+        A part is only refused after it has been a suspect for
+        ``collection_ms``, the time in which every gateway can report that it
+        has served the part.
+        """
+        self._forget(now_ms)
+        blames = []
+        while True:
+            blamed = self._blamed(now_ms, collection_ms)
+            if blamed is None:
+                break
+            until_ms = now_ms + REFUSAL_MS
+            part, crashes = blamed
+            self._refused_until_ms[part] = until_ms
+            blames.append(
+                Blame(
+                    RefusedPart(id=part, until_ms=until_ms),
+                    tuple(crash.server for crash in crashes),
+                )
+            )
+        self._update_suspects(now_ms)
+        return blames
+
+    def dump(self):
+        """Return plain data for the state dump."""
+        return {
+            'crashes': [
+                {
+                    'server': crash.server.id,
+                    'at_ms': crash.at_ms,
+                    'parts': list(crash.positions),
+                }
+                for crash in self._crashes
+            ],
+            'suspects': dict(self._suspected_since_ms),
+            'refused_until_ms': dict(self._refused_until_ms),
+        }
+
+    def _crash_of(self, report):
+        for crash in self._crashes:
+            if (
+                crash.server == report.server
+                and abs(crash.at_ms - report.at_ms) <= SAME_CRASH_MS
+            ):
+                return crash
+        crash = _Crash(report.server, report.at_ms)
+        self._crashes.append(crash)
+        return crash
+
+    def _blamed(self, now_ms, collection_ms):
+        """Return the part to refuse next and its crashes, or ``None``.
+
+        Among parts with as many crashes, the last one of a prompt is chosen:
+        fewer requests have it.
+        """
+        best = None
+        for part, crashes in self._crashes_by_part().items():
+            needed = 1 if part in self._refused_until_ms else CRASHES_TO_REFUSE
+            since_ms = self._suspected_since_ms.get(part)
+            if (
+                len(crashes) < needed
+                or since_ms is None
+                or now_ms - since_ms < collection_ms
+            ):
+                continue
+            position = max(crash.positions[part] for crash in crashes)
+            weight = len(crashes), position
+            if best is None or weight > best[0]:
+                best = weight, part, crashes
+        return None if best is None else best[1:]
+
+    def _crashes_by_part(self):
+        """Return the crashes that each part may have caused."""
+        by_part = collections.defaultdict(list)
+        for crash in self._crashes:
+            if self._is_explained(crash):
+                continue
+            for part in crash.positions:
+                served_ms = self._served_ms.get(part)
+                if (
+                    served_ms is None
+                    or crash.at_ms > served_ms + SERVED_VALIDITY_MS
+                ):
+                    by_part[part].append(crash)
+        return by_part
+
+    def _is_explained(self, crash):
+        return any(
+            crash.at_ms <= self._refused_until_ms.get(part, 0)
+            for part in crash.positions
+        )
+
+    def _update_suspects(self, now_ms):
+        last_crash_ms = {
+            part: max(crash.at_ms for crash in crashes)
+            for part, crashes in self._crashes_by_part().items()
+        }
+        recent = sorted(
+            (
+                part
+                for part, at_ms in last_crash_ms.items()
+                if now_ms - at_ms <= SUSPICION_MS
+            ),
+            key=lambda part: -last_crash_ms[part],
+        )
+        self._suspected_since_ms = {
+            part: self._suspected_since_ms.get(part, now_ms)
+            for part in recent[:MAX_SUSPECTS]
+        }
+
+    def _forget(self, now_ms):
+        while self._reports and (
+            len(self._reports) > MAX_REPORTS
+            or now_ms - next(iter(self._reports.values())).at_ms > RETENTION_MS
+        ):
+            self._reports.popitem(last=False)
+        oldest_ms = now_ms - RETENTION_MS
+        self._crashes = [
+            crash for crash in self._crashes if crash.at_ms >= oldest_ms
+        ][-MAX_REPORTS:]
+        self._served_ms = {
+            part: sent_ms
+            for part, sent_ms in self._served_ms.items()
+            if sent_ms >= oldest_ms
+        }
+        # A part that was served after its refusal is sound again.
+        self._refused_until_ms = {
+            part: until_ms
+            for part, until_ms in self._refused_until_ms.items()
+            if until_ms + RETENTION_MS > now_ms
+            and self._served_ms.get(part, 0) <= until_ms
+        }
--- a/packages/router/tests/test_controller_state_exchange.py
+++ b/packages/router/tests/test_controller_state_exchange.py
@@ -71,6 +71,7 @@
     register = types.SimpleNamespace(peek=lambda key: None)
     return types.SimpleNamespace(
         clock=clock,
+        wall=paddle_kernel.SteadyWall(clock),
         transport=lease_holder,
         fleet=_fleet.Fleet(clock),
         lease=types.SimpleNamespace(observed_holder='c0/1'),
--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -179,6 +179,13 @@
         def recent(self):
             return ()
 
+    class PromptCrashes:
+        def report_fields(self):
+            return {}
+
+        def apply_reply(self, reply):
+            pass
+
     return _follower.Follower(
         settings,
         dialect.FleetDialect(),
@@ -188,6 +195,8 @@
         balancers={'s': balancer},
         usage=Usage(),
         notices=policy.ServerNotices(),
+        prompt_crashes=PromptCrashes(),
+        incarnation='g1/1',
     )
 
 
--- /dev/null
+++ b/packages/router/tests/test_policy_prompt_crashes.py
@@ -0,0 +1,206 @@
+"""Tests of the decision which prompt parts crash servers."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from paddle_router import policy
+
+START_MS = 1_700_000_000_000
+COLLECTION_MS = 900
+CRASHING = 'dead'
+PREAMBLE = 'a1'
+
+
+def report(number, at_ms, *parts, server=None):
+    return policy.CrashReport(
+        id=f'g/{number}',
+        server=policy.Incarnation(server or f's{number}'),
+        at_ms=START_MS + at_ms,
+        parts=parts,
+    )
+
+
+class Decider:
+    """Decides every 150 ms, as the lease holder does."""
+
+    def __init__(self):
+        self.crashes = policy.PromptCrashes()
+        self.now_ms = 0
+
+    def run_until(self, now_ms):
+        while self.now_ms < now_ms:
+            self.now_ms += 150
+            self.crashes.decide(START_MS + self.now_ms, COLLECTION_MS)
+
+    def add_crash(self, number, at_ms, *prompts, server=None):
+        """Add a crash that left requests with ``prompts`` unanswered."""
+        self.run_until(at_ms)
+        self.crashes.add_reports(
+            [
+                report(f'{number}.{index}', at_ms, *parts, server=f's{number}')
+                for index, parts in enumerate(prompts)
+            ],
+            START_MS + at_ms,
+        )
+
+    def add_served(self, at_ms, *parts):
+        self.run_until(at_ms)
+        self.crashes.add_served(
+            [
+                policy.ServedPart(id=part, sent_ms=START_MS + at_ms)
+                for part in parts
+            ],
+            START_MS + at_ms,
+        )
+
+    def refused(self):
+        refused = self.crashes.refused(START_MS + self.now_ms)
+        return [item.id for item in refused]
+
+
+@pytest.fixture
+def decider():
+    return Decider()
+
+
+def test_a_part_in_three_crashes_is_refused(decider):
+    for number in range(3):
+        decider.add_served(900 * number, PREAMBLE)
+        decider.add_crash(number, 1_000 * number, (PREAMBLE, CRASHING))
+    decider.run_until(4_000)
+    assert decider.refused() == [CRASHING]
+
+
+def test_two_crashes_are_no_proof(decider):
+    for number in range(2):
+        decider.add_crash(number, 1_000 * number, (CRASHING,))
+    decider.run_until(30_000)
+    assert decider.refused() == []
+
+
+def test_several_requests_in_one_crash_count_once(decider):
+    # Guards against a part that is refused after one crash of a server with
+    # several waiting requests, reported by several gateways.
+    decider.add_crash(0, 0, *[(CRASHING,)] * 5)
+    decider.run_until(10_000)
+    assert decider.refused() == []
+
+
+def test_the_first_part_of_all_prompts_is_not_refused(decider):
+    # Guards against a refusal of a whole route: nearly all its requests have
+    # the crashing part, so the common part was in every crash too.
+    decider.add_served(0, PREAMBLE)
+    for number in range(6):
+        decider.add_crash(number, 900 * number, (PREAMBLE, CRASHING))
+    decider.add_served(4_600, PREAMBLE)
+    decider.run_until(8_000)
+    assert decider.refused() == [CRASHING]
+
+
+def test_parts_that_waited_beside_the_crashing_one_are_not_refused(decider):
+    # Guards against refusing parts whose requests were at the same servers.
+    for number in range(8):
+        decider.add_crash(
+            number, 500 * number, (PREAMBLE, CRASHING), (PREAMBLE, 'beside')
+        )
+        decider.add_served(500 * number + 100, PREAMBLE)
+    decider.run_until(6_000)
+    assert CRASHING in decider.refused()
+    assert PREAMBLE not in decider.refused()
+
+
+def test_indistinguishable_parts_are_refused_by_the_last_one(decider):
+    # Fewer requests have the last part of a prompt.
+    for number in range(3):
+        decider.add_crash(number, 1_000 * number, ('first', 'last'))
+    decider.run_until(5_000)
+    assert decider.refused() == ['last']
+
+
+def test_a_part_that_is_served_elsewhere_is_not_refused(decider):
+    # Guards against crashes for another reason while few servers are left.
+    for number in range(9):
+        decider.add_crash(number, 500 * number, ('popular',))
+        decider.add_served(500 * number + 100, 'popular')
+    decider.run_until(9_000)
+    assert decider.refused() == []
+
+
+def test_a_part_that_begins_to_crash_servers_is_refused_later(decider):
+    decider.add_served(0, CRASHING)
+    for number in range(8):
+        decider.add_crash(number, 1_000 + 1_000 * number, (CRASHING,))
+    decider.run_until(9_500)
+    assert decider.refused() == [CRASHING]
+
+
+def test_gateways_have_time_to_report_that_a_part_was_served(decider):
+    # Guards against a decision before all gateways were asked.
+    for number in range(5):
+        decider.add_crash(number, 100 * number, ('popular',))
+    decider.run_until(COLLECTION_MS)
+    assert decider.refused() == []
+    assert decider.crashes.suspects == ('popular',)
+    decider.add_served(COLLECTION_MS, 'popular')
+    decider.run_until(5_000)
+    assert decider.refused() == []
+
+
+def test_one_crash_is_enough_after_a_refusal_has_ended(decider):
+    for number in range(3):
+        decider.add_crash(number, 1_000 * number, (CRASHING,))
+    decider.run_until(620_000)
+    assert decider.refused() == []
+    decider.add_crash(9, 625_000, (CRASHING,))
+    decider.run_until(630_000)
+    assert decider.refused() == [CRASHING]
+
+
+def test_a_refusal_of_another_instance_ends_at_the_same_time(decider):
+    part = policy.RefusedPart(id=CRASHING, until_ms=START_MS + 1_000)
+    for now_ms in (0, 500, 900):
+        decider.crashes.add_refused([part], START_MS + now_ms)
+    decider.run_until(1_200)
+    assert decider.refused() == []
+
+
+@given(st.randoms(use_true_random=False))
+def test_evidence_may_arrive_in_any_order_and_repeatedly(rng):
+    reports = [report(n, 400 * n, PREAMBLE, CRASHING) for n in range(4)]
+    served = [policy.ServedPart(id=PREAMBLE, sent_ms=START_MS + 2_000)]
+    decider = Decider()
+    facts = [*reports, *reports]
+    rng.shuffle(facts)
+    for fact in facts:
+        decider.crashes.add_reports([fact], START_MS + 2_000)
+        if rng.random() < 0.5:
+            decider.crashes.add_served(served, START_MS + 2_000)
+    decider.crashes.add_served(served, START_MS + 2_000)
+    decider.run_until(4_000)
+    assert decider.refused() == [CRASHING]
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_crashes_for_other_reasons_refuse_nothing(decider, seed):
+    # Replays servers that fail by turns, with a fifth of the requests in a
+    # rarely used part; each crash leaves three requests unanswered.
+    rng = random.Random(seed)
+    for number in range(100):
+        at_ms = 600 * number
+        prompts = [
+            (PREAMBLE, f'b{rng.randrange(40)}')
+            if rng.random() < 0.8
+            else (PREAMBLE, f'c{rng.randrange(2_000)}')
+            for _ in range(30)
+        ]
+        decider.add_crash(number, at_ms, *prompts[:3])
+        decider.add_served(
+            at_ms + 200, PREAMBLE, *[parts[1] for parts in prompts[3:]]
+        )
+        # The callers of the first requests try again.
+        decider.add_served(at_ms + 500, *[parts[1] for parts in prompts[:3]])
+    decider.run_until(70_000)
+    assert decider.refused() == []
--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -82,6 +82,8 @@
     def __init__(self):
         self.servers = ()
         self.config = CONFIG
+        self.suspects = ()
+        self.refused = ()
         self.requests = []
 
     def call(self, address, message, timeout_ms):
@@ -101,6 +103,8 @@
                 counted=0,
                 period_ms=250,
                 true_ms=0,
+                suspects=self.suspects,
+                refused=self.refused,
             )
         )
 
--- a/packages/testbed/tests/test_crashing_prompts.py
+++ b/packages/testbed/tests/test_crashing_prompts.py
@@ -10,10 +10,15 @@
 
 import gevent
 import gevent.socket
+from paddle_router import policy
 import pytest
 
 from paddle_testbed import fakes
 from paddle_testbed import fleet as fleets
+from paddle_testbed import gateway_harness
+
+request = gateway_harness.request
+exchange = gateway_harness.exchange
 
 HOST = 'h.example'
 SERVERS = 6
@@ -189,3 +194,130 @@
     ]
     assert len(served) >= 20
     assert served.count(True) >= 0.95 * len(served)
+
+
+# One gateway
+
+
+PARTS = 'Rosemarypaddle-Prompt-Prefix: a1:30,dead:20,e1:10'
+CHAT = {'method': 'POST', 'body': b'p', 'extra': (PARTS,)}
+REFUSED_MS = 5_000
+
+
+def refuse_part(harness):
+    """Let the controllers of ``harness`` refuse the crashing part."""
+    until_ms = harness.gateway.components.wall.now_ms() + REFUSED_MS
+    harness.controllers.refused = (
+        policy.RefusedPart(id=CRASHING_PART, until_ms=until_ms),
+    )
+    harness.follower.step()
+
+
+def crash_reports(harness):
+    """Return the crash reports of the gateway's next report."""
+    gevent.sleep(0.2)
+    harness.follower.step()
+    (report,) = harness.controllers.requests[-1].reports
+    return report.crashes
+
+
+def break_response(req, _sock):
+    return [fakes.stream_head(req), 0.05, None]
+
+
+def serve_stream(req, _sock):
+    return [fakes.stream_head(req), fakes.event(1), fakes.STREAM_END]
+
+
+def test_a_crash_is_reported_with_the_shared_parts(harness):
+    harness.serve(break_response)
+    origin = harness.origins[0]
+    origin.script = lambda req, sock: [
+        fakes.stream_head(req),
+        lambda: origin.crash(2.0),
+        None,
+    ]
+    exchange(harness, request('/report/x', **CHAT))
+    (report,) = crash_reports(harness)
+    assert report.parts == ('a1', 'dead')
+    assert report.server.id == 'i-0'
+
+
+def test_a_broken_response_of_a_running_server_is_no_crash(harness):
+    # Guards against parts that are refused since servers lose answers.
+    harness.serve(break_response)
+    for _ in range(5):
+        exchange(harness, request('/report/x', **CHAT))
+    assert crash_reports(harness) == ()
+
+
+def test_a_stream_that_had_events_did_not_crash_its_server(harness):
+    harness.serve(break_response)
+    origin = harness.origins[0]
+    origin.script = lambda req, sock: [
+        fakes.stream_head(req),
+        fakes.event(1),
+        0.05,
+        lambda: origin.crash(2.0),
+        None,
+    ]
+    exchange(harness, request('/report/x', **CHAT))
+    assert crash_reports(harness) == ()
+
+
+def test_a_request_with_a_refused_part_is_not_sent(harness):
+    harness.serve(serve_stream)
+    refuse_part(harness)
+    status, text, _body = exchange(harness, request('/report/x', **CHAT))
+    assert status == 503
+    retry_after_s = float(text.split('retry-after:')[1].split()[0])
+    assert 0.8 * REFUSED_MS < 1_000 * retry_after_s <= REFUSED_MS
+    assert harness.requests == []
+    others = {**CHAT, 'extra': (PARTS.replace('dead', 'b2'),)}
+    assert exchange(harness, request('/report/x', **others))[0] == 200
+
+
+def test_the_last_part_of_a_prompt_is_never_refused(harness):
+    # It belongs to one request or session only.
+    harness.serve(serve_stream)
+    refuse_part(harness)
+    last = 'Rosemarypaddle-Prompt-Prefix: a1:30,dead:20'
+    raw = request('/report/x', **{**CHAT, 'extra': (last,)})
+    assert exchange(harness, raw)[0] == 200
+
+
+def test_a_request_that_waits_is_refused_with_its_part(harness):
+    # Guards against requests that waited for a server while their part was
+    # found to crash servers.
+    rejected = []
+
+    def reject_first(req, sock):
+        if rejected:
+            return serve_stream(req, sock)
+        rejected.append(req)
+        return fakes.response(
+            req,
+            b'',
+            status=b'503 Full',
+            extra=(b'Rosemarypaddle-Not-Run: 1', b'Retry-After: 0.6'),
+        )
+
+    harness.serve(reject_first)
+    waiting = gevent.spawn(exchange, harness, request('/chat/x', **CHAT))
+    gevent.sleep(0.2)
+    refuse_part(harness)
+    # The first attempt was not run, so the refusal says so.
+    assert waiting.get(timeout=3)[0] == 503
+    assert len(harness.requests) == 1
+
+
+def test_a_served_suspect_is_reported(harness):
+    # Guards against sound parts that are refused as nobody says that they
+    # were served.
+    harness.serve(serve_stream)
+    exchange(harness, request('/report/x', **CHAT))
+    harness.controllers.suspects = ('a1', 'unknown')
+    harness.follower.step()
+    harness.follower.step()
+    (report,) = harness.controllers.requests[-1].reports
+    assert [item.id for item in report.served] == ['a1']
