Treat an unframed stream that ends inside an event as broken off

A caller got a truncated stream that looked complete when its server had answered with neither a length nor chunks and then crashed: the end of the connection is the end of such a body, and the rest of an event was passed on. Now a stream of that kind that ends inside an event, after one newline of two, or before its first event is broken off, so that it is resumed, retried or left incomplete like any other. A chunked body that ends inside an event with its last chunk is still passed on, since the server says that it is whole.

Ruled out: a reset connection (an error already) and plain answers (passed on whole; nothing shows more). An end between two events cannot be told from the end of the stream.

--- a/packages/router/src/paddle_router/gateway/_http1.py
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -34,7 +34,7 @@
         b'upgrade',
     }
 )
-
+FRAMING_HEADERS = frozenset({b'content-length', b'transfer-encoding'})
 
 # Bare line feeds and folded lines, which parsers treat differently.
 _AMBIGUOUS_LINE = re.compile(rb'(?<!\r)\n|\n[ \t]')
@@ -299,6 +299,8 @@
         self.use_count = 0
         self.owner = None
         self.is_request_sent = True
+        # Whether the body of the last response ends with the connection.
+        self.is_unframed = False
         self._max_head_bytes = max_head_bytes
         self._h11 = None
         self._unread = b''
@@ -362,6 +364,9 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                self.is_unframed = not any(
+                    name in FRAMING_HEADERS for name, _value in event.headers
+                )
                 return event
             raise BrokenResponseError(f'closed before a response: {event!r}')
         raise BrokenResponseError('too many interim responses')
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -41,10 +41,24 @@
                 self._forward_events(events)
             if len(splitter.remainder) > _response_limits.MAX_EVENT_BYTES:
                 raise _http1.BrokenResponseError('event too long')
+        if self._conn.is_unframed:
+            self._check_unframed_end(splitter.remainder)
         if splitter.remainder or not self._call.response_started:
             self._forward_events([splitter.remainder])
         self._caller.end()
 
+    def _check_unframed_end(self, remainder):
+        """Check that a body without a length or chunks is complete.
+
+        The end of the connection is also what a crash of the server leaves.
+
+        :raises BrokenResponseError: if it ends inside an event or has none.
+        """
+        if remainder.strip():
+            raise _http1.BrokenResponseError('closed inside an event')
+        if not self._flight.started:
+            raise _http1.BrokenResponseError('closed before an event')
+
     def _read_with_timeout(self):
         """Return the next bytes, ``None`` at the end of the response."""
         call = self._call
--- a/packages/testbed/tests/test_gateway_streams.py
+++ b/packages/testbed/tests/test_gateway_streams.py
@@ -68,6 +68,90 @@
     assert len(harness.requests) == 1
 
 
+def unframed_head(req):
+    """Return the head of a stream that ends with its connection."""
+    return b'\r\n'.join(
+        [
+            b'HTTP/1.1 200 OK',
+            b'Rosemarypaddle-Request-Id: ' + req.id,
+            fakes.STAMP,
+            b'Content-Type: text/event-stream',
+            b'Connection: close',
+            b'',
+            b'',
+        ]
+    )
+
+
+def unframed_event(number):
+    return b'id: %d\ndata: x\n\n' % number
+
+
+def send_unframed_events(first, last, tail=b''):
+    def script(req, _sock):
+        begin = int(req.headers.get(b'last-event-id', b'0')) + 1
+        events = range(max(first, begin), last + 1)
+        return [
+            unframed_head(req),
+            *[unframed_event(number) for number in events],
+            tail,
+            None,
+        ]
+
+    return script
+
+
+UNFINISHED_EVENTS = [b'id: 5', b'id: 5\ndata: x', b'id: 5\ndata: x\n']
+
+
+@pytest.mark.parametrize('tail', [b'', b'\n'])
+def test_a_stream_that_ends_with_its_connection_is_complete(harness, tail):
+    harness.serve(send_unframed_events(1, 4, tail))
+    status, _text, body = exchange(
+        harness, request('/report/x', method='POST', body=b'p')
+    )
+    assert status == 200 and event_ids(body) == [1, 2, 3, 4]
+    assert body.endswith(fakes.STREAM_END)
+
+
+@pytest.mark.parametrize('tail', UNFINISHED_EVENTS)
+def test_an_unframed_stream_that_ends_inside_an_event_is_broken(harness, tail):
+    # Guards against a stream of a crashed server that is passed on as
+    # complete: it has neither a length nor chunks that show its end.
+    harness.serve(send_unframed_events(1, 4, tail))
+    status, _text, body = exchange(
+        harness, request('/report/x', method='POST', body=b'p')
+    )
+    assert status == 200 and event_ids(body) == [1, 2, 3, 4]
+    assert not body.endswith(fakes.STREAM_END)
+
+
+def test_an_unframed_stream_without_an_event_is_broken(harness):
+    # A server that crashes after the head leaves an empty body.
+    harness.serve(send_unframed_events(1, 0))
+    status, _text, _body = exchange(
+        harness, request('/report/x', method='POST', body=b'p')
+    )
+    assert status == 502
+
+
+@pytest.mark.parametrize('tail', UNFINISHED_EVENTS)
+def test_a_broken_unframed_stream_is_resumed(harness, tail):
+    broken = send_unframed_events(1, 4, tail)
+    rest = send_unframed_events(1, 9)
+
+    def script(req, sock):
+        resumes = b'last-event-id' in req.headers
+        return rest(req, sock) if resumes else broken(req, sock)
+
+    harness.serve(script, script)
+    status, _text, body = exchange(
+        harness, request('/chat/x', method='POST', body=b'p')
+    )
+    assert status == 200 and event_ids(body) == list(range(1, 10))
+    assert body.endswith(fakes.STREAM_END)
+
+
 def test_events_are_forwarded_as_they_arrive(harness):
     def script(req, _sock):
         return [
