Store the refused prompt parts in a register

After a loss of power of all machines, requests with a part that had been refused crashed servers again, until three new crashes had been seen: the refusals were kept in the memory of gateways and controllers only. The lease holder now stores them in a register, and every controller reads them before it hands out a configuration.

Ruled out: refusals at the gateways alone (they lose power as well).

--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -261,6 +261,8 @@
                 self.register.add_addresses(self.forming.known)
             if not self.register.refresh_view().epoch:
                 return
+        # Before the configuration, without which gateways serve nothing.
+        self.exchange.prompt_crashes.load(self.register)
         age_ms = self.document.age_ms()
         if age_ms is not None:
             if age_ms < REFRESH_PERIOD_MS:
--- a/packages/router/src/paddle_router/controller/_events.py
+++ b/packages/router/src/paddle_router/controller/_events.py
@@ -58,3 +58,8 @@
     'WARNING',
     'a prompt part crashed several servers; its requests are refused',
 )
+REFUSALS_NOT_STORED = paddle_kernel.declare_event(
+    3461,
+    'WARNING',
+    'no majority stored the refused prompt parts in time; retrying',
+)
--- a/packages/router/src/paddle_router/controller/_prompt_crashes.py
+++ b/packages/router/src/paddle_router/controller/_prompt_crashes.py
@@ -3,15 +3,43 @@
 The controllers pass the observations of their gateways on to the lease holder,
 which decides for all. Every instance keeps the decisions in force and reports
 them, so they outlast a change of the lease holder and a restart of all
-controllers.
+controllers. The lease holder also stores them in a register, for a restart of
+all instances.
 """
 
+import json
+
+import paddle_coord
 import paddle_kernel
+import returns.result
+
 from paddle_router.controller import _events
 from paddle_router.controller import _gateway_sums
 from paddle_router import policy
 
 DECISION_PERIOD_MS = 150
+REGISTER_KEY = 'refused-parts'
+
+
+def _decode(data):
+    """Return the stored :class:`policy.RefusedPart` objects."""
+    return tuple(
+        policy.RefusedPart(id=part, until_ms=until_ms)
+        for part, until_ms in (json.loads(data) if data else {}).items()
+    )
+
+
+def _merge(data, refused, now_ms):
+    """Return the register value ``data`` with ``refused`` added."""
+    until_ms = {item.id: item.until_ms for item in _decode(data)}
+    for item in refused:
+        until_ms[item.id] = max(item.until_ms, until_ms.get(item.id, 0))
+    merged = {
+        part: end_ms for part, end_ms in until_ms.items() if end_ms > now_ms
+    }
+    if data is not None and merged == json.loads(data):
+        return paddle_coord.Reject('nothing to add')
+    return json.dumps(merged).encode()
 
 
 class PromptCrashCollection:
@@ -26,6 +54,36 @@
         # Reports that the lease holder has not confirmed, by id.
         self._unconfirmed = {}
         self._holder = None
+        self._is_loaded = False
+        self._stored = frozenset()
+
+    def load(self, register):
+        """Add the stored refusals, once; repeat the call after a failure."""
+        if self._is_loaded:
+            return
+        result = register.quick_read(REGISTER_KEY)
+        if not isinstance(result, returns.result.Success):
+            return
+        self._is_loaded = True
+        self._evidence.add_refused(
+            _decode(result.unwrap()), self._wall.now_ms()
+        )
+
+    def store(self, register):
+        """Store refusals that have not been stored yet."""
+        now_ms = self._wall.now_ms()
+        refused = self._evidence.refused(now_ms)
+        if self._stored.issuperset(refused):
+            return
+        result = register.change(
+            REGISTER_KEY, lambda data: _merge(data, refused, now_ms)
+        )
+        if isinstance(result, returns.result.Success):
+            self._stored = frozenset(refused)
+        else:
+            paddle_kernel.emit(
+                _events.REFUSALS_NOT_STORED, error=str(result.failure())
+            )
 
     def add(self, report):
         """Add the evidence in a report of a gateway or a controller."""
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -60,6 +60,7 @@
         """Decide which prompt parts are refused, as the lease holder."""
         if self._controller.holds_lease:
             self.prompt_crashes.decide()
+            self.prompt_crashes.store(self._controller.register)
 
     def is_holder_silent(self):
         """Whether the lease holder has not replied recently."""
--- a/packages/testbed/tests/test_crashing_prompts.py
+++ b/packages/testbed/tests/test_crashing_prompts.py
@@ -36,6 +36,8 @@
 CRASHING_INTERVAL = 20
 PREAMBLE = 'a1:300'
 CRASHING_PART = 'dead'
+# Time in which a refusal is stored at a majority of the controllers.
+STORE_S = 0.5
 CONFIG = {
     'version': 3,
     'routes': [
@@ -196,6 +198,44 @@
     assert served.count(True) >= 0.95 * len(served)
 
 
+def send_crashing_request(address):
+    """Send one request with the crashing part."""
+    number = time.monotonic_ns()
+    send_stream(address, f'{PREAMBLE},{CRASHING_PART}:200,e{number}:100')
+
+
+def test_a_refused_part_stays_refused_after_all_processes_are_killed(
+    fleet, servers
+):
+    # Guards against servers that crash again after a loss of power, since the
+    # refusal was in memory only.
+    addresses = [
+        fleet.gateway_address(name) for name in fleet.names('gateway')
+    ]
+
+    def is_refused():
+        return all(
+            fleet.dump(name)['prompt_crashes']['refused_until_ms']
+            for name in fleet.names('gateway')
+        )
+
+    for number in range(3):
+        send_crashing_request(addresses[number])
+        gevent.sleep(0.5)
+    fleets.wait_for(is_refused, 'the part was not refused')
+    gevent.sleep(STORE_S)
+    for name in fleet.machines:
+        fleet.kill(name)
+    crash_count = sum(len(item.crashes) for item in servers)
+    for name in fleet.machines:
+        fleet.start(name)
+    for name in fleet.names('gateway'):
+        fleet.wait_ready(name)
+    for number in range(6):
+        send_crashing_request(addresses[number % 3])
+    assert sum(len(item.crashes) for item in servers) == crash_count
+
+
 # One gateway
 
 
