Read and log the limits that servers name

The adapter reads Server-Limit, and a gateway logs when the limit of a server changes (3337) or is not a number (3338). Nothing is decided by it yet. The header is not passed on to callers, like the other figures that servers tell.

--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -80,3 +80,9 @@
     'WARNING',
     'requests with a prompt part that crashes servers are refused',
 )
+SERVER_LIMIT_CHANGED = paddle_kernel.declare_event(
+    3337, 'INFO', 'the limit that a server names in its responses changed'
+)
+LIMIT_IGNORED = paddle_kernel.declare_event(
+    3338, 'WARNING', 'a server named a limit that is not a number'
+)
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -95,10 +95,13 @@
         self.balancers = {}
         self.metrics = _metrics.GatewayMetrics()
         self.notices = policy.ServerNotices(drain_ms=settings.drain_ms)
+        self.limits = policy.ServerLimits()
         self.waiting = _waiting.WaitingRequests(self)
         self.notice_recorder = _server_notices.ServerNoticeRecorder(
             self.notices,
+            self.limits,
             clock,
+            self.wall,
             self.metrics,
             on_leaving=self.apply_servers,
             on_quiet=self.waiting.wake_all,
@@ -157,6 +160,7 @@
             self.balancers[service].sync(groups[service], now_ms)
             self.waiting.wake_all(service)
         self.notices.retain((item.incarnation for item in servers), now_ms)
+        self.limits.retain(item.incarnation for item in servers)
         self.pool.close_all_except(item.address for item in servers)
         self.moves.update_leaving(
             _server_notices.mark_known_leaving(self.notices, servers)
@@ -263,6 +267,7 @@
             'notices',
             lambda: self.components.notices.dump(self.clock.now_ms()),
         )
+        self.dump.register('limits', self.components.limits.dump)
         if isinstance(self.transport, paddle_kernel.TcpTransport):
             self.dump.register('traffic', self.transport.traffic.dump)
         self.metrics.add_state_gauges(self)
--- a/packages/router/src/paddle_router/gateway/_model.py
+++ b/packages/router/src/paddle_router/gateway/_model.py
@@ -188,7 +188,9 @@
     ``idle_ms`` is the time after which the server closes an idle connection.
     ``is_leaving`` is set if the server announces its shutdown. ``quiet_ms`` is
     the time during which it accepts no requests, ``invalid_quiet`` the text of
-    a quiet time that cannot be used.
+    a quiet time that cannot be used. ``limit_per_s`` is the number of requests
+    per second that the server takes from all instances together, ``None`` if
+    it names none, and ``invalid_limit`` the text of one that cannot be used.
     """
 
     request_id: str | None = None
@@ -201,6 +203,8 @@
     is_leaving: bool = False
     quiet_ms: float | None = None
     invalid_quiet: str | None = None
+    limit_per_s: float | None = None
+    invalid_limit: str | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -277,6 +277,8 @@
                 self._components.dialect.parse_response_headers(
                     head.status_code, head.headers
                 ),
+                # Only responses to requests of callers name the limit.
+                lifts_limit=False,
             )
             parts = []
             size = 0
--- a/packages/router/src/paddle_router/gateway/_server_notices.py
+++ b/packages/router/src/paddle_router/gateway/_server_notices.py
@@ -7,24 +7,29 @@
 
 
 class ServerNoticeRecorder:
-    """Records announced quiet times and shutdowns of backend servers.
+    """Records announced quiet times, shutdowns and limits of servers.
 
     ``on_leaving()`` is called after a server first announces its shutdown,
     ``on_quiet(service)`` after a server asks for a quiet time.
     """
 
-    def __init__(self, notices, clock, metrics, *, on_leaving, on_quiet):
+    def __init__(
+        self, notices, limits, clock, wall, metrics, *, on_leaving, on_quiet
+    ):
         self._notices = notices
+        self._limits = limits
         self._clock = clock
+        self._wall = wall
         self._metrics = metrics
         self._on_leaving = on_leaving
         self._on_quiet = on_quiet
 
-    def record(self, server, metadata):
+    def record(self, server, metadata, *, lifts_limit=True):
         """Record :class:`ResponseMetadata` received from ``server``.
 
         It is ignored if another server at the same address responded instead
-        of the listed one.
+        of the listed one. ``lifts_limit`` is set if a response without a limit
+        means that the server has none any more.
         """
         if metadata.is_misdirected:
             return
@@ -39,6 +44,26 @@
             self._mark_quiet(server, metadata.quiet_ms)
         if metadata.is_leaving:
             self._mark_leaving(server)
+        if lifts_limit or metadata.limit_per_s is not None:
+            self._record_limit(server, metadata)
+
+    def _record_limit(self, server, metadata):
+        if metadata.invalid_limit is not None:
+            paddle_kernel.emit(
+                _events.LIMIT_IGNORED,
+                server=server.id,
+                value=metadata.invalid_limit[:100],
+            )
+            return
+        if self._limits.record(
+            server.incarnation, metadata.limit_per_s, self._wall.now_ms()
+        ):
+            paddle_kernel.emit(
+                _events.SERVER_LIMIT_CHANGED,
+                server=server.id,
+                address=server.address,
+                limit_per_s=metadata.limit_per_s,
+            )
 
     def _mark_quiet(self, server, quiet_ms):
         now_ms = self._clock.now_ms()
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -68,6 +68,8 @@
 from paddle_router.policy._retry import decide as decide_retry
 from paddle_router.policy._retry import RetryBudget
 from paddle_router.policy._retry import WindowBudget
+from paddle_router.policy._server_limits import ServerLimit
+from paddle_router.policy._server_limits import ServerLimits
 from paddle_router.policy._server_notices import DRAIN_MS
 from paddle_router.policy._server_notices import Incarnation
 from paddle_router.policy._server_notices import MAX_QUIET_MS
@@ -137,6 +139,8 @@
     'SchedulingDecision',
     'ServedPart',
     'Server',
+    'ServerLimit',
+    'ServerLimits',
     'ServerNotices',
     'SharedFlight',
     'SharedLoad',
--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -207,6 +207,29 @@
     assert not read_response(200).is_leaving
 
 
+@pytest.mark.parametrize(
+    ('value', 'limit_per_s'),
+    [(b'1', 1.0), (b' 1.1 ', 1.1), (b'.5', 0.5), (b'0', 0.0)],
+)
+def test_any_response_may_name_a_limit(value, limit_per_s):
+    for status in (200, 404, 500, 503):
+        metadata = read_response(status, (b'server-limit', value))
+        assert metadata.limit_per_s == limit_per_s
+    assert read_response(200).limit_per_s is None
+
+
+@pytest.mark.parametrize('value', [b'', b'-1', b'nan', b'1e3', b'two', b'1,1'])
+def test_a_limit_that_is_no_decimal_number_is_invalid(value):
+    metadata = read_response(200, (b'server-limit', value))
+    assert metadata.limit_per_s is None
+    assert metadata.invalid_limit == value.decode()
+
+
+def test_a_limit_is_not_passed_on_to_callers():
+    headers = [(b'Server-Limit', b'1'), (b'X-Other', b'1')]
+    assert dialect.FleetDialect().response_headers(headers) == headers[1:]
+
+
 @pytest.mark.parametrize(
     ('values', 'quiet_ms'),
     [
