Reproduce a server that gets more requests than its limit

A server names a limit of 1 (8) requests a second, and four gateways, as processes with three controllers, send 50 a second to it and two others.

--- /dev/null
+++ b/packages/testbed/tests/test_server_limits.py
@@ -0,0 +1,184 @@
+"""Tests of servers that name a limit of requests a second in their answers.
+
+The limit holds for all gateways together. The programs run as processes, with
+more requests than the limited servers take.
+"""
+
+import itertools
+import time
+
+import gevent
+import gevent.socket
+import pytest
+
+from paddle_testbed import fakes
+from paddle_testbed import fleet as fleets
+from paddle_testbed import gateway_harness
+
+HOST = 'h.example'
+GATEWAYS = 4
+SEND_INTERVAL_S = 0.02
+SERVICE_S = 0.01
+# The users count from this time after the first answer with a limit, in any
+# window of this length, and allow this much more than the limit.
+CONTACT_S = 3.0
+WINDOW_S = 4.0
+ALLOWED_RATIO = 1.5
+ALLOWED_REQUESTS = 5
+RUN_S = 12.0
+CONFIG = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'r',
+            'host': HOST,
+            'pathPrefix': '/a/',
+            'kind': 'safe',
+            'timeoutMs': 1500,
+            'targetLatencyMs': 200,
+            'service': 'plain',
+            'attempts': 2,
+        }
+    ],
+    'services': [
+        {'name': 'plain', 'healthPath': '/health', 'connectionLimit': 100}
+    ],
+    'tenants': [{'name': 'cust', 'accessKeys': ['k1']}],
+}
+
+
+class LimitedServer:
+    """A backend server that names ``limit`` in its answers, if it has one."""
+
+    def __init__(self, name):
+        self.name = name
+        self.limit = None
+        self.arrivals = []
+        self.origin = fakes.FakeOrigin(self._respond)
+
+    def list_entry(self):
+        return {
+            'identifier': self.name,
+            'service': 'plain',
+            'address': self.origin.address,
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+        }
+
+    def most_in_window(self, since_s):
+        """Return the most requests in a window that begins at ``since_s``."""
+        times = [at_s for at_s in self.arrivals if at_s >= since_s]
+        return max(
+            (
+                sum(first <= at_s < first + WINDOW_S for at_s in times)
+                for first in times
+            ),
+            default=0,
+        )
+
+    def _respond(self, req, _sock):
+        self.arrivals.append(time.monotonic())
+        extra = ()
+        if self.limit is not None:
+            extra = (b'Server-Limit: %g' % self.limit,)
+        return [SERVICE_S, fakes.response(req, extra=extra)]
+
+
+@pytest.fixture
+def servers():
+    built = [LimitedServer(f'i-{number}') for number in range(3)]
+    yield built
+    for item in built:
+        item.origin.stop()
+
+
+@pytest.fixture
+def fleet(tmp_path, servers):
+    cloud = fakes.FakeCloud()
+    cloud.entries = [item.list_entry() for item in servers]
+    built = fleets.Fleet(tmp_path, cloud, controllers=3, gateways=GATEWAYS)
+    built.start_all()
+    built.put_configuration(CONFIG)
+    for name in built.names('gateway'):
+        built.wait_ready(name)
+    yield built
+    built.stop()
+    cloud.stop()
+
+
+def send_request(address):
+    """Return the status of one request, ``None`` without an answer."""
+    try:
+        sock = gevent.socket.create_connection(address, 2)
+        sock.settimeout(3)
+        sock.sendall(
+            f'GET /a/x HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'Rosemarypaddle-Request-Id: r{time.monotonic_ns()}\r\n'
+            'Rosemarypaddle-Deadline-Milliseconds: 1500\r\n'
+            'Authorization: Token k1\r\n\r\n'.encode()
+        )
+        data = sock.recv(4096)
+    except OSError:
+        return None
+    sock.close()
+    return int(data.split()[1]) if data else None
+
+
+def send_load(fleet, run_s=RUN_S):
+    """Send requests to all gateways in turn; return their statuses."""
+    addresses = itertools.cycle(
+        fleet.gateway_address(name) for name in fleet.names('gateway')
+    )
+    requests = []
+    end_s = time.monotonic() + run_s
+    while time.monotonic() < end_s:
+        requests.append(gevent.spawn(send_request, next(addresses)))
+        gevent.sleep(SEND_INTERVAL_S)
+    gevent.joinall(requests)
+    return [request.value for request in requests]
+
+
+def allowed_in_window(limit):
+    return ALLOWED_RATIO * WINDOW_S * limit + ALLOWED_REQUESTS
+
+
+@pytest.mark.parametrize('limit', [1, 8])
+def test_all_gateways_together_respect_the_limit_of_a_server(
+    fleet, servers, limit
+):
+    # Guards against a server in need that gets as many requests as the others:
+    # 20 in 4 s at a limit of 1 a second.
+    limited = servers[0]
+    limited.limit = limit
+    begin_s = time.monotonic()
+    statuses = send_load(fleet)
+    assert limited.most_in_window(begin_s + CONTACT_S) <= allowed_in_window(
+        limit
+    )
+    # The server is still used, and the others take the rest.
+    late = [at_s for at_s in limited.arrivals if at_s > begin_s + CONTACT_S]
+    assert len(late) >= 0.5 * limit * (RUN_S - CONTACT_S)
+    assert statuses.count(200) >= 0.98 * len(statuses)
+
+
+# One gateway
+
+
+def test_changes_of_a_limit_are_logged(harness, events):
+    # Without them, logs do not show that a server asked for fewer requests.
+    values = iter([b'2', b'2', b'5', None, b'many'])
+
+    def respond(req, _sock):
+        value = next(values)
+        extra = () if value is None else (b'Server-Limit: ' + value,)
+        return fakes.response(req, extra=extra)
+
+    harness.serve(respond)
+    for _ in range(5):
+        gateway_harness.exchange(harness, gateway_harness.request('/safe/x'))
+        gevent.sleep(0.01)
+    changes = [item['limit_per_s'] for item in events.fields_of(3337)]
+    assert changes == [2.0, 5.0, None]
+    assert [item['value'] for item in events.fields_of(3338)] == ['many']
