Keep the limits that servers name over all gateways

Callers of a server in need were answered late, since it got as many requests as the others although its answers named how many it takes a second.

Ruled out: repeats, and gateways that each keep the limit alone.

A limit is now a sequence of permits by the synchronized clock that belong to the gateways in turn and are lost if they are not used within 1.5 s. The exchange of state carries the limits and each gateway's position among all, which the lease holder numbers by name. The newest answer decides, so a limit ends with the first answer without it. Tried in tests of the policy with 1, 8, 61 and 390 gateways, clocks 200 ms apart and limits of 0.3 to 40 a second: kept in every window of 4 s, and nine tenths of it are used.

--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -127,6 +127,7 @@
         self._fallback_list_read_ms = None
         self.dump.register('sums', self.exchange.sums.dump)
         self.dump.register('prompt_crashes', self.exchange.prompt_crashes.dump)
+        self.dump.register('limits', self.exchange.limits.dump)
         self.dump.register('traffic', self.transport.traffic.dump)
         self._peer_server = paddle_kernel.TcpServer(
             settings.peer, self._handle
--- a/packages/router/src/paddle_router/controller/_fleet.py
+++ b/packages/router/src/paddle_router/controller/_fleet.py
@@ -83,6 +83,9 @@
         self._reporting = _expiring_map.ExpiringMap()
         self._sums = _load_sums.LoadSums()
         self._counted_names = collections.Counter()
+        # Positions of the counted names in alphabetical order; ``None`` after
+        # a change.
+        self._positions = None
         self._last_exchange_ms = None
         self._last_report_ms = None
         self._collecting_since_ms = None
@@ -233,6 +236,16 @@
         self._expire_counted()
         return len(self._counted_names)
 
+    def position(self, name):
+        """Return the position of a gateway among all, from 1, or 0."""
+        self._expire_counted()
+        if self._positions is None:
+            self._positions = {
+                item: number
+                for number, item in enumerate(sorted(self._counted_names), 1)
+            }
+        return self._positions.get(name, 0)
+
     def loads(self):
         """Return the load summed over all live gateways, by server id."""
         self._expire_live()
@@ -364,6 +377,7 @@
         self._reporting.put(state.name, reported_at_ms, reported_at_ms)
         if self._counted.put(key, state, reported_at_ms) is None:
             self._counted_names[state.name] += 1
+            self._positions = None
         previous = self._live.put(key, state, reported_at_ms)
         if previous is not None:
             self._remove_load(previous)
@@ -396,6 +410,7 @@
             self._counted_names[name] -= 1
             if not self._counted_names[name]:
                 del self._counted_names[name]
+                self._positions = None
 
     def _load_expiry_ms(self):
         return LOAD_EXPIRY_PERIODS * self.period_ms()
--- a/packages/router/src/paddle_router/controller/_gateway_sums.py
+++ b/packages/router/src/paddle_router/controller/_gateway_sums.py
@@ -58,6 +58,8 @@
         self._reply_requested_ms = None
         self._gateway_count = 0
         self._gateway_count_ms = None
+        # Positions of the own gateways as the lease holder numbers them.
+        self._positions = {}
         self._holder = None
         self._confirmed_usage = {}
         self._snapshot = None
@@ -68,6 +70,7 @@
     def add_report(self, report):
         """Store the sums that another controller reported."""
         self._reply = self._reply_requested_ms = None
+        self._positions = {}
         peer_report = _PeerReport(
             report.place, gateway.unpack_loads(report.loads)
         )
@@ -116,6 +119,12 @@
         self._gateway_count = reply.fronts
         self._gateway_count_ms = requested_ms
         self._fleet.set_expected_gateways(reply.reporting)
+        self._positions = {
+            relayed.incarnation: position
+            for relayed, position in zip(
+                report.fronts, reply.positions, strict=False
+            )
+        }
         self._expire_peers_before(self._clock.now_ms() + 1)
         for relayed in report.fronts:
             confirmed = self._confirmed_usage.setdefault(
@@ -166,6 +175,16 @@
             return local_count
         return local_count * max(1, controllers)
 
+    def position(self, report, holds_lease):
+        """Return the position of the gateway that sent ``report``.
+
+        It is counted over the gateways of all controllers, from 1; 0 if the
+        lease holder has not told it yet.
+        """
+        if holds_lease:
+            return self._fleet.position(report.name)
+        return self._positions.get(report.incarnation, 0)
+
     def totals(self, incarnation):
         """Return the encoded totals and the gateway's sequence in them.
 
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -10,6 +10,7 @@
 from paddle_router.controller import _gateway_sums
 from paddle_router.controller import _prompt_crashes
 from paddle_router import gateway
+from paddle_router import policy
 
 # A confirmation of the version that is older than this is not used; three
 # refreshes fit into this time.
@@ -34,6 +35,7 @@
         self.prompt_crashes = _prompt_crashes.PromptCrashCollection(
             controller.wall, controller.fleet
         )
+        self.limits = policy.ServerLimits()
         self._compressed_version = None
         self._compressed_content = b''
 
@@ -44,6 +46,7 @@
             return
         report = attrs.evolve(
             self.sums.report(holder, self._version()),
+            limits=self._reported_limits(),
             **self.prompt_crashes.report_fields(holder),
         )
         requested_ms = self._controller.clock.now_ms()
@@ -81,6 +84,7 @@
     def _apply_reply(self, report, reply, requested_ms):
         self.sums.apply_reply(report, reply, requested_ms)
         self.prompt_crashes.apply_reply(report, reply)
+        self._add_limits(reply)
         if reply.confirmed_age_ms >= 0:
             self._controller.document.confirm(
                 reply.version, requested_ms - reply.confirmed_age_ms
@@ -129,6 +133,7 @@
             self.log_list()
         for item in request.reports:
             self.prompt_crashes.add(item)
+            self._add_limits(item)
         current = self._controller.document.current
         version = self._version()
         age_ms = self._controller.document.age_ms()
@@ -138,8 +143,11 @@
             listing, servers = self._controller.fleet.list_update(
                 request.listing
             )
-        totals, counted = b'', 0
+        totals, counted, position = b'', 0, 0
         if request.reports:
+            position = self.sums.position(
+                request.reports[0], self._controller.holds_lease
+            )
             totals, counted = self.sums.totals(request.reports[0].incarnation)
         members = self._controller.members()
         return gateway.SyncReply(
@@ -156,6 +164,8 @@
             period_ms=self._controller.fleet.period_ms(),
             true_ms=self._controller.wall.now_ms(),
             unheard_holder=self._silent_holder(),
+            limits=self._reported_limits(),
+            position=position,
             **self.prompt_crashes.reply_fields(),
         )
 
@@ -166,6 +176,7 @@
             listing = self._controller.fleet.listing
             self.sums.add_report(report)
             self.prompt_crashes.add(report)
+            self._add_limits(report)
             if self._controller.fleet.listing != listing:
                 self.log_list()
             if report.version > self._version():
@@ -193,9 +204,23 @@
             list_age_ms=-1 if list_age_ms is None else list_age_ms,
             servers=() if listing == report.listing else servers,
             reporting=self._controller.fleet.reporting_count(),
+            limits=self._reported_limits(),
+            positions=tuple(
+                self._controller.fleet.position(item.name)
+                for item in report.fronts
+            ),
             **self.prompt_crashes.reply_fields(),
         )
 
+    def _add_limits(self, message):
+        for limit in message.limits:
+            self.limits.add(limit)
+
+    def _reported_limits(self):
+        now_ms = self._controller.wall.now_ms()
+        self.limits.forget_before(now_ms - policy.LIMIT_RETENTION_MS)
+        return self.limits.reports(now_ms)
+
     def _compressed(self, document):
         """Return the compressed content, computed once per version."""
         if self._compressed_version != document.version:
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -62,6 +62,7 @@
         balancers,
         usage,
         notices,
+        limits,
         prompt_crashes,
         incarnation,
     ):
@@ -73,6 +74,7 @@
         self._balancers = balancers
         self._usage = usage
         self._notices = notices
+        self._limits = limits
         self._prompt_crashes = prompt_crashes
         self._incarnation = incarnation
         self._sequence = itertools.count(1)
@@ -175,6 +177,7 @@
             leaving=_server_notices.unlisted_leaving_incarnations(
                 self._notices, self.servers
             ),
+            limits=self._limits.reports(self._wall.now_ms()),
             **self._prompt_crashes.report_fields(),
         )
         return _messages.SyncRequest(
@@ -200,6 +203,7 @@
             self._apply_listing(reply)
         if reply.totals:
             self._apply_totals(reply, now_ms)
+        self._apply_limits(reply, now_ms)
         self._prompt_crashes.apply_reply(reply)
         self._check_controller(address, reply, now_ms)
 
@@ -238,6 +242,17 @@
         )
         self._notify_listeners()
 
+    def _apply_limits(self, reply, now_ms):
+        self._limits.wall_offset_ms = self._wall.now_ms() - now_ms
+        index = reply.position - 1
+        if not reply.position:
+            # The lease holder is not known yet. Gateways may choose the same
+            # index, but not all of them.
+            index = zlib.crc32(self._incarnation.encode())
+        self._limits.set_share(index % self.gateway_count, self.gateway_count)
+        for limit in reply.limits:
+            self._limits.add(limit)
+
     def _apply_totals(self, reply, now_ms):
         counted = self._reported_loads.get(reply.counted, {})
         loads = {}
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -124,6 +124,7 @@
             balancers=self.balancers,
             usage=self.usage,
             notices=self.notices,
+            limits=self.limits,
             prompt_crashes=self.prompt_crashes,
             incarnation=incarnation,
         )
@@ -156,6 +157,7 @@
                     rng=self._rng,
                     failure_domain=self.settings.failure_domain,
                     notices=self.notices,
+                    limits=self.limits,
                 )
             self.balancers[service].sync(groups[service], now_ms)
             self.waiting.wake_all(service)
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -77,7 +77,8 @@
     processes per second, 0 if unknown. ``leaving`` contains servers that have
     announced their shutdown but are not listed as leaving yet. ``crashes``
     contains the last crashes, ``served`` when suspects were served, and
-    ``refused`` the parts that are refused here.
+    ``refused`` the parts that are refused here. ``limits`` contains the known
+    limits of servers.
     """
 
     name: str
@@ -90,6 +91,7 @@
     crashes: tuple[policy.CrashReport, ...] = ()
     served: tuple[policy.ServedPart, ...] = ()
     refused: tuple[policy.RefusedPart, ...] = ()
+    limits: tuple[policy.ServerLimit, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -128,7 +130,9 @@
     the Unix epoch. ``unheard_holder`` is the address of the lease holder while
     the controller cannot reach it and so cannot pass reports on. Of the prompt
     parts in ``suspects`` the gateway reports when they were served; requests
-    with a part in ``refused`` are not sent.
+    with a part in ``refused`` are not sent. ``limits`` contains the known
+    limits of servers. ``position`` is that of the gateway among ``fronts``,
+    from 1, and 0 if it is not known yet.
     """
 
     controllers: tuple[ControllerLocation, ...]
@@ -146,6 +150,8 @@
     unheard_holder: str = ''
     suspects: tuple[str, ...] = ()
     refused: tuple[policy.RefusedPart, ...] = ()
+    limits: tuple[policy.ServerLimit, ...] = ()
+    position: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -171,7 +177,7 @@
 
     ``loads`` contains the sums over these gateways (see :func:`pack_loads`),
     ``leaving`` the servers that announced their shutdown to them. ``crashes``,
-    ``served`` and ``refused`` are as in :class:`GatewayReport`.
+    ``served``, ``refused`` and ``limits`` are as in :class:`GatewayReport`.
     """
 
     place: ControllerLocation
@@ -183,6 +189,7 @@
     crashes: tuple[policy.CrashReport, ...] = ()
     served: tuple[policy.ServedPart, ...] = ()
     refused: tuple[policy.RefusedPart, ...] = ()
+    limits: tuple[policy.ServerLimit, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -194,8 +201,9 @@
     all other controllers. ``fronts`` counts all gateways, ``reporting`` those
     whose usage may still arrive. ``version`` was the newest configuration
     ``confirmed_age_ms`` ago; -1 if unknown. ``servers`` is sent only if
-    ``listing`` differs from that of the report. ``suspects`` and ``refused``
-    are as in :class:`SyncReply`.
+    ``listing`` differs from that of the report. ``suspects``,
+    ``refused`` and ``limits`` are as in :class:`SyncReply`. ``positions`` are
+    those of the gateways in the report's ``fronts``.
     """
 
     in_charge: bool
@@ -210,6 +218,8 @@
     reporting: int = 0
     suspects: tuple[str, ...] = ()
     refused: tuple[policy.RefusedPart, ...] = ()
+    limits: tuple[policy.ServerLimit, ...] = ()
+    positions: tuple[int, ...] = ()
 
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('gateway.capnp')))
@@ -220,6 +230,7 @@
         policy.Incarnation,
         policy.RefusedPart,
         policy.ServedPart,
+        policy.ServerLimit,
         ListedServer,
         ServerFlights,
         SyncReply,
--- a/packages/router/src/paddle_router/gateway/_waiting.py
+++ b/packages/router/src/paddle_router/gateway/_waiting.py
@@ -20,8 +20,8 @@
     """Queues of waiting requests of all services.
 
     A request is queued only if every server that it could use is in its quiet
-    time, and only if it can be served before its deadline. Requests that may
-    use the same servers share a queue.
+    time or at its limit, and only if it can be served before its deadline.
+    Requests that may use the same servers share a queue.
     """
 
     def __init__(self, components):
@@ -85,9 +85,10 @@
             available.at_ms,
         )
         waiting = sum(map(len, self._queues_of(call.service)))
-        rounds = available.rounds_before(refused_count + waiting)
-        service_time_ms = self._service_time_ms(call, balancer)
-        return available.at_ms + rounds * service_time_ms - now_ms
+        wait_ms = available.wait_ms(
+            refused_count + waiting, self._service_time_ms(call, balancer)
+        )
+        return available.at_ms + wait_ms - now_ms
 
     def wake_next(self, service):
         """Wake the first request that a server accepts now."""
@@ -131,8 +132,8 @@
             for queue in self._queues_of(call.service)
         )
         service_time_ms = self._service_time_ms(call, balancer)
-        rounds = available.rounds_before(ahead) + 1
-        return available.at_ms + rounds * service_time_ms <= call.end_ms
+        sent_ms = available.at_ms + available.wait_ms(ahead, service_time_ms)
+        return sent_ms + service_time_ms <= call.end_ms
 
     def _service_time_ms(self, call, balancer):
         if call.route.kind is _model.Kind.STREAM:
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -37,6 +37,12 @@
   untilMs @1 :UInt64;
 }
 
+struct ServerLimit {
+  server @0 :Incarnation;
+  milliPerS @1 :UInt32;
+  seenMs @2 :UInt64;
+}
+
 struct ServerFlights {
   id @0 :Text;
   running @1 :UInt32;
@@ -64,6 +70,7 @@
   crashes @7 :List(CrashReport);
   served @8 :List(ServedPart);
   refused @9 :List(RefusedPart);
+  limits @10 :List(ServerLimit);
 }
 
 struct SyncRequest {
@@ -94,6 +101,8 @@
   unheardHolder @12 :Text;
   suspects @13 :List(Text);
   refused @14 :List(RefusedPart);
+  limits @15 :List(ServerLimit);
+  position @16 :UInt32;
 }
 
 struct FrontNews {
@@ -115,6 +124,7 @@
   crashes @6 :List(CrashReport);
   served @7 :List(ServedPart);
   refused @8 :List(RefusedPart);
+  limits @9 :List(ServerLimit);
 }
 
 struct HubReply {
@@ -130,4 +140,6 @@
   reporting @9 :UInt32;
   suspects @10 :List(Text);
   refused @11 :List(RefusedPart);
+  limits @12 :List(ServerLimit);
+  positions @13 :List(UInt32);
 }
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -68,6 +68,7 @@
 from paddle_router.policy._retry import decide as decide_retry
 from paddle_router.policy._retry import RetryBudget
 from paddle_router.policy._retry import WindowBudget
+from paddle_router.policy._server_limits import LIMIT_RETENTION_MS
 from paddle_router.policy._server_limits import ServerLimit
 from paddle_router.policy._server_limits import ServerLimits
 from paddle_router.policy._server_notices import DRAIN_MS
@@ -109,6 +110,7 @@
     'INTER_TOKEN',
     'Incarnation',
     'LEAVING',
+    'LIMIT_RETENTION_MS',
     'LIVE',
     'LeastReportedLoadBalancer',
     'LengthEstimator',
--- a/packages/router/src/paddle_router/policy/_availability.py
+++ b/packages/router/src/paddle_router/policy/_availability.py
@@ -1,8 +1,10 @@
 """Which servers accept requests now, and when the next one will.
 
 Servers that are leaving or in a quiet period are excluded; see
-:mod:`paddle_router.policy._server_notices`. If all servers of a service are
-leaving, those that still accept work are used until they stop.
+:mod:`paddle_router.policy._server_notices`. A server with a limit is used with
+the permits of this gateway; see :mod:`paddle_router.policy._server_limits`.
+If all servers of a service are leaving, those that still accept work are used
+until they stop.
 """
 
 import attrs
@@ -22,12 +24,24 @@
     """When the next servers accept requests.
 
     ``servers`` is the number of servers that become available at ``at_ms``
-    and ``slots`` the smallest number of slots of any of them.
+    and ``slots`` the smallest number of slots of any of them. ``interval_ms``
+    is the mean time between two requests if all servers have a limit.
     """
 
     at_ms: int
     servers: int
     slots: int
+    interval_ms: float | None = None
+
+    def wait_ms(self, position, service_time_ms):
+        """Return how long after ``at_ms`` a request is sent.
+
+        ``position`` is its position in the queue, from 0, and
+        ``service_time_ms`` the time of a response.
+        """
+        if self.interval_ms is not None:
+            return int(position * self.interval_ms)
+        return self.rounds_before(position) * service_time_ms
 
     def rounds_before(self, position):
         """Return the round trips until the request at ``position`` is sent.
@@ -48,8 +62,9 @@
 class Availability:
     """Classifies servers by their list entries and notices."""
 
-    def __init__(self, notices):
+    def __init__(self, notices, limits):
         self.notices = notices
+        self.limits = limits
 
     def is_leaving(self, state):
         """Whether the server is leaving by its list entry or a notice."""
@@ -74,7 +89,8 @@
             return [
                 state
                 for state in accepting
-                if state.slow_start is None or state.slow_start.is_open
+                if (state.slow_start is None or state.slow_start.is_open)
+                and self.limits.is_open(state.incarnation, now_ms)
             ], False
         leaving = [
             state
@@ -90,12 +106,17 @@
         ``None`` if all of the servers are replaced or leaving.
         """
         times = []
+        intervals_ms = []
         for state in states:
             if state.is_replaced(now_ms) or self.is_leaving(state):
                 continue
             until_ms = self.notices.quiet_until_ms(state.incarnation)
             at_ms = now_ms if until_ms is None else max(now_ms, until_ms)
+            at_ms = max(
+                at_ms, self.limits.next_permit_ms(state.incarnation, now_ms)
+            )
             times.append((at_ms, state.engine.slots))
+            intervals_ms.append(self.limits.interval_ms(state.incarnation))
         if not times:
             return None
         first_ms = min(at_ms for at_ms, _slots in times)
@@ -104,7 +125,12 @@
             for at_ms, slots in times
             if at_ms <= first_ms + SIMULTANEOUS_MS
         ]
-        return NextAvailability(first_ms, len(simultaneous), min(simultaneous))
+        interval_ms = None
+        if None not in intervals_ms:
+            interval_ms = 1 / sum(1 / item for item in intervals_ms)
+        return NextAvailability(
+            first_ms, len(simultaneous), min(simultaneous), interval_ms
+        )
 
     def is_quiet(self, state, now_ms):
         """Whether the server is in a quiet period.
--- a/packages/router/src/paddle_router/policy/_server_limits.py
+++ b/packages/router/src/paddle_router/policy/_server_limits.py
@@ -3,13 +3,38 @@
 A server in need names how many requests a second it takes from all instances
 together, for as long as its answers say so. The newest answer counts,
 whichever instance received it.
+
+The limit is a sequence of permits, one each 1/limit seconds by the
+synchronized clock, that belong to the gateways in turn. A permit that its
+gateway does not use soon is lost. So the gateways need not ask anyone before
+they send a request, and a limit that has not been used for a while does not
+lead to a burst from all gateways at once, as with a share of the rate for
+each of them.
 """
 
+import functools
+import hashlib
+import math
+
 import attrs
 
 from paddle_router.policy import _server_notices
 
 MILLI = 1_000
+MS_PER_KILO_S = 1_000_000
+# How long a permit can be used. Gateways get a request for each server at
+# least that often while a limit binds; a longer time allows longer bursts.
+VALIDITY_MS = 1_500
+# Permits of one gateway are at least this share of their regular interval
+# apart, also while the limit or the number of gateways changes.
+MIN_INTERVAL_RATIO = 0.9
+# A server that names a lower limit still gets requests at this rate, because
+# only answers show that it has lifted the limit.
+MIN_MILLI_PER_S = 100
+# How long a lifted limit is reported, so that all instances hear of it.
+LIFTED_REPORT_MS = 30_000
+# A limit that no answer has repeated for this long is forgotten.
+LIMIT_RETENTION_MS = 600_000
 # A higher limit is none: no server takes as many requests.
 MAX_LIMIT_PER_S = 100_000
 
@@ -28,13 +53,27 @@
     seen_ms: int
 
 
+@functools.lru_cache(maxsize=4_096)
+def _offset(server):
+    digest = hashlib.blake2b(server.id.encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
+
+
 class ServerLimits:
-    """The newest limit of each server, as far as it is known here."""
+    """The newest limit of each server, and this gateway's permits.
+
+    Times of permits are monotonic; ``wall_offset_ms`` is added to get the
+    synchronized time.
+    """
 
     def __init__(self):
         # Also holds limits that were lifted, so that older information does
         # not restore them.
         self._limits = {}
+        self._used_ms = {}
+        self._index = 0
+        self._gateway_count = 1
+        self.wall_offset_ms = 0
 
     def record(self, server, limit_per_s, seen_ms):
         """Record an answer of ``server``; return whether its limit changed.
@@ -62,14 +101,86 @@
         known_milli_per_s = 0 if known is None else known.milli_per_s
         return limit.milli_per_s != known_milli_per_s
 
+    def set_share(self, index, gateway_count):
+        """Set which of ``gateway_count`` gateways this one is, from 0."""
+        self._index = index
+        self._gateway_count = gateway_count
+
+    def is_open(self, server, now_ms):
+        """Return whether a request may be sent to ``server`` now."""
+        return (
+            not self._limits or self.next_permit_ms(server, now_ms) <= now_ms
+        )
+
+    def next_permit_ms(self, server, now_ms):
+        """Return when the next request may be sent to ``server``."""
+        interval_ms = self.interval_ms(server)
+        if interval_ms is None:
+            return now_ms
+        permit_ms = self._permit_ms(server, interval_ms, now_ms)
+        return max(now_ms, math.ceil(permit_ms) - self.wall_offset_ms)
+
+    def interval_ms(self, server):
+        """Return the mean time between this gateway's permits.
+
+        ``None`` if the server has no limit.
+        """
+        limit = self._limits.get(server)
+        if limit is None or not limit.milli_per_s:
+            return None
+        milli_per_s = max(MIN_MILLI_PER_S, limit.milli_per_s)
+        return self._gateway_count * MS_PER_KILO_S / milli_per_s
+
+    def use_permit(self, server, now_ms):
+        """Record that a request is sent to ``server`` now."""
+        interval_ms = self.interval_ms(server)
+        if interval_ms is None:
+            return
+        permit_ms = self._permit_ms(server, interval_ms, now_ms)
+        self._used_ms[server] = min(permit_ms, now_ms + self.wall_offset_ms)
+
+    def reports(self, now_ms):
+        """Return the limits to report at the synchronized time ``now_ms``."""
+        return tuple(
+            limit
+            for limit in self._limits.values()
+            if limit.milli_per_s or now_ms - limit.seen_ms <= LIFTED_REPORT_MS
+        )
+
+    def forget_before(self, seen_ms):
+        """Drop limits that no answer has named since ``seen_ms``."""
+        self._keep(
+            server
+            for server, limit in self._limits.items()
+            if limit.seen_ms >= seen_ms
+        )
+
     def retain(self, listed):
         """Drop the limits of servers that are not ``listed``."""
-        listed = set(listed)
-        self._limits = {
-            server: limit
-            for server, limit in self._limits.items()
-            if server in listed
-        }
+        self._keep(listed)
+
+    def _keep(self, servers):
+        kept = set(servers)
+        for limits in (self._limits, self._used_ms):
+            for server in set(limits) - kept:
+                del limits[server]
+
+    def _permit_ms(self, server, interval_ms, now_ms):
+        """Return the synchronized time of the oldest permit to use.
+
+        Permit number n of a server belongs to the gateway n + offset, counted
+        in turn; the offset keeps servers from starting with the same gateway.
+        """
+        oldest_ms = now_ms + self.wall_offset_ms - VALIDITY_MS
+        used_ms = self._used_ms.get(server)
+        if used_ms is not None:
+            oldest_ms = max(
+                oldest_ms, used_ms + MIN_INTERVAL_RATIO * interval_ms
+            )
+        turn = (self._index - _offset(server)) % self._gateway_count
+        first_ms = turn * interval_ms / self._gateway_count
+        rounds = math.ceil((oldest_ms - first_ms) / interval_ms)
+        return first_ms + rounds * interval_ms
 
     def dump(self):
         """Return plain data for the state dump, one row per server."""
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -23,6 +23,7 @@
 from paddle_router.policy import _availability
 from paddle_router.policy import _hooks
 from paddle_router.policy import _prompt_parts
+from paddle_router.policy import _server_limits
 from paddle_router.policy import _server_notices
 from paddle_router.policy import _shared_server
 
@@ -90,15 +91,19 @@
     """Choose servers by the expected wait and the delay of running requests.
 
     One object serves one service. ``notices`` holds the leaving and quiet
-    notices of the servers, shared by all services of a gateway.
-    ``is_last_resort`` is true while all servers are leaving.
+    notices of the servers and ``limits`` the limits that they name; all
+    services of a gateway share them. ``is_last_resort`` is true while all
+    servers are leaving.
     """
 
-    def __init__(self, *, rng, failure_domain='', notices=None):
+    def __init__(self, *, rng, failure_domain='', notices=None, limits=None):
         self._rng = rng
         self._failure_domain = failure_domain
         self._notices = notices or _server_notices.ServerNotices()
-        self._availability = _availability.Availability(self._notices)
+        self._limits = limits or _server_limits.ServerLimits()
+        self._availability = _availability.Availability(
+            self._notices, self._limits
+        )
         self._states = {}
         self.is_last_resort = False
         self._prefill_rate = DEFAULT_PREFILL_RATE_TOKENS_PER_MS
@@ -420,6 +425,7 @@
             now_ms,
             affinity_rank,
         )
+        self._limits.use_permit(state.incarnation, now_ms)
         state.record_parts(work.parts, now_ms)
         state.window.add(now_ms, tokens=flight.uncached)
         state.flights.add(flight)
--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -195,6 +195,7 @@
         balancers={'s': balancer},
         usage=Usage(),
         notices=policy.ServerNotices(),
+        limits=policy.ServerLimits(),
         prompt_crashes=PromptCrashes(),
         incarnation='g1/1',
     )
--- a/packages/router/tests/test_policy_server_limits.py
+++ b/packages/router/tests/test_policy_server_limits.py
@@ -1,5 +1,7 @@
 """Tests of the limits that servers name in their answers."""
 
+import random
+
 import pytest
 
 from paddle_router import policy
@@ -40,3 +42,121 @@
     limits.record(SERVER, 1.0, START_MS)
     limits.retain([policy.Incarnation('s1')])
     assert limits.dump() == {}
+
+
+# Permits
+
+
+STEP_MS = 20
+WINDOW_MS = 4_000
+# The users allow this much more than the limit in any window.
+ALLOWED_RATIO = 1.5
+ALLOWED_REQUESTS = 5
+CLOCK_ERROR_MS = 100
+
+
+def make_gateways(count, rng):
+    """Return the limits of ``count`` gateways whose clocks differ."""
+    gateways = []
+    for index in range(count):
+        limits = policy.ServerLimits()
+        limits.set_share(index, count)
+        limits.wall_offset_ms = START_MS + rng.randint(
+            -CLOCK_ERROR_MS, CLOCK_ERROR_MS
+        )
+        gateways.append(limits)
+    return gateways
+
+
+def set_limit(gateways, limit_per_s, now_ms):
+    for limits in gateways:
+        limits.record(SERVER, limit_per_s, START_MS + now_ms)
+
+
+def send_requests(gateways, since_ms, until_ms, rng):
+    """Send whenever a gateway may; return the times of the requests."""
+    times = []
+    for now_ms in range(since_ms, until_ms, STEP_MS):
+        for limits in rng.sample(gateways, len(gateways)):
+            while limits.is_open(SERVER, now_ms):
+                limits.use_permit(SERVER, now_ms)
+                times.append(now_ms)
+    return times
+
+
+def most_in_window(times):
+    return max(
+        (
+            sum(first <= now_ms < first + WINDOW_MS for now_ms in times)
+            for first in times
+        ),
+        default=0,
+    )
+
+
+def allowed_in_window(limit_per_s):
+    allowed = ALLOWED_RATIO * limit_per_s * WINDOW_MS / 1_000
+    return allowed + ALLOWED_REQUESTS
+
+
+@pytest.mark.parametrize('count', [1, 8, 61, 390])
+@pytest.mark.parametrize('limit_per_s', [0.3, 1, 1.1, 7.5, 40])
+def test_all_gateways_together_keep_the_limit(count, limit_per_s):
+    # Guards against a share that every gateway rounds up.
+    rng = random.Random(count)
+    gateways = make_gateways(count, rng)
+    set_limit(gateways, limit_per_s, 0)
+    times = send_requests(gateways, 0, 16_000, rng)
+    assert most_in_window(times) <= allowed_in_window(limit_per_s)
+    assert len(times) >= 0.9 * limit_per_s * 16 - 1
+
+
+@pytest.mark.parametrize('count', [8, 390])
+def test_no_burst_follows_a_time_without_requests(count):
+    # Guards against gateways that all save up one request.
+    rng = random.Random(1)
+    gateways = make_gateways(count, rng)
+    set_limit(gateways, 1, 0)
+    send_requests(gateways, 0, 4_000, rng)
+    times = send_requests(gateways, 60_000, 64_000, rng)
+    assert most_in_window(times) <= allowed_in_window(1)
+
+
+@pytest.mark.parametrize('count', [8, 61])
+@pytest.mark.parametrize('limit_per_s', [1, 10])
+def test_a_limit_that_changes_often_is_kept(count, limit_per_s):
+    # Guards against permits that each change gives out again.
+    rng = random.Random(2)
+    gateways = make_gateways(count, rng)
+    times = []
+    for second in range(20):
+        changed = limit_per_s * rng.uniform(0.9, 1.0)
+        set_limit(gateways, changed, 1_000 * second)
+        times += send_requests(
+            gateways, 1_000 * second, 1_000 * (second + 1), rng
+        )
+    assert most_in_window(times) <= allowed_in_window(limit_per_s)
+
+
+def test_a_server_with_limit_zero_still_gets_a_request_at_times(limits):
+    # Only answers show that a limit is lifted.
+    limits.wall_offset_ms = START_MS
+    limits.record(SERVER, 0.0, START_MS)
+    times = send_requests([limits], 0, 60_000, random.Random(1))
+    assert 5 <= len(times) <= 7
+    limits.record(SERVER, None, START_MS + 60_000)
+    assert limits.is_open(SERVER, 60_000)
+
+
+def test_the_next_permit_is_known(limits):
+    # A request that waits sets its timer by it.
+    limits.wall_offset_ms = START_MS
+    limits.set_share(0, 4)
+    limits.record(SERVER, 1.0, START_MS)
+    limits.use_permit(SERVER, limits.next_permit_ms(SERVER, 0))
+    second_ms = limits.next_permit_ms(SERVER, 0)
+    assert limits.is_open(SERVER, second_ms)
+    assert not limits.is_open(SERVER, second_ms - 2)
+    limits.use_permit(SERVER, second_ms)
+    third_ms = limits.next_permit_ms(SERVER, second_ms)
+    assert 3_999 <= third_ms - second_ms <= 4_001
--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -84,6 +84,7 @@
         self.config = CONFIG
         self.suspects = ()
         self.refused = ()
+        self.limits = ()
         self.requests = []
 
     def call(self, address, message, timeout_ms):
@@ -105,6 +106,8 @@
                 true_ms=0,
                 suspects=self.suspects,
                 refused=self.refused,
+                limits=self.limits,
+                position=1,
             )
         )
 
--- a/packages/testbed/tests/test_server_limits.py
+++ b/packages/testbed/tests/test_server_limits.py
@@ -9,6 +9,7 @@
 
 import gevent
 import gevent.socket
+from paddle_router import policy
 import pytest
 
 from paddle_testbed import fakes
@@ -182,3 +183,85 @@
     changes = [item['limit_per_s'] for item in events.fields_of(3337)]
     assert changes == [2.0, 5.0, None]
     assert [item['value'] for item in events.fields_of(3338)] == ['many']
+
+
+def name_limit(value):
+    """Return a script that names ``value`` as the limit in each answer."""
+
+    def script(req, _sock):
+        return fakes.response(req, extra=(b'Server-Limit: ' + value,))
+
+    return script
+
+
+def send_statuses(harness, path, count, **options):
+    statuses = []
+    for number in range(count):
+        raw = gateway_harness.request(f'{path}{number}', **options)
+        statuses.append(gateway_harness.exchange(harness, raw)[0])
+    return statuses
+
+
+def test_requests_wait_for_the_only_server_at_its_limit(harness):
+    # The route allows 1.5 s, and a permit comes every 0.5 s; three of them can
+    # be used when the limit is learnt.
+    harness.serve(name_limit(b'2'))
+    begin_s = time.monotonic()
+    statuses = send_statuses(harness, '/safe/', 8)
+    assert statuses == [200] * 8
+    assert time.monotonic() - begin_s > 1.4
+
+
+def test_a_request_that_cannot_wait_is_told_when_to_come_back(harness):
+    harness.serve(name_limit(b'0.2'))
+    responses = [
+        gateway_harness.exchange(
+            harness, gateway_harness.request('/book/x', method='POST')
+        )
+        for _ in range(3)
+    ]
+    status, text, _body = responses[-1]
+    assert status == 503
+    assert 'not-run' not in text
+    retry_after_s = float(text.split('retry-after:')[1].split()[0])
+    assert 1.0 < retry_after_s < 15.0
+    assert len(harness.requests) <= 2
+
+
+def test_a_server_that_lifts_its_limit_is_used_as_before(harness):
+    answers = itertools.chain([name_limit(b'1')] * 2, itertools.repeat(None))
+
+    def respond(req, sock):
+        script = next(answers)
+        return script(req, sock) if script else fakes.response(req)
+
+    harness.serve(respond)
+    send_statuses(harness, '/safe/', 3)
+    begin_s = time.monotonic()
+    assert send_statuses(harness, '/safe/', 10) == [200] * 10
+    assert time.monotonic() - begin_s < 0.5
+
+
+def test_a_limit_is_learnt_from_the_controllers(harness):
+    # Guards against a gateway that has not had an answer with the limit yet,
+    # as after its restart.
+    harness.serve(name_limit(b'0.1'), gateway_harness.respond_ok)
+    listed = harness.controllers.servers[0]
+    harness.controllers.limits = (
+        policy.ServerLimit(
+            server=listed.incarnation,
+            milli_per_s=100,
+            seen_ms=harness.gateway.components.wall.now_ms(),
+        ),
+    )
+    harness.follower.step()
+    assert send_statuses(harness, '/safe/', 20) == [200] * 20
+    assert len(harness.origins[0].requests) <= 1
+
+
+def test_a_limit_is_reported_to_the_controllers(harness):
+    harness.serve(name_limit(b'1.5'))
+    send_statuses(harness, '/safe/', 1)
+    harness.follower.step()
+    (report,) = harness.controllers.requests[-1].reports
+    assert [item.milli_per_s for item in report.limits] == [1_500]
