Number gateways for permits only once all have reported

A server with a limit could get too many requests for a moment after a change of the lease holder: the successor numbered the gateways that it had heard of so far, so several gateways held the same position and the same permits. Positions are unknown (0) until the successor has collected reports, and a gateway keeps the position and the number of gateways that it had.

Both new tests fail on the code before and pass now.

--- a/packages/router/src/paddle_router/controller/_fleet.py
+++ b/packages/router/src/paddle_router/controller/_fleet.py
@@ -237,7 +237,13 @@
         return len(self._counted_names)
 
     def position(self, name):
-        """Return the position of a gateway among all, from 1, or 0."""
+        """Return the position of a gateway among all, from 1.
+
+        0 if it is unknown: a new lease holder that has not heard of all
+        gateways yet would number several of them alike.
+        """
+        if not self.has_collected_reports:
+            return 0
         self._expire_counted()
         if self._positions is None:
             self._positions = {
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -91,6 +91,7 @@
         self._reported_loads = collections.OrderedDict()
         self._start_retry_ms = START_RETRY_MS
         self._listing = ''
+        self._has_position = False
         self._listeners = []
         self.table = None
         self.servers = None
@@ -244,12 +245,18 @@
 
     def _apply_limits(self, reply, now_ms):
         self._limits.wall_offset_ms = self._wall.now_ms() - now_ms
-        index = reply.position - 1
-        if not reply.position:
-            # The lease holder is not known yet. Gateways may choose the same
-            # index, but not all of them.
-            index = zlib.crc32(self._incarnation.encode())
-        self._limits.set_share(index % self.gateway_count, self.gateway_count)
+        if reply.position:
+            self._has_position = True
+            self._limits.set_share(
+                (reply.position - 1) % self.gateway_count, self.gateway_count
+            )
+        elif not self._has_position:
+            # Before the first position, several gateways may choose the same
+            # one, but not all of them.
+            self._limits.set_share(
+                zlib.crc32(self._incarnation.encode()) % self.gateway_count,
+                self.gateway_count,
+            )
         for limit in reply.limits:
             self._limits.add(limit)
 
--- a/packages/router/tests/test_controller_fleet.py
+++ b/packages/router/tests/test_controller_fleet.py
@@ -105,6 +105,22 @@
     assert not fleet.has_collected_reports
 
 
+def test_gateways_are_numbered_once_all_have_reported(fleet, clock):
+    # Guards against a new lease holder that numbers several gateways alike,
+    # so that they use the same permits of a server.
+    fleet.set_servers((SERVER,))
+    fleet.add_reports((build_load_report('g2'),), True)
+    fleet.set_lease_held(True)
+    assert fleet.position('g2') == 0
+    for sequence in range(2, 12):
+        clock.advance(250)
+        for name in ('g2', 'g1', 'g3'):
+            report = build_load_report(name, sequence=sequence)
+            fleet.add_reports((report,), True)
+    positions = [fleet.position(name) for name in ('g1', 'g2', 'g3', 'g4')]
+    assert positions == [1, 2, 3, 0]
+
+
 def test_a_sealed_window_keeps_its_counts():
     data = _duties.seal(None, 7, {'a': 1})
     resealed = _duties.seal(data, 7, {'a': 2})
--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -115,6 +115,8 @@
         self.running = 0
         self.confirmed = True
         self.unheard_holder = ''
+        self.position = 0
+        self.fronts = 3
         self.failing_addresses = ()
 
     def call(self, address, message, _timeout_ms):
@@ -133,7 +135,8 @@
                 document=None,
                 listing='',
                 servers=(),
-                fronts=3,
+                fronts=self.fronts,
+                position=self.position,
                 totals=gateway.pack_loads(flights),
                 counted=self.counted,
                 period_ms=250,
@@ -161,7 +164,12 @@
 
 
 @pytest.fixture
-def follower(clock, balancer, controller):
+def limits():
+    return policy.ServerLimits()
+
+
+@pytest.fixture
+def follower(clock, balancer, controller, limits):
     settings = gateway.GatewaySettings(
         name='g1',
         failure_domain='d1',
@@ -195,7 +203,7 @@
         balancers={'s': balancer},
         usage=Usage(),
         notices=policy.ServerNotices(),
-        limits=policy.ServerLimits(),
+        limits=limits,
         prompt_crashes=PromptCrashes(),
         incarnation='g1/1',
     )
@@ -215,6 +223,22 @@
     assert balancer.others['i-1'].running == 6
 
 
+def test_a_gateway_keeps_its_position_while_it_is_unknown(
+    follower, controller, limits
+):
+    # Guards against gateways that choose other permits of a server, which
+    # belong to others, while the lease holder changes.
+    server = policy.Incarnation('i-1')
+    limits.record(server, 1.0, 1)
+    controller.position, controller.fronts = 4, 8
+    follower.step()
+    permit_ms = limits.next_permit_ms(server, 0)
+    controller.position, controller.fronts = 0, 3
+    follower.step()
+    assert limits.interval_ms(server) == 8_000
+    assert limits.next_permit_ms(server, 0) == permit_ms
+
+
 def test_the_gateway_switches_to_the_local_controller(follower, controller):
     follower.step()
     follower.step()
