Let servers of the soak name a limit of requests

The new fault lets a server name a limit for 7.5 to 10 s beside kills, stops, freezes and changes; the check counts the requests of gateways that were told half a second earlier, as the users do, and excuses a gateway that was disturbed.

test_soak: records with 12 requests in 4 s at a limit of 1 a second are found.

--- a/packages/testbed/src/paddle_testbed/soak/__main__.py
+++ b/packages/testbed/src/paddle_testbed/soak/__main__.py
@@ -61,6 +61,7 @@
         f'{len(ledger.disturbances)} faults ({", ".join(kinds)}), '
         f'{len(ledger.acknowledged)} versions acknowledged, '
         f'{len(ledger.notices)} answers of servers that leave or want quiet, '
+        f'{len(ledger.limit_periods)} limits of servers, '
         f'{len(ledger.signals)} signals',
         flush=True,
     )
--- a/packages/testbed/src/paddle_testbed/soak/_checks.py
+++ b/packages/testbed/src/paddle_testbed/soak/_checks.py
@@ -26,6 +26,13 @@
 # within the grace time, and two more after it.
 QUIET_GRACE_MS = 500
 MAX_QUIET_REQUESTS = 2
+# From this time after its first answer with a limit, a server gets at most
+# this many times the limit in a window of this length, and some more.
+LIMIT_CONTACT_MS = 3_000
+LIMIT_GRACE_MS = 500
+LIMIT_WINDOW_MS = 4_000
+LIMIT_RATIO = 1.5
+LIMIT_SLACK_REQUESTS = 5
 # A signal that arrives while a process exits is not logged.
 EXIT_GRACE_MS = 500
 # Loading a program takes half a second, longer when many start at once.
@@ -196,6 +203,62 @@
             )
 
 
+@checks.register('limits of servers are kept')
+def server_limits(ledger, calls, findings):
+    """Check the requests of all gateways that were told of a limit.
+
+    A gateway counts half a second after it has passed on an answer with the
+    limit, unless it was disturbed meanwhile.
+    """
+    attempts = {item.request_id: item for item in ledger.attempts}
+    for period in ledger.limit_periods:
+        runs = [
+            (run.at_ms, attempts[run.request_id])
+            for run in ledger.runs
+            if run.server == period.server
+            and period.begin_ms <= run.at_ms <= period.end_ms
+            and run.request_id in attempts
+        ]
+        told_ms = {}
+        for _at_ms, attempt in runs:
+            if attempt.is_complete:
+                told_ms[attempt.gateway] = min(
+                    attempt.ended_ms,
+                    told_ms.get(attempt.gateway, attempt.ended_ms),
+                )
+        counted_ms = sorted(
+            at_ms
+            for at_ms, attempt in runs
+            if at_ms >= runs[0][0] + LIMIT_CONTACT_MS
+            and at_ms >= told_ms.get(attempt.gateway, at_ms) + LIMIT_GRACE_MS
+            and not _was_disturbed(
+                ledger,
+                (attempt.gateway, 'all'),
+                period.begin_ms,
+                at_ms,
+            )
+        )
+        _check_limit(period, counted_ms, findings)
+
+
+def _check_limit(period, times_ms, findings):
+    allowed = (
+        LIMIT_RATIO * period.limit_per_s * LIMIT_WINDOW_MS / 1_000
+        + LIMIT_SLACK_REQUESTS
+    )
+    for begin_ms in times_ms:
+        count = _count_between(
+            times_ms, begin_ms, begin_ms + LIMIT_WINDOW_MS - 1
+        )
+        if count > allowed:
+            findings.add(
+                f'{period.server} with a limit of {period.limit_per_s}/s',
+                f'{count} requests in {LIMIT_WINDOW_MS} ms',
+                f'{allowed:.0f}',
+            )
+            return
+
+
 def _was_disturbed(ledger, targets, begin_ms, end_ms):
     """Whether one of ``targets`` was disturbed between two times."""
     return any(
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -23,6 +23,9 @@
 # Longer than drainMs, so that requests after the drain time would be seen.
 LEAVING_DURATION_S = (3.5, 5.0)
 RESTART_SLICE_END = 6
+# Longer than the time in which gateways must learn of a limit, and a window.
+LIMIT_DURATION_S = (7.5, 10.0)
+LIMITS_PER_S = (0.5, 6.0)
 
 faults = paddle_kernel.Registry('fault')
 
@@ -273,6 +276,27 @@
         server.fault = _servers.Fault.NONE
 
 
+@faults.register('server_limit')
+def server_limit(system, rng):
+    """A server names a limit of requests a second for some time."""
+    server = rng.choice(system.servers)
+    if server.limit_per_s is not None or server.is_leaving:
+        return
+    begin_ms = _ledger.now_ms()
+    name, limit_per_s = server.name, round(rng.uniform(*LIMITS_PER_S), 2)
+    server.limit_per_s = limit_per_s
+    sleep_random(rng, LIMIT_DURATION_S)
+    server.limit_per_s = None
+    system.ledger.limit_periods.append(
+        _ledger.LimitPeriod(
+            server=name,
+            limit_per_s=limit_per_s,
+            begin_ms=begin_ms,
+            end_ms=_ledger.now_ms(),
+        )
+    )
+
+
 @faults.register('signal_series')
 def signal_series(system, rng):
     """Send signals in quick succession to one process around its stop."""
--- a/packages/testbed/src/paddle_testbed/soak/_ledger.py
+++ b/packages/testbed/src/paddle_testbed/soak/_ledger.py
@@ -66,6 +66,16 @@
     quiet_ms: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class LimitPeriod:
+    """A time in which a server named a limit in all its answers."""
+
+    server: str
+    limit_per_s: float
+    begin_ms: int
+    end_ms: int
+
+
 @attrs.frozen(kw_only=True)
 class Signal:
     """A signal that was sent to a process or that a process logged."""
@@ -92,6 +102,7 @@
 
     runs: list = attrs.field(factory=list)
     notices: list = attrs.field(factory=list)
+    limit_periods: list = attrs.field(factory=list)
     # Signals sent and logged.
     signals: list = attrs.field(factory=list)
     reported: list = attrs.field(factory=list)
--- a/packages/testbed/src/paddle_testbed/soak/_servers.py
+++ b/packages/testbed/src/paddle_testbed/soak/_servers.py
@@ -54,6 +54,8 @@
         # Whether its answers announce that it leaves.
         self.is_leaving = False
         self.retry_after_s = 1.0
+        # The limit in requests a second that its answers name.
+        self.limit_per_s = None
         self._starts = 0
         self._ledger = ledger
         self._backend = fakes.FakeOrigin(self._respond)
@@ -106,6 +108,8 @@
         if self.is_leaving:
             headers = (b'Server-Leaving: 1',)
             self._record_notice(req)
+        if self.limit_per_s is not None:
+            headers += (b'Server-Limit: %.2f' % self.limit_per_s,)
         if not is_run:
             headers += (b'Rosemarypaddle-Not-Run: 1',)
             if self.fault is Fault.WANTS_QUIET:
--- a/packages/testbed/tests/test_soak.py
+++ b/packages/testbed/tests/test_soak.py
@@ -193,6 +193,19 @@
         ledger.runs.append(run(name, _ledger.SAFE, at_ms=1_610))
 
 
+def requests_beyond_a_limit(ledger, calls):
+    ledger.limit_periods.append(
+        _ledger.LimitPeriod(
+            server='i-1', limit_per_s=1.0, begin_ms=0, end_ms=9_000
+        )
+    )
+    for number in range(12):
+        name = f'l{number}'
+        at_ms = 4_000 + 100 * number
+        ledger.attempts.append(attempt(name, _ledger.SAFE, sent_ms=at_ms))
+        ledger.runs.append(run(name, _ledger.SAFE, at_ms=at_ms + 10))
+
+
 DEFECTS = (
     booking_run_twice,
     false_refusal,
@@ -216,6 +229,7 @@
     unreported_before_a_kill,
     request_after_leaving_notice,
     requests_in_quiet_period,
+    requests_beyond_a_limit,
 )
 
 
