Keep the limit of a server also while all servers are leaving

The servers that are used as a last resort, while all of a service are leaving, were chosen without a permit. Found by reading the change; the new test places five requests there before and one now.

--- a/packages/router/src/paddle_router/policy/_availability.py
+++ b/packages/router/src/paddle_router/policy/_availability.py
@@ -97,6 +97,7 @@
             for state in present
             if self._accepts_work_while_leaving(state, now_ms)
             and not self.is_quiet(state, now_ms)
+            and self.limits.is_open(state.incarnation, now_ms)
         ]
         return leaving, bool(leaving) and not not_leaving
 
--- a/packages/router/tests/test_policy_server_limits.py
+++ b/packages/router/tests/test_policy_server_limits.py
@@ -160,3 +160,21 @@
     limits.use_permit(SERVER, second_ms)
     third_ms = limits.next_permit_ms(SERVER, second_ms)
     assert 3_999 <= third_ms - second_ms <= 4_001
+
+
+@pytest.mark.parametrize('leaving', [False, True])
+def test_a_server_without_a_permit_is_not_chosen(limits, leaving):
+    # Also if all servers are leaving and are used until they stop.
+    limits.wall_offset_ms = START_MS
+    limits.set_share(0, 8)
+    notices = policy.ServerNotices(drain_ms=3_000)
+    if leaving:
+        notices.mark_leaving(SERVER, 0)
+    balancer = policy.balancers.create(
+        'shared_load', rng=random.Random(1), notices=notices, limits=limits
+    )
+    balancer.sync([policy.Engine(id=SERVER.id)], 0)
+    limits.record(SERVER, 0.5, START_MS)
+    work = policy.EngineWork(target_ms=150)
+    placed = [balancer.choose(work, 0) for _ in range(5)]
+    assert sum(flight is not None for flight in placed) <= 1
