Lift a server's limit only by a response to the request

A duplicate of an old response, from before a server named its limit, lifted the limit until the next answer. Found by reading the change; the new test sees the limit lifted before and kept now.

--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -264,7 +264,9 @@
             head.status_code, head.headers
         )
         self._components.notice_recorder.record(
-            self._server, self._response_metadata
+            self._server,
+            self._response_metadata,
+            lifts_limit=self._is_matching_response(),
         )
         return head
 
--- a/packages/testbed/tests/test_server_limits.py
+++ b/packages/testbed/tests/test_server_limits.py
@@ -265,3 +265,26 @@
     harness.follower.step()
     (report,) = harness.controllers.requests[-1].reports
     assert [item.milli_per_s for item in report.limits] == [1_500]
+
+
+def test_a_stale_response_does_not_lift_a_limit(harness):
+    # Guards against a duplicate of an old response, from before the server
+    # named its limit, that arrives on a connection in use again.
+    stray = fakes.Received(b'GET / HTTP/1.1', b'')
+    stray.headers = {b'rosemarypaddle-request-id': b'other'}
+    limits = harness.gateway.components.limits
+    seen = []
+
+    def respond(req, _sock):
+        if b'/safe/0' in req.line:
+            return fakes.response(req, extra=(b'Server-Limit: 5',))
+        return [
+            fakes.response(stray, b'old'),
+            0.2,
+            lambda: seen.extend(limits.reports(0)),
+            fakes.response(req),
+        ]
+
+    harness.serve(respond)
+    assert send_statuses(harness, '/safe/', 2) == [200, 200]
+    assert [limit.milli_per_s for limit in seen] == [5_000]
