Share the fleet of the two process tests

The tests of crashing prompts and of server limits each had a configuration, a fleet fixture and a caller of their own. Both use paddle_testbed.fleet_load now; checks and bounds are unchanged.

--- a/packages/testbed/tests/test_crashing_prompts.py
+++ b/packages/testbed/tests/test_crashing_prompts.py
@@ -9,18 +9,17 @@
 import time
 
 import gevent
-import gevent.socket
 from paddle_router import policy
 import pytest
 
 from paddle_testbed import fakes
 from paddle_testbed import fleet as fleets
+from paddle_testbed import fleet_load
 from paddle_testbed import gateway_harness
 
 request = gateway_harness.request
 exchange = gateway_harness.exchange
 
-HOST = 'h.example'
 SERVERS = 6
 DOWN_S = 2.0
 EVENTS = 6
@@ -38,26 +37,14 @@
 CRASHING_PART = 'dead'
 # Time in which a refusal is stored at a majority of the controllers.
 STORE_S = 0.5
-CONFIG = {
-    'version': 3,
-    'routes': [
-        {
-            'name': 'r',
-            'host': HOST,
-            'pathPrefix': '/a/',
-            'kind': 'streaming',
-            'timeoutMs': 4000,
-            'targetLatencyMs': 300,
-            'targetGapMs': 300,
-            'service': 'engines',
-            'attempts': 1,
-        }
-    ],
-    'services': [
-        {'name': 'engines', 'healthPath': '/health', 'connectionLimit': 100}
-    ],
-    'tenants': [{'name': 'cust', 'accessKeys': ['k1']}],
-}
+CONFIG = fleet_load.build_config(
+    'engines',
+    kind='streaming',
+    timeoutMs=4000,
+    targetLatencyMs=300,
+    targetGapMs=300,
+    attempts=1,
+)
 
 
 class CrashingServer:
@@ -70,17 +57,6 @@
         self.arrivals = []
         self.origin = fakes.FakeOrigin(self._respond)
 
-    def list_entry(self):
-        return {
-            'identifier': self.name,
-            'service': 'engines',
-            'address': self.origin.address,
-            'zone': 'z1',
-            'version': 'v1',
-            'slots': 8,
-            'state': 'ready',
-        }
-
     def _respond(self, req, _sock):
         head = fakes.stream_head(req)
         prefix = req.headers.get(b'rosemarypaddle-prompt-prefix', b'')
@@ -107,16 +83,14 @@
 
 @pytest.fixture
 def fleet(tmp_path, servers):
-    cloud = fakes.FakeCloud()
-    cloud.entries = [item.list_entry() for item in servers]
-    built = fleets.Fleet(tmp_path, cloud, controllers=3, gateways=3)
-    built.start_all()
-    built.put_configuration(CONFIG)
-    for name in built.names('gateway'):
-        built.wait_ready(name)
-    yield built
-    built.stop()
-    cloud.stop()
+    entries = [
+        fleet_load.list_entry(item.name, 'engines', item.origin)
+        for item in servers
+    ]
+    with fleet_load.running_fleet(
+        tmp_path, entries, CONFIG, gateways=3
+    ) as built:
+        yield built
 
 
 def send_stream(address, parts):
@@ -124,31 +98,18 @@
 
     A response is complete if it ends with the last chunk.
     """
-    try:
-        sock = gevent.socket.create_connection(address, 2)
-        sock.settimeout(5)
-        sock.sendall(
-            f'POST /a/x HTTP/1.1\r\nHost: {HOST}\r\n'
-            f'Rosemarypaddle-Request-Id: r{time.monotonic_ns()}\r\n'
-            'Rosemarypaddle-Model: m\r\n'
-            'Rosemarypaddle-Token-Counts: 600,60\r\n'
-            f'Rosemarypaddle-Prompt-Prefix: {parts}\r\n'
-            'Rosemarypaddle-Deadline-Milliseconds: 4000\r\n'
-            'Authorization: Token k1\r\nContent-Length: 1\r\n\r\np'.encode()
-        )
-        data = b''
-        while not data.endswith(fakes.STREAM_END):
-            received = sock.recv(65_536)
-            if not received:
-                return False
-            data += received
-            if not data.startswith(b'HTTP/1.1 200'):
-                return False
-        return True
-    except OSError:
-        return False
-    finally:
-        sock.close()
+    data = fleet_load.send_request(
+        address,
+        method='POST',
+        headers=(
+            'Rosemarypaddle-Model: m',
+            'Rosemarypaddle-Token-Counts: 600,60',
+            f'Rosemarypaddle-Prompt-Prefix: {parts}',
+            'Rosemarypaddle-Deadline-Milliseconds: 4000',
+        ),
+        end=fakes.STREAM_END,
+    )
+    return data.startswith(b'HTTP/1.1 200') and data.endswith(fakes.STREAM_END)
 
 
 def send_mixed_load(fleet):
@@ -157,9 +118,7 @@
     Returns ``(time, greenlet)`` of the sound ones; each greenlet's value is
     whether the request was served.
     """
-    addresses = itertools.cycle(
-        fleet.gateway_address(name) for name in fleet.names('gateway')
-    )
+    addresses = fleet_load.gateway_addresses(fleet)
     sound = []
     start_s = time.monotonic()
     for number in itertools.count():
--- a/packages/testbed/tests/test_server_limits.py
+++ b/packages/testbed/tests/test_server_limits.py
@@ -8,15 +8,13 @@
 import time
 
 import gevent
-import gevent.socket
 from paddle_router import policy
 import pytest
 
 from paddle_testbed import fakes
-from paddle_testbed import fleet as fleets
+from paddle_testbed import fleet_load
 from paddle_testbed import gateway_harness
 
-HOST = 'h.example'
 GATEWAYS = 4
 SEND_INTERVAL_S = 0.02
 SERVICE_S = 0.01
@@ -27,25 +25,9 @@
 ALLOWED_RATIO = 1.5
 ALLOWED_REQUESTS = 5
 RUN_S = 12.0
-CONFIG = {
-    'version': 3,
-    'routes': [
-        {
-            'name': 'r',
-            'host': HOST,
-            'pathPrefix': '/a/',
-            'kind': 'safe',
-            'timeoutMs': 1500,
-            'targetLatencyMs': 200,
-            'service': 'plain',
-            'attempts': 2,
-        }
-    ],
-    'services': [
-        {'name': 'plain', 'healthPath': '/health', 'connectionLimit': 100}
-    ],
-    'tenants': [{'name': 'cust', 'accessKeys': ['k1']}],
-}
+CONFIG = fleet_load.build_config(
+    'plain', kind='safe', timeoutMs=1500, targetLatencyMs=200, attempts=2
+)
 
 
 class LimitedServer:
@@ -57,17 +39,6 @@
         self.arrivals = []
         self.origin = fakes.FakeOrigin(self._respond)
 
-    def list_entry(self):
-        return {
-            'identifier': self.name,
-            'service': 'plain',
-            'address': self.origin.address,
-            'zone': 'z1',
-            'version': 'v1',
-            'slots': 8,
-            'state': 'ready',
-        }
-
     def most_in_window(self, since_s):
         """Return the most requests in a window that begins at ``since_s``."""
         times = [at_s for at_s in self.arrivals if at_s >= since_s]
@@ -97,41 +68,27 @@
 
 @pytest.fixture
 def fleet(tmp_path, servers):
-    cloud = fakes.FakeCloud()
-    cloud.entries = [item.list_entry() for item in servers]
-    built = fleets.Fleet(tmp_path, cloud, controllers=3, gateways=GATEWAYS)
-    built.start_all()
-    built.put_configuration(CONFIG)
-    for name in built.names('gateway'):
-        built.wait_ready(name)
-    yield built
-    built.stop()
-    cloud.stop()
+    entries = [
+        fleet_load.list_entry(item.name, 'plain', item.origin)
+        for item in servers
+    ]
+    with fleet_load.running_fleet(
+        tmp_path, entries, CONFIG, gateways=GATEWAYS
+    ) as built:
+        yield built
 
 
 def send_request(address):
     """Return the status of one request, ``None`` without an answer."""
-    try:
-        sock = gevent.socket.create_connection(address, 2)
-        sock.settimeout(3)
-        sock.sendall(
-            f'GET /a/x HTTP/1.1\r\nHost: {HOST}\r\n'
-            f'Rosemarypaddle-Request-Id: r{time.monotonic_ns()}\r\n'
-            'Rosemarypaddle-Deadline-Milliseconds: 1500\r\n'
-            'Authorization: Token k1\r\n\r\n'.encode()
-        )
-        data = sock.recv(4096)
-    except OSError:
-        return None
-    sock.close()
+    data = fleet_load.send_request(
+        address, headers=('Rosemarypaddle-Deadline-Milliseconds: 1500',)
+    )
     return int(data.split()[1]) if data else None
 
 
 def send_load(fleet, run_s=RUN_S):
     """Send requests to all gateways in turn; return their statuses."""
-    addresses = itertools.cycle(
-        fleet.gateway_address(name) for name in fleet.names('gateway')
-    )
+    addresses = fleet_load.gateway_addresses(fleet)
     requests = []
     end_s = time.monotonic() + run_s
     while time.monotonic() < end_s:
