Bound the crash evidence of controllers that do not decide

A controller that does not hold the lease kept every crash report for good, and one without a lease holder also all reports to pass on, since only the decision dropped old ones. Reports are dropped when new ones arrive, and what is passed on is worked out from them. Found by reading the change; both new tests fail before (2,000 and 1,000 reports kept, 301 at most now).

--- a/packages/router/src/paddle_router/controller/_prompt_crashes.py
+++ b/packages/router/src/paddle_router/controller/_prompt_crashes.py
@@ -51,8 +51,8 @@
         self._evidence = policy.PromptCrashes()
         # Suspects as the lease holder named them.
         self._suspects = ()
-        # Reports that the lease holder has not confirmed, by id.
-        self._unconfirmed = {}
+        # Ids of reports that the lease holder has confirmed.
+        self._confirmed = set()
         self._holder = None
         self._is_loaded = False
         self._stored = frozenset()
@@ -88,15 +88,13 @@
     def add(self, report):
         """Add the evidence in a report of a gateway or a controller."""
         now_ms = self._wall.now_ms()
-        new = self._evidence.add_reports(report.crashes, now_ms)
-        self._unconfirmed.update((item.id, item) for item in new)
+        self._evidence.add_reports(report.crashes, now_ms)
         self._evidence.add_served(report.served, now_ms)
         self._evidence.add_refused(report.refused, now_ms)
 
     def decide(self):
         """Decide on suspects and refused parts, as the lease holder."""
-        # The lease holder passes nothing on; a later one gets all reports.
-        self._unconfirmed = {}
+        # A later lease holder has no reports.
         self._holder = None
         period_ms = self._fleet.period_ms() + _gateway_sums.RELAY_PERIOD_MS
         # One period to announce a suspect, one for the replies.
@@ -118,19 +116,20 @@
             # A new holder has no reports and asks for its own suspects.
             self._holder = holder
             self._suspects = ()
-            self._unconfirmed = {
-                item.id: item for item in self._evidence.reports()
-            }
+            self._confirmed = set()
+        reports = self._evidence.reports()
+        self._confirmed.intersection_update(item.id for item in reports)
         return {
-            'crashes': tuple(self._unconfirmed.values()),
+            'crashes': tuple(
+                item for item in reports if item.id not in self._confirmed
+            ),
             'served': self._evidence.served(self._suspects),
             'refused': self._evidence.refused(self._wall.now_ms()),
         }
 
     def apply_reply(self, report, reply):
         """Apply the lease holder's reply to ``report``."""
-        for item in report.crashes:
-            self._unconfirmed.pop(item.id, None)
+        self._confirmed.update(item.id for item in report.crashes)
         self._suspects = reply.suspects
         self._evidence.add_refused(reply.refused, self._wall.now_ms())
 
--- a/packages/router/src/paddle_router/policy/_prompt_crashes.py
+++ b/packages/router/src/paddle_router/policy/_prompt_crashes.py
@@ -121,7 +121,7 @@
         return tuple(self._suspected_since_ms)
 
     def add_reports(self, reports, now_ms):
-        """Add :class:`CrashReport` objects; return those that are new."""
+        """Add :class:`CrashReport` objects."""
         new = [
             attrs.evolve(item, at_ms=min(item.at_ms, now_ms))
             for item in reports
@@ -130,7 +130,8 @@
         for item in new:
             self._reports[item.id] = item
             self._crash_of(item).add(item)
-        return new
+        if new:
+            self._forget(now_ms)
 
     def add_served(self, served, now_ms):
         """Add :class:`ServedPart` objects."""
--- a/packages/router/tests/test_controller_prompt_crashes.py
+++ b/packages/router/tests/test_controller_prompt_crashes.py
@@ -160,3 +160,11 @@
     cluster.exchange(2)
     for name in (HOLDER, NEAR, FAR):
         assert cluster.refused(name) == [CRASHING]
+
+
+def test_unconfirmed_reports_are_bounded_without_a_lease_holder(cluster):
+    for _ in range(1_000):
+        cluster.report(NEAR, parts=(PREAMBLE, CRASHING))
+        cluster.clock.advance(2_000)
+    fields = cluster.collections[NEAR].report_fields('')
+    assert len(fields['crashes']) <= 301
--- a/packages/router/tests/test_policy_prompt_crashes.py
+++ b/packages/router/tests/test_policy_prompt_crashes.py
@@ -204,3 +204,16 @@
         decider.add_served(at_ms + 500, *[parts[1] for parts in prompts[:3]])
     decider.run_until(70_000)
     assert decider.refused() == []
+
+
+def test_evidence_is_bounded_at_controllers_that_never_decide():
+    # Guards against memory that grows with every crash, as only the lease
+    # holder decides.
+    crashes = policy.PromptCrashes()
+    for number in range(2_000):
+        at_ms = 2_000 * number
+        crashes.add_reports(
+            [report(number, at_ms, 'a1', f'b{number}')], START_MS + at_ms
+        )
+    assert len(crashes.reports()) <= 600_000 / 2_000 + 1
+    assert len(crashes.dump()['crashes']) <= 600_000 / 2_000 + 1
