Send requests without an id on new connections

Callers of requests without an id were told "not run" (503) for requests that ran, or such a request ran at a second server: a server wrote an earlier refusal, with another id or none, on a kept connection, and the gateway took the first response on it, because nothing in such a request tells which response is its own.

On a new connection the first response is the own one, since no earlier request can have a response there. If all connections to the server are in use or idle, an idle one is closed for it.

--- a/packages/router/src/paddle_router/gateway/_connections.py
+++ b/packages/router/src/paddle_router/gateway/_connections.py
@@ -47,20 +47,24 @@
         self._addresses = collections.defaultdict(_AddressState)
         self.opened_count = 0
 
-    def acquire(self, address, *, limit, owner=None):
+    def acquire(self, address, *, limit, owner=None, must_be_new=False):
         """Return an idle or new connection; at most ``limit`` are open.
 
         ``owner`` identifies the server at the address. Connections to a
         previous server at the same address are not reused.
+        ``must_be_new`` excludes idle ones, on which the server may write a
+        response to an earlier request.
 
         :raises NoConnectionError: if no connection can be opened.
         """
         state = self._addresses[address]
-        while state.idle:
+        while state.idle and not must_be_new:
             conn = state.idle.pop()
             if conn.owner == owner and self._is_usable(conn):
                 return conn
             self.discard(conn)
+        if state.idle and state.open >= limit:
+            self.discard(state.idle.popleft())
         if state.open >= limit:
             raise NoConnectionError(f'{address}: {limit} connections in use')
         conn = self._open(address, state)
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -68,6 +68,7 @@
                 self._server.address,
                 limit=self._components.connection_limit(call.service),
                 owner=self._server.incarnation,
+                must_be_new=call.metadata.request_id is None,
             )
         except _connections.NoConnectionError as exc:
             balancer.back_off(self._flight, self._clock.now_ms())
@@ -274,7 +275,8 @@
         """Return whether the last head read belongs to this request.
 
         A response without an id may be a duplicate of an earlier response,
-        unless the connection is new.
+        unless the connection is new. A request without an id is only sent on
+        a new connection.
         """
         expected_id = self._call.metadata.request_id
         found_id = self._response_metadata.request_id
