Repeat a request at the same server on a new connection

Callers were told "not run" (503) for a request that ran: a server refused it with a quiet time, was sent it again after that time on another kept connection, and wrote the earlier refusal there once more before it ran the request. Both attempts have the same id, so the id does not tell the two responses apart. The same holds for a moved run that returns to its source.

Ruled out: a repeat on the connection of the refusal itself. Such a connection is closed with the refusal and carries no other request.

What remains is a server that writes the earlier refusal first on a connection that it has never used; nothing tells this from a second refusal.

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -47,14 +47,14 @@
 
     ``end_ms`` is the deadline set by the caller or the route. ``tried`` holds
     the ids of the servers chosen so far, ``attempts`` counts the servers that
-    the request was sent to. ``response_started`` is set once a byte of the
-    response may have been written to the caller, ``run_started`` once a server
-    has started to run the request, ``response_seen`` once a server has
-    responded. ``status`` and ``reason`` describe the final response,
-    ``first_ms`` and ``longest_gap_ms`` its events. ``continuation`` is the
-    :class:`Continuation` of a stopped run. ``rank`` is the sort key for
-    waiting requests, lowest first; ``urgency`` is the rank sent to engines,
-    ``None`` for a plain service.
+    the request was sent to, ``sent_server_ids`` holds their ids.
+    ``response_started`` is set once a byte of the response may have been
+    written to the caller, ``run_started`` once a server has started to run the
+    request, ``response_seen`` once a server has responded. ``status`` and
+    ``reason`` describe the final response, ``first_ms`` and ``longest_gap_ms``
+    its events. ``continuation`` is the :class:`Continuation` of a stopped run.
+    ``rank`` is the sort key for waiting requests, lowest first; ``urgency`` is
+    the rank sent to engines, ``None`` for a plain service.
     """
 
     req: _http1.Request
@@ -66,6 +66,7 @@
     attempts: int = 0
     may_have_run: bool = False
     tried: set = attrs.field(factory=set)
+    sent_server_ids: set = attrs.field(factory=set)
     status: int = 0
     reason: str = ''
     response_started: bool = False
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -68,7 +68,7 @@
                 self._server.address,
                 limit=self._components.connection_limit(call.service),
                 owner=self._server.incarnation,
-                must_be_new=call.metadata.request_id is None,
+                must_be_new=self._needs_new_connection(),
             )
         except _connections.NoConnectionError as exc:
             balancer.back_off(self._flight, self._clock.now_ms())
@@ -94,6 +94,18 @@
             self._components.waiting.wake_next(call.service)
             self._release_connection()
 
+    def _needs_new_connection(self):
+        """Return whether an id does not identify the response.
+
+        It does not if the request has none, or if the server has had the
+        request before and may repeat its earlier response.
+        """
+        call = self._call
+        return (
+            call.metadata.request_id is None
+            or self._server.id in call.sent_server_ids
+        )
+
     def _release_place(self, balancer):
         """Release the flight and report to the balancer whether it failed."""
         if not self._response_metadata.has_run and (
@@ -219,6 +231,7 @@
             call.attempts += 1
         call.may_have_run = True
         call.server_id = self._server.id
+        call.sent_server_ids.add(self._server.id)
         self._flight.sent_ms = self._clock.now_ms()
         paddle_kernel.emit(
             _events.REQUEST_SENT,
--- a/packages/testbed/tests/test_gateway_repeated_refusals.py
+++ b/packages/testbed/tests/test_gateway_repeated_refusals.py
@@ -146,3 +146,15 @@
     for server in servers:
         server.runs.clear()
     check_ran_once(exchange(harness, without_id(post(path))), *servers)
+
+
+@pytest.mark.parametrize('path', PATHS)
+def test_a_refusal_is_not_the_answer_to_the_next_attempt(harness, path):
+    # Guards against "not run" for a request that its server refused before
+    # and runs now: both attempts have the same id.
+    server = RepeatingServer()
+    serve(harness, server)
+    keep_connections(harness, 3)
+    server.runs.clear()
+    server.stale, server.refusing = [repeat_last_refusal], 1
+    check_ran_once(exchange(harness, post(path)), server)
