Trust a response without an id only as the first on a new connection

Callers were told "not run" (503) for a request that ran: on a new connection a server wrote a response to another request, then a refusal without an id, then the own response. The gateway skipped the first and took the second, because the connection was new. It also took a connection as new that had been idle since a check of a crashed server opened it; a server may write a refusal there before a request comes.

--- a/packages/router/src/paddle_router/gateway/_connections.py
+++ b/packages/router/src/paddle_router/gateway/_connections.py
@@ -75,6 +75,7 @@
         """Return ``conn`` to the pool; the server keeps it for ``idle_ms``."""
         conn.idle_since_ms = self._clock.now_ms()
         conn.idle_limit_ms = idle_ms
+        conn.was_idle = True
         self._addresses[conn.address].idle.append(conn)
 
     def discard(self, conn):
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -55,6 +55,7 @@
         self._is_response_complete = False
         self._is_server_at_fault = True
         self._is_head_read = False
+        self._is_response_skipped = False
         self._silence_timeout = None
 
     def run(self, caller, balancer):
@@ -288,14 +289,18 @@
         """Return whether the last head read belongs to this request.
 
         A response without an id may be a duplicate of an earlier response,
-        unless the connection is new. A request without an id is only sent on
-        a new connection.
+        unless it is the first one on a new connection. A request without an id
+        is only sent on a new connection.
         """
         expected_id = self._call.metadata.request_id
         found_id = self._response_metadata.request_id
         if expected_id is None or found_id == expected_id:
             return True
-        return found_id is None and self._conn.use_count == 1
+        return (
+            found_id is None
+            and not self._conn.was_idle
+            and not self._is_response_skipped
+        )
 
     def _skip_to_matching_head(self):
         for _ in range(_response_limits.MAX_SKIPPED_RESPONSES):
@@ -305,6 +310,7 @@
                 found=self._response_metadata.request_id,
                 server=self._server.id,
             )
+            self._is_response_skipped = True
             self._conn.skip_response()
             head = self._read_next_head()
             if self._is_matching_response():
--- a/packages/router/src/paddle_router/gateway/_http1.py
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -296,6 +296,7 @@
         self.address = address
         self.idle_since_ms = 0
         self.idle_limit_ms = None
+        self.was_idle = False
         self.use_count = 0
         self.owner = None
         self.is_request_sent = True
--- a/packages/testbed/tests/test_gateway_repeated_refusals.py
+++ b/packages/testbed/tests/test_gateway_repeated_refusals.py
@@ -158,3 +158,14 @@
     server.runs.clear()
     server.stale, server.refusing = [repeat_last_refusal], 1
     check_ran_once(exchange(harness, post(path)), server)
+
+
+@pytest.mark.parametrize('path', PATHS)
+def test_a_refusal_without_an_id_is_not_taken_after_a_skipped_answer(
+    harness, path
+):
+    # Guards against a new connection that is trusted after it has shown an
+    # answer to another request.
+    server = RepeatingServer(on_new=(refusal(b'other'), refusal(None)))
+    serve(harness, server)
+    check_ran_once(exchange(harness, post(path)), server)
