Ignore the state that a skipped response names

Callers were refused (503) though the server was available: a server wrote an earlier refusal once more on a kept connection. The gateway skipped it, but recorded its quiet time and its limit as if they were new. If nothing else came, the attempt was also settled by the refusal: the server got no failure in the balancer and stayed the first choice.

A response that names another request is a copy of one that was read before (a connection is only kept after a complete response), so its figures were recorded then. Its shutdown notice still counts, because a server that leaves does not return. One without an id still counts, since it may be the own response of a server that leaves ids out.

The state of an exchange is now set from the matching response only.

--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -255,66 +255,67 @@
 
     def _read_matching_head(self):
         """Return the response head that belongs to this request."""
-        head = self._read_next_head()
-        if not self._is_matching_response():
+        head, metadata = self._read_next_head()
+        if not self._is_matching_response(metadata):
             with gevent.Timeout(
                 _response_limits.SKIP_TIMEOUT_MS / MS_PER_S,
                 _http1.BrokenResponseError(
                     'no response to this request in time'
                 ),
             ):
-                head = self._skip_to_matching_head()
-        if self._response_metadata.load is not None:
+                head, metadata = self._skip_to_matching_head(metadata)
+        self._response_metadata = metadata
+        if metadata.load is not None:
             self._components.record_load(
-                self._call.service,
-                self._server.id,
-                self._response_metadata.load,
+                self._call.service, self._server.id, metadata.load
             )
         return head
 
     def _read_next_head(self):
+        """Return the next response head and its :class:`ResponseMetadata`."""
         head = self._conn.read_head()
         self._is_head_read = True
-        self._response_metadata = self._dialect.parse_response_headers(
+        metadata = self._dialect.parse_response_headers(
             head.status_code, head.headers
         )
+        is_own = self._is_matching_response(metadata)
+        is_repeated = not is_own and metadata.request_id is not None
         self._components.notice_recorder.record(
             self._server,
-            self._response_metadata,
-            lifts_limit=self._is_matching_response(),
+            metadata.without_figures() if is_repeated else metadata,
+            lifts_limit=is_own,
         )
-        return head
+        return head, metadata
 
-    def _is_matching_response(self):
-        """Return whether the last head read belongs to this request.
+    def _is_matching_response(self, metadata):
+        """Return whether the response with ``metadata`` is to this request.
 
         A response without an id may be a duplicate of an earlier response,
         unless it is the first one on a new connection. A request without an id
         is only sent on a new connection.
         """
         expected_id = self._call.metadata.request_id
-        found_id = self._response_metadata.request_id
-        if expected_id is None or found_id == expected_id:
+        if expected_id is None or metadata.request_id == expected_id:
             return True
         return (
-            found_id is None
+            metadata.request_id is None
             and not self._conn.was_idle
             and not self._is_response_skipped
         )
 
-    def _skip_to_matching_head(self):
+    def _skip_to_matching_head(self, metadata):
         for _ in range(_response_limits.MAX_SKIPPED_RESPONSES):
             paddle_kernel.emit(
                 _events.RESPONSE_SKIPPED,
                 request=self._call.metadata.request_id,
-                found=self._response_metadata.request_id,
+                found=metadata.request_id,
                 server=self._server.id,
             )
             self._is_response_skipped = True
             self._conn.skip_response()
-            head = self._read_next_head()
-            if self._is_matching_response():
-                return head
+            head, metadata = self._read_next_head()
+            if self._is_matching_response(metadata):
+                return head, metadata
         raise _http1.BrokenResponseError(
             'too many responses to other requests'
         )
--- a/packages/router/src/paddle_router/gateway/_model.py
+++ b/packages/router/src/paddle_router/gateway/_model.py
@@ -206,6 +206,19 @@
     limit_per_s: float | None = None
     invalid_limit: str | None = None
 
+    def without_figures(self):
+        """Return a copy without quiet time and limit.
+
+        These were only valid when the response was first sent.
+        """
+        return attrs.evolve(
+            self,
+            quiet_ms=None,
+            invalid_quiet=None,
+            limit_per_s=None,
+            invalid_limit=None,
+        )
+
 
 @attrs.frozen(kw_only=True)
 class ForwardingContext:
--- a/packages/testbed/tests/test_gateway_repeated_refusals.py
+++ b/packages/testbed/tests/test_gateway_repeated_refusals.py
@@ -169,3 +169,35 @@
     server = RepeatingServer(on_new=(refusal(b'other'), refusal(None)))
     serve(harness, server)
     check_ran_once(exchange(harness, post(path)), server)
+
+
+def test_a_repeated_refusal_does_not_prolong_the_quiet_time(harness):
+    # Guards against requests that are refused though the server is available.
+    extra = (NOT_RUN, b'Retry-After: 5')
+    server = RepeatingServer(refusal(b'other', extra=extra))
+    serve(harness, server)
+    keep_connections(harness)
+    for _ in range(2):
+        assert exchange(harness, post('/book/x'))[0] == 200
+
+
+def test_a_repeated_answer_does_not_bring_back_a_limit(harness, events):
+    server = RepeatingServer(refusal(b'other', extra=(b'Server-Limit: 1',)))
+    serve(harness, server)
+    keep_connections(harness)
+    exchange(harness, post('/book/x'))
+    assert not events.fields_of(3337)
+
+
+def test_an_attempt_that_only_gets_repeated_refusals_is_a_failure(harness):
+    # Guards against a faulty server that is chosen as if it had been idle.
+    extra = (NOT_RUN, b'Retry-After: 5')
+    servers = [
+        RepeatingServer(refusal(b'other', extra=extra), None) for _ in range(2)
+    ]
+    serve(harness, *servers)
+    keep_connections(harness, 6)
+    exchange(harness, post('/book/x'))
+    balancer = harness.gateway.components.balancers['plain']
+    loads = balancer.own_loads(harness.gateway.clock.now_ms())
+    assert sum(load.failures for load in loads.values()) == 1
