Answer a call whose answer cannot be encoded, and log it (event 1005)

One value that a message cannot hold cost the message without a trace in the numbered log: the greenlet of the call ended with a bare traceback, and the caller waited for its time limit.

Cause: `pack` ran outside the handler's error handling, and a message is encoded as a whole.

- `codec.encode` raises `EncodeError` with the path of the field.
- A server logs event 1005 with message, field and error, sends what `reduce_answer` leaves of the answer, or else a frame without a message, which the caller gets as `failed` at once.
- A request that cannot be encoded is `unencodable` and not sent.
A gateway then exchanges without its report, a controller without observations.
- A controller's reduced answer holds the configuration; the receiver keeps its list.

A connection to an address that cannot exist (`h:port`) is refused instead of raising ValueError.

A reply without `servers` but with a new `listing` was ruled out: the gateway would take it as an empty list.

--- a/packages/kernel/src/paddle_kernel/__init__.py
+++ b/packages/kernel/src/paddle_kernel/__init__.py
@@ -9,6 +9,7 @@
 from paddle_kernel._clock import SteadyWall
 from paddle_kernel._clock import SystemClock
 from paddle_kernel._codec import codec
+from paddle_kernel._codec import EncodeError
 from paddle_kernel._codec import UnknownMessageError
 from paddle_kernel._dump import process_state
 from paddle_kernel._dump import StateDump
@@ -40,6 +41,7 @@
 from paddle_kernel._transport import broadcast
 from paddle_kernel._transport import CallError
 from paddle_kernel._transport import FrameError
+from paddle_kernel._transport import is_unencodable
 from paddle_kernel._transport import split_address
 from paddle_kernel._transport import TcpServer
 from paddle_kernel._transport import TcpTransport
@@ -53,6 +55,7 @@
     'DELIVER',
     'DROP',
     'DUPLICATE',
+    'EncodeError',
     'Event',
     'FakeClock',
     'Finding',
@@ -85,6 +88,7 @@
     'declare_event',
     'declared_events',
     'emit',
+    'is_unencodable',
     'loop_state',
     'process_state',
     'run_in_thread',
--- a/packages/kernel/src/paddle_kernel/_codec.py
+++ b/packages/kernel/src/paddle_kernel/_codec.py
@@ -11,6 +11,37 @@
 import typing
 
 import attrs
+import capnp
+
+_WRITE_ERRORS = (
+    AttributeError,
+    OverflowError,
+    TypeError,
+    ValueError,
+    capnp.KjException,
+)
+
+
+class EncodeError(ValueError):
+    """A message has a value that its struct cannot hold.
+
+    ``field`` is the path of the field, such as ``servers[2].slots``.
+    """
+
+    def __init__(self, field, reason):
+        super().__init__(f'{field}: {reason}')
+        self.field = field
+        self.reason = reason
+
+    @classmethod
+    def inside(cls, parent, exc):
+        """Return the error for ``exc``, raised below the field ``parent``."""
+        if not isinstance(exc, EncodeError):
+            # The further lines of a KjException are a stack trace.
+            reason = str(exc).partition('\n')[0]
+            return cls(parent, f'{type(exc).__name__}: {reason}')
+        dot = '' if exc.field.startswith('[') else '.'
+        return cls(f'{parent}{dot}{exc.field}', exc.reason)
 
 
 class UnknownMessageError(ValueError):
@@ -32,22 +63,28 @@
             value = getattr(message, name)
             if value is None:
                 continue
-            if isinstance(value, tuple):
-                _write_list(builder.init(wire_name, len(value)), value)
-            elif attrs.has(type(value)):
-                _writer(type(value))(value, builder.init(wire_name))
-            else:
-                setattr(builder, wire_name, value)
+            try:
+                if isinstance(value, tuple):
+                    _write_list(builder.init(wire_name, len(value)), value)
+                elif attrs.has(type(value)):
+                    _writer(type(value))(value, builder.init(wire_name))
+                else:
+                    setattr(builder, wire_name, value)
+            except _WRITE_ERRORS as exc:
+                raise EncodeError.inside(name, exc) from exc
 
     return write
 
 
 def _write_list(builder, values):
     for index, value in enumerate(values):
-        if attrs.has(type(value)):
-            _writer(type(value))(value, builder[index])
-        else:
-            builder[index] = value
+        try:
+            if attrs.has(type(value)):
+                _writer(type(value))(value, builder[index])
+            else:
+                builder[index] = value
+        except _WRITE_ERRORS as exc:
+            raise EncodeError.inside(f'[{index}]', exc) from exc
 
 
 def _split_optional(annotation):
@@ -124,7 +161,10 @@
         return self._by_class[type(message)][0]
 
     def encode(self, message):
-        """Return ``(kind, bytes)`` for ``message``."""
+        """Return ``(kind, bytes)`` for ``message``.
+
+        :raises EncodeError: if the struct cannot hold a value.
+        """
         kind, struct = self._by_class[type(message)]
         builder = struct.new_message()
         _writer(type(message))(message, builder)
--- a/packages/kernel/src/paddle_kernel/_events.py
+++ b/packages/kernel/src/paddle_kernel/_events.py
@@ -63,6 +63,9 @@
 HANDLER_FAILED = declare(
     1003, 'ERROR', 'a message from a peer could not be handled'
 )
+MESSAGE_UNENCODABLE = declare(
+    1005, 'ERROR', 'a message cannot be encoded and is not sent'
+)
 
 SIGNAL_RECEIVED = declare(1004, 'INFO', 'the process received a signal')
 
--- a/packages/kernel/src/paddle_kernel/_transport.py
+++ b/packages/kernel/src/paddle_kernel/_transport.py
@@ -33,8 +33,9 @@
     """The reason why a call has no answer.
 
     ``kind`` is ``refused`` if the connection could not be opened, so that the
-    message was not sent. It is ``timeout`` or ``closed`` if the message may
-    have arrived.
+    message was not sent, and ``unencodable`` if the message cannot be encoded.
+    It is ``timeout`` or ``closed`` if the message may have arrived, and
+    ``failed`` if the receiver has no answer that can be encoded.
     """
 
     kind: str
@@ -43,7 +44,7 @@
     @property
     def was_sent(self):
         """Whether the message may have arrived."""
-        return self.kind != 'refused'
+        return self.kind not in ('refused', 'unencodable')
 
 
 @attrs.define
@@ -65,13 +66,28 @@
         """Return ``Success(answer)`` or ``Failure(CallError)``."""
 
 
+def is_unencodable(result):
+    """Whether a call failed because its message cannot be encoded."""
+    return (
+        isinstance(result, returns.result.Failure)
+        and result.failure().kind == 'unencodable'
+    )
+
+
 class FrameError(ValueError):
     """A frame exceeds ``MAX_FRAME_BYTES`` or cannot be decoded."""
 
 
 def pack(call_id, message):
-    """Return the frame that carries ``message``."""
-    kind, body = _codec.codec.encode(message)
+    """Return the frame that carries ``message``.
+
+    ``None`` tells the caller that its call has no answer.
+
+    :raises EncodeError: if the message cannot be encoded.
+    """
+    kind, body = (
+        _codec.codec.encode(message) if message is not None else ('', b'')
+    )
     name = kind.encode('ascii')
     size = _CALL_HEADER.size + len(name) + len(body)
     return FRAME_HEADER.pack(size, call_id, len(name)) + name + body
@@ -80,12 +96,16 @@
 def unpack(data):
     """Return ``(call_id, message)`` from a frame without its size field.
 
+    The message is ``None`` if the frame carries none.
+
     :raises FrameError: if it cannot be decoded.
     """
     try:
         call_id, length = _CALL_HEADER.unpack_from(data)
         end = _CALL_HEADER.size + length
         kind = data[_CALL_HEADER.size : end].decode('ascii')
+        if not kind and len(data) == end:
+            return call_id, None
         return call_id, _codec.codec.decode(kind, data[end:])
     except (capnp.KjException, struct.error, ValueError) as exc:
         raise FrameError(f'cannot decode a frame: {exc}') from exc
@@ -136,11 +156,13 @@
     """Answers calls with the result of ``handler(message)``.
 
     Calls on one connection are handled concurrently. No answer is sent if the
-    handler returns ``None``.
+    handler returns ``None``. ``reduce_answer(request, answer)`` is called for
+    an answer that cannot be encoded, and returns a substitute or ``None``.
     """
 
-    def __init__(self, address, handler, *, traffic=None):
+    def __init__(self, address, handler, *, traffic=None, reduce_answer=None):
         self._handler = handler
+        self._reduce_answer = reduce_answer or _no_answer
         self._server = gevent.server.StreamServer(
             split_address(address), self._serve
         )
@@ -174,6 +196,8 @@
         try:
             while True:
                 call_id, message = reader.read()
+                if message is None:
+                    raise FrameError('a call without a message')
                 gevent.spawn(self._handle_call, sock, lock, call_id, message)
         except (EOFError, OSError):
             # The caller has disconnected and no longer waits for answers.
@@ -199,7 +223,7 @@
             return
         if answer is None:
             return
-        frame = pack(call_id, answer)
+        frame = self._pack_answer(call_id, message, answer)
         self.traffic.sent += len(frame)
         with lock:
             try:
@@ -207,6 +231,35 @@
             except OSError:
                 sock.close()
 
+    def _pack_answer(self, call_id, message, answer):
+        """Return the frame with the answer, or with what can be sent of it."""
+        try:
+            return pack(call_id, answer)
+        except _codec.EncodeError as exc:
+            _log_unencodable(answer, exc)
+        try:
+            return pack(call_id, self._reduce_answer(message, answer))
+        except Exception as exc:
+            _events.emit(
+                _events.HANDLER_FAILED,
+                message=_codec.codec.kind_of(message),
+                error=f'{type(exc).__name__}: {exc}',
+            )
+        return pack(call_id, None)
+
+
+def _no_answer(_request, _answer):
+    return None
+
+
+def _log_unencodable(message, exc):
+    _events.emit(
+        _events.MESSAGE_UNENCODABLE,
+        message=_codec.codec.kind_of(message),
+        field=exc.field,
+        error=exc.reason,
+    )
+
 
 class _Connection:
     """One client connection; answers are matched to calls by call id."""
@@ -287,15 +340,21 @@
         try:
             with gevent.Timeout(timeout_ms / _clock.MS_PER_S):
                 conn = self._get_connection(address, timeout_ms)
-        except (OSError, gevent.Timeout):
+        except (OSError, OverflowError, ValueError, gevent.Timeout):
+            # The address may be no valid one.
             return returns.result.Failure(CallError('refused', address))
         try:
             answer = conn.call(next(self._call_ids), message, timeout_ms)
+        except _codec.EncodeError as exc:
+            _log_unencodable(message, exc)
+            return returns.result.Failure(CallError('unencodable', address))
         except gevent.Timeout:
             return returns.result.Failure(CallError('timeout', address))
         except (EOFError, OSError):
             conn.close()
             return returns.result.Failure(CallError('closed', address))
+        if answer is None:
+            return returns.result.Failure(CallError('failed', address))
         return returns.result.Success(answer)
 
     def close(self):
--- a/packages/kernel/tests/test_kernel_transport.py
+++ b/packages/kernel/tests/test_kernel_transport.py
@@ -85,6 +85,64 @@
     assert [number for number, _fields in emitted_events] == [1003]
 
 
+UNENCODABLE = coord.DemandReport('d', '\ud800', 'live', ())
+
+
+def test_an_answer_that_cannot_be_encoded_fails_only_its_call(emitted_events):
+    # Guards against a caller that waits for an answer that never comes.
+    server = kernel.TcpServer('127.0.0.1:0', lambda _message: UNENCODABLE)
+    transport = kernel.TcpTransport()
+    for _ in range(2):
+        result = transport.call(server.start().address, REPORT, 60_000)
+        assert result.failure().kind == 'failed'
+        assert result.failure().was_sent
+    transport.close()
+    server.stop()
+    numbers = [number for number, _fields in emitted_events]
+    assert numbers == [1005, 1005]
+    assert emitted_events[0][1]['message'] == 'DemandReport'
+    assert emitted_events[0][1]['field'] == 'incarnation'
+
+
+@pytest.mark.parametrize(
+    ('reduced', 'outcome'),
+    [(REPORT, REPORT), (UNENCODABLE, 'failed'), (None, 'failed')],
+)
+def test_the_part_that_can_be_encoded_is_sent(
+    emitted_events, reduced, outcome
+):
+    server = kernel.TcpServer(
+        '127.0.0.1:0',
+        lambda _message: UNENCODABLE,
+        reduce_answer=lambda _request, _answer: reduced,
+    ).start()
+    transport = kernel.TcpTransport()
+    result = transport.call(server.address, REPORT, 60_000)
+    transport.close()
+    server.stop()
+    if outcome is REPORT:
+        assert result.unwrap() == REPORT
+    else:
+        assert result.failure().kind == outcome
+
+
+def test_a_message_that_cannot_be_encoded_is_not_sent(emitted_events):
+    server = kernel.TcpServer('127.0.0.1:0', lambda message: message).start()
+    transport = kernel.TcpTransport()
+    result = transport.call(server.address, UNENCODABLE, 2_000)
+    assert kernel.is_unencodable(result) and not result.failure().was_sent
+    assert transport.call(server.address, REPORT, 2_000).unwrap() == REPORT
+    transport.close()
+    server.stop()
+    assert [number for number, _fields in emitted_events] == [1005]
+
+
+@pytest.mark.parametrize('address', ['127.0.0.1:70000', 'x:y', '\ud800:1'])
+def test_a_call_to_an_odd_address_is_refused(address):
+    result = kernel.TcpTransport().call(address, REPORT, 500)
+    assert result.failure().kind == 'refused'
+
+
 def test_call_to_a_closed_port_is_refused_and_not_sent():
     # Guards against reporting an unsent message as possibly delivered.
     server = kernel.TcpServer('127.0.0.1:0', lambda message: message).start()
@@ -95,6 +153,14 @@
     assert not result.failure().was_sent
 
 
+def test_a_call_without_a_message_closes_its_connection(emitted_events):
+    server = kernel.TcpServer('127.0.0.1:0', lambda message: message).start()
+    result = kernel.TcpTransport().call(server.address, None, 2_000)
+    server.stop()
+    assert result.failure().kind == 'closed'
+    assert [number for number, _fields in emitted_events] == [1002]
+
+
 def test_loop_is_libev_with_epoll():
     # Guards against gevent choosing its io_uring loop.
     kernel.check_loop()
--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -130,7 +130,9 @@
         self.dump.register('limits', self.exchange.limits.dump)
         self.dump.register('traffic', self.transport.traffic.dump)
         self._peer_server = paddle_kernel.TcpServer(
-            settings.peer, self._handle
+            settings.peer,
+            self._handle,
+            reduce_answer=_state_exchange.reduce_answer,
         )
         self._api_server = pywsgi.WSGIServer(
             paddle_kernel.split_address(settings.listen),
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -1,5 +1,6 @@
 """Exchange of state between a controller, its gateways and its peers."""
 
+import functools
 import zlib
 
 import attrs
@@ -20,6 +21,56 @@
 HOLDER_SILENCE_MS = 450
 
 
+@functools.singledispatch
+def reduce_answer(request, _answer):
+    """Return the part of an answer that is sent if not all can be encoded.
+
+    ``None`` if there is no such part.
+    """
+    return None
+
+
+@reduce_answer.register
+def _reduce_sync_reply(request: gateway.SyncRequest, answer):
+    # The gateway keeps its list and still gets the configuration.
+    return attrs.evolve(
+        answer,
+        listing=request.listing,
+        servers=(),
+        totals=b'',
+        counted=0,
+        suspects=(),
+        refused=(),
+        limits=(),
+    )
+
+
+@reduce_answer.register
+def _reduce_controller_reply(request: gateway.ControllerReport, answer):
+    return attrs.evolve(
+        answer,
+        listing=request.listing,
+        list_age_ms=-1,
+        servers=(),
+        suspects=(),
+        refused=(),
+        limits=(),
+    )
+
+
+def _reduce_report(report):
+    """Return the part of a report that only this process has made up."""
+    return attrs.evolve(
+        report,
+        fronts=tuple(attrs.evolve(item, usage=()) for item in report.fronts),
+        leaving=(),
+        crashes=(),
+        served=(),
+        refused=(),
+        limits=(),
+    )
+
+
 class StateExchange:
     """Answers gateways and peers, and exchanges state with the lease holder.
 
@@ -50,12 +101,17 @@
             **self.prompt_crashes.report_fields(holder),
         )
         requested_ms = self._controller.clock.now_ms()
-        reply = self._controller.transport.call(
-            # The lease names its holder as address/incarnation.
-            holder.partition('/')[0],
-            report,
-            RELAY_TIMEOUT_MS,
-        ).value_or(None)
+        # The lease names its holder as address/incarnation.
+        address = holder.partition('/')[0]
+        result = self._controller.transport.call(
+            address, report, RELAY_TIMEOUT_MS
+        )
+        if paddle_kernel.is_unencodable(result):
+            report = _reduce_report(report)
+            result = self._controller.transport.call(
+                address, report, RELAY_TIMEOUT_MS
+            )
+        reply = result.value_or(None)
         if isinstance(reply, gateway.ControllerReply) and reply.in_charge:
             self._apply_reply(report, reply, requested_ms)
 
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -5,6 +5,7 @@
 import random
 import zlib
 
+import attrs
 import returns.result
 
 import paddle_kernel
@@ -112,9 +113,12 @@
         address = self._selector.choose(self._clock.now_ms())
         if address is None:
             return DEFAULT_SYNC_PERIOD_MS
-        result = self._transport.call(
-            address, self._request(), CALL_TIMEOUT_MS
-        )
+        request = self._request()
+        result = self._transport.call(address, request, CALL_TIMEOUT_MS)
+        if paddle_kernel.is_unencodable(result):
+            # Configuration and list are worth more than the report.
+            request = attrs.evolve(request, reports=())
+            result = self._transport.call(address, request, CALL_TIMEOUT_MS)
         reply = result.value_or(None)
         if not isinstance(reply, _messages.SyncReply):
             self._drop_controller(address, _failure_reason(result))
--- a/packages/router/tests/test_controller_state_exchange.py
+++ b/packages/router/tests/test_controller_state_exchange.py
@@ -165,6 +165,85 @@
     assert controller.document.age_ms() is None
 
 
+# Values that messages cannot contain
+
+ODD_SERVER = attrs.evolve(SERVERS[0], id='i-odd', domain='\ud800')
+
+
+def test_a_list_that_cannot_be_encoded_costs_no_configuration(
+    exchange, controller, clock
+):
+    controller.members = lambda: ('c0', 'c1')
+    controller.list_requested = types.SimpleNamespace(set=lambda: None)
+    controller.document.current = paddle_coord.Document(5, b'{}')
+    controller.fleet.set_servers((ODD_SERVER, *SERVERS))
+    request = gateway.SyncRequest(
+        reports=(), version=4, listing='held', attached=True
+    )
+    reply = exchange.handle_sync(request)
+    with pytest.raises(
+        paddle_kernel.EncodeError, match=r'servers\[3\].domain'
+    ):
+        paddle_kernel.codec.encode(reply)
+    reduced = _state_exchange.reduce_answer(request, reply)
+    kind, data = paddle_kernel.codec.encode(reduced)
+    received = paddle_kernel.codec.decode(kind, data)
+    assert (received.version, received.document) == (5, reply.document)
+    assert (received.listing, received.servers) == ('held', ())
+
+
+def test_a_reply_that_cannot_be_encoded_keeps_the_list(exchange, controller):
+    controller.members = lambda: ()
+    controller.fleet.set_servers((*SERVERS, ODD_SERVER))
+    report = gateway.ControllerReport(
+        place=LOCATION, fronts=(), loads=b'', version=1, listing='held'
+    )
+    reduced = _state_exchange.reduce_answer(
+        report, exchange.handle_report(report)
+    )
+    paddle_kernel.codec.encode(reduced)
+    # No list is applied without an age.
+    assert reduced.list_age_ms == -1 and reduced.listing == 'held'
+
+
+def test_a_report_that_cannot_be_encoded_is_reduced(
+    exchange, controller, lease_holder, monkeypatch
+):
+    # Guards against a controller that loses its lease holder.
+    answer = lease_holder.call
+
+    def call(address, report, timeout_ms):
+        try:
+            paddle_kernel.codec.encode(report)
+        except paddle_kernel.EncodeError:
+            return returns.result.Failure(
+                paddle_kernel.CallError('unencodable', address)
+            )
+        return answer(address, report, timeout_ms)
+
+    monkeypatch.setattr(lease_holder, 'call', call)
+    lease_holder.fleet.set_servers(SERVERS)
+    controller.fleet.add_reports(
+        (
+            gateway.GatewayReport(
+                name='g1',
+                incarnation='g1-x',
+                sequence=1,
+                flights=(),
+                usage=(
+                    gateway.UsageCount(
+                        window=1, customer='\ud800', requests=1
+                    ),
+                ),
+            ),
+        ),
+        attached=True,
+    )
+    exchange.relay()
+    assert controller.fleet.servers == SERVERS
+    assert not exchange.is_holder_silent()
+
+
 # Servers that announce that they leave
 
 
--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -94,10 +94,15 @@
 
     def __init__(self):
         self.running = 0
+        self.server_id = 'i-1'
         self.others = None
 
     def own_loads(self, _now_ms):
-        return {'i-1': gateway.ServerFlights(id='i-1', running=self.running)}
+        return {
+            self.server_id: gateway.ServerFlights(
+                id=self.server_id, running=self.running
+            )
+        }
 
     def server_rate(self):
         return 0
@@ -111,6 +116,7 @@
 
     def __init__(self):
         self.addresses = []
+        self.reports = []
         self.counted = 0
         self.running = 0
         self.confirmed = True
@@ -121,6 +127,13 @@
 
     def call(self, address, message, _timeout_ms):
         self.addresses.append(address)
+        try:
+            paddle_kernel.codec.encode(message)
+        except paddle_kernel.EncodeError:
+            return returns.result.Failure(
+                paddle_kernel.CallError('unencodable', address)
+            )
+        self.reports.append(message.reports)
         if address in self.failing_addresses:
             return returns.result.Failure(
                 paddle_kernel.CallError('timeout', address)
@@ -309,3 +322,14 @@
     clock.advance(_controllers.DIRECT_CONTACT_MS)
     follower.step()
     assert controller.addresses[-1] == 'd1/a'
+
+
+def test_a_report_that_cannot_be_encoded_costs_no_configuration(
+    follower, balancer, controller, clock
+):
+    balancer.server_id = '\ud800'
+    clock.advance(1)
+    follower.step()
+    assert follower.synced_ms == clock.now_ms()
+    assert controller.addresses == ['seed', 'seed']
+    assert controller.reports == [()]
