Log what the replicas answered when a change is not decided

Event 3412 said only "no decision within 1500 ms", and event 3413 nothing about the cause. So the logs of the incident do not tell replicas that refuse because of a failed store from conflicts of competing proposers or from replicas that do not answer (hypotheses 1 to 3 in docs/incidents/full-disks.md).

The failure of a change now counts the answers of all its rounds by kind, and both events carry it.

--- a/packages/coord/src/paddle_coord/_document.py
+++ b/packages/coord/src/paddle_coord/_document.py
@@ -59,6 +59,8 @@
     ``current`` is the newest document read; its version never decreases.
     ``confirmed_ms`` is the start time of the last read or comparison that
     found ``current`` to be the newest version at a majority.
+    ``refresh_failure`` describes why the last refresh failed, empty if it did
+    not.
     """
 
     def __init__(self, register, clock, *, key=DOCUMENT_KEY, on_change=None):
@@ -71,6 +73,7 @@
         self._pending = []
         self.current = None
         self.confirmed_ms = None
+        self.refresh_failure = ''
 
     def submit(self, document):
         """Store ``document`` unless a newer version is stored.
@@ -90,6 +93,7 @@
     def refresh(self):
         """Compare with a majority and read if different; return success."""
         began_ms = self._clock.now_ms()
+        self.refresh_failure = ''
         if self._current_ballot is not None:
             peeked = self._register.peek(self._key)
             if peeked.value_or(None) == self._current_ballot:
@@ -105,6 +109,7 @@
         # Replicas differ after an interrupted change; a full read resolves it.
         read = self._register.read(self._key)
         if not isinstance(read, returns.result.Success):
+            self.refresh_failure = read.failure().detail
             return False
         self._adopt_if_newer(read.unwrap())
         self.confirmed_ms = began_ms
--- a/packages/coord/src/paddle_coord/_proposer.py
+++ b/packages/coord/src/paddle_coord/_proposer.py
@@ -1,5 +1,6 @@
 """Proposer that changes and reads registers at a quorum of replicas."""
 
+import collections
 import random
 
 import attrs
@@ -39,7 +40,8 @@
 
     ``possible_voters`` are the members that granted or may still grant.
     ``maybe_sent`` tells that a member without a usable answer may have
-    received the message or may still accept it.
+    received the message or may still accept it. ``outcomes`` counts the
+    answers by kind: grants, conflicts, kinds of refusals and of failed calls.
     """
 
     view: _view.View
@@ -47,6 +49,7 @@
     possible_voters: set = attrs.Factory(set)
     highest_conflict: _ballot.Ballot = _ballot.ZERO
     maybe_sent: bool = False
+    outcomes: collections.Counter = attrs.Factory(collections.Counter)
 
     @property
     def is_granted(self):
@@ -251,19 +254,23 @@
     def _record_answer(self, answers, member, result, grant_type):
         if not isinstance(result, returns.result.Success):
             answers.maybe_sent |= result.failure().was_sent
+            answers.outcomes[result.failure().kind] += 1
             answers.possible_voters.discard(member.identity)
             return
         answer = result.unwrap()
         if isinstance(answer, grant_type):
             answers.grants[member.identity] = answer
+            answers.outcomes['granted'] += 1
             return
         answers.possible_voters.discard(member.identity)
         if isinstance(answer, _messages.Conflict):
+            answers.outcomes['conflict'] += 1
             answers.highest_conflict = max(
                 answers.highest_conflict, answer.promised
             )
             self._counter = max(self._counter, answer.promised.counter)
         elif isinstance(answer, _messages.Refusal):
+            answers.outcomes[answer.kind] += 1
             answers.maybe_sent |= _may_be_accepted(answer, answers.view)
             self._learn_from_refusal(member, answer)
 
@@ -351,7 +358,11 @@
     # The following are used by _ChangeOperation.
 
     def prepare(self, key, view):
-        """Return the summary of a quorum's promises, ``None`` without one."""
+        """Run one prepare round.
+
+        Returns its answers and the summary of a quorum's promises, ``None``
+        without a quorum.
+        """
         ballot = self.next_ballot()
         promises = self.round(
             lambda member, epoch: _messages.Prepare(
@@ -361,8 +372,9 @@
             view,
         )
         if not promises.is_granted:
-            return None
-        return _attempts.summarize(ballot, promises.grants.values())
+            return promises, None
+        prepared = _attempts.summarize(ballot, promises.grants.values())
+        return promises, prepared
 
     def accept(self, key, view, ballot, record):
         """Run one accept round and return its answers."""
@@ -401,6 +413,7 @@
         self._key = key
         self._function = function
         self._attempts = _attempts.Attempts()
+        self._outcomes = collections.Counter()
 
     def run(self):
         """Return the result of :meth:`Proposer.change`."""
@@ -423,7 +436,15 @@
         kind = _register.NOT_WRITTEN
         if self._attempts.values:
             kind = _register.UNKNOWN
-        return _failure(kind, f'no decision within {limit_ms} ms')
+        counts = ', '.join(
+            f'{outcome} {count}'
+            for outcome, count in sorted(self._outcomes.items())
+        )
+        return _failure(
+            kind,
+            f'no decision within {limit_ms} ms; '
+            f'answers in all rounds: {counts or "none"}',
+        )
 
     def _attempt(self):
         """Run both rounds; return a result, or ``None`` to retry."""
@@ -431,7 +452,8 @@
         if not proposer.view.epoch and not proposer.refresh_view().epoch:
             return None
         view = proposer.view
-        prepared = proposer.prepare(self._key, view)
+        promises, prepared = proposer.prepare(self._key, view)
+        self._outcomes.update(promises.outcomes)
         if prepared is None:
             return None
         step = _attempts.plan(self._attempts, prepared)
@@ -445,9 +467,7 @@
 
     def _confirm(self, view, prepared):
         """Decide the read value, which contains an earlier attempt."""
-        answers = self._proposer.accept(
-            self._key, view, prepared.ballot, prepared.record
-        )
+        answers = self._accept(view, prepared.ballot, prepared.record)
         if not answers.is_granted:
             return None
         _ballot, value = self._attempts.find_contained_in(prepared.record)
@@ -465,20 +485,23 @@
             # Lower ballots can no longer be decided, so the key is absent.
             return returns.result.Success(_register.Change(None))
         record = _attempts.successor(prepared, new)
-        answers = self._proposer.accept(
-            self._key, view, prepared.ballot, record
-        )
+        answers = self._accept(view, prepared.ballot, record)
         if answers.is_granted:
             return returns.result.Success(_register.Change(new))
         if answers.grants or answers.possible_voters or answers.maybe_sent:
             self._attempts = self._attempts.added(prepared, new)
         return None
 
+    def _accept(self, view, ballot, record):
+        answers = self._proposer.accept(self._key, view, ballot, record)
+        self._outcomes.update(answers.outcomes)
+        return answers
+
     def _reject(self, view, prepared, reason):
         """Report a rejection once the value it was based on is decided."""
         if not _attempts.is_decided(self._attempts, prepared):
-            answers = self._proposer.accept(
-                self._key, view, prepared.ballot, _attempts.identity(prepared)
+            answers = self._accept(
+                view, prepared.ballot, _attempts.identity(prepared)
             )
             if not answers.is_granted:
                 return None
--- a/packages/coord/tests/test_replica.py
+++ b/packages/coord/tests/test_replica.py
@@ -100,6 +100,8 @@
     three_replicas.stop(1)
     result = proposer.change('k', lambda _: b'1')
     assert result.failure().kind == coord.NOT_WRITTEN
+    # The detail tells replicas that cannot be reached from those that refuse.
+    assert 'refused' in result.failure().detail
 
 
 def test_delete_frees_the_key_and_its_name_can_be_used_again(three_replicas):
--- a/packages/router/src/paddle_router/controller/_control_api.py
+++ b/packages/router/src/paddle_router/controller/_control_api.py
@@ -59,7 +59,11 @@
         confirmed = self._document.refresh()
         current = self._document.current
         if not confirmed or current is None:
-            paddle_kernel.emit(_events.READ_UNCONFIRMED, confirmed=confirmed)
+            paddle_kernel.emit(
+                _events.READ_UNCONFIRMED,
+                confirmed=confirmed,
+                error=self._document.refresh_failure,
+            )
             resp.status = 503
             resp.media = {'error': 'no confirmed version of the document'}
             return
