--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -2,9 +2,11 @@
 
 import collections
 import random
+import zlib
 
-from fleet_adapter import dialect
+import gevent
 import paddle_kernel
+from paddle_router.controller import _state_exchange
 from paddle_router import gateway
 from paddle_router.gateway import _controllers
 from paddle_router.gateway import _follower
@@ -181,14 +183,28 @@
     return policy.ServerLimits()
 
 
-@pytest.fixture
-def follower(clock, balancer, controller, limits):
+class VersionDialect:
+    """Reads configurations that consist of their version number."""
+
+    def read_configuration(self, content):
+        return gateway.Configuration(
+            version=int(content),
+            routes=(),
+            services={},
+            limits=None,
+            customers=None,
+        )
+
+
+def make_follower(
+    clock, transport, *, balancer, limits, incarnation='g1/1', seeds=('seed',)
+):
     settings = gateway.GatewaySettings(
         name='g1',
         failure_domain='d1',
         listen='',
         ready='',
-        controllers=('seed',),
+        controllers=seeds,
         stop_ms=8_000,
         retry_ratio=0.2,
         retry_slack=50,
@@ -209,19 +225,24 @@
 
     return _follower.Follower(
         settings,
-        dialect.FleetDialect(),
+        VersionDialect(),
         clock,
         paddle_kernel.SteadyWall(clock),
-        controller,
+        transport,
         balancers={'s': balancer},
         usage=Usage(),
         notices=policy.ServerNotices(),
         limits=limits,
         prompt_crashes=PromptCrashes(),
-        incarnation='g1/1',
+        incarnation=incarnation,
     )
 
 
+@pytest.fixture
+def follower(clock, balancer, controller, limits):
+    return make_follower(clock, controller, balancer=balancer, limits=limits)
+
+
 def test_own_loads_are_subtracted_from_the_totals(
     follower, balancer, controller
 ):
@@ -333,3 +354,152 @@
     assert follower.synced_ms == clock.now_ms()
     assert controller.addresses == ['seed', 'seed']
     assert controller.reports == [()]
+
+
+# Controllers that are cut off from the majority
+
+MINORITY = ('d1/a', 'd1/b', 'd2/d', 'd3/g')
+MAJORITY = ('d1/c', 'd2/e', 'd2/f', 'd3/h', 'd3/i')
+VERSION_PERIOD_MS = 500
+# The shortest bound for putting an acknowledged configuration into force.
+CONFIGURATION_MS = 2_000
+CUT_MS = 3_000
+
+
+class SplitControllers:
+    """Controllers with a new version each period; a cut after ``CUT_MS``.
+
+    From then on those in ``silent`` do not reply, and the others of the
+    minority keep the version that they had and name each other as the live
+    controllers. Those in ``idle`` are not confirmed at the first request.
+    """
+
+    def __init__(self, clock, *, silent=(), idle=()):
+        self._clock = clock
+        self._start_ms = clock.now_ms()
+        self._silent = silent
+        self._idle = idle
+        self._refreshed = set()
+        self.addresses = []
+
+    def elapsed_ms(self):
+        return self._clock.now_ms() - self._start_ms
+
+    def version(self):
+        return 1 + self.elapsed_ms() // VERSION_PERIOD_MS
+
+    def call(self, address, message, timeout_ms):
+        self.addresses.append((self.elapsed_ms(), address))
+        cut_for_ms = self.elapsed_ms() - CUT_MS
+        if cut_for_ms >= 0 and address in self._silent:
+            deadline_ms = self._clock.now_ms() + timeout_ms
+            for _ in range(3):
+                # The other calls of a broadcast begin at the same time.
+                gevent.sleep(0)
+            self._clock.advance(max(0, deadline_ms - self._clock.now_ms()))
+            return returns.result.Failure(
+                paddle_kernel.CallError('timeout', address)
+            )
+        version, live, confirmed = self.version(), MINORITY + MAJORITY, True
+        if cut_for_ms >= 0 and address in MINORITY:
+            version, live = 1 + CUT_MS // VERSION_PERIOD_MS, MINORITY
+            confirmed = cut_for_ms < _state_exchange.CONFIRMATION_MAX_AGE_MS
+        elif address in self._idle:
+            confirmed = address in self._refreshed
+            self._refreshed.add(address)
+        is_newer = version > message.version
+        return returns.result.Success(
+            gateway.SyncReply(
+                controllers=make_locations(*live),
+                members=MINORITY + MAJORITY,
+                confirmed=confirmed,
+                version=version,
+                document=zlib.compress(b'%d' % version) if is_newer else None,
+                listing='1',
+                servers=(),
+                fronts=1,
+                totals=b'',
+                counted=0,
+                period_ms=250,
+                true_ms=0,
+                unheard_holder='',
+            )
+        )
+
+
+def longest_delay_ms(clock, network, incarnation):
+    """Return the longest time from a version's start to its use."""
+    follower = make_follower(
+        clock,
+        network,
+        balancer=FakeBalancer(),
+        limits=policy.ServerLimits(),
+        incarnation=incarnation,
+        seeds=MINORITY + MAJORITY,
+    )
+    clock.advance(follower.step())
+    longest_ms = 0
+    while network.elapsed_ms() < 30_000:
+        newer_since_ms = (
+            follower.table.configuration.version * VERSION_PERIOD_MS
+        )
+        pause_ms = follower.step()
+        longest_ms = max(longest_ms, network.elapsed_ms() - newer_since_ms)
+        clock.advance(pause_ms)
+    return longest_ms
+
+
+@pytest.mark.parametrize(
+    'silent, idle',
+    [
+        ((), ()),
+        (MINORITY[:2], ()),
+        (MINORITY, ()),
+        ((), MAJORITY),
+    ],
+    ids=['unconfirmed', 'some-silent', 'silent', 'idle-majority'],
+)
+def test_configurations_are_applied_in_time_while_controllers_are_cut_off(
+    silent, idle
+):
+    # Guards against a gateway that follows one unconfirmed controller after
+    # another: with four of nine, it applied no configuration for 7 s.
+    for number in range(20):
+        clock = paddle_kernel.FakeClock()
+        network = SplitControllers(clock, silent=silent, idle=idle)
+        delay_ms = longest_delay_ms(clock, network, f'g{number}/1')
+        assert delay_ms <= CONFIGURATION_MS, number
+
+
+def test_controllers_named_by_an_unconfirmed_one_are_not_used():
+    # Guards against a gateway that only knows the controllers of a minority,
+    # because one of them named these as live.
+    selector = make_selector()
+    selector.update(make_locations('d1/a', 'd1/b'), (), True)
+    selector.update(make_locations('d1/a'), (), False)
+    selector.mark_failed('d1/a', 0)
+    assert selector.choose(0) == 'd1/b'
+
+
+def test_an_unconfirmed_lease_holder_does_not_replace_a_confirmed_controller(
+    clock,
+):
+    # Guards against a gateway that follows the last lease holder of a
+    # minority, which another controller names.
+    network = SplitControllers(clock)
+    follower = make_follower(
+        clock,
+        network,
+        balancer=FakeBalancer(),
+        limits=policy.ServerLimits(),
+        seeds=('d1/c',),
+    )
+    follower.step()
+    clock.advance(CUT_MS + _state_exchange.CONFIRMATION_MAX_AGE_MS)
+    follower.step()
+    before = follower.dump()['controller']
+    assert before in MAJORITY
+    follower._selector.prefer('d3/g', clock.now_ms())
+    follower.step()
+    assert network.addresses[-1][1] == 'd3/g'
+    assert follower.dump()['controller'] == before
