Follow only confirmed controllers, and look for one at all at once

Cause: a gateway followed one unconfirmed controller after another, each for 700 ms and more. Four of nine took longer than the first backoff of 2 s, so local ones were followed again before one of the majority; after a backoff it even left a confirmed controller for an unconfirmed one. Controllers of the minority also named only each other as live, and the gateway believed them.

Ruled out by the log of all processes: the 36 controllers that were left as not confirmed all belonged to the minority, so idle controllers of the majority were not the cause there; in the simulated network they are a lesser one, mended here too. Direct calls to the last lease holder cost two of the seven tries.

Now a gateway stays with its confirmed controller until another one has replied as confirmed. Once its own is silent, or not confirmed for 200 ms, it asks all that are not backing off at once and follows the first confirmed one, so the time does not grow with the number that fail; the backoffs bound the number of these requests. Only a confirmed controller replaces the list of live ones. A controller that is asked while it has no gateways and no confirmed version compares its version at once.

--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -141,6 +141,8 @@
             error_log=None,
         )
         self.list_requested = gevent.event.Event()
+        self._refresh_wake = gevent.event.Event()
+        self._is_refresh_requested = False
         self._greenlets = []
 
     @property
@@ -162,7 +164,7 @@
         self._peer_server.start()
         self._api_server.start()
         self._run(self._keep_membership, paddle_coord.MEMBERSHIP_LOOK_MS)
-        self._run(self._refresh, REFRESH_PERIOD_MS)
+        self._run(self._refresh, REFRESH_PERIOD_MS, wake=self._refresh_wake)
         self._run(self._tick_lease, LEASE_TICK_PERIOD_MS)
         self._run(self._read_list, LIST_PERIOD_MS, wake=self.list_requested)
         self._run(self.exchange.relay, _gateway_sums.RELAY_PERIOD_MS)
@@ -280,11 +282,21 @@
                 and not self._needs_fresh_document()
             ):
                 return
+        self._is_refresh_requested = False
         self.document.refresh()
 
+    def request_refresh(self):
+        """Compare the configuration soon, for a gateway that asked for it."""
+        self._is_refresh_requested = True
+        self._refresh_wake.set()
+
     def _needs_fresh_document(self):
         """Whether gateways or peers depend on this controller's document."""
-        return self.holds_lease or self.fleet.serves_gateways
+        return (
+            self.holds_lease
+            or self.fleet.serves_gateways
+            or self._is_refresh_requested
+        )
 
     def _tick_lease(self):
         """Try to acquire or renew the lease; rarely while the holder replies.
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -180,11 +180,17 @@
 
     def handle_sync(self, request):
         """Return the reply to a gateway's :class:`SyncRequest`."""
-        if request.attached and not self._controller.fleet.serves_gateways:
-            # Gateways that have just started need the list to become ready.
-            self._controller.list_requested.set()
+        # A gateway that looks for a controller sends no report.
+        is_followed = request.attached and bool(request.reports)
+        if not self._controller.fleet.serves_gateways:
+            if is_followed:
+                # Gateways that have just started need the list to become
+                # ready.
+                self._controller.list_requested.set()
+            if request.attached and not self._is_confirmed():
+                self._controller.request_refresh()
         listing = self._controller.fleet.listing
-        self._controller.fleet.add_reports(request.reports, request.attached)
+        self._controller.fleet.add_reports(request.reports, is_followed)
         if self._controller.fleet.listing != listing:
             self.log_list()
         for item in request.reports:
@@ -192,7 +198,6 @@
             self._add_limits(item)
         current = self._controller.document.current
         version = self._version()
-        age_ms = self._controller.document.age_ms()
         is_newer = request.attached and version > request.version
         listing, servers = request.listing, ()
         if request.attached:
@@ -209,7 +214,7 @@
         return gateway.SyncReply(
             controllers=self.sums.controllers(),
             members=members,
-            confirmed=age_ms is not None and age_ms < CONFIRMATION_MAX_AGE_MS,
+            confirmed=self._is_confirmed(),
             version=version,
             document=self._compressed(current) if is_newer else None,
             listing=listing,
@@ -268,6 +273,10 @@
             **self.prompt_crashes.reply_fields(),
         )
 
+    def _is_confirmed(self):
+        age_ms = self._controller.document.age_ms()
+        return age_ms is not None and age_ms < CONFIRMATION_MAX_AGE_MS
+
     def _add_limits(self, message):
         for limit in message.limits:
             self.limits.add(limit)
--- a/packages/router/src/paddle_router/gateway/_controllers.py
+++ b/packages/router/src/paddle_router/gateway/_controllers.py
@@ -41,11 +41,15 @@
         self._backoffs = {}
         self._preferred = (None, 0)
 
-    def update(self, locations, members):
-        """Replace the known controllers; empty values change nothing."""
-        if locations:
+    def update(self, locations, members, is_confirmed=True):
+        """Replace the known controllers; empty values change nothing.
+
+        A controller that is not confirmed may only know those that are cut
+        off like itself. Its values are used only if there are no others.
+        """
+        if locations and (is_confirmed or not self._locations):
             self._locations = tuple(locations)
-        if members:
+        if members and (is_confirmed or not self._members):
             self._members = tuple(members)
 
     def add(self, addresses):
@@ -86,14 +90,7 @@
         direct, until_ms = self._preferred
         if now_ms < until_ms and not self._is_backing_off(direct, now_ms):
             return direct
-        local = [
-            x.address for x in self._locations if x.domain == self._domain
-        ]
-        groups = (
-            local,
-            [x.address for x in self._locations],
-            [*self._members, *self._seeds],
-        )
+        groups = self._groups()
         for group in groups:
             usable = [
                 item
@@ -109,6 +106,13 @@
             backing_off, key=lambda item: self._backoffs[item].last_tried_ms
         )
 
+    def usable_addresses(self, now_ms):
+        """Return the known addresses that are not backing off."""
+        known = {item for group in self._groups() for item in group}
+        return sorted(
+            item for item in known if not self._is_backing_off(item, now_ms)
+        )
+
     def dump(self):
         """Return plain data for the state dump."""
         return {
@@ -117,6 +121,14 @@
             'seeds': self._seeds,
         }
 
+    def _groups(self):
+        """Return the known addresses in groups, preferred ones first."""
+        return (
+            [x.address for x in self._locations if x.domain == self._domain],
+            [x.address for x in self._locations],
+            [*self._members, *self._seeds],
+        )
+
     def _is_backing_off(self, address, now_ms):
         backoff = self._backoffs.get(address)
         return backoff is not None and now_ms < backoff.until_ms
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -29,9 +29,20 @@
 # the same time, all gateways call the few controllers in their settings.
 START_RETRY_MS = 50
 START_BACKOFF_FACTOR = 1.5
-# A gateway leaves a controller that cannot confirm its configuration version
-# for this long.
+# A gateway whose controller cannot confirm its configuration version for this
+# long looks for a confirmed one. It leaves its controller without one after
+# MAX_UNCONFIRMED_MS.
+SEARCH_DELAY_MS = 200
 MAX_UNCONFIRMED_MS = 700
+SEARCH_TIMEOUT_MS = 300
+# A controller that is not followed yet is asked a second time before it counts
+# as not confirmed: without gateways it rarely compares its version, and the
+# first request makes it do so.
+CANDIDATE_RETRY_MS = 150
+CANDIDATE_EXPIRY_MS = 1_000
+# While it tries other controllers, a gateway exchanges state with its
+# confirmed one at the latest after this time, plus one call.
+MAX_TRIAL_GAP_MS = 500
 # If the gateway's controller cannot reach the lease holder for this long, the
 # gateway contacts the lease holder directly, because usage and loads are not
 # passed on meanwhile.
@@ -42,11 +53,16 @@
 # Reports kept to subtract the gateway's own loads from the totals. Totals
 # contain a report that is a few exchanges old at most.
 MAX_KEPT_REPORTS = 16
+# Reason in the log event when an unconfirmed controller is left.
+NOT_CONFIRMED = 'not confirmed'
 
 
 class Follower:
     """Exchanges state with one controller at a time, preferably a local one.
 
+    Another controller is followed once it has replied that its configuration
+    version is confirmed; until then the gateway stays with its confirmed one.
+
     ``table`` is the :class:`RouteTable` in use, ``None`` before the first
     configuration; its version never decreases. ``servers`` is the list of
     backend servers, ``None`` before the first one.
@@ -86,7 +102,11 @@
             random.Random(),
         )
         self._address = None
+        self._is_confirmed = False
+        self._is_trying_others = False
         self._unconfirmed_since_ms = None
+        # Time of the first unconfirmed reply by address.
+        self._unconfirmed_candidates = {}
         self._holder_unreachable_since_ms = None
         # Own loads by the sequence number of the report that contained them.
         self._reported_loads = collections.OrderedDict()
@@ -110,9 +130,11 @@
 
     def step(self):
         """Exchange state once; return the delay in ms until the next step."""
-        address = self._selector.choose(self._clock.now_ms())
+        address = self._choose_controller()
         if address is None:
             return DEFAULT_SYNC_PERIOD_MS
+        is_trial = self._is_confirmed and address != self._address
+        self._is_trying_others = is_trial
         request = self._request()
         result = self._transport.call(address, request, CALL_TIMEOUT_MS)
         if paddle_kernel.is_unencodable(result):
@@ -122,7 +144,13 @@
         reply = result.value_or(None)
         if not isinstance(reply, _messages.SyncReply):
             self._drop_controller(address, _failure_reason(result))
+            if not is_trial:
+                self._is_confirmed = False
+                self._search()
             return RETRY_DELAY_MS
+        if is_trial and not reply.confirmed:
+            self._reject_candidate(address)
+            return CANDIDATE_RETRY_MS
         self._apply_reply(address, reply)
         if self.is_ready:
             self._start_retry_ms = START_RETRY_MS
@@ -149,6 +177,61 @@
             'synced_ms': self.synced_ms,
         }
 
+    def _choose_controller(self):
+        """Return the address to contact next, ``None`` if none is known."""
+        now_ms = self._clock.now_ms()
+        if (
+            self._is_trying_others
+            and now_ms - self.synced_ms > MAX_TRIAL_GAP_MS
+        ):
+            return self._address
+        return self._selector.choose(now_ms)
+
+    def _search(self):
+        """Follow the first other controller that replies as confirmed.
+
+        All that are not backing off are asked at once, so that the time does
+        not grow with the number of those that fail.
+        """
+        if self._address is None:
+            return
+        request = _messages.SyncRequest(
+            reports=(),
+            version=self._version(),
+            listing=self._listing,
+            attached=True,
+        )
+        calls = {
+            address: request
+            for address in self._selector.usable_addresses(
+                self._clock.now_ms()
+            )
+            if address != self._address
+        }
+        for address, result in paddle_kernel.broadcast(
+            self._transport, calls, SEARCH_TIMEOUT_MS
+        ):
+            reply = result.value_or(None)
+            if not isinstance(reply, _messages.SyncReply):
+                self._drop_controller(address, _failure_reason(result))
+            elif not reply.confirmed:
+                self._reject_candidate(address)
+            else:
+                self._apply_reply(address, reply)
+                return
+
+    def _reject_candidate(self, address):
+        """Drop a controller that is not confirmed in its second reply."""
+        now_ms = self._clock.now_ms()
+        first_ms = self._unconfirmed_candidates.pop(address, None)
+        if first_ms is None or now_ms - first_ms > CANDIDATE_EXPIRY_MS:
+            self._unconfirmed_candidates[address] = now_ms
+        else:
+            self._drop_controller(address, NOT_CONFIRMED)
+
+    def _version(self):
+        return self.table.configuration.version if self.table else 0
+
     def _request(self):
         now_ms = self._clock.now_ms()
         loads = {}
@@ -187,7 +270,7 @@
         )
         return _messages.SyncRequest(
             reports=(report,),
-            version=self.table.configuration.version if self.table else 0,
+            version=self._version(),
             listing=self._listing,
             attached=True,
         )
@@ -196,10 +279,14 @@
         now_ms = self._clock.now_ms()
         self.synced_ms = now_ms
         self.gateway_count = max(1, reply.fronts)
-        self._selector.update(reply.controllers, reply.members)
+        self._selector.update(
+            reply.controllers, reply.members, reply.confirmed
+        )
         if address != self._address:
             paddle_kernel.emit(_events.CONTROLLER_CHANGED, address=address)
+            self._unconfirmed_since_ms = None
         self._address = address
+        self._is_trying_others = False
         if reply.true_ms:
             self._wall.agree(reply.true_ms, CLOCK_TOLERANCE_MS)
         if reply.document is not None:
@@ -292,18 +379,24 @@
         ):
             self._holder_unreachable_since_ms = None
             self._selector.prefer(reply.unheard_holder, now_ms)
+        self._is_confirmed = reply.confirmed
         if reply.confirmed:
             self._unconfirmed_since_ms = None
-        elif self._unconfirmed_since_ms is None:
+            return
+        if self._unconfirmed_since_ms is None:
             self._unconfirmed_since_ms = now_ms
-        elif now_ms - self._unconfirmed_since_ms > MAX_UNCONFIRMED_MS:
-            self._drop_controller(address, 'not confirmed')
+        unconfirmed_ms = now_ms - self._unconfirmed_since_ms
+        if unconfirmed_ms > SEARCH_DELAY_MS:
+            self._search()
+        if self._is_confirmed or unconfirmed_ms > MAX_UNCONFIRMED_MS:
+            self._drop_controller(address, NOT_CONFIRMED)
 
     def _drop_controller(self, address, reason):
         paddle_kernel.emit(
             _events.CONTROLLER_LOST, address=address, reason=reason
         )
-        self._unconfirmed_since_ms = None
+        if address == self._address:
+            self._unconfirmed_since_ms = None
         self._selector.mark_failed(address, self._clock.now_ms())
 
     def _notify_listeners(self):
