Reject configurations with values that cannot be represented

An operator who sent 100,000 nested lists or a timeoutMs of 1e999 got status 500 instead of a 4xx, and sent it again. Names with lone surrogates, a `public` of "false" (taken as true), limits of another type and customer names with a line break were acknowledged; the first could not be encoded in a gateway's report, the last ended the header that names the customer.

Cause: the document was read field by field without checks of type or range, and only some exceptions were turned into ConfigurationError. Bytes are decoded strictly; json.loads takes encoded lone surrogates.

A proper configuration must not be rejected, so only what cannot be represented is: numbers that no float holds, text that UTF-8 cannot encode, names of customers with CR, LF or NUL, and fields of another type. `null` counts as absent. Numbers above 2^53 - 1 count as that, fields that are not known may hold anything that json reads, and a timeoutMs below 1 lasts 1 ms instead of 0.

A gateway also survives a document that is not compressed as expected.

Ruled out: a limit on the size of numbers, since an operator may mean "no limit" by a large one.

--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -307,7 +307,7 @@
             configuration = self._dialect.read_configuration(
                 zlib.decompress(reply.document)
             )
-        except _model.ConfigurationError as exc:
+        except (_model.ConfigurationError, zlib.error) as exc:
             paddle_kernel.emit(
                 _events.CONFIGURATION_UNREADABLE,
                 version=reply.version,
--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -2,7 +2,10 @@
 
 import copy
 import json
+import math
+import random
 
+import gevent
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -13,6 +16,7 @@
 from fleet_adapter import settings
 import paddle_kernel
 from paddle_router import gateway
+from paddle_router.gateway import _routes
 
 VALID = {
     'version': 7,
@@ -102,6 +106,42 @@
         build_document(routes__0__timeoutMs=0),
         build_document(routes__0__kind='other'),
         build_document(routes=None),
+        build_document(routes={}),
+        build_document(routes__0__timeoutMs=math.inf),
+        build_document(routes__0__timeoutMs=math.nan),
+        build_document(routes__0__timeoutMs=10**400),
+        build_document(routes__0__timeoutMs='12000'),
+        build_document(routes__0__timeoutMs=True),
+        build_document(routes__0__targetGapMs=-math.inf),
+        build_document(routes__0__targetLatencyMs=[]),
+        build_document(routes__0__priority='first'),
+        build_document(routes__0__public='false'),
+        build_document(routes__0__host='\ud800'),
+        build_document(routes__0__pathPrefix=None),
+        build_document(routes__0__name={}),
+        build_document(routes__1__split=[{'service': 's1', 'weight': '1'}]),
+        build_document(
+            routes__1__split=2 * [{'service': 's1', 'weight': 1e308}]
+        ),
+        build_document(services__1__name='\udfff'),
+        build_document(services__1__connectionLimit='100'),
+        build_document(services__0__engine__slots=math.nan),
+        build_document(services__0__engine=[1]),
+        build_document(services__0__scaling__bootS=math.inf),
+        build_document(services__0__scaling__zonePrices={'z1': None}),
+        build_document(limits__maxBodyBytes=math.inf),
+        build_document(limits__idleTimeoutMs='15000'),
+        build_document(tenants__0__name='\ud800'),
+        build_document(tenants__0__name='a\r\nb'),
+        build_document(tenants__0__priority=math.nan),
+        build_document(tenants__0__accessKeys='k1'),
+        build_document(tenants__0__accessKeys=['\ud800']),
+        json.dumps(VALID)
+        .replace('"h.example"', '"\ud800"')
+        .encode(errors='surrogatepass'),
+        b'{"version": 7, "other": ' + b'[' * 100_000 + b']' * 100_000 + b'}',
+        b'{"version": 7, "other": ' + b'9' * 5_000 + b'}',
+        b'\xff',
         build_document(
             tenants=[
                 {'name': 't1', 'accessKeys': ['k']},
@@ -116,6 +156,112 @@
         configuration.read(content)
 
 
+@pytest.mark.parametrize(
+    'content',
+    [
+        build_document(version=2**64 - 1),
+        build_document(other='\ud800', more=10**400),
+        build_document(routes__0__timeoutMs=10**300),
+        build_document(routes__0__timeoutMs=0.5),
+        build_document(routes__0__priority=None),
+        build_document(routes__0__priority=-1),
+        build_document(routes__0__targetLatencyMs=250.5),
+        build_document(routes__0__sticky=True, routes__0__split=None),
+        build_document(services__0__engine=None, services__0__scaling=None),
+        build_document(services__0__engine={}, services__1__tls=False),
+        build_document(limits=None, tenants=None),
+        build_document(tenants=[]),
+        build_document(tenants__0__name='caf\xe9 \U0001f600'),
+        build_document(tenants__0__accessKeys=None),
+        json.dumps(VALID, ensure_ascii=False).encode('utf-16'),
+    ],
+)
+def test_an_unusual_document_is_accepted(content):
+    # Guards against rejecting a proper configuration.
+    configured = configuration.read(content)
+    assert 1 <= configured.routes[0].timeout_ms < 2**53
+
+
+def test_an_error_names_place_value_and_remedy():
+    content = build_document(routes__1__timeoutMs='soon')
+    with pytest.raises(gateway.ConfigurationError) as caught:
+        configuration.read(content)
+    assert str(caught.value) == (
+        "$.routes[1].timeoutMs: 'soon' is not allowed; use a finite number"
+    )
+
+
+ODD_VALUES = st.sampled_from(
+    [math.inf, math.nan, 10**400, -(10**30), 1e300, '\ud800', '\r\n', '', [[]]]
+) | st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(st.characters(exclude_categories=()), max_size=8),
+    lambda values: (
+        st.lists(values, max_size=3)
+        | st.dictionaries(st.text(max_size=4), values, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+def leaf_paths(value, path=()):
+    """Yield the paths of all values in a document."""
+    if path:
+        yield path
+    if isinstance(value, (dict, list)):
+        names = value if isinstance(value, dict) else range(len(value))
+        for name in names:
+            yield from leaf_paths(value[name], (*path, name))
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(sorted(leaf_paths(VALID), key=repr)), ODD_VALUES
+        ),
+        min_size=1,
+        max_size=3,
+    )
+)
+def test_an_arbitrary_document_is_rejected_or_can_be_used(changes):
+    # Guards against a document that is acknowledged and fails later.
+    document = copy.deepcopy(VALID)
+    for (*parents, last), value in changes:
+        container = document
+        try:
+            for name in parents:
+                container = container[name]
+            container[last] = value
+        except (IndexError, KeyError, TypeError):
+            # An earlier change replaced this part of the document.
+            continue
+    try:
+        configured = configuration.read(json.dumps(document).encode())
+    except gateway.ConfigurationError as exc:
+        str(exc).encode()
+        return
+    names = {item.name for item in (configured.customers or {}).values()}
+    counts = [
+        gateway.UsageCount(window=1, customer=name, requests=1)
+        for name in names
+    ]
+    for item in counts:
+        kind, data = paddle_kernel.codec.encode(item)
+        assert paddle_kernel.codec.decode(kind, data) == item
+    table = _routes.RouteTable(configured)
+    for route in configured.routes:
+        with gevent.Timeout(route.timeout_ms / 1_000):
+            pass
+        assert _routes.choose_service(route, random.Random(1))
+        for customer in (configured.customers or {}).values():
+            table.urgency(route, customer, route.services[0].service)
+    for service in configured.services.values():
+        assert service.connection_limit // 2 is not None
+
+
 HEADERS = [
     (b'Host', b'h.example'),
     (b'Rosemarypaddle-Request-Id', b'r1'),
