--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -55,6 +55,7 @@
 MAX_KEPT_REPORTS = 16
 # Reason in the log event when an unconfirmed controller is left.
 NOT_CONFIRMED = 'not confirmed'
+MAX_COUNT = 2**32 - 1
 
 
 class Follower:
@@ -248,19 +249,21 @@
             flights=tuple(
                 _messages.ServerFlights(
                     id=server_id,
-                    running=load.running,
-                    prefill=load.prefill,
-                    failures=load.failures,
-                    answers=load.answers,
-                    pace_ms=load.pace_ms,
-                    read_rate=load.read_rate,
+                    running=_bounded_count(load.running),
+                    prefill=_bounded_count(load.prefill),
+                    failures=_bounded_count(load.failures),
+                    answers=_bounded_count(load.answers),
+                    pace_ms=_bounded_count(load.pace_ms),
+                    read_rate=_bounded_count(load.read_rate),
                 )
                 for server_id, load in loads.items()
             ),
             usage=self._usage.recent(),
-            server_rate=max(
-                (item.server_rate() for item in self._balancers.values()),
-                default=0,
+            server_rate=_bounded_count(
+                max(
+                    (item.server_rate() for item in self._balancers.values()),
+                    default=0,
+                )
             ),
             leaving=_server_notices.unlisted_leaving_incarnations(
                 self._notices, self.servers
@@ -404,6 +407,14 @@
             listener()
 
 
+def _bounded_count(value):
+    """Return a count as the messages can hold it.
+
+    Counts are sums over numbers that callers and servers send.
+    """
+    return min(int(value), MAX_COUNT)
+
+
 def _failure_reason(result):
     if isinstance(result, returns.result.Success):
         return 'unexpected reply type'
--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -345,6 +345,16 @@
     assert controller.addresses[-1] == 'd1/a'
 
 
+def test_a_load_too_large_for_the_report_is_bounded(
+    follower, balancer, controller
+):
+    # Guards against headers with huge token counts that cost the gateway all
+    # exchanges with its controllers.
+    balancer.running = 10**30
+    follower.step()
+    assert controller.reports[0][0].flights[0].running == 2**32 - 1
+
+
 def test_a_report_that_cannot_be_encoded_costs_no_configuration(
     follower, balancer, controller, clock
 ):
--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -399,6 +399,56 @@
     assert read_response(429, *headers).quiet_ms is None
 
 
+LONG = b'9' * 5_000
+
+
+def test_numbers_too_large_for_messages_are_bounded():
+    # Guards against one header that costs a request, or a gateway the
+    # exchange with its controller.
+    metadata = dialect.FleetDialect().parse_request_headers(
+        [
+            (b'Rosemarypaddle-Token-Counts', b'1' + 30 * b'0' + b',' + LONG),
+            (b'Rosemarypaddle-Length-Hint', LONG),
+            (b'Rosemarypaddle-Deadline-Milliseconds', LONG),
+            (b'Rosemarypaddle-Prompt-Prefix', b'5c:' + LONG),
+        ]
+    )
+    for number in (
+        metadata.prompt_tokens,
+        metadata.output_tokens,
+        metadata.length_hint,
+        metadata.deadline_ms,
+        metadata.parts[0].tokens,
+    ):
+        assert number == 2**31 - 1
+    answer = read_response(
+        503,
+        (b'Rosemarypaddle-Server-Load', LONG + b',0,8'),
+        (b'Retry-After', LONG),
+        (b'Server-Limit', LONG),
+        (b'Keep-Alive', b'timeout=' + LONG),
+    )
+    assert answer.load.running == 2**31 - 1 and answer.load.slots == 8
+    assert math.isfinite(answer.quiet_ms)
+    assert math.isfinite(answer.limit_per_s)
+    assert answer.idle_ms >= 2**31 - 1
+
+
+@pytest.mark.parametrize(
+    'handle', ['a\r\nHost: h', 'a b', '\ud800', '\xe9', 'h' * 300]
+)
+def test_a_handle_that_no_header_can_carry_is_malformed(handle):
+    # Guards against a server that adds headers to the next request.
+    body = json.dumps({'handle': handle}).encode()
+    with pytest.raises(ValueError):
+        dialect.FleetDialect().parse_move_response(body)
+
+
+def test_a_deeply_nested_response_to_a_move_is_malformed():
+    with pytest.raises(ValueError):
+        dialect.FleetDialect().parse_move_response(b'[' * 100_000)
+
+
 @given(
     st.integers(200, 599),
     st.lists(
