--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -569,3 +569,15 @@
     with pytest.raises(paddle_kernel.FindingsError) as caught:
         settings.PlatformSettings.from_document({'nodeName': 'n'})
     assert len(list(caught.value.findings)) >= 5
+
+
+@pytest.mark.parametrize(
+    'text', ['[' * 100_000, '{"nodeName": ' + '9' * 5_000 + '}', '[]', '\xff']
+)
+def test_unreadable_settings_are_a_finding(text, tmp_path, monkeypatch):
+    # Guards against a reload of the settings that fails without a log line.
+    path = tmp_path / 'settings.json'
+    path.write_text(text, encoding='latin-1')
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    with pytest.raises(paddle_kernel.FindingsError):
+        settings.PlatformSettings.load()
