Check the chat daemon's instance list and engine reports entry by entry

One entry without an address or with a list as state ended the reading of the whole instance list; others (text for a number, a port out of range) were taken and failed later in policies and connections. A load report with Infinity or deep nesting raised an exception that the poll does not handle, so the reports of the other engines were not read. An engine's error text with a lone surrogate, or usage counts of 1e999, ended the request with an internal error. The text style of the log lost its writer at a lone surrogate in a field.

Entries are read one by one and checked for type and range; event 3022 names those that are not used.

The relay's error text and usage counts, and the log's text style, were changed by reading; no test shows them.

--- a/packages/kernel/src/paddle_kernel/_events.py
+++ b/packages/kernel/src/paddle_kernel/_events.py
@@ -154,7 +154,8 @@
         if self._dropped:
             lines.append(_dropped_line(self._dropped))
             self._dropped = 0
-        return ''.join(lines).encode()
+        # Text style writes fields as they are, also lone surrogates.
+        return ''.join(lines).encode(errors='backslashreplace')
 
 
 def _dropped_line(count):
--- a/packages/kernel/src/paddle_kernel/settings.py
+++ b/packages/kernel/src/paddle_kernel/settings.py
@@ -17,6 +17,7 @@
 
 RULE_KEY = 'paddle_check'
 MISSING = '(missing)'
+MAX_PORT = 65_535
 
 
 @attrs.frozen
@@ -81,7 +82,14 @@
     if not isinstance(value, str):
         return False
     host, colon, port = value.rpartition(':')
-    return bool(host and colon and port.isdigit() and int(port) < 65_536)
+    return bool(
+        host
+        and colon
+        and port.isascii()
+        and port.isdigit()
+        and len(port) <= len(str(MAX_PORT))
+        and int(port) <= MAX_PORT
+    )
 
 
 STRING = Check(
@@ -116,7 +124,7 @@
     """
     try:
         document = json.loads(pathlib.Path(file_path).read_text())
-    except (OSError, ValueError) as exc:
+    except (OSError, RecursionError, ValueError) as exc:
         finding = _findings.Finding('$', str(exc), 'a readable JSON file')
         raise _findings.FindingsError([finding]) from exc
     return load(cls, document)
--- a/packages/router/src/paddle_router/_account.py
+++ b/packages/router/src/paddle_router/_account.py
@@ -4,6 +4,8 @@
 from paddle_router import _request
 
 State = _request.State
+# Larger counts in the response of an engine are recorded as this one.
+MAX_TOKENS = 2**31 - 1
 
 
 class Account:
@@ -106,8 +108,8 @@
 def _token_counts(request, usage):
     try:
         return (
-            max(0, int(usage['prompt_tokens'])),
-            max(0, int(usage['completion_tokens'])),
+            max(0, min(int(usage['prompt_tokens']), MAX_TOKENS)),
+            max(0, min(int(usage['completion_tokens']), MAX_TOKENS)),
         )
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, OverflowError, TypeError, ValueError):
         return request.prompt_tokens, request.chunks
--- a/packages/router/src/paddle_router/_engine_watch.py
+++ b/packages/router/src/paddle_router/_engine_watch.py
@@ -13,6 +13,8 @@
 # Limits the control traffic of a daemon with many engines. Reports only
 # correct what the daemon observes itself, so they may be read less often.
 REPORTS_PER_TICK = 10
+# Larger figures in a report count as this one.
+MAX_REPORTED = 2**31 - 1
 OK = 200
 JSON_HEADERS = (('Content-Type', 'application/json'),)
 
@@ -95,11 +97,14 @@
 
     :raises ValueError: if the body is malformed.
     """
-    document = json.loads(body)
     names = ('running', 'waiting', 'slots', 'age_ms')
     try:
+        document = json.loads(body)
         return policy.LoadReport(
-            **{name: int(document[name]) for name in names}
+            **{
+                name: max(0, min(int(document[name]), MAX_REPORTED))
+                for name in names
+            }
         )
-    except (KeyError, TypeError) as exc:
+    except (KeyError, OverflowError, RecursionError, TypeError) as exc:
         raise ValueError(f'malformed load report: {exc}') from exc
--- a/packages/router/src/paddle_router/_events.py
+++ b/packages/router/src/paddle_router/_events.py
@@ -35,6 +35,9 @@
 LIST_AVAILABLE = paddle_kernel.declare_event(
     3021, 'INFO', 'the instance list of the platform can be read again'
 )
+ENTRIES_REJECTED = paddle_kernel.declare_event(
+    3022, 'WARNING', 'entries of the instance list are not used'
+)
 USAGE_NOT_FLUSHED = paddle_kernel.declare_event(
     3030, 'WARNING', 'usage counts could not be written; retrying'
 )
--- a/packages/router/src/paddle_router/_instances.py
+++ b/packages/router/src/paddle_router/_instances.py
@@ -1,10 +1,9 @@
 """The platform's list of backend servers, kept up to date by polling."""
 
-import json
-
 import attrs
 
 import paddle_kernel
+from paddle_kernel import settings
 from paddle_router import _events
 from paddle_router import _http_out
 
@@ -14,6 +13,11 @@
 LEAVING = 'leaving'
 MAX_LIST_BYTES = 16 * 1024 * 1024
 POLL_TIMEOUT_MS = 2_000
+MAX_COUNT = 2**32 - 1
+MAX_MS = 2**53 - 1
+MAX_PRICE = 1e12
+MAX_LOGGED_ENTRIES = 10
+MAX_SHOWN_CHARS = 60
 
 
 @attrs.frozen(kw_only=True)
@@ -36,23 +40,85 @@
     order_id: str | None = None
 
 
-_FIELDS = frozenset(item.name for item in attrs.fields(Instance))
+def _is_text(value):
+    # Lone surrogates and control characters are not printable.
+    return isinstance(value, str) and value.isprintable()
+
+
+def _is_optional_text(value):
+    return value is None or _is_text(value)
+
+
+def _is_optional_time(value):
+    return value is None or settings.integer(-MAX_MS, MAX_MS).accepts(value)
+
+
+def _is_list_of_texts(value):
+    return value is None or (
+        isinstance(value, list) and all(_is_text(item) for item in value)
+    )
+
+
+_IS_VALID = {
+    'id': lambda value: _is_text(value) and bool(value),
+    'address': lambda value: (
+        _is_text(value) and settings.ADDRESS.accepts(value)
+    ),
+    'kind': _is_text,
+    'service': _is_optional_text,
+    'models': _is_list_of_texts,
+    'slots': settings.integer(0, MAX_COUNT).accepts,
+    'failure_domain': _is_text,
+    'cheap': settings.BOOLEAN.accepts,
+    'price_per_hour': settings.number(0, MAX_PRICE).accepts,
+    'checks_numbers': settings.BOOLEAN.accepts,
+    'can_resume': settings.BOOLEAN.accepts,
+    'state': _is_text,
+    'leaves_in_ms': _is_optional_time,
+    'order_id': _is_optional_text,
+}
 
 
 def parse(body):
-    """Return the instances in the body of a list answer.
+    """Return the instances in the body of a list answer, and the rest.
+
+    The rest are texts that describe entries that cannot be used; they do not
+    affect the others.
 
     :raises ValueError: if the body is malformed.
     """
-    try:
-        entries = json.loads(body)['instances']
-        return tuple(_from_entry(entry) for entry in entries)
-    except (KeyError, TypeError, AttributeError) as exc:
-        raise ValueError(f'malformed instance list: {exc}') from exc
+    _document, entries = paddle_kernel.read_entries(
+        body.decode('utf-8', 'replace'), 'instances'
+    )
+    instances, rejected = [], []
+    for entry in entries:
+        try:
+            instances.append(_from_entry(entry))
+        except ValueError as exc:
+            rejected.append(str(exc))
+    return tuple(instances), tuple(rejected)
 
 
 def _from_entry(entry):
-    known = {name: entry[name] for name in _FIELDS & set(entry)}
+    """Return the :class:`Instance` of an entry.
+
+    :raises ValueError: if the entry cannot be used.
+    """
+    if isinstance(entry, paddle_kernel.UnreadableEntry):
+        raise ValueError(f'{entry.text}: {entry.reason}')
+    if not isinstance(entry, dict):
+        raise ValueError(f'an entry of type {type(entry).__name__}')
+    label = entry.get('id')
+    if not isinstance(label, str):
+        label = '(no id)'
+    label = label[:MAX_SHOWN_CHARS]
+    for name in ('id', 'address'):
+        if name not in entry:
+            raise ValueError(f'{label!r}: no {name}')
+    known = {name: entry[name] for name in _IS_VALID if name in entry}
+    for name, value in known.items():
+        if not _IS_VALID[name](value):
+            raise ValueError(f'{label!r}: {name} is invalid')
     known['models'] = tuple(known.get('models') or ())
     return Instance(**known)
 
@@ -71,6 +137,7 @@
         self._reachable = None
         self._listeners = []
         self._draining = frozenset()
+        self._rejected = ()
         self.listed = ()
         self.instances = ()
         self.received_ms = None
@@ -92,7 +159,9 @@
             )
             if status != 200:
                 raise ValueError(f'status {status}')
-            self.replace(parse(body))
+            instances, rejected = parse(body)
+            self._log_rejected(rejected)
+            self.replace(instances)
         except (OSError, ValueError) as exc:
             self._record_reachability(False, str(exc))
         else:
@@ -152,6 +221,16 @@
             'instances': [attrs.asdict(item) for item in self.instances],
         }
 
+    def _log_rejected(self, rejected):
+        """Log the entries that are not used, once until they change."""
+        if rejected and rejected != self._rejected:
+            paddle_kernel.emit(
+                _events.ENTRIES_REJECTED,
+                count=len(rejected),
+                entries=list(rejected[:MAX_LOGGED_ENTRIES]),
+            )
+        self._rejected = rejected
+
     def _record_reachability(self, reachable, detail):
         if reachable == self._reachable:
             return
--- a/packages/router/src/paddle_router/_platform.py
+++ b/packages/router/src/paddle_router/_platform.py
@@ -78,7 +78,7 @@
     status, data = exchange(conn, method, target, headers, body, timeout_ms)
     try:
         document = json.loads(data)
-    except ValueError:
+    except (RecursionError, ValueError):
         document = None
     return status, document if isinstance(document, dict) else {}
 
--- a/packages/router/src/paddle_router/_relay.py
+++ b/packages/router/src/paddle_router/_relay.py
@@ -343,7 +343,9 @@
     try:
         error = json.loads(response.read_all(MAX_ERROR_BYTES))['error']
         message = str(error['message'])[:MAX_MESSAGE_CHARS]
-    except (OSError, KeyError, TypeError, ValueError):
+        # An answer cannot contain lone surrogates.
+        message = message.encode(errors='replace').decode()
+    except (OSError, KeyError, RecursionError, TypeError, ValueError):
         # Errors in another form are described by their status only.
         pass
     is_request_error = (
@@ -363,6 +365,6 @@
     try:
         document = json.loads(_sse.payload(data) if is_event else data)
         usage = document['usage']
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, RecursionError, TypeError, ValueError):
         return None
     return usage if isinstance(usage, dict) else None
--- a/packages/router/tests/test_platform_control.py
+++ b/packages/router/tests/test_platform_control.py
@@ -10,6 +10,7 @@
 import pytest
 
 from paddle_router import _control
+from paddle_router import _engine_watch
 from paddle_router import _hosting
 from paddle_router import _http_out
 from paddle_router import _instances
@@ -148,6 +149,78 @@
     assert send_order(gateway, number=5) == _platform.REFUSED
 
 
+ENTRY = {'id': 'i-1', 'address': '10.0.0.1:80'}
+ODD_ENTRIES = [
+    json.dumps({**ENTRY, **fields})
+    for fields in (
+        {'id': '\ud800'},
+        {'id': ''},
+        {'id': 1},
+        {'address': '10.0.0.1:70000'},
+        {'address': '10.0.0.1:\u00b2'},
+        {'address': None},
+        {'slots': 2**40},
+        {'slots': '8'},
+        {'slots': float('nan')},
+        {'price_per_hour': float('inf')},
+        {'price_per_hour': 10**400},
+        {'models': 'small'},
+        {'models': [['small']]},
+        {'leaves_in_ms': 1e300},
+        {'state': []},
+    )
+] + [
+    '"text"',
+    'null',
+    '{}',
+    '{"id": i-1}',
+    '[' * 100_000 + ']' * 100_000,
+    '{"id": "i-1", "address": "h:1", "slots": ' + '9' * 5_000 + '}',
+]
+
+
+@pytest.mark.parametrize('odd', ODD_ENTRIES)
+def test_an_odd_instance_costs_no_other(odd):
+    # Guards against a daemon that stops following the list.
+    body = '{"instances": [' + f'{odd}, {json.dumps(ENTRY)}' + ']}'
+    found, rejected = _instances.parse(body.encode())
+    assert found == (_instances.Instance(**ENTRY),)
+    assert len(rejected) == 1 and len(rejected[0]) < 300
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'[]', b'{}', b'{"instances": 1}', b'[' * 100_000]
+)
+def test_a_body_without_instances_is_an_error(body):
+    with pytest.raises(ValueError):
+        _instances.parse(body)
+
+
+REPORT = {'running': 1, 'waiting': 0, 'slots': 8, 'age_ms': 20}
+
+
+@pytest.mark.parametrize(
+    ('body', 'running'),
+    [
+        (json.dumps(REPORT), 1),
+        (json.dumps({**REPORT, 'running': 10**400}), 2**31 - 1),
+        (json.dumps({**REPORT, 'running': -1}), 0),
+        (json.dumps({**REPORT, 'running': float('inf')}), None),
+        (json.dumps({**REPORT, 'running': float('nan')}), None),
+        ('{"running": ' + '9' * 5_000 + '}', None),
+        ('[' * 100_000, None),
+        ('[]', None),
+    ],
+)
+def test_an_odd_load_report_is_bounded_or_malformed(body, running):
+    # Guards against a report that ends the reading of all others.
+    if running is None:
+        with pytest.raises(ValueError):
+            _engine_watch._parse_report(body)
+    else:
+        assert _engine_watch._parse_report(body).running == running
+
+
 def test_lookup_requires_a_recent_list(gateway, instances, clock):
     # Guards against giving up an executed order that an outdated list lacks.
     with pytest.raises(_platform.StaleListError):
