Leave odd entries in the list of servers in the soak

It excuses nothing: it is no disturbance, so a lost request or a configuration that is late counts as in calm. The process test uses the same entries.

--- a/packages/testbed/src/paddle_testbed/fakes/__init__.py
+++ b/packages/testbed/src/paddle_testbed/fakes/__init__.py
@@ -8,6 +8,7 @@
 from paddle_testbed.fakes._cloud import FakeCloud
 from paddle_testbed.fakes._engine import EngineOptions
 from paddle_testbed.fakes._engine import FakeEngine
+from paddle_testbed.fakes._odd_entries import ODD_ENTRIES
 from paddle_testbed.fakes._origin import event
 from paddle_testbed.fakes._origin import FakeOrigin
 from paddle_testbed.fakes._origin import Received
@@ -26,6 +27,7 @@
     'FakeOrigin',
     'FakePlatform',
     'FakeService',
+    'ODD_ENTRIES',
     'Received',
     'STAMP',
     'STREAM_END',
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -10,6 +10,7 @@
 import gevent
 
 import paddle_kernel
+from paddle_testbed import fakes
 from paddle_testbed.soak import _ledger
 from paddle_testbed.soak import _proxy
 from paddle_testbed.soak import _servers
@@ -226,6 +227,18 @@
         system.cloud.down = False
 
 
+@faults.register('odd_list_entry')
+def odd_list_entry(system, rng):
+    """Another writer leaves an odd entry in the list for some time.
+
+    It excuses nothing, so it is not recorded as a disturbance.
+    """
+    entry = fakes.ODD_ENTRIES[rng.choice(sorted(fakes.ODD_ENTRIES))]
+    system.cloud.raw_entries.append(entry)
+    sleep_random(rng, MEDIUM_PAUSE_S)
+    system.cloud.raw_entries.remove(entry)
+
+
 @faults.register('drain_server')
 def drain_server(system, rng):
     ready = [item for item in system.servers if item.state == 'ready']
--- a/packages/testbed/tests/test_odd_input.py
+++ b/packages/testbed/tests/test_odd_input.py
@@ -31,7 +31,6 @@
     'slots': 6,
     'state': 'ready',
 }
-ODD_ENTRY = {**ENTRY, 'identifier': 'i-odd', 'address': '127.0.0.1:9'}
 DEPTH = 100_000
 # A traceback, and failures of a periodic task, a request or a message.
 FAILURE_MARKS = (
@@ -44,39 +43,6 @@
 )
 
 
-def odd_entry(**fields):
-    return json.dumps({**ODD_ENTRY, **fields})
-
-
-def entry_with(field, text):
-    """Return an entry with a field whose JSON text is given."""
-    return f'{odd_entry()[:-1]}, "{field}": {text}}}'
-
-
-ODD_ENTRIES = {
-    'surrogate_in_identifier': odd_entry(identifier='\ud800'),
-    'surrogate_in_service': odd_entry(service='\ud800'),
-    'surrogate_in_zone': odd_entry(zone='\ud800'),
-    'surrogate_in_address': odd_entry(address='\ud800:80'),
-    'line_break_in_identifier': odd_entry(identifier='i-9\r\nHost: other'),
-    'line_break_in_service': odd_entry(service='a\nb'),
-    'host_name': odd_entry(address='odd.example:80'),
-    'port_too_large': odd_entry(address='127.0.0.1:70000'),
-    'port_of_many_digits': odd_entry(address='127.0.0.1:' + '9' * 5_000),
-    'port_of_other_digits': odd_entry(address='127.0.0.1:\u00b2'),
-    'slots_too_large': odd_entry(slots=2**40),
-    'slots_of_many_digits': entry_with('slots', '9' * 5_000),
-    'leaves_ms_1e300': odd_entry(state='draining', leaves_ms=1e300),
-    'leaves_ms_1e999': entry_with('leaves_ms', '1e999'),
-    'leaves_ms_nan': odd_entry(leaves_ms=float('nan')),
-    'nested_lists': '[' * DEPTH + ']' * DEPTH,
-    'nested_objects': '{"a":' * DEPTH + '1' + '}' * DEPTH,
-    'nested_field': entry_with('models', '[' * DEPTH + ']' * DEPTH),
-    'not_json': '{"identifier": i-odd, "service": plain}',
-    'control_character': '"\x01"',
-}
-
-
 class Deployment:
     """A running fleet whose list of servers has an odd entry at times."""
 
@@ -174,7 +140,7 @@
         built.stop()
 
 
-@pytest.mark.parametrize('kind', ODD_ENTRIES)
+@pytest.mark.parametrize('kind', fakes.ODD_ENTRIES)
 def test_an_odd_entry_costs_neither_configuration_nor_other_servers(
     deployment, kind
 ):
@@ -183,7 +149,7 @@
     fleet = deployment.fleet
     names = fleet.names('gateway')
     failures = deployment.failures()
-    deployment.cloud.raw_entries = [ODD_ENTRIES[kind]]
+    deployment.cloud.raw_entries = [fakes.ODD_ENTRIES[kind]]
     try:
         deployment.wait_for_list()
         added = deployment.add_server()
