--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -18,6 +18,7 @@
 from paddle_router.controller import _fleet
 from paddle_router import gateway
 from paddle_router.gateway import _routes
+from paddle_router import policy
 
 VALID = {
     'version': 7,
@@ -476,6 +477,69 @@
     assert metadata.idle_ms is None or metadata.idle_ms >= 0
 
 
+HEADER_VALUES = (
+    st.binary(max_size=40)
+    | st.from_regex(rb'[0-9.,:a-f =-]{0,30}', fullmatch=True)
+    | st.sampled_from([LONG, b'1,' + LONG, b'5c:1,5d:' + LONG, b'.' + LONG])
+)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(
+                [
+                    b'Rosemarypaddle-Token-Counts',
+                    b'Rosemarypaddle-Length-Hint',
+                    b'Rosemarypaddle-Deadline-Milliseconds',
+                    b'Rosemarypaddle-Prompt-Prefix',
+                    b'Rosemarypaddle-Request-Id',
+                    b'Rosemarypaddle-Model',
+                    b'Authorization',
+                    b'Last-Event-Id',
+                ]
+            ),
+            HEADER_VALUES,
+        ),
+        max_size=6,
+    )
+)
+def test_accepted_request_headers_fit_into_reports(headers):
+    # Guards against a request that costs the gateway its exchange.
+    adapter = dialect.FleetDialect()
+    try:
+        metadata = adapter.parse_request_headers(headers)
+    except ValueError:
+        return
+    assert 0 <= metadata.prompt_tokens + metadata.output_tokens < 2**32
+    report = policy.CrashReport(
+        id='r',
+        server=policy.Incarnation('i-1'),
+        at_ms=1,
+        parts=metadata.shared_part_ids,
+    )
+    kind, data = paddle_kernel.codec.encode(report)
+    assert paddle_kernel.codec.decode(kind, data) == report
+    for name, value in adapter.forwarded_headers(headers, CONTEXT):
+        assert isinstance(name, bytes) and isinstance(value, bytes)
+
+
+@given(st.sampled_from([200, 503]), st.lists(HEADER_VALUES, max_size=3))
+def test_accepted_response_headers_fit_into_reports(status, values):
+    headers = [
+        (name, value)
+        for value in values
+        for name in (b'Server-Limit', b'Retry-After', b'Keep-Alive')
+    ]
+    metadata = read_response(status, *headers)
+    assert metadata.quiet_ms is None or math.isfinite(metadata.quiet_ms)
+    limits = policy.ServerLimits()
+    limits.record(policy.Incarnation('i-1'), metadata.limit_per_s, 1)
+    for item in limits.reports(1):
+        kind, data = paddle_kernel.codec.encode(item)
+        assert paddle_kernel.codec.decode(kind, data) == item
+
+
 LIST_ENTRY = {
     'identifier': 'i-1',
     'service': 's1',
