Reject servers whose id cannot be packed with the loads

Loads are packed with their ids as lines of one text. An id with a line break made the sums of all servers unreadable, which ends a gateway's exchange step halfway.

--- a/packages/router/src/paddle_router/controller/_server_list.py
+++ b/packages/router/src/paddle_router/controller/_server_list.py
@@ -12,6 +12,7 @@
 
 import paddle_kernel
 from paddle_router.controller import _platform
+from paddle_router import gateway
 from paddle_router import policy
 
 # How long a server that left the list is remembered, so that a restart under
@@ -39,9 +40,12 @@
 
 @functools.lru_cache(maxsize=ENCODING_CACHE_SIZE)
 def _encoding_error(server):
+    load = gateway.ServerFlights(id=server.id, running=0)
     try:
         paddle_kernel.codec.encode(server)
-    except paddle_kernel.EncodeError as exc:
+        # Loads are packed with the ids in one text.
+        gateway.unpack_loads(gateway.pack_loads((load,)))
+    except ValueError as exc:
         return str(exc)
     return None
 
--- a/packages/router/tests/test_controller_state_exchange.py
+++ b/packages/router/tests/test_controller_state_exchange.py
@@ -170,15 +170,20 @@
 
 ODD_SERVER = attrs.evolve(SERVERS[0], id='i-odd', domain='\ud800')
 HUGE_SERVER = attrs.evolve(SERVERS[0], id='i-huge', slots=2**40)
+TWO_LINES_SERVER = attrs.evolve(SERVERS[0], id='i\n1')
 
 
 def test_a_server_that_messages_cannot_contain_is_rejected():
     # Guards against one entry that costs each gateway the whole list.
     servers, rejected = _server_list.split_encodable(
-        (ODD_SERVER, *SERVERS, HUGE_SERVER)
+        (ODD_SERVER, *SERVERS, HUGE_SERVER, TWO_LINES_SERVER)
     )
     assert servers == SERVERS
-    assert [item.entry for item in rejected] == ["'i-odd'", "'i-huge'"]
+    assert [item.entry for item in rejected] == [
+        "'i-odd'",
+        "'i-huge'",
+        "'i\\n1'",
+    ]
     assert rejected[0].reason.startswith('domain: UnicodeEncodeError')
     assert rejected[1].reason.startswith('slots: KjException')
 
