Deliver errors of the thread pool when stderr cannot be written

A process test with a full disk, where the log file shares the limit, ended with replicas that did not answer any more ("timeout" and "closed" among the answers of a change), not with refusals. gevent's pool prints the traceback of an exception to stderr before it hands the result over; if that write fails, the result is never delivered and the caller waits for ever. A failed write of a replica is such an exception, so its group commit stayed in progress until a restart.

run_in_thread now carries the exception out of the thread as a value and raises it in the caller, so that the pool has nothing to print.

--- a/packages/kernel/src/paddle_kernel/_tasks.py
+++ b/packages/kernel/src/paddle_kernel/_tasks.py
@@ -80,5 +80,18 @@
     """Run ``function`` in gevent's thread pool and return its result.
 
     Other greenlets run meanwhile. Use it for work that blocks or takes long.
+    An exception is raised in the caller only; the pool by itself would also
+    write its traceback to stderr.
     """
-    return gevent.get_hub().threadpool.apply(function, args)
+    result, exc = gevent.get_hub().threadpool.apply(_capture, (function, args))
+    if exc is not None:
+        raise exc
+    return result
+
+
+def _capture(function, args):
+    """Return the result of ``function`` or the exception that it raised."""
+    try:
+        return function(*args), None
+    except Exception as exc:
+        return None, exc
