--- a/packages/router/tests/test_controller_state_exchange.py
+++ b/packages/router/tests/test_controller_state_exchange.py
@@ -78,6 +78,7 @@
         lease=types.SimpleNamespace(observed_holder='c0/1'),
         holds_lease=False,
         document=paddle_coord.VersionedDocument(register, clock),
+        request_refresh=lambda: None,
     )
 
 
