--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -15,6 +15,7 @@
 
 from paddle_testbed import fakes
 from paddle_testbed import fleet as fleets
+from paddle_testbed.soak import _checks as soak_checks
 
 HOST = 'h.example'
 SERVICE = {'name': 'plain', 'healthPath': '/health', 'connectionLimit': 100}
@@ -390,6 +391,42 @@
     assert logged_signals(serving, name)[:3] == expected
 
 
+def processor_ms(process):
+    """Return the processor time of a process that has not been reaped."""
+    text = pathlib.Path(f'/proc/{process.pid}/stat').read_text()
+    ticks = sum(int(item) for item in text.rpartition(')')[2].split()[11:13])
+    return ticks * 1_000 // os.sysconf('SC_CLK_TCK')
+
+
+def process_state(process):
+    """Return the state letter and whether SIGHUP is ignored."""
+    text = pathlib.Path(f'/proc/{process.pid}/status').read_text()
+    fields = dict(line.split(':\t', 1) for line in text.splitlines())
+    is_ignored = bool(int(fields['SigIgn'], 16) >> (signal.SIGHUP - 1) & 1)
+    return fields['State'][0], is_ignored
+
+
+@pytest.mark.parametrize('role', ['gateway', 'controller'])
+def test_a_stopped_process_exits_soon_after_it_ignores_signals(serving, role):
+    # Guards against a SIGHUP that is not logged because the interpreter shuts
+    # down for 0.2 s of processor time, or for seconds on a busy machine.
+    name = serving.names(role)[0]
+    process = serving.machines[name].process
+    serving.signal(name, signal.SIGTERM)
+    ignoring_since_ms = None
+    state = None
+    while state != 'Z':
+        state, is_ignored = process_state(process)
+        if is_ignored and ignoring_since_ms is None:
+            ignoring_since_ms = processor_ms(process)
+        gevent.sleep(0.002)
+    if ignoring_since_ms is not None:
+        spent_ms = processor_ms(process) - ignoring_since_ms
+        # A machine with five times the load still exits within the grace.
+        assert spent_ms <= soak_checks.EXIT_GRACE_MS // 5
+    assert process.wait(timeout=9) == 0
+
+
 def test_sighup_does_not_interrupt_requests(serving, origin):
     origin.script = lambda req, sock: [0.3, fakes.response(req)]
     pending = gevent.spawn(send_request, serving, 'front-0')
