--- a/packages/testbed/tests/test_odd_input.py
+++ b/packages/testbed/tests/test_odd_input.py
@@ -32,6 +32,7 @@
     'state': 'ready',
 }
 DEPTH = 100_000
+REJECTED_MARK = '"event": 3422,'
 # A traceback, and failures of a periodic task, a request or a message.
 FAILURE_MARKS = (
     'Traceback',
@@ -120,14 +121,14 @@
 
     def failures(self):
         """Return the numbers of tracebacks and internal errors logged."""
-        logs = [
-            (machine.folder / 'log').read_text()
+        return {mark: self.count_logged(mark) for mark in FAILURE_MARKS}
+
+    def count_logged(self, mark):
+        """Return how often a text occurs in the logs of the processes."""
+        return sum(
+            (machine.folder / 'log').read_text().count(mark)
             for machine in self.fleet.machines.values()
-        ]
-        return {
-            mark: sum(text.count(mark) for text in logs)
-            for mark in FAILURE_MARKS
-        }
+        )
 
 
 @pytest.fixture(scope='module')
@@ -149,6 +150,7 @@
     fleet = deployment.fleet
     names = fleet.names('gateway')
     failures = deployment.failures()
+    rejected = deployment.count_logged(REJECTED_MARK)
     deployment.cloud.raw_entries = [fakes.ODD_ENTRIES[kind]]
     try:
         deployment.wait_for_list()
@@ -172,6 +174,9 @@
     finally:
         deployment.cloud.raw_entries = []
         deployment.wait_for_list()
+    # Each controller that reads the list logs what it does not use once.
+    logged = deployment.count_logged(REJECTED_MARK) - rejected
+    assert 1 <= logged <= len(fleet.names('controller'))
     assert all(item.process.poll() is None for item in fleet.machines.values())
     assert deployment.failures() == failures
 
