Let a replica vote again after a failed write

Cause: a replica whose write or fsync failed refused every vote until its process was started again, because its memory may be ahead of its disk. Disks that are full one after the other, each for 3 s, take away a majority for good. The class: the passing failure of a resource is made permanent.

Ruled out: conflicts of competing proposers (5 to 15 answers per change, none without a refusal) and replicas that do not answer (none).

Now memory goes back to what the file held at the last sync, and that state is written to a new file, since the pages of the old one cannot be trusted after a failed fsync. Until the new file and its name are synced, the replica refuses as before, so no answer depends on a dropped record; a waiter whose write failed is refused also if later ones succeed first. A message starts a try, at most every 250 ms, so an idle replica causes no disk traffic. A rewrite that fails removes its partial file. The status of a replica shows the last synced view.

--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -3,7 +3,10 @@
 import paddle_kernel as kernel
 
 STORE_FAILED = kernel.declare_event(
-    2000, 'ERROR', 'a write or fsync failed; this replica stops voting'
+    2000,
+    'ERROR',
+    'a write or fsync failed; this replica does not vote until it has '
+    'rewritten its file',
 )
 TORN_RECORD = kernel.declare_event(
     2001,
@@ -19,6 +22,12 @@
 STORE_COMPACTED = kernel.declare_event(
     2004, 'INFO', 'the store file was compacted to a snapshot'
 )
+STORE_RECOVERED = kernel.declare_event(
+    2007, 'INFO', 'the store file was rewritten; this replica votes again'
+)
+STORE_NOT_RECOVERED = kernel.declare_event(
+    2008, 'WARNING', 'rewriting the store file failed; retrying'
+)
 
 # Claims and configuration log: 2100 to 2199.
 CLAIM_NOT_RELEASED = kernel.declare_event(
--- a/packages/coord/src/paddle_coord/_replica.py
+++ b/packages/coord/src/paddle_coord/_replica.py
@@ -14,6 +14,9 @@
 from paddle_coord import _view
 
 KEYS_PER_LIST = 10_000
+# Pause between two tries to rewrite the file after a failed write. A message
+# starts a try, so that an idle replica does not use its disk.
+RECOVERY_RETRY_MS = 250
 
 
 class _GroupCommit:
@@ -21,14 +24,26 @@
 
     The first waiter writes for all others; the write runs in a thread of the
     hub's pool, so that a slow disk does not stop the event loop.
+
+    After a failed write the records that were not synced are dropped, and
+    their waiters fail. :meth:`recover` then goes back to the synced state.
     """
 
-    def __init__(self, store, blocking):
+    def __init__(self, store, clock, blocking):
         self._store = store
+        self._clock = clock
         self._blocking = blocking
         self._queued_count = 0
         self._durable_count = 0
         self._write_done = None
+        # Number of failed writes so far; a waiter whose write failed fails
+        # also if later ones succeed before it runs again.
+        self._failed_count = 0
+        self._closed = False
+        self._next_recovery_ms = 0
+        # The synced state as a file, once it is loaded after a failure.
+        self._synced_data = None
+        self.durable_view = store.state.view
         self.failure = None
 
     def put(self, record):
@@ -38,37 +53,63 @@
 
     def wait(self):
         """Wait until everything put so far is durable; return success."""
-        target = self._queued_count
-        while self._durable_count < target and self.failure is None:
+        target, failed_count = self._queued_count, self._failed_count
+        while (
+            self._durable_count < target
+            and self.failure is None
+            and self._failed_count == failed_count
+        ):
             if self._write_done is None:
                 # In a separate greenlet, because the waiter may be killed.
-                self._write_done = gevent.event.Event()
-                gevent.spawn(self._write)
+                self._start(self._write)
             self._write_done.wait()
-        return self.failure is None
+        return self.failure is None and self._failed_count == failed_count
+
+    def recover(self):
+        """Start to rewrite the file after a failure, if that is due."""
+        if (
+            self.failure is not None
+            and not self._closed
+            and self._write_done is None
+            and self._clock.now_ms() >= self._next_recovery_ms
+        ):
+            self._start(self._recover)
 
     def close(self):
         """Wait for the write in progress and fail all later ones."""
+        self._closed = True
         while self._write_done is not None:
             self._write_done.wait()
         self.failure = self.failure or _store.StoreError('stopped')
 
+    def _start(self, function):
+        self._write_done = gevent.event.Event()
+        gevent.spawn(self._run, function)
+
+    def _run(self, function):
+        try:
+            function()
+        finally:
+            write_done, self._write_done = self._write_done, None
+            write_done.set()
+
     def _write(self):
         queued_count = self._queued_count
+        view = self._store.state.view
         try:
             self._write_or_compact()
-            self._durable_count = queued_count
         except Exception as exc:
             # Whatever the cause, memory may now be ahead of the disk.
             self.failure = exc
+            self._failed_count += 1
             kernel.emit(
                 _events.STORE_FAILED,
                 file=str(self._store.path),
                 error=str(exc),
             )
-        finally:
-            write_done, self._write_done = self._write_done, None
-            write_done.set()
+        else:
+            self._durable_count = queued_count
+            self.durable_view = view
 
     def _write_or_compact(self):
         if not self._store.needs_compaction():
@@ -82,19 +123,53 @@
             bytes_after=self._store.size,
         )
 
+    def _recover(self):
+        """Go back to the synced state and write it to a new file.
+
+        After a failed fsync the pages of the old file may be lost, so nothing
+        is appended to that.
+        """
+        try:
+            if self._synced_data is None:
+                state = self._blocking(self._store.load_synced)
+                self._store.roll_back(state)
+                self._synced_data = self._store.snapshot()
+            self._blocking(self._store.replace, self._synced_data)
+        except Exception as exc:
+            if str(exc) != str(self.failure):
+                kernel.emit(
+                    _events.STORE_NOT_RECOVERED,
+                    file=str(self._store.path),
+                    error=str(exc),
+                )
+            self.failure = exc
+            self._next_recovery_ms = self._clock.now_ms() + RECOVERY_RETRY_MS
+            return
+        self._synced_data = None
+        self._durable_count = self._queued_count
+        self.durable_view = self._store.state.view
+        self.failure = None
+        kernel.emit(
+            _events.STORE_RECOVERED,
+            file=str(self._store.path),
+            file_bytes=self._store.size,
+        )
+
 
 class Replica:
     """Answers the messages of proposers; see :mod:`paddle_coord._messages`.
 
-    After a failed write or sync it refuses to vote until it is restarted,
-    because its memory may be ahead of its disk.
+    After a failed write or sync its memory may be ahead of its disk, so it
+    refuses to vote until it has gone back to the synced state and rewritten
+    its file. Messages that arrive meanwhile trigger this.
     """
 
     def __init__(self, store, address, clock, blocking=None):
         self._store = store
         self._address = address
-        self._clock = clock
-        self._commit = _GroupCommit(store, blocking or kernel.run_in_thread)
+        self._commit = _GroupCommit(
+            store, clock, blocking or kernel.run_in_thread
+        )
         self._stopped = False
         self.votes = 0
 
@@ -129,6 +204,7 @@
 
     def handle(self, message):
         """Return the answer to ``message``, ``None`` for an unknown type."""
+        self._commit.recover()
         return self._answer(message)
 
     def stop(self):
@@ -248,16 +324,20 @@
         if message.target != self.identity:
             return self._refuse(_view.WRONG_REPLICA)
         current = self._store.state.view
-        if _view.adopts(current, message.view):
-            must_clear = _view.must_clear(current, message.view, self.identity)
+        is_newer = _view.adopts(current, message.view)
+        must_clear = _view.must_clear(current, message.view, self.identity)
+        if is_newer:
             self._commit.put(_messages.ViewRecord(message.view, must_clear))
+        if not self._commit.wait():
+            return self._refuse(_view.STORE_FAILED)
+        if is_newer:
             kernel.emit(
                 _events.VIEW_ADOPTED,
                 replica=self._address,
                 epoch=message.view.epoch,
                 cleared=must_clear,
             )
-        return self._answer_when_durable(self._make_status())
+        return self._make_status()
 
     @_answer.register
     def _status(self, _message: _messages.StatusRequest):
@@ -268,7 +348,7 @@
         return _messages.ReplicaStatus(
             identity=state.identity,
             address=self._address,
-            view=state.view,
+            view=self._commit.durable_view,
             voting=self.voting,
             keys=len(state.cells),
             floor=state.floor,
--- a/packages/coord/src/paddle_coord/_store.py
+++ b/packages/coord/src/paddle_coord/_store.py
@@ -320,7 +320,8 @@
     def replace(self, data):
         """Replace the file by ``data`` and sync it; blocks.
 
-        :raises OSError: if the disk is full or fails.
+        :raises OSError: if the disk is full or fails. The file is then the
+            old or the new one.
         """
         temporary = self.path.with_suffix('.new')
         flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND
@@ -331,13 +332,33 @@
                 view = view[os.write(fd, view) :]
             self._sync(fd)
             os.replace(temporary, self.path)
-            sync_directory(self.path.parent)
-        except OSError:
+        except BaseException:
             os.close(fd)
+            # A partial file must not take up the room of later writes.
+            os.unlink(temporary)
             raise
         os.close(self._fd)
         self._fd = fd
         self._size = self._size_after_compaction = len(data)
+        sync_directory(self.path.parent)
+
+    def load_synced(self):
+        """Return the state that the synced part of the file holds; blocks.
+
+        :raises OSError: if the file cannot be read.
+        :raises DamagedStoreError: if a synced record is damaged.
+        """
+        data = self.path.read_bytes()[: self._size]
+        state = State()
+        result = scan(data, state)
+        if result.end != self._size:
+            raise DamagedStoreError(self.path, result.end)
+        return state
+
+    def roll_back(self, state):
+        """Continue with ``state``; discard the queued records."""
+        self.state = state
+        self.pending = []
 
     def close(self):
         """Close the file and release the lock of the directory."""
--- a/packages/testbed/src/paddle_testbed/faults/_world.py
+++ b/packages/testbed/src/paddle_testbed/faults/_world.py
@@ -145,13 +145,14 @@
             self._wait_for_disk()
         self.synced_size = os.fstat(fd).st_size
 
-    def _write(self, function, data):
+    def _write(self, function, *args):
         gevent.sleep(0)
         self._environment.record_step(DISK, 'before write', '', self.address)
         self._wait_for_disk()
-        function(data)
+        result = function(*args)
         self._environment.record_step(DISK, 'synced', '', self.address)
         self._wait_for_disk()
+        return result
 
 
 class _Transport:
--- a/packages/testbed/src/paddle_testbed/fleet.py
+++ b/packages/testbed/src/paddle_testbed/fleet.py
@@ -114,6 +114,10 @@
         """Delete the data directory of a stopped machine."""
         shutil.rmtree(self.machines[name].folder / 'data')
 
+    def register_path(self, name):
+        """Return the path of a controller's register file."""
+        return self.machines[name].folder / 'data/replica/register.log'
+
     def stop(self):
         """Kill all processes that still run."""
         for machine in self.machines.values():
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -102,7 +102,7 @@
             return
         with recorded_disturbance(system, 'kill', name):
             system.kill(name)
-            path = system.register_path(name)
+            path = system.fleet.register_path(name)
             # A disk that was just emptied has no log file yet.
             if path.exists():
                 with path.open('ab') as log:
--- a/packages/testbed/src/paddle_testbed/soak/_run.py
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -135,10 +135,6 @@
         """Publish the current servers in the platform's list of instances."""
         self.cloud.entries = [item.list_entry() for item in self.servers]
 
-    def register_path(self, name):
-        """Return the path of a controller's register file."""
-        return self.fleet.machines[name].folder / 'data/replica/register.log'
-
     def signal(self, name, number):
         """Send a signal to the process of a machine and record it."""
         self.ledger.signals.append(
--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import resource
 import select
 import signal
 import time
@@ -291,6 +292,46 @@
     assert read_config_version(serving, 'core-0') == 20
 
 
+# contactMs and acknowledgeMs of the users' platform.
+CONTACT_S = 3
+ACKNOWLEDGE_S = 4
+
+
+def fill_disk(fleet, name):
+    """Make the files of a machine refuse writes.
+
+    Returns a function that makes room again.
+    """
+    pid = fleet.machines[name].process.pid
+    soft, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, hard))
+    return lambda: resource.prlimit(pid, resource.RLIMIT_FSIZE, (soft, hard))
+
+
+def test_a_configuration_can_be_read_and_changed_after_full_disks(serving):
+    # Guards against controllers that do not vote until a restart after their
+    # disk has been full: reads and changes were refused for ever.
+    names = serving.names('controller')
+    restores = [fill_disk(serving, name) for name in names[:2]]
+    body = json.dumps(build_config(40)).encode()
+    status, _body = serving.call(
+        names[0], 'PUT', '/api/configuration', body, timeout_s=5
+    )
+    assert status == 503
+    for restore in restores:
+        restore()
+    for name in names:
+        fleets.wait_for(
+            lambda name=name: read_config_version(serving, name),
+            f'{name} returned no configuration',
+            wait_s=CONTACT_S,
+        )
+    begin_s = time.monotonic()
+    serving.put_configuration(build_config(41))
+    assert time.monotonic() - begin_s < ACKNOWLEDGE_S
+    assert {read_config_version(serving, name) for name in names} == {41}
+
+
 def test_a_read_without_a_majority_is_refused(serving):
     serving.kill('core-1')
     serving.kill('core-2')
