Answer conflicts and refusals from the synced state only

A replica answered a conflict, or a refusal because of its epoch, from memory, before the promise or view that it is based on was synced. A proposer concludes from such an answer that its message never takes effect and may report the change as not written. After a failed sync (or a power loss) the promise is gone and a copy of the message is accepted.

These answers now wait for the write in progress like all others. The refusal because of a failed store shows the last synced view.

The test fails before (the conflict is answered while the disk hangs) and passes after.

--- a/packages/coord/src/paddle_coord/_replica.py
+++ b/packages/coord/src/paddle_coord/_replica.py
@@ -243,7 +243,7 @@
         cell = self._store.state.cell(message.key)
         promised = _acceptor.prepare(cell, message.ballot)
         if promised is None:
-            return _messages.Conflict(cell.promised)
+            return self._answer_when_durable(_messages.Conflict(cell.promised))
         floor = self._store.state.floor
         return self._vote(
             message,
@@ -259,7 +259,7 @@
         cell = self._store.state.cell(message.key)
         accepted = _acceptor.accept(cell, message.ballot, message.record)
         if accepted is None:
-            return _messages.Conflict(cell.promised)
+            return self._answer_when_durable(_messages.Conflict(cell.promised))
         return self._vote(
             message, accepted, _messages.Accepted(message.ballot)
         )
@@ -310,7 +310,7 @@
         cell = state.cells.get(message.key)
         if cell is not None:
             if not _acceptor.droppable(cell, message.ballot):
-                return _messages.KeyDropped(False)
+                return self._answer_when_durable(_messages.KeyDropped(False))
             floor = _acceptor.raised_floor(state.floor, message.ballot)
             # Both records are written in one frame, the floor first.
             self._commit.put(_messages.FloorRecord(floor))
@@ -320,7 +320,7 @@
     @_answer.register
     def _adopt_view(self, message: _messages.AdoptView):
         if not self._can_write:
-            return self._refuse(_view.STORE_FAILED)
+            return self._refuse_failed()
         if message.target != self.identity:
             return self._refuse(_view.WRONG_REPLICA)
         current = self._store.state.view
@@ -329,7 +329,7 @@
         if is_newer:
             self._commit.put(_messages.ViewRecord(message.view, must_clear))
         if not self._commit.wait():
-            return self._refuse(_view.STORE_FAILED)
+            return self._refuse_failed()
         if is_newer:
             kernel.emit(
                 _events.VIEW_ADOPTED,
@@ -356,19 +356,27 @@
 
     def _refusal(self, message):
         if not self._can_write:
-            return self._refuse(_view.STORE_FAILED)
+            return self._refuse_failed()
         kind = _view.refusal(
             self._store.state.view,
             self.identity,
             message.target,
             message.epoch,
         )
-        return None if kind is None else self._refuse(kind)
+        if kind is None:
+            return None
+        # A proposer concludes that the message never takes effect.
+        return self._answer_when_durable(self._refuse(kind))
 
     def _refuse(self, kind):
         view = self._store.state.view
         return _messages.Refusal(kind, self.identity, view)
 
+    def _refuse_failed(self):
+        return _messages.Refusal(
+            _view.STORE_FAILED, self.identity, self._commit.durable_view
+        )
+
     def _vote(self, message, cell, answer):
         self.votes += 1
         self._commit.put(
@@ -382,7 +390,7 @@
         """Return ``answer`` once the state it is based on is on disk."""
         if self._commit.wait():
             return answer
-        return self._refuse(_view.STORE_FAILED)
+        return self._refuse_failed()
 
 
 def _is_live(cell):
--- a/packages/coord/tests/test_full_disks.py
+++ b/packages/coord/tests/test_full_disks.py
@@ -6,6 +6,7 @@
 import shutil
 
 import gevent
+import gevent.event
 import hypothesis
 from hypothesis import strategies as st
 import paddle_coord as coord
@@ -135,12 +136,15 @@
         self.is_failing = False
         self.clock = kernel.FakeClock()
         self.synced = b''
+        # Cleared while the disk hangs.
+        self.disk_runs = gevent.event.Event()
+        self.disk_runs.set()
         self.replica = coord.Replica.open(
             folder / 'disk',
             'a:1',
             self.clock,
             sync=self._sync,
-            blocking=lambda function, *args: function(*args),
+            blocking=self._block,
         )
         network = kernel.MemoryNetwork()
         network.serve('a:1', self.replica.handle)
@@ -156,6 +160,10 @@
         with open(f'/proc/self/fd/{fd}', 'rb') as synced:
             self.synced = synced.read()
 
+    def _block(self, function, *args):
+        self.disk_runs.wait()
+        return function(*args)
+
     def handle(self, kind, *args):
         target = self.replica.identity
         return self.replica.handle(kind(target, self.epoch, *args))
@@ -297,6 +305,24 @@
         run_in_new_replica(tmp_path / 'replica', steps)
 
 
+def test_a_conflict_is_answered_only_once_the_promise_is_synced(failing):
+    # Guards against a change that is reported as not written because of a
+    # promise which is then lost, so that a copy of its message is accepted.
+    low, high = (_ballot.Ballot(counter, 'p') for counter in (3, 5))
+    failing.disk_runs.clear()
+    record = _acceptor.Record(b'1')
+    jobs = [
+        gevent.spawn(failing.handle, _messages.Prepare, 'k', high),
+        gevent.spawn(failing.handle, _messages.Accept, 'k', low, record),
+    ]
+    gevent.idle()
+    assert not jobs[1].ready()
+    failing.is_failing = True
+    failing.disk_runs.set()
+    gevent.joinall(jobs, raise_error=True)
+    assert [job.value.kind for job in jobs] == ['store_failed'] * 2
+
+
 def test_a_failed_rewrite_leaves_no_file_behind(tmp_path, disks):
     # Guards against a partial copy that takes up the room of later writes.
     store = _store.Store.open(tmp_path)
