Join the replica set after a failed write of the founding permit

A controller whose disk was full between the opening of its replica and the write of its founding permit kept the replica but never got its membership task: the retry looked only at the replica. Such a controller never formed or joined a set until it was started again.

The retry now looks at the membership task and opens only what is missing.

--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -238,7 +238,7 @@
         self._greenlets.append(gevent.spawn(loop))
 
     def _keep_membership(self):
-        if self.replica is None:
+        if self.forming is None:
             self._open_replica()
         if self.forming is not None:
             self.forming.step(self.register.view)
@@ -246,10 +246,11 @@
     def _open_replica(self):
         folder = pathlib.Path(self.settings.data_dir) / 'replica'
         try:
-            folder.mkdir(parents=True, exist_ok=True)
-            self.replica = paddle_coord.Replica.open(
-                folder, self.settings.peer, self.clock
-            )
+            if self.replica is None:
+                folder.mkdir(parents=True, exist_ok=True)
+                self.replica = paddle_coord.Replica.open(
+                    folder, self.settings.peer, self.clock
+                )
             self.forming = paddle_coord.SelfForming.open(
                 self.replica,
                 self.transport,
