Retry to open the replica of a daemon

The chat daemon opened its replica once, at its start. It now tries once a second and logs a new error only.

--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -80,6 +80,7 @@
         bounds = self.settings.bounds
         core = self.core
         self.hosting.start()
+        self._start_ticker(self.hosting.open_replica, _hosting.OPEN_RETRY_MS)
         poll = _config_polling.ConfigPoll(core, self.metrics)
         for rate_limited_poll in (
             _config_polling.RateLimitedPoll(core, poll.poll),
--- a/packages/router/src/paddle_router/_events.py
+++ b/packages/router/src/paddle_router/_events.py
@@ -57,7 +57,7 @@
     3044, 'INFO', 'a stream was ended because its API key is no longer valid'
 )
 REPLICA_UNAVAILABLE = paddle_kernel.declare_event(
-    3045, 'ERROR', 'the replica of this daemon cannot be opened'
+    3045, 'ERROR', 'the replica of this daemon cannot be opened; retrying'
 )
 CLAIM_NOT_COMPLETED = paddle_kernel.declare_event(
     3046,
--- a/packages/router/src/paddle_router/_hosting.py
+++ b/packages/router/src/paddle_router/_hosting.py
@@ -9,6 +9,8 @@
 from paddle_router import _events
 
 REPLICA_DIR = 'replica'
+# Period of tries to open a replica that could not be opened.
+OPEN_RETRY_MS = 1_000
 
 
 class ReplicaHost:
@@ -16,14 +18,15 @@
 
     ``traffic`` counts the bytes of this server.
 
-    ``replica`` is ``None`` without a data directory, or if the replica cannot
-    be opened; the daemon then runs without voting.
+    ``replica`` is ``None`` without a data directory, or as long as the replica
+    cannot be opened; the daemon then runs without voting.
     """
 
     def __init__(self, settings, clock):
         self._settings = settings
         self._clock = clock
         self._server = None
+        self._open_error = ''
         self.replica = None
         self.traffic = paddle_kernel.Traffic()
         self.soft_state = paddle_coord.SoftState(clock)
@@ -32,6 +35,16 @@
         """Open the replica and listen; without a data directory do nothing."""
         if self._settings.data_dir is None:
             return
+        self.open_replica()
+        self._server = paddle_kernel.TcpServer(
+            self._settings.peer, self._handle, traffic=self.traffic
+        )
+        self._server.start()
+
+    def open_replica(self):
+        """Open the replica unless it is open; called again after a failure."""
+        if self._settings.data_dir is None or self.replica is not None:
+            return
         directory = pathlib.Path(self._settings.data_dir) / REPLICA_DIR
         try:
             directory.mkdir(parents=True, exist_ok=True)
@@ -39,11 +52,9 @@
                 directory, self._settings.peer, self._clock
             )
         except (OSError, paddle_coord.StoreError) as exc:
-            paddle_kernel.emit(_events.REPLICA_UNAVAILABLE, error=str(exc))
-        self._server = paddle_kernel.TcpServer(
-            self._settings.peer, self._handle, traffic=self.traffic
-        )
-        self._server.start()
+            if str(exc) != self._open_error:
+                paddle_kernel.emit(_events.REPLICA_UNAVAILABLE, error=str(exc))
+            self._open_error = str(exc)
 
     def stop(self):
         """Stop listening and close the replica."""
