Remove a founding permit that could not be synced

A write of the permit that failed left a file behind, and the next start took the file for a durable permit. After a power loss no replica might hold the permission to form the first set. The file is now removed when the write or the sync fails, so that it is written again.

--- a/packages/coord/src/paddle_coord/_self_forming.py
+++ b/packages/coord/src/paddle_coord/_self_forming.py
@@ -210,8 +210,13 @@
 
 def _write_permit(path):
     path.parent.mkdir(parents=True, exist_ok=True)
-    with open(path, 'wb') as out:
-        out.write(b'first start\n')
-        out.flush()
-        os.fsync(out.fileno())
-    _store.sync_directory(path.parent)
+    try:
+        with open(path, 'wb') as out:
+            out.write(b'first start\n')
+            out.flush()
+            os.fsync(out.fileno())
+        _store.sync_directory(path.parent)
+    except OSError:
+        # A permit that is not durable must not be used.
+        path.unlink(missing_ok=True)
+        raise
--- a/packages/coord/tests/test_coord_self_forming.py
+++ b/packages/coord/tests/test_coord_self_forming.py
@@ -1,8 +1,10 @@
 """Tests of replica sets that form themselves and of the document."""
 
+import errno
 import types
 
 import paddle_coord as coord
+from paddle_coord import _store
 import paddle_kernel as kernel
 import pytest
 import returns.result
@@ -266,3 +268,18 @@
     assert not isinstance(result, returns.result.Success)
     formed.network.on_call = lambda step: kernel.DELIVER
     assert versioned.submit(coord.Document(7, b'seven')).unwrap().version == 7
+
+
+def test_a_permit_that_was_not_synced_is_not_used(tmp_path, monkeypatch):
+    # Guards against a set formed under a permit that a power loss removes.
+    def fail(_path):
+        raise OSError(errno.ENOSPC, 'No space left on device')
+
+    monkeypatch.setattr(_store, 'sync_directory', fail)
+    placement = coord.Placement('a:1', SEEDS)
+    fields = {'data_dir': tmp_path, 'first_start': True}
+    with pytest.raises(OSError, match='No space'):
+        coord.SelfForming.open(None, None, None, placement, **fields)
+    fields['first_start'] = False
+    forming = coord.SelfForming.open(None, None, None, placement, **fields)
+    assert not forming._may_found
