Close the file of a store that cannot be opened

On a full disk each try to open an empty store left a descriptor open. A controller tries every 300 ms, so some minutes of a full disk at the first start exhaust the descriptors of the process. The test fails before (three more descriptors after three tries) and passes after.

--- a/packages/coord/src/paddle_coord/_store.py
+++ b/packages/coord/src/paddle_coord/_store.py
@@ -249,22 +249,33 @@
         if result.later_frame_offsets:
             raise DamagedStoreError(path, result.damaged_offset)
         fd = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
-        if result.damaged_offset is not None:
-            kernel.emit(
-                _events.TORN_RECORD,
-                file=str(path),
-                offset=result.end,
-                dropped_bytes=len(data) - result.end,
-            )
-            os.ftruncate(fd, result.end)
-            os.fsync(fd)
-        store = cls(path, state, fd, lock_fd, result.end, sync)
-        if not state.identity:
-            store.put(_messages.IdentityRecord(new_identity()))
-            store.write(store.take_frame())
-            sync_directory(data_dir)
+        try:
+            if result.damaged_offset is not None:
+                kernel.emit(
+                    _events.TORN_RECORD,
+                    file=str(path),
+                    offset=result.end,
+                    dropped_bytes=len(data) - result.end,
+                )
+                os.ftruncate(fd, result.end)
+                os.fsync(fd)
+            store = cls(path, state, fd, lock_fd, result.end, sync)
+            store.prepare()
+        except BaseException:
+            os.close(fd)
+            raise
         return store
 
+    def prepare(self):
+        """Give an empty store an identity.
+
+        :raises OSError: if the disk is full or fails.
+        """
+        if not self.state.identity:
+            self.put(_messages.IdentityRecord(new_identity()))
+            self.write(self.take_frame())
+            sync_directory(self.path.parent)
+
     @property
     def size(self):
         """Size of the file in bytes."""
--- a/packages/coord/tests/test_full_disks.py
+++ b/packages/coord/tests/test_full_disks.py
@@ -333,3 +333,15 @@
     disks.free()
     assert sorted(item.name for item in tmp_path.iterdir()) == names
     store.close()
+
+
+def test_opening_a_store_on_a_full_disk_leaks_no_descriptor(tmp_path, disks):
+    # Guards against a process that runs out of descriptors while it retries.
+    disks.fill(tmp_path, 20)
+    before = len(os.listdir('/proc/self/fd'))
+    for _ in range(3):
+        with pytest.raises(OSError, match='No space'):
+            _store.Store.open(tmp_path)
+    assert len(os.listdir('/proc/self/fd')) == before
+    disks.free()
+    _store.Store.open(tmp_path).close()
