Sync the file of a store when it is opened

A process that is killed between a write and its sync leaves records that the next process reads and answers from; a power loss after that removes them, and with them an answer that was given. The same holds for a renamed file whose directory was not synced.

Opening a store now syncs the file and its directory. The test fails before (no sync) and passes after.

--- a/packages/coord/src/paddle_coord/_store.py
+++ b/packages/coord/src/paddle_coord/_store.py
@@ -258,7 +258,6 @@
                     dropped_bytes=len(data) - result.end,
                 )
                 os.ftruncate(fd, result.end)
-                os.fsync(fd)
             store = cls(path, state, fd, lock_fd, result.end, sync)
             store.prepare()
         except BaseException:
@@ -267,14 +266,18 @@
         return store
 
     def prepare(self):
-        """Give an empty store an identity.
+        """Make what was read durable; give an empty store an identity.
+
+        A killed process may have written records that it did not sync.
 
         :raises OSError: if the disk is full or fails.
         """
-        if not self.state.identity:
+        if self.state.identity:
+            self._sync(self._fd)
+        else:
             self.put(_messages.IdentityRecord(new_identity()))
             self.write(self.take_frame())
-            sync_directory(self.path.parent)
+        sync_directory(self.path.parent)
 
     @property
     def size(self):
--- a/packages/coord/tests/test_full_disks.py
+++ b/packages/coord/tests/test_full_disks.py
@@ -345,3 +345,12 @@
     assert len(os.listdir('/proc/self/fd')) == before
     disks.free()
     _store.Store.open(tmp_path).close()
+
+
+def test_opening_a_store_syncs_what_it_read(tmp_path):
+    # Guards against answers based on records that a killed process wrote but
+    # did not sync, which a later power loss removes.
+    _store.Store.open(tmp_path).close()
+    synced = []
+    _store.Store.open(tmp_path, sync=lambda fd: synced.append(fd)).close()
+    assert synced
