Answer reads and changes without a majority within a second

The operator waits a second for an answer. A read or change that finds no majority took up to the change limit of 1,500 ms and the calls before it, so the operator saw silence and its 503 went to a closed connection.

Both now answer 503 after 800 ms. The read or change itself goes on, since submissions that arrive together share one change; its failure is logged as before with the answers of the replicas, and a change that is decided later is acknowledged when it is sent again.

The test (two of three disks full, all controllers, PUT and GET) fails before with no answer within a second and passes after.

--- a/packages/router/src/paddle_router/controller/_control_api.py
+++ b/packages/router/src/paddle_router/controller/_control_api.py
@@ -1,6 +1,7 @@
 """HTTP interface for operators: the configuration document."""
 
 import falcon
+import gevent
 import returns.result
 
 import paddle_coord
@@ -9,6 +10,9 @@
 from paddle_router import gateway
 
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+# An operator waits for a second before it asks another controller. The rest of
+# that time is for the way there and back.
+ANSWER_LIMIT_MS = 800
 
 
 class ConfigurationResource:
@@ -30,19 +34,13 @@
             resp.media = {'error': str(exc)}
             return
         submitted = paddle_coord.Document(configuration.version, content)
-        result = self._document.submit(submitted)
-        if not isinstance(result, returns.result.Success):
-            paddle_kernel.emit(
-                _events.CONFIGURATION_UNDECIDED,
-                version=submitted.version,
-                error=result.failure().detail,
-            )
+        stored = _within_limit(self._submit, submitted)
+        if stored is None:
             resp.status = 503
             resp.media = {
                 'error': 'no majority stored the document in time; retry'
             }
             return
-        stored = result.unwrap()
         paddle_kernel.emit(
             _events.CONFIGURATION_ACCEPTED,
             version=submitted.version,
@@ -51,25 +49,53 @@
         resp.media = {'version': stored.version}
 
     def on_get(self, _req, resp):
-        """Return the newest configuration, or 503 without a confirmed one.
-
-        The read waits for a majority. After a timeout, the operator asks
-        another controller.
-        """
-        confirmed = self._document.refresh()
-        current = self._document.current
-        if not confirmed or current is None:
-            paddle_kernel.emit(
-                _events.READ_UNCONFIRMED,
-                confirmed=confirmed,
-                error=self._document.refresh_failure,
-            )
+        """Return the newest configuration, or 503 without a confirmed one."""
+        current = _within_limit(self._read)
+        if current is None:
             resp.status = 503
             resp.media = {'error': 'no confirmed version of the document'}
             return
         resp.content_type = falcon.MEDIA_JSON
         resp.data = current.content
 
+    def _submit(self, submitted):
+        """Return the stored document, ``None`` without a majority."""
+        result = self._document.submit(submitted)
+        if isinstance(result, returns.result.Success):
+            return result.unwrap()
+        paddle_kernel.emit(
+            _events.CONFIGURATION_UNDECIDED,
+            version=submitted.version,
+            error=result.failure().detail,
+        )
+        return None
+
+    def _read(self):
+        """Return the newest document, ``None`` if that is not known."""
+        confirmed = self._document.refresh()
+        current = self._document.current
+        if confirmed and current is not None:
+            return current
+        paddle_kernel.emit(
+            _events.READ_UNCONFIRMED,
+            confirmed=confirmed,
+            error=self._document.refresh_failure,
+        )
+        return None
+
+
+def _within_limit(function, *args):
+    """Return the result of ``function``, ``None`` after the time limit.
+
+    The function goes on after the limit: a change that is cut off halfway
+    would leave the submissions that share it without an answer.
+    """
+    job = gevent.spawn(function, *args)
+    try:
+        return job.get(timeout=ANSWER_LIMIT_MS / paddle_kernel.MS_PER_S)
+    except gevent.Timeout:
+        return None
+
 
 def _check_body(req, content):
     if len(content) > MAX_DOCUMENT_BYTES:
--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -295,6 +295,8 @@
 # contactMs and acknowledgeMs of the users' platform.
 CONTACT_S = 3
 ACKNOWLEDGE_S = 4
+# Time after which the platform's operator stops waiting for an answer.
+OPERATOR_WAIT_S = 1
 
 
 def fill_disk(fleet, name):
@@ -332,6 +334,23 @@
     assert {read_config_version(serving, name) for name in names} == {41}
 
 
+def test_reads_and_changes_without_a_majority_are_refused_within_a_second(
+    serving,
+):
+    # Guards against an answer that comes after the operator has left, which
+    # counts as silence.
+    for name in serving.names('controller')[:2]:
+        fill_disk(serving, name)
+    body = json.dumps(build_config(50)).encode()
+    for name in serving.names('controller'):
+        for request in (('PUT', body), ('GET', None)):
+            method, content = request
+            status, _body = serving.call(
+                name, method, '/api/configuration', content, OPERATOR_WAIT_S
+            )
+            assert (name, method, status) == (name, method, 503)
+
+
 def test_a_read_without_a_majority_is_refused(serving):
     serving.kill('core-1')
     serving.kill('core-2')
