Count the events before a move in the remaining time of a stream

A run whose target had no room was stopped and copied again two events after it had resumed at its source, with 2 of 8 events left. The remaining time of a resumed stream was estimated from the events of its last response only, so each resumption started again at the full length.

Before, the delayed acknowledgement on the kept connection made the second event look 58 ms late instead of 100 ms, which hid it.

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -52,7 +52,8 @@
     written to the caller, ``run_started`` once a server has started to run the
     request, ``response_seen`` once a server has responded. ``status`` and
     ``reason`` describe the final response, ``first_ms`` and ``longest_gap_ms``
-    its events. ``continuation`` is the :class:`Continuation` of a stopped run.
+    its events, ``forwarded_events`` counts those of ended attempts.
+    ``continuation`` is the :class:`Continuation` of a stopped run.
     ``rank`` is the sort key for waiting requests, lowest first; ``urgency`` is
     the rank sent to engines, ``None`` for a plain service.
     """
@@ -76,6 +77,7 @@
     first_ms: int | None = None
     longest_gap_ms: int = 0
     last_event_ms: int = 0
+    forwarded_events: int = 0
     last_event_id: bytes | None = None
     continuation: object = None
     rank: tuple[int, int] = (0, 0)
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -395,7 +395,12 @@
 
     def _forward_stream(self, caller, head):
         """Forward events as they arrive; the run may be moved meanwhile."""
-        stream = _moves.RunningStream(self._call, self._server, self._flight)
+        stream = _moves.RunningStream(
+            self._call,
+            self._server,
+            self._flight,
+            earlier_events=self._call.forwarded_events,
+        )
         self._components.moves.add(stream)
         try:
             _stream.StreamRelay(
@@ -409,6 +414,7 @@
             self._record_served()
             return None
         finally:
+            self._call.forwarded_events += stream.events
             self._components.moves.remove(stream)
         if stream.move_result is None:
             return outcome
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -72,8 +72,10 @@
 class RunningStream:
     """A stream that is being forwarded.
 
-    ``move_result`` is set once a move is requested; its value becomes a
-    :class:`Continuation`, or ``None`` if the move failed.
+    ``events`` counts the events of this response, ``earlier_events`` those
+    that the caller got before from an earlier attempt. ``move_result`` is set
+    once a move is requested; its value becomes a :class:`Continuation`, or
+    ``None`` if the move failed.
     """
 
     call: object
@@ -81,6 +83,7 @@
     flight: object
     pace_ms: float = 0.0
     events: int = 0
+    earlier_events: int = 0
     move_result: gevent.event.AsyncResult | None = None
 
     def record_events(self, events, passed_ms):
@@ -99,9 +102,10 @@
         """
         metadata = self.call.metadata
         estimated_tokens = metadata.length_hint or metadata.output_tokens or 0
-        remaining_events = estimated_tokens / max(1, stride) - self.events
+        events = self.earlier_events + self.events
+        remaining_events = estimated_tokens / max(1, stride) - events
         if remaining_events <= 0:
-            remaining_events = max(1.0, self.events / 2)
+            remaining_events = max(1.0, events / 2)
         return remaining_events * (self.pace_ms or DEFAULT_PACE_MS)
 
 
