Send move requests on new connections

A stream went on from the copy of another run (MIXED): the server wrote an earlier response to a move request once more on a kept connection, and the gateway took its handle for that of the own run. An earlier refusal or answer there made a move look failed although the server had stopped the run. Responses to move requests have no id, so nothing tells them apart.

Move requests now use a new connection. It costs one connection a move.

--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -267,6 +267,8 @@
             stream.server.address,
             limit=self._components.connection_limit(stream.call.service) + 1,
             owner=stream.server.incarnation,
+            # Responses to move requests have no id.
+            must_be_new=True,
         )
         is_whole = False
         try:
--- a/packages/testbed/tests/test_gateway_moves.py
+++ b/packages/testbed/tests/test_gateway_moves.py
@@ -312,3 +312,37 @@
     assert exchange(harness, raw)[0] == 200
     (run,) = [run for engine in engines for run in engine.runs]
     assert b'kv-from' not in run.headers
+
+
+def test_an_earlier_move_response_is_not_taken_for_the_own_one(serve_movable):
+    # Guards against a run that goes on from the memory of another request.
+    class RepeatingEngine(Engine):
+        def __init__(self):
+            super().__init__()
+            self._used = set()
+
+        def __call__(self, req, sock):
+            is_used = sock in self._used
+            self._used.add(sock)
+            steps = super().__call__(req, sock)
+            if is_used and req.line.startswith(b'POST /api/kv-move'):
+                stale = b'{"handle": "other"}'
+                size = b'%d' % len(stale)
+                head = b'HTTP/1.1 200 OK\r\nContent-Length: ' + size
+                return [head + b'\r\n\r\n' + stale, *steps]
+            return steps
+
+    engines = [RepeatingEngine(), RepeatingEngine()]
+    harness = serve_movable(*engines)
+    lookups = [
+        gevent.spawn(exchange, harness, request('/safe/x')) for _ in range(8)
+    ]
+    gevent.joinall(lookups)
+    for engine in engines:
+        engine.pause_s = 1.5 * PAUSE_S
+    caller = start_stream(harness)
+    number = mark_server_leaving(harness, engines)
+    status, _text, body = caller.get(timeout=5)
+    assert status == 200 and event_ids(body) == list(range(1, LAST_EVENT + 1))
+    (run,) = engines[1 - number].runs
+    assert run.headers[b'kv-from'].endswith(b'/h7')
