Accept only the rest of a stream from its next server

After 302, 400, 404, 429 (may have run) or a last 500 the request counted as answered with that status: no further server was tried, and a caller of HTTP/1.0 saw a regular end. With chunked encoding the end was missing, since the answer itself is dropped once a response has begun; its head was never written.

An attempt that resumes a stream was handled like a first one, which may be answered by anything.

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -53,7 +53,8 @@
     request, ``response_seen`` once a server has responded. ``status`` and
     ``reason`` describe the final response, ``first_ms`` and ``longest_gap_ms``
     its events, ``forwarded_events`` counts those of ended attempts.
-    ``continuation`` is the :class:`Continuation` of a stopped run.
+    ``stream_format`` is the :func:`_stream.stream_format` of a stream that was
+    started. ``continuation`` is the :class:`Continuation` of a stopped run.
     ``rank`` is the sort key for waiting requests, lowest first; ``urgency`` is
     the rank sent to engines, ``None`` for a plain service.
     """
@@ -78,6 +79,7 @@
     longest_gap_ms: int = 0
     last_event_ms: int = 0
     forwarded_events: int = 0
+    stream_format: tuple = ()
     last_event_id: bytes | None = None
     continuation: object = None
     rank: tuple[int, int] = (0, 0)
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -169,6 +169,15 @@
             return self._fail(
                 _call.AttemptOutcome.BROKEN, 'unsigned success response'
             )
+        if self._call.response_started and not _stream.continues(
+            self._call, head
+        ):
+            # The caller has a part of a stream, which nothing else may follow.
+            self._is_server_at_fault = not 400 <= head.status_code < 500
+            return self._fail(
+                _call.AttemptOutcome.BROKEN,
+                f'status {head.status_code} instead of the rest of the stream',
+            )
         if self._call.route.kind is _model.Kind.STREAM and _is_success(head):
             self._silence_timeout.close()
             return self._forward_stream(caller, head)
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -11,6 +11,19 @@
 DATA_FIELD = b'data:'
 
 
+def stream_format(head):
+    """Return status code, media type and encoding of a response head."""
+    content_type = _http1.get(head.headers, b'content-type') or b''
+    encoding = _http1.get(head.headers, b'content-encoding')
+    media_type = content_type.partition(b';')[0].strip().lower()
+    return head.status_code, media_type, encoding
+
+
+def continues(call, head):
+    """Return whether a response may continue the started stream."""
+    return call.stream_format == stream_format(head)
+
+
 class StreamRelay:
     """Forwards the events of one response, each as soon as it is complete.
 
@@ -85,6 +98,7 @@
         self._components.waiting.wake_next(call.service)
         if not call.response_started:
             call.mark_response_started(self._head.status_code)
+            call.stream_format = stream_format(self._head)
             self._caller.begin(
                 self._head.status_code,
                 self._components.dialect.response_headers(
--- /dev/null
+++ b/packages/testbed/tests/test_gateway_resumed_errors.py
@@ -0,0 +1,192 @@
+"""Tests of streams that broke off and whose next server sends no rest.
+
+The caller gets the rest of its stream from a server, or a stream that is
+visibly broken off.
+"""
+
+import copy
+
+import gevent
+import pytest
+
+from paddle_testbed import fakes
+from paddle_testbed import gateway_harness
+
+request = gateway_harness.request
+
+ALL_EVENTS = list(range(1, 7))
+FOREIGN = b'foreign'
+NOT_RUN = b'Rosemarypaddle-Not-Run: 1'
+EVENT_STREAM = b'Content-Type: text/event-stream'
+
+
+def respond(status, *headers, body=FOREIGN):
+    """Return a script that answers with a complete response."""
+
+    def script(req):
+        return [fakes.response(req, body, status=status, extra=headers)]
+
+    return script
+
+
+def send_stream(*chunks, head=fakes.stream_head):
+    """Return a script that answers with ``chunks`` of a stream."""
+    return lambda req: [head(req), *chunks, fakes.STREAM_END]
+
+
+def chunk(data):
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+def unsigned_head(req):
+    return fakes.stream_head(req).replace(fakes.STAMP + b'\r\n', b'')
+
+
+def html_head(req):
+    return fakes.stream_head(req).replace(b'event-stream', b'html')
+
+
+WRONG_RESTS = {
+    '400': respond(b'400 Bad'),
+    '404': respond(b'404 Not Found', EVENT_STREAM),
+    '404 without a body': respond(b'404 Not Found', body=b''),
+    '429 that may have run': respond(b'429 Slow'),
+    '500': respond(b'500 Failed'),
+    '503 that has not run': respond(b'503 Full', NOT_RUN),
+    '302': respond(b'302 Found', b'Location: /other'),
+    '204': lambda req: [
+        b'HTTP/1.1 204 No\r\nRosemarypaddle-Request-Id: %s\r\n%s\r\n\r\n'
+        % (req.id, fakes.STAMP)
+    ],
+    'a plain success': respond(b'200 OK', b'Content-Type: text/plain'),
+    'a plain success of events': respond(
+        b'200 OK',
+        b'Content-Type: text/plain',
+        body=b'id: 9\ndata: foreign\n\n',
+    ),
+    'no content type': respond(b'200 OK'),
+    'an encoded stream': respond(
+        b'200 OK', EVENT_STREAM, b'Content-Encoding: gzip'
+    ),
+    'another type': send_stream(chunk(FOREIGN), head=html_head),
+    'unsigned': send_stream(fakes.event(5), head=unsigned_head),
+    'bytes that are not HTTP': lambda req: [b'\x00' + FOREIGN, None],
+    'nothing': lambda req: [None],
+}
+
+
+class BreakingServers:
+    """A script for all servers: breaks the first attempt off.
+
+    The attempts after it are answered by ``rests`` in turn, then by the rest
+    of the stream.
+    """
+
+    def __init__(self, *rests, first=4):
+        self.rests = list(rests)
+        self.first = first
+        self.attempts = []
+
+    def __call__(self, req, _sock):
+        self.attempts.append(req)
+        if len(self.attempts) == 1:
+            events = ALL_EVENTS[: self.first]
+            tail = b'20\r\nid: 5\nda'
+            return [
+                fakes.stream_head(req),
+                *map(fakes.event, events),
+                tail,
+                None,
+            ]
+        if self.rests:
+            return self.rests.pop(0)(req)
+        begin = int(req.headers.get(b'last-event-id', b'0'))
+        return [
+            fakes.stream_head(req),
+            *map(fakes.event, ALL_EVENTS[begin:]),
+            fakes.STREAM_END,
+        ]
+
+
+@pytest.fixture(autouse=True)
+def timer():
+    """Keep the event loop turning, as the timers of a program do."""
+
+    def tick():
+        while True:
+            gevent.sleep(0.02)
+
+    greenlet = gevent.spawn(tick)
+    yield
+    greenlet.kill()
+
+
+def serve(harness, script, attempts):
+    harness.controllers.config = copy.deepcopy(gateway_harness.CONFIG)
+    for route in harness.controllers.config['routes']:
+        route['attempts'] = attempts
+    harness.serve(*[script] * 3)
+
+
+def read_stream(harness, version):
+    """Return the bytes that a caller reads and whether they look complete."""
+    raw = request('/chat/x', method='POST', body=b'p')
+    sock = harness.connect()
+    sock.sendall(raw.replace(b'HTTP/1.1', b'HTTP/' + version))
+    data = b''
+    is_reset = False
+    try:
+        while more := sock.recv(65_536):
+            data += more
+            if data.endswith(b'\r\n' + fakes.STREAM_END):
+                break
+    except ConnectionResetError:
+        is_reset = True
+    sock.close()
+    head, _end, body = data.partition(b'\r\n\r\n')
+    if b'chunked' in head:
+        return head, body, body.endswith(b'\r\n' + fakes.STREAM_END)
+    return head, body, not is_reset
+
+
+def event_ids(body):
+    return [int(part.split(b'\n')[0]) for part in body.split(b'id: ')[1:]]
+
+
+@pytest.mark.parametrize('version', [b'1.1', b'1.0'])
+@pytest.mark.parametrize('name', WRONG_RESTS)
+def test_a_stream_whose_next_server_fails_is_visibly_broken_off(
+    harness, name, version
+):
+    # Guards against an error in the middle of a stream, and against a stream
+    # that ends there as if it were complete.
+    script = BreakingServers(WRONG_RESTS[name])
+    serve(harness, script, 2)
+    head, body, is_complete = read_stream(harness, version)
+    assert b' 200 ' in head
+    assert FOREIGN not in body and b'HTTP/' not in body
+    assert len(script.attempts) == 2
+    assert not is_complete
+    if version == b'1.1':
+        # A reset may destroy what the caller has not read.
+        assert event_ids(body) == ALL_EVENTS[:4]
+
+
+@pytest.mark.parametrize('name', WRONG_RESTS)
+def test_a_stream_is_resumed_after_the_error_of_a_server(harness, name):
+    # Guards against an error that ends the stream though a further attempt is
+    # allowed.
+    script = BreakingServers(WRONG_RESTS[name])
+    serve(harness, script, 3)
+    _head, body, is_complete = read_stream(harness, b'1.1')
+    assert FOREIGN not in body
+    assert event_ids(body) == ALL_EVENTS
+    assert is_complete and len(script.attempts) == 3
+
+
+def test_a_stream_that_broke_after_its_last_event_ends(harness):
+    # The next server has nothing more to send.
+    script = BreakingServers(send_stream(), first=6)
+    serve(harness, script, 2)
+    _head, body, is_complete = read_stream(harness, b'1.1')
+    assert event_ids(body) == ALL_EVENTS and is_complete
