Check that a resumed stream goes on after the last event

A text in place of events, as a server writes it when it fails late, was forwarded within the stream, which then ended as complete.

The events of a resumed response now must have greater ids than the last one that was forwarded, and nothing but events and comments may come; the check costs nothing for other streams. A response that fails it is a broken attempt. A rest without any event stays valid: a stream that broke between its last event and its end has no more.

--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -9,6 +9,7 @@
 
 ID_FIELD = b'id:'
 DATA_FIELD = b'data:'
+COMMENT = b':'
 
 
 def stream_format(head):
@@ -39,6 +40,7 @@
         self._conn = conn
         self._caller = caller
         self._head = head
+        self._is_resumed = self._call.response_started
         self._last_event_ms = self._clock.now_ms()
 
     def run(self):
@@ -54,6 +56,8 @@
                 self._forward_events(events)
             if len(splitter.remainder) > _response_limits.MAX_EVENT_BYTES:
                 raise _http1.BrokenResponseError('event too long')
+        if self._is_resumed and splitter.remainder.strip():
+            raise _http1.BrokenResponseError('resumed stream ends in an event')
         if self._conn.is_unframed:
             self._check_unframed_end(splitter.remainder)
         if splitter.remainder or not self._call.response_started:
@@ -83,8 +87,29 @@
         with gevent.Timeout(max(0, left_ms) / MS_PER_S, silence_error):
             return self._conn.read_data()
 
+    def _check_resumed(self, events):
+        """Check that ``events`` continue what the caller has.
+
+        :raises BrokenResponseError: if an event is repeated or is none.
+        """
+        last_id = self._call.last_event_id
+        for event in events:
+            event_id = _find_last_event_id([event])
+            if event_id is not None:
+                if not _follows(event_id, last_id):
+                    raise _http1.BrokenResponseError(
+                        'the resumed stream repeats events'
+                    )
+                last_id = event_id
+            elif not _is_event(event):
+                raise _http1.BrokenResponseError(
+                    'the resumed stream contains other text'
+                )
+
     def _forward_events(self, events):
         call = self._call
+        if self._is_resumed:
+            self._check_resumed(events)
         now_ms = self._clock.now_ms()
         self._components.record_response(call)
         if any(_has_content(event) for event in events):
@@ -118,6 +143,23 @@
     )
 
 
+def _is_event(text):
+    """Return whether ``text`` is an event, a comment or an empty line."""
+    return not text.strip() or text.startswith(COMMENT) or _has_content(text)
+
+
+def _follows(event_id, last_id):
+    """Return whether an event id may come after ``last_id``.
+
+    Ids increase; those that are not numbers can only be told apart.
+    """
+    if last_id is None:
+        return True
+    if event_id.isdigit() and last_id.isdigit():
+        return int(event_id) > int(last_id)
+    return event_id != last_id
+
+
 def _find_last_event_id(events):
     """Return the id of the newest event that has one, or ``None``."""
     for event in reversed(events):
--- a/packages/testbed/tests/test_gateway_resumed_errors.py
+++ b/packages/testbed/tests/test_gateway_resumed_errors.py
@@ -46,6 +46,12 @@
     return fakes.stream_head(req).replace(b'event-stream', b'html')
 
 
+def unframed(req):
+    head = b'Transfer-Encoding: chunked'
+    data = fakes.stream_head(req).replace(head, b'Connection: close')
+    return [data + FOREIGN, None]
+
+
 WRONG_RESTS = {
     '400': respond(b'400 Bad'),
     '404': respond(b'404 Not Found', EVENT_STREAM),
@@ -70,6 +76,13 @@
     ),
     'another type': send_stream(chunk(FOREIGN), head=html_head),
     'unsigned': send_stream(fakes.event(5), head=unsigned_head),
+    'text in a stream': send_stream(chunk(FOREIGN)),
+    'text before events': send_stream(chunk(FOREIGN + b'\n\n')),
+    'text without an end': unframed,
+    'the start again': send_stream(
+        *[fakes.event(number, FOREIGN) for number in ALL_EVENTS]
+    ),
+    'the last event again': send_stream(fakes.event(4, FOREIGN)),
     'bytes that are not HTTP': lambda req: [b'\x00' + FOREIGN, None],
     'nothing': lambda req: [None],
 }
