Reset callers of HTTP/1.0 after every unfinished response

Only failed attempts and timeouts reset it, because both had to ask for it.

Whether the response is complete is now known where it is written: one that was begun and not ended is reset, whatever the reason. The explicit request is gone. The test (the chosen server is missing from the table at the second attempt) failed before and passes now.

--- a/packages/router/src/paddle_router/gateway/_entry.py
+++ b/packages/router/src/paddle_router/gateway/_entry.py
@@ -24,7 +24,12 @@
         self._conn = conn
         self._entry = entry
         self._response_started = False
-        self.is_aborted = False
+        self._response_ended = False
+
+    @property
+    def is_response_incomplete(self):
+        """Whether a response was started and not written to its end."""
+        return self._response_started and not self._response_ended
 
     def answer(self, status, headers, body):
         """Write a complete response unless one has been started."""
@@ -34,6 +39,7 @@
         self._conn.send_response(
             status, headers, body, close=self._entry.closing
         )
+        self._response_ended = True
 
     def begin(self, status, headers):
         """Write the head of a streamed response."""
@@ -48,10 +54,7 @@
     def end(self):
         """Write the end of a streamed response."""
         self._conn.send_end()
-
-    def abort_response(self):
-        """Abort a started response so that it cannot appear complete."""
-        self.is_aborted = True
+        self._response_ended = True
 
 
 class Entry:
@@ -194,14 +197,12 @@
         finally:
             self.busy -= 1
             watcher.kill(block=False)
-        if channel.is_aborted:
-            if req.http_version < b'1.1':
+            if channel.is_response_incomplete and req.http_version < b'1.1':
                 # Without chunked encoding, only a reset shows that the
                 # response is incomplete. With it, no reset is sent, because
                 # that could destroy events that the caller has not read.
                 _http1.abort(conn.sock)
-            return False
-        return True
+        return not channel.is_response_incomplete
 
 
 def _watch_disconnect(conn, worker):
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -186,19 +186,18 @@
         if outcome is _call.AttemptOutcome.REFUSED:
             self._components.metrics.refused_prompts.inc()
         if call.response_started:
-            conn.abort_response()
-        elif call.may_have_run:
-            self._refuse(conn, 502, call.reason, call)
-        else:
-            self._refuse(conn, 503, call.reason, call)
+            # The response stays without its end.
+            return
+        status = 502 if call.may_have_run else 503
+        self._refuse(conn, status, call.reason, call)
 
     def _time_out(self, conn, call):
         call.reason = 'timeout'
         if call.response_started:
-            conn.abort_response()
-        else:
-            status = 504 if call.may_have_run else 503
-            self._refuse(conn, status, 'timeout', call)
+            # The response stays without its end.
+            return
+        status = 504 if call.may_have_run else 503
+        self._refuse(conn, status, 'timeout', call)
 
     def _attempt(self, conn, call):
         """Try one server; return ``None`` if the caller got its response."""
--- a/packages/testbed/tests/test_gateway_resumed_errors.py
+++ b/packages/testbed/tests/test_gateway_resumed_errors.py
@@ -203,3 +203,21 @@
     serve(harness, script, 2)
     _head, body, is_complete = read_stream(harness, b'1.1')
     assert event_ids(body) == ALL_EVENTS and is_complete
+
+
+def test_an_internal_error_does_not_end_a_stream_as_complete(
+    harness, monkeypatch
+):
+    # The response to a caller of HTTP/1.0 ends with its connection.
+    script = BreakingServers()
+    serve(harness, script, 2)
+    components = harness.gateway.components
+    find_server = components.server
+
+    def fail_after_first(server_id):
+        if script.attempts:
+            raise KeyError(server_id)
+        return find_server(server_id)
+
+    monkeypatch.setattr(components, 'server', fail_after_first)
+    assert not read_stream(harness, b'1.0')[2]
