Ask a server without room for a run only once

A run on a leaving server is stopped for a move. If the target had no room, the run continued at its source and was stopped again two events later, for the same target: three times in the test below, and ten times with twelve events and pauses of 360 ms. Each stop costs the caller a pause and the source a restart of the run.

Cause: only servers that had rejected the copy counted as tried. A target that the source reports as full now counts as tried as well. Found while the tests of moves were made to wait for events; with short pauses the estimate of the remaining time was below the bound of 400 ms, so the second stop did not show. The test failed before.

--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -211,6 +211,8 @@
         # If the target has no room, the run is stopped nevertheless and can
         # only continue at the source, which holds its KV cache.
         destination = target if status == 200 else stream.server
+        if destination is not target:
+            call.tried.add(target.id)
         self.moved_count += 1
         paddle_kernel.emit(
             _events.STREAM_MOVED,
@@ -235,7 +237,7 @@
             self._components.server_ids(service)
             - {stream.server.id}
             - set(self._leaving)
-            # Includes servers that rejected a copy of this run.
+            # Includes servers without room for a copy of this run.
             - stream.call.tried
         )
         if not others:
--- a/packages/testbed/tests/test_gateway_moves.py
+++ b/packages/testbed/tests/test_gateway_moves.py
@@ -229,11 +229,16 @@
 
 
 def test_a_run_without_room_elsewhere_continues_on_its_server(serve_movable):
+    # Guards against a run that is stopped for each of its further events,
+    # because the server without room is asked again.
     engines = [Engine(move_status=503), Engine(move_status=503)]
+    for engine in engines:
+        engine.pause_s = 2.5 * PAUSE_S
     harness = serve_movable(*engines)
     caller = start_stream(harness)
     number = mark_server_leaving(harness, engines)
-    status, _text, body = caller.get(timeout=5)
+    status, _text, body = caller.get(timeout=8)
+    assert len(engines[number].moves) == 1
     assert status == 200 and event_ids(body) == list(range(1, LAST_EVENT + 1))
     assert len(engines[number].runs) == 2
     assert not engines[1 - number].runs
