Let the tests of moves wait for a number of events

Two marked the server 3.5 pauses after the start, when the estimate of the remaining time, four pauses of 100 ms, was at the bound of 400 ms: any delay, or pauses of exactly 100 ms, left the stream where it was.

The fake engine now holds the stream after a number of events until the server is marked, the streams have twelve events instead of eight so that the estimate is far from the bound, and the deadline is 10 s. What is asserted is unchanged.

--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -180,12 +180,20 @@
             origin.stop()
 
 
-def request(path, *, method='GET', body=b'', extra=(), key='key1'):
+def request(
+    path,
+    *,
+    method='GET',
+    body=b'',
+    extra=(),
+    key='key1',
+    deadline_ms=3_000,
+):
     lines = [
         f'{method} {path} HTTP/1.1',
         'Host: h',
         f'Rosemarypaddle-Request-Id: r{random.random()}',
-        'Rosemarypaddle-Deadline-Milliseconds: 3000',
+        f'Rosemarypaddle-Deadline-Milliseconds: {deadline_ms}',
     ]
     if key:
         lines.append(f'Authorization: Token {key}')
--- a/packages/testbed/tests/test_gateway_moves.py
+++ b/packages/testbed/tests/test_gateway_moves.py
@@ -2,9 +2,11 @@
 
 import copy
 import json
+import types
 
 import attrs
 import gevent
+import gevent.event
 import pytest
 
 from paddle_testbed import fakes
@@ -13,8 +15,11 @@
 request = gateway_harness.request
 exchange = gateway_harness.exchange
 
-LAST_EVENT = 8
-PAUSE_S = 0.1
+LAST_EVENT = 12
+PAUSE_S = 0.12
+HOLD_TIMEOUT_S = 5
+# Longer than any stream here takes on a busy machine.
+STREAM_TIMEOUT_MS = 10_000
 
 
 class Engine:
@@ -29,6 +34,9 @@
         self.delay_s = 0
         self.pause_s = PAUSE_S
         self.announces_shutdown = False
+        # While set, the runs pause after this many events.
+        self.hold_after = None
+        self.released = gevent.event.Event()
 
     def __call__(self, req, _sock):
         if req.line.startswith(b'POST /api/kv-move'):
@@ -72,6 +80,8 @@
                 yield b'20\r\nid: %d\nda' % number
                 yield None
             yield fakes.event(number)
+            if number == self.hold_after:
+                self.released.wait(timeout=HOLD_TIMEOUT_S)
             yield self.pause_s
         yield fakes.STREAM_END
 
@@ -86,6 +96,9 @@
         'stride': 1,
         'moves': True,
     }
+    for route in config['routes']:
+        if route['name'] == 'report':
+            route['timeoutMs'] = STREAM_TIMEOUT_MS
     harness.controllers.config = config
 
     def serve(*engines):
@@ -95,11 +108,27 @@
     return serve
 
 
-def mark_server_leaving(harness, engines, *, spot=True, in_ms=None):
-    """Mark the server that runs the stream as leaving; return its index."""
-    while not any(engine.runs for engine in engines):
-        gevent.sleep(0.01)
-    gevent.sleep(3.5 * PAUSE_S)
+def wait_for_events(harness, events):
+    """Wait until the gateway has received ``events`` of the stream."""
+    with gevent.Timeout(HOLD_TIMEOUT_S):
+        while not any(
+            stream.events >= events
+            for streams in harness.gateway.components.moves._streams.values()
+            for stream in streams
+        ):
+            gevent.sleep(0.005)
+
+
+def mark_server_leaving(
+    harness, engines, *, spot=True, in_ms=None, after_events=4
+):
+    """Mark the server that runs the stream as leaving; return its index.
+
+    The stream has exactly ``after_events`` events by then.
+    """
+    for engine in engines:
+        engine.hold_after = after_events
+    wait_for_events(harness, after_events)
     number = next(i for i, engine in enumerate(engines) if engine.runs)
     servers = list(harness.controllers.servers)
     at_ms = harness.gateway.components.wall.now_ms() + in_ms if in_ms else 0
@@ -108,6 +137,9 @@
     )
     harness.controllers.servers = tuple(servers)
     harness.follower.step()
+    for engine in engines:
+        engine.hold_after = None
+        engine.released.set()
     return number
 
 
@@ -131,7 +163,8 @@
         path,
         method='POST',
         body=b'p',
-        extra=('Rosemarypaddle-Token-Counts: 10,8',),
+        extra=(f'Rosemarypaddle-Token-Counts: 10,{LAST_EVENT}',),
+        deadline_ms=STREAM_TIMEOUT_MS,
     )
     return gevent.spawn(exchange, harness, raw)
 
@@ -165,12 +198,10 @@
     # The response to another request announces it before the list does.
     engines = [Engine(), Engine()]
     for engine in engines:
-        engine.pause_s = 4 * PAUSE_S
+        engine.pause_s = 2 * PAUSE_S
     harness = serve_movable(*engines)
     caller = start_stream(harness)
-    while not any(engine.runs for engine in engines):
-        gevent.sleep(0.01)
-    gevent.sleep(6 * PAUSE_S)
+    wait_for_events(harness, 2)
     number = next(i for i, engine in enumerate(engines) if engine.runs)
     engines[number].announces_shutdown = True
     # Enough concurrent requests that the server of the stream gets some.
@@ -192,19 +223,43 @@
     engines = [Engine(), Engine()]
     harness = serve_movable(*engines)
     caller = start_stream(harness)
-    mark_server_leaving(harness, engines, in_ms=1_500)
+    mark_server_leaving(harness, engines, in_ms=3_000)
     status, _text, body = caller.get(timeout=5)
     assert status == 200 and event_ids(body) == list(range(1, LAST_EVENT + 1))
     assert not any(engine.moves for engine in engines)
 
 
+@pytest.mark.parametrize(
+    'leaves_in_ms, remaining_ms, is_moved',
+    [(1_200, 2_000, False), (800, 300, False), (800, 900, True)],
+)
+def test_a_stream_is_moved_only_if_it_would_not_end_in_time(
+    serve_movable, leaves_in_ms, remaining_ms, is_moved
+):
+    # Guards against moves that begin long before the server stops, or of
+    # streams that end in time.
+    harness = serve_movable(Engine())
+    components = harness.gateway.components
+    stream = types.SimpleNamespace(
+        call=types.SimpleNamespace(service='plain'),
+        events=4,
+        remaining_ms=lambda stride: remaining_ms,
+    )
+    server = attrs.evolve(
+        harness.controllers.servers[0],
+        leaving=True,
+        leaves_at_ms=components.wall.now_ms() + leaves_in_ms,
+    )
+    assert components.moves._needs_move(stream, server) is is_moved
+
+
 def test_a_stream_is_moved_late_but_before_its_server_stops(serve_movable):
     engines = [Engine(), Engine()]
     for engine in engines:
         engine.pause_s = 0.3
     harness = serve_movable(*engines)
     caller = start_stream(harness)
-    number = mark_server_leaving(harness, engines, in_ms=1_500)
+    number = mark_server_leaving(harness, engines, in_ms=1_500, after_events=2)
     gevent.sleep(0.3)
     assert not engines[number].moves
     gevent.sleep(0.8)
@@ -221,7 +276,7 @@
         engine.delay_s = 5 * PAUSE_S
     harness = serve_movable(*engines)
     caller = start_stream(harness)
-    number = mark_server_leaving(harness, engines)
+    number = mark_server_leaving(harness, engines, after_events=0)
     assert not engines[number].moves
     status, _text, body = caller.get(timeout=5)
     assert status == 200 and event_ids(body) == list(range(1, LAST_EVENT + 1))
@@ -233,10 +288,10 @@
     # because the server without room is asked again.
     engines = [Engine(move_status=503), Engine(move_status=503)]
     for engine in engines:
-        engine.pause_s = 2.5 * PAUSE_S
+        engine.pause_s = 3 * PAUSE_S
     harness = serve_movable(*engines)
     caller = start_stream(harness)
-    number = mark_server_leaving(harness, engines)
+    number = mark_server_leaving(harness, engines, after_events=2)
     status, _text, body = caller.get(timeout=8)
     assert len(engines[number].moves) == 1
     assert status == 200 and event_ids(body) == list(range(1, LAST_EVENT + 1))
@@ -266,7 +321,7 @@
     harness = serve_movable(*engines)
     caller = start_stream(harness)
     reject_copies(engines)
-    number = mark_server_leaving(harness, engines)
+    number = mark_server_leaving(harness, engines, after_events=2)
     status, _text, body = caller.get(timeout=8)
     assert status == 200 and event_ids(body) == list(range(1, LAST_EVENT + 1))
     assert len(engines[number].moves) == 1
