Test a configuration at the depth that a controller accepts

json reads as deep as the stack allows, which differs between the operator's interface and a gateway. The test searches the greatest accepted depth and checks that gateways serve its route. It passes; it is no regression test.

--- a/packages/testbed/tests/test_odd_input.py
+++ b/packages/testbed/tests/test_odd_input.py
@@ -214,3 +214,29 @@
         assert deployment.send(name, path) == 404
         assert deployment.send(name) == 200
     assert deployment.failures() == failures
+
+
+def test_a_configuration_at_the_accepted_depth_is_in_force(deployment):
+    # Guards against a document that the operator's interface can read and a
+    # gateway cannot, since the depth that json reads depends on the stack.
+    fleet = deployment.fleet
+    accepted, rejected = 1, DEPTH
+    while rejected - accepted > 1:
+        depth = (accepted + rejected) // 2
+        path, document = deployment.next_configuration()
+        nested = '[' * depth + ']' * depth
+        body = f'{json.dumps(document)[:-1]}, "other": {nested}}}'.encode()
+        status, _answer = fleet.call(
+            'core-0', 'PUT', '/api/configuration', body
+        )
+        assert status in (200, 400)
+        if status == 200:
+            accepted, accepted_path = depth, path
+        else:
+            rejected = depth
+    for name in fleet.names('gateway'):
+        fleets.wait_for(
+            lambda name=name: deployment.send(name, accepted_path) == 200,
+            f'{name} does not serve the route at depth {accepted}',
+            wait_s=CONFIGURATION_S,
+        )
