Finish a failed write of the version file when stderr is full

The write ran in gevent's pool, which prints the traceback of an error before the write counts as finished. If stderr could not be written, as on the same full disk, the write stayed unfinished, and all later versions were not stored ("the previous write is not finished"). The error is now returned as a value. The test fails before and passes after.

--- a/packages/coord/src/paddle_coord/_version_file.py
+++ b/packages/coord/src/paddle_coord/_version_file.py
@@ -49,16 +49,27 @@
             )
             return
         pool = gevent.get_hub().threadpool
-        self._pending = pool.spawn(self._replace, _encode_line(str(version)))
+        line = _encode_line(str(version))
+        self._pending = pool.spawn(self._try_to_replace, line)
         try:
-            self._pending.get(timeout=WRITE_TIMEOUT_MS / kernel.MS_PER_S)
+            exc = self._pending.get(timeout=WRITE_TIMEOUT_MS / kernel.MS_PER_S)
         except gevent.Timeout:
-            self._log_not_written(
-                version, f'no answer in {WRITE_TIMEOUT_MS} ms'
-            )
-        except OSError as exc:
+            exc = f'no answer in {WRITE_TIMEOUT_MS} ms'
+        if exc is not None:
             self._log_not_written(version, str(exc))
 
+    def _try_to_replace(self, text):
+        """Return the error of a failed write.
+
+        If it were raised, the pool would have to print its traceback before
+        the write counts as finished.
+        """
+        try:
+            self._replace(text)
+        except OSError as exc:
+            return exc
+        return None
+
     def _replace(self, text):
         temporary = self._path.with_name(self._path.name + '.new')
         with open(temporary, 'w') as out:
--- a/packages/coord/tests/test_full_disks.py
+++ b/packages/coord/tests/test_full_disks.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import shutil
+import sys
 
 import gevent
 import gevent.event
@@ -15,6 +16,7 @@
 from paddle_coord import _messages
 from paddle_coord import _replica
 from paddle_coord import _store
+from paddle_coord import _version_file
 import paddle_kernel as kernel
 import pytest
 
@@ -354,3 +356,27 @@
     synced = []
     _store.Store.open(tmp_path, sync=lambda fd: synced.append(fd)).close()
     assert synced
+
+
+class FullStream:
+    """Stream to a file on a full disk."""
+
+    def write(self, _text):
+        raise OSError(errno.ENOSPC, 'No space left on device')
+
+    def flush(self):
+        self.write('')
+
+
+def test_a_version_is_stored_after_writes_failed_and_stderr_was_full(
+    tmp_path, monkeypatch
+):
+    # Guards against a failed write that counts as unfinished for ever, because
+    # the pool failed to print its traceback.
+    versions = _version_file.VersionFile(tmp_path / 'missing' / 'version')
+    with monkeypatch.context() as patch:
+        patch.setattr(sys, 'stderr', FullStream())
+        versions.write(1)
+    (tmp_path / 'missing').mkdir()
+    versions.write(2)
+    assert versions.read() == 2
