Let the soak fill a disk

The fault full_disk lowers the soft limit on the size of files of one controller to 0 and restores it.

--- a/packages/testbed/src/paddle_testbed/fleet.py
+++ b/packages/testbed/src/paddle_testbed/fleet.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import subprocess
@@ -118,6 +119,18 @@
         """Return the path of a controller's register file."""
         return self.machines[name].folder / 'data/replica/register.log'
 
+    def fill_disk(self, name):
+        """Make the files of a machine, its log included, refuse writes.
+
+        Returns a function that makes room again.
+        """
+        pid = self.machines[name].process.pid
+        soft, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, hard))
+        return lambda: resource.prlimit(
+            pid, resource.RLIMIT_FSIZE, (soft, hard)
+        )
+
     def stop(self):
         """Kill all processes that still run."""
         for machine in self.machines.values():
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -131,6 +131,18 @@
         system.fleet.wait_voting_again(name)
 
 
+@faults.register('full_disk')
+def full_disk(system, rng):
+    """Make the files of one controller refuse writes for a while."""
+    with system.locks.lock_any(rng, 'controller') as name:
+        if name is None:
+            return
+        with recorded_disturbance(system, 'full disk', name):
+            make_room = system.fleet.fill_disk(name)
+            sleep_random(rng, MEDIUM_PAUSE_S)
+            make_room()
+
+
 def _stop_and_start(system, rng, role):
     with system.locks.lock_any(rng, role) as name:
         if name is None:
--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -4,7 +4,6 @@
 import json
 import os
 import pathlib
-import resource
 import select
 import signal
 import time
@@ -299,22 +298,11 @@
 OPERATOR_WAIT_S = 1
 
 
-def fill_disk(fleet, name):
-    """Make the files of a machine refuse writes.
-
-    Returns a function that makes room again.
-    """
-    pid = fleet.machines[name].process.pid
-    soft, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
-    resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, hard))
-    return lambda: resource.prlimit(pid, resource.RLIMIT_FSIZE, (soft, hard))
-
-
 def test_a_configuration_can_be_read_and_changed_after_full_disks(serving):
     # Guards against controllers that do not vote until a restart after their
     # disk has been full: reads and changes were refused for ever.
     names = serving.names('controller')
-    restores = [fill_disk(serving, name) for name in names[:2]]
+    restores = [serving.fill_disk(name) for name in names[:2]]
     body = json.dumps(build_config(40)).encode()
     status, _body = serving.call(
         names[0], 'PUT', '/api/configuration', body, timeout_s=5
@@ -340,7 +328,7 @@
     # Guards against an answer that comes after the operator has left, which
     # counts as silence.
     for name in serving.names('controller')[:2]:
-        fill_disk(serving, name)
+        serving.fill_disk(name)
     body = json.dumps(build_config(50)).encode()
     for name in serving.names('controller'):
         for request in (('PUT', body), ('GET', None)):
