End the connection of an incomplete response at once

The end of a broken stream reached its caller only when the event loop of the gateway turned for another reason: up to 5 s in a test without timers, up to the next timer (250 ms) in a program. Closing a gevent socket may take effect in a later turn; why is not traced.

A reset, for callers of HTTP/1.0, still waits for the next turn.

--- a/packages/router/src/paddle_router/gateway/_entry.py
+++ b/packages/router/src/paddle_router/gateway/_entry.py
@@ -197,11 +197,8 @@
         finally:
             self.busy -= 1
             watcher.kill(block=False)
-            if channel.is_response_incomplete and req.http_version < b'1.1':
-                # Without chunked encoding, only a reset shows that the
-                # response is incomplete. With it, no reset is sent, because
-                # that could destroy events that the caller has not read.
-                _http1.abort(conn.sock)
+            if channel.is_response_incomplete:
+                _end_incomplete(conn.sock, req.http_version)
         return not channel.is_response_incomplete
 
 
@@ -210,6 +207,19 @@
         worker.kill(_call.CallerDisconnected, block=False)
 
 
+def _end_incomplete(sock, http_version):
+    """Show the caller at once that the response is incomplete.
+
+    Without chunked encoding, only a reset shows it. With it, no reset is sent,
+    because that could destroy events that the caller has not read.
+    """
+    if http_version < b'1.1':
+        _http1.abort(sock)
+    else:
+        # The socket is closed only in a later turn of the event loop.
+        _half_close(sock)
+
+
 def _half_close(sock):
     try:
         sock.shutdown(gevent.socket.SHUT_WR)
--- a/packages/testbed/tests/test_gateway_resumed_errors.py
+++ b/packages/testbed/tests/test_gateway_resumed_errors.py
@@ -121,19 +121,6 @@
         ]
 
 
-@pytest.fixture(autouse=True)
-def timer():
-    """Keep the event loop turning, as the timers of a program do."""
-
-    def tick():
-        while True:
-            gevent.sleep(0.02)
-
-    greenlet = gevent.spawn(tick)
-    yield
-    greenlet.kill()
-
-
 def serve(harness, script, attempts):
     harness.controllers.config = copy.deepcopy(gateway_harness.CONFIG)
     for route in harness.controllers.config['routes']:
@@ -141,8 +128,16 @@
     harness.serve(*[script] * 3)
 
 
+def tick():
+    """Keep the event loop turning, as the timers of a program do."""
+    while True:
+        gevent.sleep(0.02)
+
+
 def read_stream(harness, version):
     """Return the bytes that a caller reads and whether they look complete."""
+    # A reset is only sent in a later turn of the event loop.
+    timer = gevent.spawn(tick) if version == b'1.0' else None
     raw = request('/chat/x', method='POST', body=b'p')
     sock = harness.connect()
     sock.sendall(raw.replace(b'HTTP/1.1', b'HTTP/' + version))
@@ -156,6 +151,8 @@
     except ConnectionResetError:
         is_reset = True
     sock.close()
+    if timer is not None:
+        timer.kill()
     head, _end, body = data.partition(b'\r\n\r\n')
     if b'chunked' in head:
         return head, body, body.endswith(b'\r\n' + fakes.STREAM_END)
