Resume only streams whose events have ids

Such a stream is now broken off visibly; it is not moved either. One that has only sent comments starts again as before, and the id of an earlier event is enough.

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -54,7 +54,9 @@
     ``reason`` describe the final response, ``first_ms`` and ``longest_gap_ms``
     its events, ``forwarded_events`` counts those of ended attempts.
     ``stream_format`` is the :func:`_stream.stream_format` of a stream that was
-    started. ``continuation`` is the :class:`Continuation` of a stopped run.
+    started; ``has_event_id`` and ``has_data`` tell whether events with an id
+    and with content were forwarded. ``continuation`` is the
+    :class:`Continuation` of a stopped run.
     ``rank`` is the sort key for waiting requests, lowest first; ``urgency`` is
     the rank sent to engines, ``None`` for a plain service.
     """
@@ -80,11 +82,23 @@
     last_event_ms: int = 0
     forwarded_events: int = 0
     stream_format: tuple = ()
+    has_event_id: bool = False
+    has_data: bool = False
     last_event_id: bytes | None = None
     continuation: object = None
     rank: tuple[int, int] = (0, 0)
     urgency: int | None = None
 
+    @property
+    def can_resume(self):
+        """Whether the stream can go on where the caller's part ends.
+
+        A server that is not told an event id begins with the first event.
+        """
+        return self.route.can_resume and (
+            self.has_event_id or not self.has_data
+        )
+
     def mark_response_started(self, status):
         """Record that a response with ``status`` is sent to the caller now."""
         self.status = status
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -128,7 +128,7 @@
     def _can_retry(self, call, outcome, budget):
         if outcome is _call.AttemptOutcome.REFUSED:
             return False
-        if call.response_started and not call.route.can_resume:
+        if call.response_started and not call.can_resume:
             # Part of the response may have reached the caller, and the stream
             # cannot be resumed.
             return False
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -152,6 +152,9 @@
         service = self._components.engine_traits(stream.call.service)
         if service is None or not service.moves or not stream.events:
             return False
+        if not stream.call.has_event_id:
+            # The target could not be told where to go on.
+            return False
         remaining_ms = stream.remaining_ms(service.stride)
         if server.leaves_at_ms:
             until_leave_ms = (
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -80,7 +80,7 @@
         """Return the next bytes, ``None`` at the end of the response."""
         call = self._call
         limit_ms = _response_limits.pause_limit_ms(call.route)
-        if call.route.can_resume and call.attempts < call.route.attempts:
+        if call.can_resume and call.attempts < call.route.attempts:
             limit_ms = _response_limits.resume_pause_limit_ms(call.route)
         left_ms = self._last_event_ms + limit_ms - self._clock.now_ms()
         silence_error = _http1.BrokenResponseError('no event in time')
@@ -114,6 +114,7 @@
         self._components.record_response(call)
         if any(_has_content(event) for event in events):
             self._last_event_ms = now_ms
+            call.has_data = True
         call.record_events(now_ms)
         self._stream.record_events(len(events), now_ms - self._flight.last_ms)
         self._components.moves.move_if_needed(self._stream)
@@ -134,6 +135,7 @@
         last_event_id = _find_last_event_id(events)
         if last_event_id is not None:
             call.last_event_id = last_event_id
+            call.has_event_id = True
 
 
 def _has_content(event):
--- a/packages/testbed/tests/test_gateway_resumed_errors.py
+++ b/packages/testbed/tests/test_gateway_resumed_errors.py
@@ -218,3 +218,31 @@
 
     monkeypatch.setattr(components, 'server', fail_after_first)
     assert not read_stream(harness, b'1.0')[2]
+
+
+@pytest.mark.parametrize('events', [b'data: x\n\n', b'data: y\n\n: ping\n\n'])
+def test_a_stream_without_event_ids_is_not_joined_to_another_run(
+    harness, events
+):
+    # Guards against events that come twice: the next server begins anew.
+    def script(req, _sock):
+        return [fakes.stream_head(req), chunk(events), None]
+
+    serve(harness, script, 2)
+    _head, body, is_complete = read_stream(harness, b'1.1')
+    assert body.count(b'data:') == 1 and not is_complete
+    assert len(harness.requests) == 1
+
+
+def test_a_stream_that_broke_after_a_comment_starts_again(harness):
+    script = BreakingServers()
+
+    def comment_first(req, sock):
+        if script.attempts:
+            return script(req, sock)
+        script.attempts.append(req)
+        return [fakes.stream_head(req), chunk(b': ping\n\n'), None]
+
+    serve(harness, comment_first, 2)
+    _head, body, is_complete = read_stream(harness, b'1.1')
+    assert event_ids(body) == ALL_EVENTS and is_complete
