Teach the soak repeated refusals and wrong rests of streams

The check of streams only read the events and did not notice other text between them.

Two faults of servers and one fault that combines a server that breaks streams off with one that fails to resume them; the callers notice any byte that is not an event of their request. The test of the check has six bodies.

--- a/packages/testbed/src/paddle_testbed/soak/_callers.py
+++ b/packages/testbed/src/paddle_testbed/soak/_callers.py
@@ -95,12 +95,26 @@
     if attempt.kind == _ledger.CHAT:
         found = _EVENT.findall(body)
         attempt.events = [int(number) for number, _data in found]
-        attempt.has_own_body = all(data == expected for _number, data in found)
+        attempt.has_own_body = _has_only_events(body, expected)
     else:
         attempt.has_own_body = expected.startswith(body)
         attempt.is_complete = attempt.is_complete and body == expected
 
 
+def _has_only_events(body, expected):
+    """Return whether ``body`` contains nothing but events of this request.
+
+    The last event may be incomplete.
+    """
+    end = number = 0
+    for match in _EVENT.finditer(body):
+        if match.start() != end or match[2] != expected:
+            return False
+        end, number = match.end(), int(match[1])
+    next_event = b'id: %d\ndata: %s\n\n' % (number + 1, expected)
+    return next_event.startswith(body[end:])
+
+
 class Caller:
     """Sends requests one after the other until :meth:`stop` is called."""
 
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -198,6 +198,27 @@
         server.fault = _servers.Fault.NONE
 
 
+@faults.register('stream_errors')
+def stream_errors(system, rng):
+    """One server breaks streams off, another fails to resume them."""
+    servers = [
+        item for item in system.servers if item.fault is _servers.Fault.NONE
+    ]
+    if len(servers) < 3:
+        return
+    pair = rng.sample(servers, 2)
+    kinds = _servers.Fault.BREAKS_STREAMS, _servers.Fault.FAILS_RESUMES
+    with contextlib.ExitStack() as stack:
+        for server, kind in zip(pair, kinds, strict=True):
+            server.fault = kind
+            stack.enter_context(
+                recorded_disturbance(system, kind.value, server.name)
+            )
+        sleep_random(rng, MEDIUM_PAUSE_S)
+        for server in pair:
+            server.fault = _servers.Fault.NONE
+
+
 @faults.register('server_link')
 def server_link(system, rng):
     proxy = rng.choice(system.servers).proxy
--- a/packages/testbed/src/paddle_testbed/soak/_servers.py
+++ b/packages/testbed/src/paddle_testbed/soak/_servers.py
@@ -1,6 +1,7 @@
 """Backend servers that record the requests they run and inject faults."""
 
 import enum
+import weakref
 
 import gevent
 
@@ -32,6 +33,11 @@
     GARBLES = 'garbles'
     # Like REJECTS, with a Retry-After during which it expects no requests.
     WANTS_QUIET = 'wants_quiet'
+    # Writes a refusal of the request before it ahead of each answer on a kept
+    # connection, and runs the request.
+    REPEATS_REFUSALS = 'repeats_refusals'
+    # Answers resumed streams with an error or another text.
+    FAILS_RESUMES = 'fails_resumes'
 
 
 def request_kind(req):
@@ -57,6 +63,9 @@
         # The limit in requests a second that its answers name.
         self.limit_per_s = None
         self._starts = 0
+        self._last_id = b''
+        self._wrong_rests = 0
+        self._used_sockets = weakref.WeakSet()
         self._ledger = ledger
         self._backend = fakes.FakeOrigin(self._respond)
         self.proxy = _proxy.Proxy(self._backend.address)
@@ -84,11 +93,20 @@
         self.proxy.stop()
         self._backend.stop()
 
-    def _respond(self, req, _sock):
-        kind = request_kind(req)
+    def _respond(self, req, sock):
         if not req.id:
             # Only probes of the gateway itself have no request id.
             return fakes.response(req)
+        stale_id, self._last_id = self._last_id, req.id
+        is_used = sock in self._used_sockets
+        self._used_sockets.add(sock)
+        answer = self._answer(req)
+        if self.fault is Fault.REPEATS_REFUSALS and is_used:
+            return [_refusal_of(stale_id), *answer]
+        return answer
+
+    def _answer(self, req):
+        kind = request_kind(req)
         last_event = int(req.headers.get(b'last-event-id', b'0') or b'0')
         expected = req.headers.get(b'rosemarypaddle-expect-instance')
         if expected is not None and expected.decode() != self.name:
@@ -147,6 +165,8 @@
                 PROCESSING_S,
                 fakes.response(req, b'', status=b'500 Error', extra=headers),
             ]
+        if self.fault is Fault.FAILS_RESUMES and last_event:
+            return [PROCESSING_S, self._wrong_rest(req)]
         if kind != _ledger.CHAT:
             return [
                 PROCESSING_S * delay_factor,
@@ -159,3 +179,23 @@
             steps.append(EVENT_GAP_S * delay_factor)
             steps.append(fakes.event(number, req.id))
         return [*steps, fakes.STREAM_END]
+
+    def _wrong_rest(self, req):
+        """Return an answer that is not the rest of a stream."""
+        self._wrong_rests += 1
+        status = (b'404 Not Found', b'500 Error', b'200 OK')
+        return fakes.response(
+            req, b'foreign\n\n', status=status[self._wrong_rests % len(status)]
+        )
+
+
+def _refusal_of(request_id):
+    """Return an answer that ``request_id`` was not run."""
+    refused = fakes.Received(b'', b'')
+    refused.headers[b'rosemarypaddle-request-id'] = request_id
+    return fakes.response(
+        refused,
+        b'',
+        status=b'503 Service Unavailable',
+        extra=(b'Rosemarypaddle-Not-Run: 1',),
+    )
--- a/packages/testbed/tests/test_soak.py
+++ b/packages/testbed/tests/test_soak.py
@@ -11,6 +11,7 @@
 
 from paddle_testbed import fakes
 from paddle_testbed import soak
+from paddle_testbed.soak import _callers
 from paddle_testbed.soak import _ledger
 from paddle_testbed.soak import _proxy
 
@@ -339,6 +340,23 @@
     assert len(soak.faults.names()) >= 15
 
 
+@pytest.mark.parametrize(
+    ('body', 'is_own'),
+    [
+        (b'id: 1\ndata: c1\n\n', True),
+        (b'id: 1\ndata: c1\n\nid: 2\nda', True),
+        (b'id: 1\ndata: c2\n\n', False),
+        (b'id: 1\ndata: c1\n\nforeign', False),
+        (b'id: 1\ndata: c1\n\nforeign\n\nid: 2\ndata: c1\n\n', False),
+        (b'id: 1\ndata: c1\n\nHTTP/1.1 500 Error\r\n', False),
+    ],
+)
+def test_text_between_events_is_noticed(body, is_own):
+    item = attempt('c1', _ledger.CHAT)
+    _callers._check_body(item, body)
+    assert item.has_own_body is is_own
+
+
 def test_a_short_seed_has_no_finding(tmp_path):
     findings, ledger = soak.run_seed(CI_SEED, CI_OPTIONS, tmp_path)
     assert findings == []
