Compare event ids of any length in a resumed stream

A server that resumes a stream with an event id of more than 4,300 digits made the request end with an internal error, because int() rejects such numbers: the caller's stream broke off although a further attempt was allowed.

Ids are now compared by their number of significant digits and then as text, so no conversion can fail. The test got no third attempt before and passes now.

--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -158,10 +158,16 @@
     if last_id is None:
         return True
     if event_id.isdigit() and last_id.isdigit():
-        return int(event_id) > int(last_id)
+        return _numeric_key(event_id) > _numeric_key(last_id)
     return event_id != last_id
 
 
+def _numeric_key(digits):
+    """Return a sort key for decimal numbers of any length."""
+    significant = digits.lstrip(b'0')
+    return len(significant), significant
+
+
 def _find_last_event_id(events):
     """Return the id of the newest event that has one, or ``None``."""
     for event in reversed(events):
--- a/packages/testbed/tests/test_gateway_resumed_errors.py
+++ b/packages/testbed/tests/test_gateway_resumed_errors.py
@@ -246,3 +246,14 @@
     serve(harness, comment_first, 2)
     _head, body, is_complete = read_stream(harness, b'1.1')
     assert event_ids(body) == ALL_EVENTS and is_complete
+
+
+def test_a_stream_is_resumed_after_an_event_id_of_many_digits(harness):
+    # Guards against an internal error instead of a further attempt: int()
+    # rejects more than 4,300 digits.
+    repeated = b'id: ' + b'0' * 5_000 + b'1\ndata: x\n\n'
+    script = BreakingServers(send_stream(chunk(repeated)))
+    serve(harness, script, 3)
+    _head, body, is_complete = read_stream(harness, b'1.1')
+    assert event_ids(body) == ALL_EVENTS
+    assert is_complete and len(script.attempts) == 3
