Let the fault matrix fill disks

The matrix killed, froze and emptied disks, but none refused writes. Two columns do so until the repair: one disk at each step, and all disks at each step of a disk.

--- a/packages/testbed/src/paddle_testbed/faults/_columns.py
+++ b/packages/testbed/src/paddle_testbed/faults/_columns.py
@@ -67,6 +67,18 @@
     server.run_control.unresponsive.set()
 
 
+@_column('full disk', _world.MESSAGE, _world.DISK)
+def _full_disk(environment, step):
+    """Refuse all writes and syncs of a replica until the repair."""
+    environment.servers[step.target].is_disk_full = True
+
+
+@_column('all disks full', _world.DISK)
+def _all_disks_full(environment, step):
+    for server in environment.servers.values():
+        server.is_disk_full = True
+
+
 @_column('duplicate', _world.MESSAGE, sender=True)
 def _duplicate(environment, step):
     """Deliver the message twice, and a third time after the repair."""
--- a/packages/testbed/src/paddle_testbed/faults/_world.py
+++ b/packages/testbed/src/paddle_testbed/faults/_world.py
@@ -4,6 +4,7 @@
 clock; replicas and proposers are the shipped code.
 """
 
+import errno
 import os
 import pathlib
 import shutil
@@ -96,6 +97,7 @@
     def start(self):
         self.run_control = _RunControl()
         self.disk_control = _RunControl()
+        self.is_disk_full = False
         self.replica = coord.Replica.open(
             self.path,
             self.address,
@@ -139,16 +141,24 @@
         self.run_control.wait_until_running(error)
         self.disk_control.wait_until_running(error)
 
+    def _check_room(self):
+        if self.is_disk_full:
+            raise OSError(errno.ENOSPC, 'No space left on device')
+
     def _sync(self, fd):
         if self._environment.is_recording:
             self._environment.record_step(DISK, 'written', '', self.address)
             self._wait_for_disk()
+        self._check_room()
         self.synced_size = os.fstat(fd).st_size
 
     def _write(self, function, *args):
         gevent.sleep(0)
         self._environment.record_step(DISK, 'before write', '', self.address)
         self._wait_for_disk()
+        if args:
+            # Without arguments the function only reads.
+            self._check_room()
         result = function(*args)
         self._environment.record_step(DISK, 'synced', '', self.address)
         self._wait_for_disk()
@@ -291,6 +301,7 @@
             if server.run_control.killed:
                 server.restart()
             server.disk_control.resume()
+            server.is_disk_full = False
             server.run_control.resume()
         for run_control in self._run_controls.values():
             if not run_control.killed:
