Repeat a request that must not run twice on a new connection

Callers were told "not run" for a request that ran, or it ran at a second server: the first server refused it, the next attempt used a kept connection to another server, and that server wrote the refusal of the first one, as servers behind one proxy can.

Repeats of idempotent requests keep their connections, except at the same server: for them nothing promises a single run, and retries come in numbers when servers fail.

--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -98,13 +98,15 @@
     def _needs_new_connection(self):
         """Return whether an id does not identify the response.
 
-        It does not if the request has none, or if the server has had the
-        request before and may repeat its earlier response.
+        It does not if the request has none, or if an earlier attempt had the
+        same id: for a request that must not run twice at any server, for
+        others at this one.
         """
         call = self._call
         return (
             call.metadata.request_id is None
             or self._server.id in call.sent_server_ids
+            or (bool(call.sent_server_ids) and not call.route.is_idempotent)
         )
 
     def _release_place(self, balancer):
--- a/packages/testbed/tests/test_gateway_repeated_refusals.py
+++ b/packages/testbed/tests/test_gateway_repeated_refusals.py
@@ -160,6 +160,28 @@
     check_ran_once(exchange(harness, post(path)), server)
 
 
+@pytest.mark.parametrize('path', ['/book/x', '/report/x'])
+def test_a_refusal_by_another_server_is_not_the_answer_to_the_next_attempt(
+    harness, path
+):
+    # Guards against servers that share what they write, as behind a proxy.
+    refused = []
+
+    class RefusingOnce(RepeatingServer):
+        def __call__(self, req, sock):
+            self.refused = refused
+            self.refusing = bool(self.stale) and not refused
+            return super().__call__(req, sock)
+
+    servers = [RefusingOnce(), RefusingOnce()]
+    serve(harness, *servers)
+    keep_connections(harness, 6)
+    for server in servers:
+        server.runs.clear()
+        server.stale = [repeat_last_refusal]
+    check_ran_once(exchange(harness, post(path)), *servers)
+
+
 @pytest.mark.parametrize('path', PATHS)
 def test_a_refusal_without_an_id_is_not_taken_after_a_skipped_answer(
     harness, path
