Accept every field of server-sent events in a resumed stream

The check that a resumed stream contains only events broke off sound streams: a block with only a retry or event field, or a data line without a colon, was taken for foreign text, though the first attempt forwards it.

A block now counts as part of the stream if one of its lines has a field name of the format or is a comment. Its three cases failed before and pass now; the cases of foreign text still fail the check.

--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -9,7 +9,8 @@
 
 ID_FIELD = b'id:'
 DATA_FIELD = b'data:'
-COMMENT = b':'
+# Names of the fields of server-sent events; a comment has an empty name.
+FIELD_NAMES = frozenset({b'', b'data', b'event', b'id', b'retry'})
 
 
 def stream_format(head):
@@ -146,8 +147,11 @@
 
 
 def _is_event(text):
-    """Return whether ``text`` is an event, a comment or an empty line."""
-    return not text.strip() or text.startswith(COMMENT) or _has_content(text)
+    """Return whether ``text`` has a field, a comment or only empty lines."""
+    lines = text.splitlines()
+    return not any(lines) or any(
+        line.partition(b':')[0] in FIELD_NAMES for line in lines if line
+    )
 
 
 def _follows(event_id, last_id):
--- a/packages/testbed/tests/test_gateway_resumed_errors.py
+++ b/packages/testbed/tests/test_gateway_resumed_errors.py
@@ -257,3 +257,17 @@
     _head, body, is_complete = read_stream(harness, b'1.1')
     assert event_ids(body) == ALL_EVENTS
     assert is_complete and len(script.attempts) == 3
+
+
+@pytest.mark.parametrize(
+    'block',
+    [b'retry: 100\n\n', b'event: ping\n\n', b'data\n\n'],
+    ids=['retry', 'event', 'data without a colon'],
+)
+def test_a_block_of_other_fields_is_a_part_of_a_resumed_stream(harness, block):
+    # Guards against a sound stream that is broken off.
+    rest = [fakes.event(number) for number in ALL_EVENTS[4:]]
+    script = BreakingServers(send_stream(chunk(block), *rest))
+    serve(harness, script, 2)
+    _head, body, is_complete = read_stream(harness, b'1.1')
+    assert event_ids(body) == ALL_EVENTS and is_complete
