Ignore the quiet time and limit of a skipped response without an id

A refusal without an id that a server wrote once more on a kept connection was skipped, but its quiet time was taken, so the next requests were refused although the server was available. Only skipped responses with the id of another request were covered before.

Figures are now taken from the response to the request itself only.

--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -290,10 +290,9 @@
             head.status_code, head.headers
         )
         is_own = self._is_matching_response(metadata)
-        is_repeated = not is_own and metadata.request_id is not None
         self._components.notice_recorder.record(
             self._server,
-            metadata.without_figures() if is_repeated else metadata,
+            metadata if is_own else metadata.without_figures(),
             lifts_limit=is_own,
         )
         return head, metadata
--- a/packages/testbed/tests/test_gateway_repeated_refusals.py
+++ b/packages/testbed/tests/test_gateway_repeated_refusals.py
@@ -223,3 +223,15 @@
     balancer = harness.gateway.components.balancers['plain']
     loads = balancer.own_loads(harness.gateway.clock.now_ms())
     assert sum(load.failures for load in loads.values()) == 1
+
+
+def test_a_repeated_refusal_without_an_id_does_not_prolong_the_quiet_time(
+    harness,
+):
+    # Guards against requests that are refused though the server is available.
+    extra = (NOT_RUN, b'Retry-After: 5')
+    server = RepeatingServer(refusal(None, extra=extra))
+    serve(harness, server)
+    keep_connections(harness)
+    for _ in range(2):
+        assert exchange(harness, post('/book/x'))[0] == 200
