Confirm a document only by a comparison that succeeded

A refresh compares the ballot of its document at a majority. If the comparison failed while another greenlet adopted a newer document, which resets the ballot, None was compared with None and the version counted as confirmed although nobody had confirmed it, so a read could be answered with an older version (CONFIG).

The ballot is read before the comparison now.

--- a/packages/coord/src/paddle_coord/_document.py
+++ b/packages/coord/src/paddle_coord/_document.py
@@ -94,9 +94,12 @@
         """Compare with a majority and read if different; return success."""
         began_ms = self._clock.now_ms()
         self.refresh_failure = ''
-        if self._current_ballot is not None:
+        ballot = self._current_ballot
+        if ballot is not None:
+            # A document adopted meanwhile resets the current ballot, and a
+            # failed comparison has none.
             peeked = self._register.peek(self._key)
-            if peeked.value_or(None) == self._current_ballot:
+            if peeked.value_or(None) == ballot:
                 self.confirmed_ms = began_ms
                 return True
         fetched = self._register.fetch(self._key)
