--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -645,3 +645,24 @@
     monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
     with pytest.raises(paddle_kernel.FindingsError):
         settings.PlatformSettings.load()
+
+
+@pytest.mark.parametrize('price', [1.0, 'x'])
+def test_a_zone_name_that_cannot_be_encoded_is_rejected_with_a_readable_error(
+    price,
+):
+    # Guards against status 500 instead of 400: the text of the error names
+    # the field, and an answer cannot contain it.
+    service = {
+        'name': 's',
+        'scaling': {
+            'minimum': 1,
+            'maximum': 2,
+            'bootS': 1,
+            'zonePrices': {'\ud800': price},
+        },
+    }
+    document = {'version': 1, 'routes': [], 'services': [service]}
+    with pytest.raises(gateway.ConfigurationError) as caught:
+        configuration.read(json.dumps(document).encode())
+    str(caught.value).encode()
--- a/packages/testbed/tests/test_odd_input.py
+++ b/packages/testbed/tests/test_odd_input.py
@@ -240,3 +240,36 @@
             f'{name} does not serve the route at depth {accepted}',
             wait_s=CONFIGURATION_S,
         )
+
+
+def nested_configuration(deployment, depth):
+    """Return the path of an added route, and a body nested ``depth`` deep."""
+    path, document = deployment.next_configuration()
+    nested = f'"other": {"[" * depth}{"]" * depth}'
+    return path, f'{json.dumps(document)[:-1]}, {nested}}}'.encode()
+
+
+def test_gateways_read_the_deepest_configuration_that_is_accepted(deployment):
+    # Guards against a configuration that is acknowledged and never in force,
+    # because gateways read it on a deeper stack than controllers.
+    fleet = deployment.fleet
+    controller = fleet.names('controller')[0]
+    accepted, rejected = 0, 1_000
+    while rejected - accepted > 1:
+        depth = (accepted + rejected) // 2
+        path, body = nested_configuration(deployment, depth)
+        status, _ = fleet.call(controller, 'PUT', '/api/configuration', body)
+        if status == 200:
+            accepted = depth
+        else:
+            assert status == 400
+            rejected = depth
+    path, body = nested_configuration(deployment, accepted)
+    status, _ = fleet.call(controller, 'PUT', '/api/configuration', body)
+    assert status == 200
+    for name in fleet.names('gateway'):
+        fleets.wait_for(
+            lambda name=name: deployment.send(name, path) == 200,
+            f'{name} does not serve a route accepted at depth {accepted}',
+            wait_s=CONFIGURATION_S,
+        )
