Open a replica in a thread

A daemon retries once a second to open a replica that it could not open. The disk may hang instead of refusing, and the daemon then served nothing during each try, since the file is read and synced on its event loop. A controller opened its replica in the same way.

Both open it in a thread now.

--- a/packages/router/src/paddle_router/_hosting.py
+++ b/packages/router/src/paddle_router/_hosting.py
@@ -47,15 +47,21 @@
             return
         directory = pathlib.Path(self._settings.data_dir) / REPLICA_DIR
         try:
-            directory.mkdir(parents=True, exist_ok=True)
-            self.replica = paddle_coord.Replica.open(
-                directory, self._settings.peer, self._clock
+            self.replica = paddle_kernel.run_in_thread(
+                self._open_in, directory
             )
         except (OSError, paddle_coord.StoreError) as exc:
             if str(exc) != self._open_error:
                 paddle_kernel.emit(_events.REPLICA_UNAVAILABLE, error=str(exc))
             self._open_error = str(exc)
 
+    def _open_in(self, directory):
+        """Open the replica; a disk may hang for seconds."""
+        directory.mkdir(parents=True, exist_ok=True)
+        return paddle_coord.Replica.open(
+            directory, self._settings.peer, self._clock
+        )
+
     def stop(self):
         """Stop listening and close the replica."""
         if self._server is not None:
--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -244,26 +244,29 @@
             self.forming.step(self.register.view)
 
     def _open_replica(self):
-        folder = pathlib.Path(self.settings.data_dir) / 'replica'
         try:
-            if self.replica is None:
-                folder.mkdir(parents=True, exist_ok=True)
-                self.replica = paddle_coord.Replica.open(
-                    folder, self.settings.peer, self.clock
-                )
-            self.forming = paddle_coord.SelfForming.open(
-                self.replica,
-                self.transport,
-                self.clock,
-                paddle_coord.Placement(
-                    self.settings.peer, self.settings.seeds
-                ),
-                data_dir=folder,
-                first_start=self.settings.first_start,
-            )
+            # A disk may hang for seconds.
+            paddle_kernel.run_in_thread(self._open_missing)
         except (OSError, paddle_coord.StoreError) as exc:
             paddle_kernel.emit(_events.REPLICA_FAILED, error=str(exc))
 
+    def _open_missing(self):
+        """Open the replica and its membership task unless they are open."""
+        folder = pathlib.Path(self.settings.data_dir) / 'replica'
+        if self.replica is None:
+            folder.mkdir(parents=True, exist_ok=True)
+            self.replica = paddle_coord.Replica.open(
+                folder, self.settings.peer, self.clock
+            )
+        self.forming = paddle_coord.SelfForming.open(
+            self.replica,
+            self.transport,
+            self.clock,
+            paddle_coord.Placement(self.settings.peer, self.settings.seeds),
+            data_dir=folder,
+            first_start=self.settings.first_start,
+        )
+
     def _refresh(self):
         if not self.register.view.epoch:
             if self.forming is not None:
