Return a failure for a broadcast call that raises

A broadcast waits for a result of each call. If a call raised, its greenlet ended without one, so the round, the lock of the submissions and all later changes waited for good. The error is logged (event 1006) and counts as a failed call. The test timed out before and passes now.

--- a/packages/kernel/src/paddle_kernel/_events.py
+++ b/packages/kernel/src/paddle_kernel/_events.py
@@ -67,6 +67,10 @@
     1005, 'ERROR', 'a message cannot be encoded and is not sent'
 )
 
+CALL_FAILED = declare(
+    1006, 'ERROR', 'a call to a peer failed with an internal error'
+)
+
 SIGNAL_RECEIVED = declare(1004, 'INFO', 'the process received a signal')
 
 
--- a/packages/kernel/src/paddle_kernel/_transport.py
+++ b/packages/kernel/src/paddle_kernel/_transport.py
@@ -386,7 +386,17 @@
     results = gevent.queue.Queue()
 
     def run(address, message):
-        results.put((address, transport.call(address, message, timeout_ms)))
+        try:
+            result = transport.call(address, message, timeout_ms)
+        except Exception as exc:
+            # Without a result, the caller would wait for it for good.
+            _events.emit(
+                _events.CALL_FAILED,
+                address=address,
+                error=f'{type(exc).__name__}: {exc}',
+            )
+            result = returns.result.Failure(CallError('failed', address))
+        results.put((address, result))
 
     for address, message in calls.items():
         gevent.spawn(run, address, message)
--- a/packages/kernel/tests/test_kernel_transport.py
+++ b/packages/kernel/tests/test_kernel_transport.py
@@ -165,3 +165,14 @@
     # Guards against gevent choosing its io_uring loop.
     kernel.check_loop()
     assert gevent.get_hub().loop.backend == 'epoll'
+
+
+def test_a_call_that_raises_does_not_stop_a_broadcast():
+    # Guards against a change that waits for good, and with it all later ones.
+    class Raising:
+        def call(self, address, message, timeout_ms):
+            raise ValueError(address)
+
+    with gevent.Timeout(1):
+        answers = list(kernel.broadcast(Raising(), {'a:1': None}, 100))
+    assert len(answers) == 1
