Bound the entries of a list that is read entry by entry

A list with more than 100,000 entries is now unreadable as a whole, so the last one stays in use. The test, with a million commas, failed before and passes now.

--- a/packages/kernel/src/paddle_kernel/_json_list.py
+++ b/packages/kernel/src/paddle_kernel/_json_list.py
@@ -24,6 +24,8 @@
 _SCALARS = re.compile(rf'(?:{_STRING}|[^"\[\]{{}},]++)*+', re.DOTALL)
 _KEY = re.compile(rf'\s*({_STRING})\s*:\s*', re.DOTALL)
 _MAX_EXCERPT_CHARS = 60
+# Far above the number of entries in a list of instances.
+_MAX_ENTRIES = 100_000
 # Other greenlets run after this many matches, which take some ms.
 _MATCHES_PER_TURN = 2_000
 
@@ -89,13 +91,15 @@
 def _split(text, start):
     """Return the parts of the array or object at ``start``, and its end.
 
-    :raises ValueError: if it has no end.
+    :raises ValueError: if it has no end or more than ``_MAX_ENTRIES`` parts.
     """
     parts = []
     position = start + 1
     while True:
         end = _value_end(text, position)
         parts.append(text[position:end])
+        if len(parts) > _MAX_ENTRIES:
+            raise ValueError(f'more than {_MAX_ENTRIES} entries')
         position = end + 1
         if text[end] != ',':
             if len(parts) == 1 and not parts[0].strip():
--- a/packages/kernel/tests/test_kernel_json_list.py
+++ b/packages/kernel/tests/test_kernel_json_list.py
@@ -1,6 +1,7 @@
 """Tests of reading a JSON array entry by entry."""
 
 import json
+import time
 
 import hypothesis
 from hypothesis import strategies as st
@@ -89,3 +90,16 @@
             kernel.read_entries(candidate, 'items')
         except ValueError:
             pass
+
+
+def test_a_page_of_separators_is_rejected_cheaply():
+    # Guards against a reader that stops for seconds and grows by an object
+    # for each byte; a page may be four times as long.
+    page = '{"instances":[{"a":1},' + ',' * 1_000_000 + '],"next":null}'
+    began_s = time.process_time()
+    try:
+        _document, entries = kernel.read_entries(page, 'instances')
+    except ValueError:
+        entries = []
+    assert len(entries) < 100_000
+    assert time.process_time() - began_s < 1
