--- a/packages/coord/tests/test_store.py
+++ b/packages/coord/tests/test_store.py
@@ -1,5 +1,8 @@
 """Tests of the store file of a replica and of its repair."""
 
+import errno
+import os
+
 import paddle_coord as coord
 from paddle_coord import _ballot
 from paddle_coord import _messages
@@ -97,3 +100,28 @@
     assert state.identity != store.state.identity
     assert state.view == _view.UNFORMED
     assert state.cells == {}
+
+
+def test_records_of_a_failed_sync_are_not_trusted_when_the_store_is_reopened(
+    tmp_path,
+):
+    # Guards against a vote on records whose sync failed: the kernel drops
+    # them after the error, and the next sync of the same file succeeds.
+    path = tmp_path / _store.FILE_NAME
+    _store.Store.open(tmp_path).close()
+    ballot = _ballot.Ballot(1, 'p')
+    record = _messages.CellRecord('k', ballot, _ballot.ZERO, None)
+    with open(path, 'ab') as out:
+        # A process that is killed before its sync leaves this.
+        out.write(_store.encode_frame([record]))
+    unsynced_inode = os.stat(path).st_ino
+
+    def fail(_fd):
+        raise OSError(errno.EIO, 'sync failed')
+
+    with pytest.raises(OSError, match='sync failed'):
+        _store.Store.open(tmp_path, sync=fail)
+    store = _store.Store.open(tmp_path)
+    trusts_record = 'k' in store.state.cells
+    store.close()
+    assert not trusts_record or os.stat(path).st_ino != unsynced_inode
