Log and answer requests that fail with an internal error

An unexpected error in a gateway ended the request with a traceback of gevent and closed the caller's kept connection without an answer (LOST counts that for requests that were passed on). Event 3315 was declared for it and never emitted.

The error is now logged with the request's id, and a caller whose response has not begun gets 502, which promises nothing about the run. The test got no answer before and passes now.

--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -53,6 +53,18 @@
             if exc is not timeout:
                 raise
             self._time_out(conn, call)
+        except OSError:
+            # Writing to the caller failed.
+            raise
+        except Exception as exc:
+            paddle_kernel.emit(
+                _events.REQUEST_FAILED,
+                request=call.metadata.request_id,
+                error=f'{type(exc).__name__}: {exc}',
+            )
+            call.reason = 'internal error'
+            if not call.response_started:
+                self._refuse(conn, 502, call.reason, call)
         finally:
             timeout.close()
             self._log_done(call)
--- a/packages/testbed/tests/test_gateway_path.py
+++ b/packages/testbed/tests/test_gateway_path.py
@@ -323,3 +323,21 @@
     (fields,) = events.fields_of(3312)
     assert fields['received'] == received
     assert fields['shared'] == ('a1', 'b2')
+
+
+def test_an_internal_error_is_logged_and_answered(
+    harness, monkeypatch, events
+):
+    # Guards against a connection that is closed without an answer, and an
+    # error of which only a traceback tells.
+    harness.serve(respond_ok)
+
+    def fail(server_id):
+        raise KeyError(server_id)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(harness.gateway.components, 'server', fail)
+        assert exchange(harness, request('/safe/x'))[0] == 502
+    assert exchange(harness, request('/safe/x'))[0] == 200
+    (failed,) = events.fields_of(3315)
+    assert failed['error'] == "KeyError: 'i-0'"
