Let the stand-in of a moved stream have event ids

test_a_stream_is_moved_only_if_it_would_not_end_in_time was written beside the change that moves only streams whose events have ids. It has the field now; the cases check the same and pass.

--- a/packages/testbed/tests/test_gateway_moves.py
+++ b/packages/testbed/tests/test_gateway_moves.py
@@ -241,7 +241,9 @@
     harness = serve_movable(Engine())
     components = harness.gateway.components
     stream = types.SimpleNamespace(
-        call=types.SimpleNamespace(service='plain'),
+        call=types.SimpleNamespace(
+            service='plain', has_event_id=True, has_data=True
+        ),
         events=4,
         remaining_ms=lambda stride: remaining_ms,
     )
