--- a/packages/testbed/src/paddle_testbed/fleet_load.py
+++ b/packages/testbed/src/paddle_testbed/fleet_load.py
@@ -78,20 +78,24 @@
     )
 
 
-def send_request(address, *, method='GET', headers=(), end=b''):
+def send_request(
+    address, *, method='GET', path=PATH, headers=(), body=b'p', end=b''
+):
     """Send one request and return the bytes of its response.
 
+    ``body`` is only sent with ``POST``.
+
     Reads until the response ends with ``end``, or once if that is empty. The
     bytes are incomplete if the connection breaks.
     """
     lines = [
-        f'{method} {PATH} HTTP/1.1',
+        f'{method} {path} HTTP/1.1',
         f'Host: {HOST}',
         f'Rosemarypaddle-Request-Id: r{time.monotonic_ns()}',
         f'Authorization: Token {KEY}',
         *headers,
     ]
-    body = b'p' if method == 'POST' else b''
+    body = body if method == 'POST' else b''
     if body:
         lines.append(f'Content-Length: {len(body)}')
     data = b''
