Name what crashes servers a trait of a request

Preparation for requests that crash servers: the evidence on crashes is keyed by texts, and so far all of them are prompt parts. Modules, classes and messages are renamed from prompt parts to traits; behaviour, event numbers and the stored register are unchanged.

--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -18,7 +18,7 @@
 from paddle_router.controller import _fleet
 from paddle_router.controller import _gateway_sums
 from paddle_router.controller import _platform
-from paddle_router.controller import _prompt_crashes
+from paddle_router.controller import _request_crashes
 from paddle_router.controller import _scaling
 from paddle_router.controller import _server_list
 from paddle_router.controller import _state_exchange
@@ -129,7 +129,9 @@
         self._fallback_list_read_ms = None
         self._rejected_entries = set()
         self.dump.register('sums', self.exchange.sums.dump)
-        self.dump.register('prompt_crashes', self.exchange.prompt_crashes.dump)
+        self.dump.register(
+            'request_crashes', self.exchange.request_crashes.dump
+        )
         self.dump.register('limits', self.exchange.limits.dump)
         self.dump.register('traffic', self.transport.traffic.dump)
         self._peer_server = paddle_kernel.TcpServer(
@@ -172,8 +174,8 @@
         self._run(self._read_list, LIST_PERIOD_MS, wake=self.list_requested)
         self._run(self.exchange.relay, _gateway_sums.RELAY_PERIOD_MS)
         self._run(
-            self.exchange.decide_on_prompt_parts,
-            _prompt_crashes.DECISION_PERIOD_MS,
+            self.exchange.decide_on_refusals,
+            _request_crashes.DECISION_PERIOD_MS,
         )
         self._run(self.clocks.step, CLOCK_CHECK_PERIOD_MS)
         if self.settings.reports_usage:
@@ -274,7 +276,7 @@
             if not self.register.refresh_view().epoch:
                 return
         # Before the configuration, without which gateways serve nothing.
-        self.exchange.prompt_crashes.load(self.register)
+        self.exchange.request_crashes.load(self.register)
         age_ms = self.document.age_ms()
         if age_ms is not None:
             if age_ms < REFRESH_PERIOD_MS:
--- a/packages/router/src/paddle_router/controller/_prompt_crashes.py
+++ b/packages/router/src/paddle_router/controller/_request_crashes.py
@@ -1,4 +1,4 @@
-"""Collects the gateways' observations of prompt parts that crash servers.
+"""Collects the gateways' observations of traits that crash servers.
 
 The controllers pass the observations of their gateways on to the lease holder,
 which decides for all. Every instance keeps the decisions in force and reports
@@ -22,10 +22,10 @@
 
 
 def _decode(data):
-    """Return the stored :class:`policy.RefusedPart` objects."""
+    """Return the stored :class:`policy.RefusedTrait` objects."""
     return tuple(
-        policy.RefusedPart(id=part, until_ms=until_ms)
-        for part, until_ms in (json.loads(data) if data else {}).items()
+        policy.RefusedTrait(id=trait, until_ms=until_ms)
+        for trait, until_ms in (json.loads(data) if data else {}).items()
     )
 
 
@@ -35,20 +35,20 @@
     for item in refused:
         until_ms[item.id] = max(item.until_ms, until_ms.get(item.id, 0))
     merged = {
-        part: end_ms for part, end_ms in until_ms.items() if end_ms > now_ms
+        trait: end_ms for trait, end_ms in until_ms.items() if end_ms > now_ms
     }
     if data is not None and merged == json.loads(data):
         return paddle_coord.Reject('nothing to add')
     return json.dumps(merged).encode()
 
 
-class PromptCrashCollection:
+class RequestCrashCollection:
     """The evidence of one controller and the decisions in force."""
 
     def __init__(self, wall, fleet):
         self._wall = wall
         self._fleet = fleet
-        self._evidence = policy.PromptCrashes()
+        self._evidence = policy.RequestCrashes()
         # Suspects as the lease holder named them.
         self._suspects = ()
         # Ids of reports that the lease holder has confirmed.
@@ -93,7 +93,7 @@
         self._evidence.add_refused(report.refused, now_ms)
 
     def decide(self):
-        """Decide on suspects and refused parts, as the lease holder."""
+        """Decide on suspects and refused traits, as the lease holder."""
         # A later lease holder has no reports.
         self._holder = None
         period_ms = self._fleet.period_ms() + _gateway_sums.RELAY_PERIOD_MS
@@ -105,8 +105,8 @@
         for blame in blames:
             paddle_kernel.emit(
                 _events.PROMPT_PART_BLAMED,
-                part=blame.part.id,
-                until_ms=blame.part.until_ms,
+                trait=blame.trait.id,
+                until_ms=blame.trait.until_ms,
                 servers=[item.id for item in blame.servers],
             )
 
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -9,7 +9,7 @@
 import paddle_kernel
 from paddle_router.controller import _events
 from paddle_router.controller import _gateway_sums
-from paddle_router.controller import _prompt_crashes
+from paddle_router.controller import _request_crashes
 from paddle_router import gateway
 from paddle_router import policy
 
@@ -83,7 +83,7 @@
         self.sums = _gateway_sums.GatewaySums(
             location, controller.fleet, controller.clock
         )
-        self.prompt_crashes = _prompt_crashes.PromptCrashCollection(
+        self.request_crashes = _request_crashes.RequestCrashCollection(
             controller.wall, controller.fleet
         )
         self.limits = policy.ServerLimits()
@@ -98,7 +98,7 @@
         report = attrs.evolve(
             self.sums.report(holder, self._version()),
             limits=self._reported_limits(),
-            **self.prompt_crashes.report_fields(holder),
+            **self.request_crashes.report_fields(holder),
         )
         requested_ms = self._controller.clock.now_ms()
         # The lease names its holder as address/incarnation.
@@ -115,11 +115,11 @@
         if isinstance(reply, gateway.ControllerReply) and reply.in_charge:
             self._apply_reply(report, reply, requested_ms)
 
-    def decide_on_prompt_parts(self):
+    def decide_on_refusals(self):
         """Decide which prompt parts are refused, as the lease holder."""
         if self._controller.holds_lease:
-            self.prompt_crashes.decide()
-            self.prompt_crashes.store(self._controller.register)
+            self.request_crashes.decide()
+            self.request_crashes.store(self._controller.register)
 
     def is_holder_silent(self):
         """Whether the lease holder has not replied recently."""
@@ -139,7 +139,7 @@
 
     def _apply_reply(self, report, reply, requested_ms):
         self.sums.apply_reply(report, reply, requested_ms)
-        self.prompt_crashes.apply_reply(report, reply)
+        self.request_crashes.apply_reply(report, reply)
         self._add_limits(reply)
         if reply.confirmed_age_ms >= 0:
             self._controller.document.confirm(
@@ -194,7 +194,7 @@
         if self._controller.fleet.listing != listing:
             self.log_list()
         for item in request.reports:
-            self.prompt_crashes.add(item)
+            self.request_crashes.add(item)
             self._add_limits(item)
         current = self._controller.document.current
         version = self._version()
@@ -227,7 +227,7 @@
             unheard_holder=self._silent_holder(),
             limits=self._reported_limits(),
             position=position,
-            **self.prompt_crashes.reply_fields(),
+            **self.request_crashes.reply_fields(),
         )
 
     def handle_report(self, report):
@@ -236,7 +236,7 @@
         if holds_lease:
             listing = self._controller.fleet.listing
             self.sums.add_report(report)
-            self.prompt_crashes.add(report)
+            self.request_crashes.add(report)
             self._add_limits(report)
             if self._controller.fleet.listing != listing:
                 self.log_list()
@@ -270,7 +270,7 @@
                 self._controller.fleet.position(item.name)
                 for item in report.fronts
             ),
-            **self.prompt_crashes.reply_fields(),
+            **self.request_crashes.reply_fields(),
         )
 
     def _is_confirmed(self):
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -436,7 +436,7 @@
         return _call.AttemptOutcome.MOVED
 
     def _record_served(self):
-        self._components.prompt_crashes.record_served(
+        self._components.request_crashes.record_served(
             self._call, self._flight.sent_ms
         )
 
@@ -446,7 +446,7 @@
             and not self._is_response_complete
             and not self._flight.started
         ):
-            self._components.prompt_crashes.check_server(
+            self._components.request_crashes.check_server(
                 self._call, self._server
             )
         self._call.reason = f'{outcome.value}: {detail}'[:200]
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -81,7 +81,7 @@
         usage,
         notices,
         limits,
-        prompt_crashes,
+        request_crashes,
         incarnation,
     ):
         self._settings = settings
@@ -93,7 +93,7 @@
         self._usage = usage
         self._notices = notices
         self._limits = limits
-        self._prompt_crashes = prompt_crashes
+        self._request_crashes = request_crashes
         self._incarnation = incarnation
         self._sequence = itertools.count(1)
         self._selector = _controllers.ControllerSelector(
@@ -269,7 +269,7 @@
                 self._notices, self.servers
             ),
             limits=self._limits.reports(self._wall.now_ms()),
-            **self._prompt_crashes.report_fields(),
+            **self._request_crashes.report_fields(),
         )
         return _messages.SyncRequest(
             reports=(report,),
@@ -299,7 +299,7 @@
         if reply.totals:
             self._apply_totals(reply, now_ms)
         self._apply_limits(reply, now_ms)
-        self._prompt_crashes.apply_reply(reply)
+        self._request_crashes.apply_reply(reply)
         self._check_controller(address, reply, now_ms)
 
     def _apply_configuration(self, reply):
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -216,7 +216,7 @@
         balancer = self._components.balancers.get(call.service)
         now_ms = self._clock.now_ms()
         flight = None
-        if self._has_refused_part(call):
+        if self._has_refused_trait(call):
             return _call.AttemptOutcome.REFUSED
         if call.continuation is not None:
             flight = balancer.place(
@@ -233,7 +233,7 @@
                 return _call.AttemptOutcome.NOT_SENT
             call.tried.update(self._components.server_ids(call.service))
             return _call.AttemptOutcome.NOT_SENT
-        if self._has_refused_part(call):
+        if self._has_refused_trait(call):
             # The part was refused while the request waited for a server.
             balancer.cancel(flight)
             return _call.AttemptOutcome.REFUSED
@@ -243,14 +243,14 @@
             self, self._components, call, flight, server
         ).run(conn, balancer)
 
-    def _has_refused_part(self, call):
+    def _has_refused_trait(self, call):
         """Return whether the prompt has a part that crashes servers.
 
         A run that is continued elsewhere has shown that it has none.
         """
         if call.continuation is not None:
             return False
-        refused = self._components.prompt_crashes.refused_part(call)
+        refused = self._components.request_crashes.refused_trait(call)
         if refused is None:
             return False
         call.reason = f'prompt part {refused.id} crashes servers'
@@ -285,9 +285,9 @@
 
     def _retry_after_ms(self, call):
         """Return the Retry-After time for the caller of ``call``."""
-        refused = self._components.prompt_crashes.refused_part(call)
+        refused = self._components.request_crashes.refused_trait(call)
         if refused is not None:
-            return self._components.prompt_crashes.retry_after_ms(refused)
+            return self._components.request_crashes.retry_after_ms(refused)
         free_ms = self._components.waiting.retry_after_ms(call)
         if free_ms is not None:
             return free_ms
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -16,7 +16,7 @@
 from paddle_router.gateway import _forward
 from paddle_router.gateway import _metrics
 from paddle_router.gateway import _moves
-from paddle_router.gateway import _prompt_crashes
+from paddle_router.gateway import _request_crashes
 from paddle_router.gateway import _server_notices
 from paddle_router.gateway import _usage_counts
 from paddle_router.gateway import _waiting
@@ -112,7 +112,7 @@
             self.wall, settings.usage_window_ms
         )
         incarnation = secrets.token_hex(8)
-        self.prompt_crashes = _prompt_crashes.PromptCrashRecorder(
+        self.request_crashes = _request_crashes.RequestCrashRecorder(
             self, incarnation
         )
         self.follower = _follower.Follower(
@@ -125,7 +125,7 @@
             usage=self.usage,
             notices=self.notices,
             limits=self.limits,
-            prompt_crashes=self.prompt_crashes,
+            request_crashes=self.request_crashes,
             incarnation=incarnation,
         )
         self._last_resort_services = set()
@@ -260,7 +260,7 @@
         for name, part in (
             ('follower', self.components.follower),
             ('connections', self.components.pool),
-            ('prompt_crashes', self.components.prompt_crashes),
+            ('request_crashes', self.components.request_crashes),
             ('entry', self.entry),
         ):
             self.dump.register(name, part.dump)
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -89,8 +89,8 @@
     server_rate: int = 0
     leaving: tuple[policy.Incarnation, ...] = ()
     crashes: tuple[policy.CrashReport, ...] = ()
-    served: tuple[policy.ServedPart, ...] = ()
-    refused: tuple[policy.RefusedPart, ...] = ()
+    served: tuple[policy.ServedTrait, ...] = ()
+    refused: tuple[policy.RefusedTrait, ...] = ()
     limits: tuple[policy.ServerLimit, ...] = ()
 
 
@@ -149,7 +149,7 @@
     true_ms: int
     unheard_holder: str = ''
     suspects: tuple[str, ...] = ()
-    refused: tuple[policy.RefusedPart, ...] = ()
+    refused: tuple[policy.RefusedTrait, ...] = ()
     limits: tuple[policy.ServerLimit, ...] = ()
     position: int = 0
 
@@ -187,8 +187,8 @@
     listing: str
     leaving: tuple[policy.Incarnation, ...] = ()
     crashes: tuple[policy.CrashReport, ...] = ()
-    served: tuple[policy.ServedPart, ...] = ()
-    refused: tuple[policy.RefusedPart, ...] = ()
+    served: tuple[policy.ServedTrait, ...] = ()
+    refused: tuple[policy.RefusedTrait, ...] = ()
     limits: tuple[policy.ServerLimit, ...] = ()
 
 
@@ -217,7 +217,7 @@
     servers: tuple[ListedServer, ...]
     reporting: int = 0
     suspects: tuple[str, ...] = ()
-    refused: tuple[policy.RefusedPart, ...] = ()
+    refused: tuple[policy.RefusedTrait, ...] = ()
     limits: tuple[policy.ServerLimit, ...] = ()
     positions: tuple[int, ...] = ()
 
@@ -228,8 +228,8 @@
     (
         policy.CrashReport,
         policy.Incarnation,
-        policy.RefusedPart,
-        policy.ServedPart,
+        policy.RefusedTrait,
+        policy.ServedTrait,
         policy.ServerLimit,
         ListedServer,
         ServerFlights,
--- a/packages/router/src/paddle_router/gateway/_prompt_crashes.py
+++ b/packages/router/src/paddle_router/gateway/_request_crashes.py
@@ -1,7 +1,7 @@
-"""Prompt parts that crash servers, as one gateway observes them.
+"""Traits of requests that crash servers, as one gateway observes them.
 
-The controllers decide which parts are refused, from the observations of all
-gateways; see :class:`paddle_router.policy.PromptCrashes`.
+The controllers decide which traits are refused, from the observations of all
+gateways; see :class:`paddle_router.policy.RequestCrashes`.
 """
 
 import collections
@@ -22,12 +22,12 @@
 REPEAT_MS = 30_000
 # Bounds on memory and on the size of a message.
 MAX_REPORTS = 16
-MAX_PARTS_PER_REPORT = 64
-MAX_SERVED_PARTS = 4_096
+MAX_TRAITS_PER_REPORT = 64
+MAX_SERVED_TRAITS = 4_096
 
 
-class PromptCrashRecorder:
-    """Records crashes and served prompt parts; knows the refused parts.
+class RequestCrashRecorder:
+    """Records crashes and served traits; knows the refused traits.
 
     ``components`` are the :class:`GatewayComponents`, ``incarnation`` is the
     id of this gateway process in reports.
@@ -42,20 +42,20 @@
         # Prompts of requests whose server is being checked, by server.
         self._unchecked = {}
         self._reports = collections.deque(maxlen=MAX_REPORTS)
-        # When the newest served request with a part was sent.
+        # When the newest served request with a trait was sent.
         self._served_ms = collections.OrderedDict()
         self._suspects = ()
         self._refused_until_ms = {}
 
-    def refused_part(self, call):
-        """Return the :class:`RefusedPart` that ``call`` has, or ``None``."""
+    def refused_trait(self, call):
+        """Return the :class:`RefusedTrait` that ``call`` has, or ``None``."""
         if not self._refused_until_ms:
             return None
         now_ms = self._wall.now_ms()
-        for part in call.metadata.shared_part_ids:
-            until_ms = self._refused_until_ms.get(part, 0)
+        for trait in call.metadata.shared_part_ids:
+            until_ms = self._refused_until_ms.get(trait, 0)
             if until_ms > now_ms:
-                return policy.RefusedPart(id=part, until_ms=until_ms)
+                return policy.RefusedTrait(id=trait, until_ms=until_ms)
         return None
 
     def retry_after_ms(self, refused):
@@ -65,10 +65,10 @@
     def record_served(self, call, sent_ms):
         """Record that ``call``, sent at ``sent_ms``, was served completely."""
         offset_ms = self._wall.now_ms() - self._clock.now_ms()
-        for part in call.metadata.shared_part_ids:
-            self._served_ms[part] = sent_ms + offset_ms
-            self._served_ms.move_to_end(part)
-        while len(self._served_ms) > MAX_SERVED_PARTS:
+        for trait in call.metadata.shared_part_ids:
+            self._served_ms[trait] = sent_ms + offset_ms
+            self._served_ms.move_to_end(trait)
+        while len(self._served_ms) > MAX_SERVED_TRAITS:
             self._served_ms.popitem(last=False)
 
     def check_server(self, call, server):
@@ -90,31 +90,31 @@
                 if now_ms - item.at_ms <= REPEAT_MS
             ),
             'served': tuple(
-                policy.ServedPart(id=part, sent_ms=self._served_ms[part])
-                for part in self._suspects
-                if part in self._served_ms
+                policy.ServedTrait(id=trait, sent_ms=self._served_ms[trait])
+                for trait in self._suspects
+                if trait in self._served_ms
             ),
             'refused': tuple(
-                policy.RefusedPart(id=part, until_ms=until_ms)
-                for part, until_ms in self._refused_until_ms.items()
+                policy.RefusedTrait(id=trait, until_ms=until_ms)
+                for trait, until_ms in self._refused_until_ms.items()
             ),
         }
 
     def apply_reply(self, reply):
-        """Apply the suspects and refused parts of a :class:`SyncReply`."""
+        """Apply the suspects and refused traits of a :class:`SyncReply`."""
         self._suspects = reply.suspects
         now_ms = self._wall.now_ms()
         for item in reply.refused:
             if item.id not in self._refused_until_ms:
                 paddle_kernel.emit(
                     _events.PROMPT_PART_REFUSED,
-                    part=item.id,
+                    trait=item.id,
                     for_ms=item.until_ms - now_ms,
                 )
             self._refused_until_ms[item.id] = item.until_ms
         self._refused_until_ms = {
-            part: until_ms
-            for part, until_ms in self._refused_until_ms.items()
+            trait: until_ms
+            for trait, until_ms in self._refused_until_ms.items()
             if until_ms > now_ms
         }
 
@@ -126,7 +126,7 @@
                     'id': item.id,
                     'server': item.server.id,
                     'at_ms': item.at_ms,
-                    'parts': list(item.parts),
+                    'traits': list(item.traits),
                 }
                 for item in self._reports
             ],
@@ -147,7 +147,7 @@
                 id=f'{self._incarnation}/{next(self._numbers)}',
                 server=server.incarnation,
                 at_ms=at_ms,
-                parts=call.metadata.shared_part_ids[-MAX_PARTS_PER_REPORT:],
+                traits=call.metadata.shared_part_ids[-MAX_TRAITS_PER_REPORT:],
             )
             self._reports.append(report)
             paddle_kernel.emit(
@@ -155,7 +155,7 @@
                 request=call.metadata.request_id,
                 server=server.id,
                 address=server.address,
-                shared=report.parts,
+                shared=report.traits,
             )
 
     def _refuses_connections(self, server):
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -24,15 +24,15 @@
   id @0 :Text;
   server @1 :Incarnation;
   atMs @2 :UInt64;
-  parts @3 :List(Text);
+  traits @3 :List(Text);
 }
 
-struct ServedPart {
+struct ServedTrait {
   id @0 :Text;
   sentMs @1 :UInt64;
 }
 
-struct RefusedPart {
+struct RefusedTrait {
   id @0 :Text;
   untilMs @1 :UInt64;
 }
@@ -68,8 +68,8 @@
   serverRate @5 :UInt32;
   leaving @6 :List(Incarnation);
   crashes @7 :List(CrashReport);
-  served @8 :List(ServedPart);
-  refused @9 :List(RefusedPart);
+  served @8 :List(ServedTrait);
+  refused @9 :List(RefusedTrait);
   limits @10 :List(ServerLimit);
 }
 
@@ -100,7 +100,7 @@
   trueMs @11 :UInt64;
   unheardHolder @12 :Text;
   suspects @13 :List(Text);
-  refused @14 :List(RefusedPart);
+  refused @14 :List(RefusedTrait);
   limits @15 :List(ServerLimit);
   position @16 :UInt32;
 }
@@ -122,8 +122,8 @@
   listing @4 :Text;
   leaving @5 :List(Incarnation);
   crashes @6 :List(CrashReport);
-  served @7 :List(ServedPart);
-  refused @8 :List(RefusedPart);
+  served @7 :List(ServedTrait);
+  refused @8 :List(RefusedTrait);
   limits @9 :List(ServerLimit);
 }
 
@@ -139,7 +139,7 @@
   servers @8 :List(ListedServer);
   reporting @9 :UInt32;
   suspects @10 :List(Text);
-  refused @11 :List(RefusedPart);
+  refused @11 :List(RefusedTrait);
   limits @12 :List(ServerLimit);
   positions @13 :List(UInt32);
 }
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -57,12 +57,12 @@
 from paddle_router.policy._planners import StaticPeakPlanner
 from paddle_router.policy._preset import PolicyPreset
 from paddle_router.policy._preset import PolicySet
-from paddle_router.policy._prompt_crashes import CrashReport
-from paddle_router.policy._prompt_crashes import PromptCrashes
-from paddle_router.policy._prompt_crashes import RefusedPart
-from paddle_router.policy._prompt_crashes import ServedPart
 from paddle_router.policy._ranks import engine_ranks
 from paddle_router.policy._ranks import priority_pair
+from paddle_router.policy._request_crashes import CrashReport
+from paddle_router.policy._request_crashes import RefusedTrait
+from paddle_router.policy._request_crashes import RequestCrashes
+from paddle_router.policy._request_crashes import ServedTrait
 from paddle_router.policy._retry import Action
 from paddle_router.policy._retry import Attempt
 from paddle_router.policy._retry import decide as decide_retry
@@ -131,15 +131,15 @@
     'PolicyPreset',
     'PolicySet',
     'Prediction',
-    'PromptCrashes',
+    'RequestCrashes',
     'Refusal',
-    'RefusedPart',
+    'RefusedTrait',
     'RetryBudget',
     'RoundRobinBalancer',
     'STARTING',
     'Scheduler',
     'SchedulingDecision',
-    'ServedPart',
+    'ServedTrait',
     'Server',
     'ServerLimit',
     'ServerLimits',
--- a/packages/router/src/paddle_router/policy/_prompt_crashes.py
+++ b/packages/router/src/paddle_router/policy/_request_crashes.py
@@ -1,15 +1,16 @@
-"""Finds prompt parts that crash each server that answers them.
+"""Finds traits of requests that crash each server that runs them.
 
-A part of a prompt can trigger a defect of the engine: each server that begins
-to answer a request with the part crashes and cuts the responses to all other
-requests. The prompts that a server had not begun to answer when it crashed are
-the candidates. A part is blamed if it is among them in several crashes and no
+A trait is something that requests can have in common: a part of the prompt.
+It can trigger a defect of the engine: each server that begins to answer a
+request with the trait crashes and cuts the responses to all other requests.
+The requests that a server had not begun to answer when it crashed are the
+candidates. A trait is blamed if it is among them in several crashes and no
 request with it has been served around that time.
 
-Parts are shared: every request of a route may begin with the same part, so
-most candidates are sound. They are cleared by requests with the same part that
-were served. Once a part is blamed, the crashes that it explains do not count
-against the others.
+Traits are shared: every request of a route may begin with the same prompt
+part, so most candidates are sound. They are cleared by requests with the same
+trait that were served. Once a trait is blamed, the crashes that it explains do
+not count against the others.
 
 Times are ms since the Unix epoch by the synchronized clock of the instances,
 so that evidence can be merged in any order and several times.
@@ -21,19 +22,19 @@
 
 from paddle_router.policy import _server_notices
 
-# Crashes after which a part is refused. With two, a rarely used part that
+# Crashes after which a trait is refused. With two, a rarely used trait that
 # waited at two servers that crashed for another reason would be refused.
 CRASHES_TO_REFUSE = 3
-# A part is not blamed for a crash if a request that was sent with it at most
+# A trait is not blamed for a crash if a request that was sent with it at most
 # this long before the crash, or later, has been served.
 SERVED_VALIDITY_MS = 5_000
-# How long requests with a blamed part are refused. Afterwards one more crash
+# How long requests with a blamed trait are refused. Afterwards one more crash
 # is enough to refuse them again.
 REFUSAL_MS = 600_000
 # Reports of one server within this time belong to the same crash: the clocks
 # of instances differ by less, and a server takes longer to restart and fail.
 SAME_CRASH_MS = 1_000
-# Crashes are remembered this long, so that a part in a few requests a minute
+# Crashes are remembered this long, so that a trait in a few requests a minute
 # is found too.
 RETENTION_MS = 600_000
 # Parts of crashes in this time are suspects, of which gateways report when
@@ -49,21 +50,21 @@
 class CrashReport:
     """A request that a server had not begun to answer when it crashed.
 
-    ``id`` identifies the report, ``parts`` holds the ids of the prompt's
-    shared parts in order.
+    ``id`` identifies the report, ``traits`` holds the request's traits, the
+    one that the fewest requests have last.
     """
 
     id: str
     server: _server_notices.Incarnation
     at_ms: int
-    parts: tuple[str, ...]
+    traits: tuple[str, ...]
 
 
 @attrs.frozen(kw_only=True)
-class ServedPart:
-    """A prompt part with which a request that was sent at ``sent_ms`` ended.
+class ServedTrait:
+    """A trait with which a request that was sent at ``sent_ms`` ended.
 
-    The response was complete, so the part did not crash that server.
+    The response was complete, so the trait did not crash that server.
     """
 
     id: str
@@ -71,8 +72,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class RefusedPart:
-    """A prompt part whose requests are refused until ``until_ms``."""
+class RefusedTrait:
+    """A trait whose requests are refused until ``until_ms``."""
 
     id: str
     until_ms: int
@@ -80,29 +81,29 @@
 
 @attrs.define(eq=False)
 class _Crash:
-    """A crash and the positions of the candidate parts in their prompts."""
+    """A crash and the positions of the candidate traits in their requests."""
 
     server: _server_notices.Incarnation
     at_ms: int
     positions: dict = attrs.field(factory=dict)
 
     def add(self, report):
-        for position, part in enumerate(report.parts):
-            self.positions[part] = max(
-                position, self.positions.get(part, position)
+        for position, trait in enumerate(report.traits):
+            self.positions[trait] = max(
+                position, self.positions.get(trait, position)
             )
 
 
 @attrs.frozen
 class Blame:
-    """A part that is refused from now on, and the crashes that it explains."""
+    """A trait that is refused from now on, and the crashes it explains."""
 
-    part: RefusedPart
+    trait: RefusedTrait
     servers: tuple[_server_notices.Incarnation, ...]
 
 
-class PromptCrashes:
-    """Evidence on crashes, and the prompt parts that it leads to refuse.
+class RequestCrashes:
+    """Evidence on crashes, and the traits that it leads to refuse.
 
     All ``add`` methods may get the same facts again, in any order.
     """
@@ -117,7 +118,7 @@
 
     @property
     def suspects(self):
-        """The ids of parts that may have crashed a server."""
+        """The traits that may have crashed a server."""
         return tuple(self._suspected_since_ms)
 
     def add_reports(self, reports, now_ms):
@@ -134,14 +135,14 @@
             self._forget(now_ms)
 
     def add_served(self, served, now_ms):
-        """Add :class:`ServedPart` objects."""
+        """Add :class:`ServedTrait` objects."""
         for item in served:
             self._served_ms[item.id] = max(
                 min(item.sent_ms, now_ms), self._served_ms.get(item.id, 0)
             )
 
     def add_refused(self, refused, now_ms):
-        """Add :class:`RefusedPart` objects that other instances decided on.
+        """Add :class:`RefusedTrait` objects that other instances decided on.
 
         A time further away than ``REFUSAL_MS`` comes from a wrong clock.
         """
@@ -156,30 +157,30 @@
         """Return all :class:`CrashReport` objects, oldest first."""
         return tuple(self._reports.values())
 
-    def served(self, parts):
-        """Return a :class:`ServedPart` for each of ``parts`` that was."""
+    def served(self, traits):
+        """Return a :class:`ServedTrait` for each of ``traits`` that was."""
         return tuple(
-            ServedPart(id=part, sent_ms=self._served_ms[part])
-            for part in parts
-            if part in self._served_ms
+            ServedTrait(id=trait, sent_ms=self._served_ms[trait])
+            for trait in traits
+            if trait in self._served_ms
         )
 
     def refused(self, now_ms):
-        """Return the :class:`RefusedPart` objects in force, newest first."""
+        """Return the :class:`RefusedTrait` objects in force, newest first."""
         return tuple(
-            RefusedPart(id=part, until_ms=until_ms)
-            for part, until_ms in sorted(
+            RefusedTrait(id=trait, until_ms=until_ms)
+            for trait, until_ms in sorted(
                 self._refused_until_ms.items(), key=lambda item: -item[1]
             )
             if until_ms > now_ms
         )[:MAX_REFUSED]
 
     def decide(self, now_ms, collection_ms):
-        """Update suspects and refused parts; return the new blames.
+        """Update suspects and refused traits; return the new blames.
 
-        A part is only refused after it has been a suspect for
+        A trait is only refused after it has been a suspect for
         ``collection_ms``, the time in which every gateway can report that it
-        has served the part.
+        has served the trait.
         """
         self._forget(now_ms)
         blames = []
@@ -188,11 +189,11 @@
             if blamed is None:
                 break
             until_ms = now_ms + REFUSAL_MS
-            part, crashes = blamed
-            self._refused_until_ms[part] = until_ms
+            trait, crashes = blamed
+            self._refused_until_ms[trait] = until_ms
             blames.append(
                 Blame(
-                    RefusedPart(id=part, until_ms=until_ms),
+                    RefusedTrait(id=trait, until_ms=until_ms),
                     tuple(crash.server for crash in crashes),
                 )
             )
@@ -206,7 +207,7 @@
                 {
                     'server': crash.server.id,
                     'at_ms': crash.at_ms,
-                    'parts': list(crash.positions),
+                    'traits': list(crash.positions),
                 }
                 for crash in self._crashes
             ],
@@ -226,64 +227,66 @@
         return crash
 
     def _blamed(self, now_ms, collection_ms):
-        """Return the part to refuse next and its crashes, or ``None``.
+        """Return the trait to refuse next and its crashes, or ``None``.
 
-        Among parts with as many crashes, the last one of a prompt is chosen:
+        Among traits with as many crashes, the last one of a request is chosen:
         fewer requests have it.
         """
         best = None
-        for part, crashes in self._crashes_by_part().items():
-            needed = 1 if part in self._refused_until_ms else CRASHES_TO_REFUSE
-            since_ms = self._suspected_since_ms.get(part)
+        for trait, crashes in self._crashes_by_trait().items():
+            needed = (
+                1 if trait in self._refused_until_ms else CRASHES_TO_REFUSE
+            )
+            since_ms = self._suspected_since_ms.get(trait)
             if (
                 len(crashes) < needed
                 or since_ms is None
                 or now_ms - since_ms < collection_ms
             ):
                 continue
-            position = max(crash.positions[part] for crash in crashes)
+            position = max(crash.positions[trait] for crash in crashes)
             weight = len(crashes), position
             if best is None or weight > best[0]:
-                best = weight, part, crashes
+                best = weight, trait, crashes
         return None if best is None else best[1:]
 
-    def _crashes_by_part(self):
-        """Return the crashes that each part may have caused."""
-        by_part = collections.defaultdict(list)
+    def _crashes_by_trait(self):
+        """Return the crashes that each trait may have caused."""
+        by_trait = collections.defaultdict(list)
         for crash in self._crashes:
             if self._is_explained(crash):
                 continue
-            for part in crash.positions:
-                served_ms = self._served_ms.get(part)
+            for trait in crash.positions:
+                served_ms = self._served_ms.get(trait)
                 if (
                     served_ms is None
                     or crash.at_ms > served_ms + SERVED_VALIDITY_MS
                 ):
-                    by_part[part].append(crash)
-        return by_part
+                    by_trait[trait].append(crash)
+        return by_trait
 
     def _is_explained(self, crash):
         return any(
-            crash.at_ms <= self._refused_until_ms.get(part, 0)
-            for part in crash.positions
+            crash.at_ms <= self._refused_until_ms.get(trait, 0)
+            for trait in crash.positions
         )
 
     def _update_suspects(self, now_ms):
         last_crash_ms = {
-            part: max(crash.at_ms for crash in crashes)
-            for part, crashes in self._crashes_by_part().items()
+            trait: max(crash.at_ms for crash in crashes)
+            for trait, crashes in self._crashes_by_trait().items()
         }
         recent = sorted(
             (
-                part
-                for part, at_ms in last_crash_ms.items()
+                trait
+                for trait, at_ms in last_crash_ms.items()
                 if now_ms - at_ms <= SUSPICION_MS
             ),
-            key=lambda part: -last_crash_ms[part],
+            key=lambda trait: -last_crash_ms[trait],
         )
         self._suspected_since_ms = {
-            part: self._suspected_since_ms.get(part, now_ms)
-            for part in recent[:MAX_SUSPECTS]
+            trait: self._suspected_since_ms.get(trait, now_ms)
+            for trait in recent[:MAX_SUSPECTS]
         }
 
     def _forget(self, now_ms):
@@ -297,14 +300,14 @@
             crash for crash in self._crashes if crash.at_ms >= oldest_ms
         ][-MAX_REPORTS:]
         self._served_ms = {
-            part: sent_ms
-            for part, sent_ms in self._served_ms.items()
+            trait: sent_ms
+            for trait, sent_ms in self._served_ms.items()
             if sent_ms >= oldest_ms
         }
-        # A part that was served after its refusal is sound again.
+        # A trait that was served after its refusal is sound again.
         self._refused_until_ms = {
-            part: until_ms
-            for part, until_ms in self._refused_until_ms.items()
+            trait: until_ms
+            for trait, until_ms in self._refused_until_ms.items()
             if until_ms + RETENTION_MS > now_ms
-            and self._served_ms.get(part, 0) <= until_ms
+            and self._served_ms.get(trait, 0) <= until_ms
         }
--- a/packages/router/tests/test_controller_prompt_crashes.py
+++ b/packages/router/tests/test_controller_request_crashes.py
@@ -2,7 +2,7 @@
 
 import paddle_kernel
 from paddle_router.controller import _fleet
-from paddle_router.controller import _prompt_crashes
+from paddle_router.controller import _request_crashes
 from paddle_router import gateway
 from paddle_router import policy
 import pytest
@@ -24,7 +24,7 @@
         self.number = 0
 
     def start(self, name):
-        self.collections[name] = _prompt_crashes.PromptCrashCollection(
+        self.collections[name] = _request_crashes.RequestCrashCollection(
             self.wall, _fleet.Fleet(self.clock)
         )
 
@@ -39,7 +39,7 @@
                     id=str(self.number),
                     server=policy.Incarnation(f's{self.number}'),
                     at_ms=now_ms,
-                    parts=parts,
+                    traits=parts,
                 ),
             )
         self.collections[name].add(
@@ -51,7 +51,7 @@
                 usage=(),
                 crashes=crashes,
                 served=tuple(
-                    policy.ServedPart(id=part, sent_ms=now_ms)
+                    policy.ServedTrait(id=part, sent_ms=now_ms)
                     for part in served
                 ),
                 refused=refused,
--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -216,7 +216,7 @@
         def recent(self):
             return ()
 
-    class PromptCrashes:
+    class RequestCrashes:
         def report_fields(self):
             return {}
 
@@ -233,7 +233,7 @@
         usage=Usage(),
         notices=policy.ServerNotices(),
         limits=limits,
-        prompt_crashes=PromptCrashes(),
+        request_crashes=RequestCrashes(),
         incarnation=incarnation,
     )
 
--- a/packages/router/tests/test_policy_prompt_crashes.py
+++ b/packages/router/tests/test_policy_request_crashes.py
@@ -19,7 +19,7 @@
         id=f'g/{number}',
         server=policy.Incarnation(server or f's{number}'),
         at_ms=START_MS + at_ms,
-        parts=parts,
+        traits=parts,
     )
 
 
@@ -27,7 +27,7 @@
     """Decides every 150 ms, as the lease holder does."""
 
     def __init__(self):
-        self.crashes = policy.PromptCrashes()
+        self.crashes = policy.RequestCrashes()
         self.now_ms = 0
 
     def run_until(self, now_ms):
@@ -50,7 +50,7 @@
         self.run_until(at_ms)
         self.crashes.add_served(
             [
-                policy.ServedPart(id=part, sent_ms=START_MS + at_ms)
+                policy.ServedTrait(id=part, sent_ms=START_MS + at_ms)
                 for part in parts
             ],
             START_MS + at_ms,
@@ -160,7 +160,7 @@
 
 
 def test_a_refusal_of_another_instance_ends_at_the_same_time(decider):
-    part = policy.RefusedPart(id=CRASHING, until_ms=START_MS + 1_000)
+    part = policy.RefusedTrait(id=CRASHING, until_ms=START_MS + 1_000)
     for now_ms in (0, 500, 900):
         decider.crashes.add_refused([part], START_MS + now_ms)
     decider.run_until(1_200)
@@ -170,7 +170,7 @@
 @given(st.randoms(use_true_random=False))
 def test_evidence_may_arrive_in_any_order_and_repeatedly(rng):
     reports = [report(n, 400 * n, PREAMBLE, CRASHING) for n in range(4)]
-    served = [policy.ServedPart(id=PREAMBLE, sent_ms=START_MS + 2_000)]
+    served = [policy.ServedTrait(id=PREAMBLE, sent_ms=START_MS + 2_000)]
     decider = Decider()
     facts = [*reports, *reports]
     rng.shuffle(facts)
@@ -209,7 +209,7 @@
 def test_evidence_is_bounded_at_controllers_that_never_decide():
     # Guards against memory that grows with every crash, as only the lease
     # holder decides.
-    crashes = policy.PromptCrashes()
+    crashes = policy.RequestCrashes()
     for number in range(2_000):
         at_ms = 2_000 * number
         crashes.add_reports(
--- a/packages/testbed/tests/test_crashing_prompts.py
+++ b/packages/testbed/tests/test_crashing_prompts.py
@@ -163,7 +163,7 @@
     send_stream(address, f'{PREAMBLE},{CRASHING_PART}:200,e{number}:100')
 
 
-def test_a_refused_part_stays_refused_after_all_processes_are_killed(
+def test_a_refused_trait_stays_refused_after_all_processes_are_killed(
     fleet, servers
 ):
     # Guards against servers that crash again after a loss of power, since the
@@ -174,7 +174,7 @@
 
     def is_refused():
         return all(
-            fleet.dump(name)['prompt_crashes']['refused_until_ms']
+            fleet.dump(name)['request_crashes']['refused_until_ms']
             for name in fleet.names('gateway')
         )
 
@@ -207,7 +207,7 @@
     """Let the controllers of ``harness`` refuse the crashing part."""
     until_ms = harness.gateway.components.wall.now_ms() + REFUSED_MS
     harness.controllers.refused = (
-        policy.RefusedPart(id=CRASHING_PART, until_ms=until_ms),
+        policy.RefusedTrait(id=CRASHING_PART, until_ms=until_ms),
     )
     harness.follower.step()
 
@@ -238,7 +238,7 @@
     ]
     exchange(harness, request('/report/x', **CHAT))
     (report,) = crash_reports(harness)
-    assert report.parts == ('a1', 'dead')
+    assert report.traits == ('a1', 'dead')
     assert report.server.id == 'i-0'
 
 
@@ -264,7 +264,7 @@
     assert crash_reports(harness) == ()
 
 
-def test_a_request_with_a_refused_part_is_not_sent(harness):
+def test_a_request_with_a_refused_trait_is_not_sent(harness):
     harness.serve(serve_stream)
     refuse_part(harness)
     status, text, _body = exchange(harness, request('/report/x', **CHAT))
