Refuse a request that crashed three servers when it comes again

Callers saw whole services go down for seconds, again and again: a request that crashes each server that runs it came at any gateway, was sent each time, and our own retry crashed a second server.

Cause: crashes were connected by prompt parts only. A request without parts, one whose parts sound requests share, and one that crashes after its first events had nothing that connected its repeats. Now every request has one more trait, the digest of method, host, path, customer and body. All requests that a server ran when it crashed are reported with it; the one that was at three crashes and was never served is refused by all gateways, by the decision that refuses prompt parts. It is the most specific trait, so sound requests with the same parts are no longer refused with it. Once a request ran at a crash, its own repeats after another crash are left to the caller. If several requests were at the same crashes, the decision waits until the sound ones could be served.

Ruled out: limits on retries alone (bookings are sent once, and 18 servers crashed); two crashes as proof (requests that are retried beside a crashing one were at two).

--- a/packages/router/src/paddle_router/controller/_events.py
+++ b/packages/router/src/paddle_router/controller/_events.py
@@ -59,7 +59,7 @@
 PROMPT_PART_BLAMED = paddle_kernel.declare_event(
     3460,
     'WARNING',
-    'a prompt part crashed several servers; its requests are refused',
+    'a trait of requests crashed several servers; they are refused',
 )
 REFUSALS_NOT_STORED = paddle_kernel.declare_event(
     3461,
--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -9,6 +9,7 @@
 
 from paddle_router.gateway import _http1
 from paddle_router.gateway import _model
+from paddle_router import policy
 
 
 # Fingerprints of different requests must not be equal by chance, also among
@@ -36,8 +37,8 @@
     ``NOT_SENT``: no request was sent. ``NOT_RUN``: the server states that it
     did not run the request. ``BROKEN``: the response was missing, incomplete
     or an error. ``SILENT``: the server did not respond in time. ``MOVED``: the
-    run was stopped to continue on another server. ``REFUSED``: the prompt has
-    a part that crashes servers; nothing was sent.
+    run was stopped to continue on another server. ``REFUSED``: the request
+    has a trait that crashes servers; nothing was sent.
     """
 
     NOT_SENT = 'not_sent'
@@ -55,6 +56,7 @@
     ``end_ms`` is the deadline set by the caller or the route. ``tried`` holds
     the ids of the servers chosen so far, ``attempts`` counts the servers that
     the request was sent to, ``sent_server_ids`` holds their ids.
+    ``is_response_lost`` tells whether the last of them may have crashed.
     ``response_started`` is set once a byte of the response may have been
     written to the caller, ``run_started`` once a server has started to run the
     request, ``response_seen`` once a server has responded. ``status`` and
@@ -78,6 +80,7 @@
     may_have_run: bool = False
     tried: set = attrs.field(factory=set)
     sent_server_ids: set = attrs.field(factory=set)
+    is_response_lost: bool = False
     status: int = 0
     reason: str = ''
     response_started: bool = False
@@ -115,6 +118,14 @@
             digest.update(field)
         return digest.hexdigest()
 
+    @property
+    def traits(self):
+        """What other requests may share, the fingerprint last."""
+        return (
+            *self.metadata.shared_part_ids,
+            policy.request_trait(self.fingerprint),
+        )
+
     @property
     def can_resume(self):
         """Whether the stream can go on where the caller's part ends.
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -73,12 +73,12 @@
     3334, 'INFO', 'a request waits until a server accepts requests again'
 )
 SERVER_CRASHED = paddle_kernel.declare_event(
-    3335, 'WARNING', 'a server crashed before it answered a request'
+    3335, 'WARNING', 'a server crashed while it ran a request'
 )
 PROMPT_PART_REFUSED = paddle_kernel.declare_event(
     3336,
     'WARNING',
-    'requests with a prompt part that crashes servers are refused',
+    'requests with a trait that crashes servers are refused',
 )
 SERVER_LIMIT_CHANGED = paddle_kernel.declare_event(
     3337, 'INFO', 'the limit that a server names in its responses changed'
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -56,6 +56,8 @@
         self._is_server_at_fault = True
         self._is_head_read = False
         self._is_response_skipped = False
+        # Whether the server was asked to stop the run for a move.
+        self._is_run_moving = False
         self._silence_timeout = None
 
     def run(self, caller, balancer):
@@ -417,6 +419,7 @@
                 self._components, stream, self._conn, caller, head
             ).run()
         except _http1.BrokenResponseError as exc:
+            self._is_run_moving = stream.move_result is not None
             outcome = self._fail(_call.AttemptOutcome.BROKEN, str(exc))
         else:
             self._is_response_complete = True
@@ -441,13 +444,14 @@
         )
 
     def _fail(self, outcome, detail):
-        if (
+        self._call.is_response_lost = (
             outcome is _call.AttemptOutcome.BROKEN
             and not self._is_response_complete
-            and not self._flight.started
-        ):
+            and not self._is_run_moving
+        )
+        if self._call.is_response_lost:
             self._components.request_crashes.check_server(
-                self._call, self._server
+                self._call, self._server, has_begun=self._flight.started
             )
         self._call.reason = f'{outcome.value}: {detail}'[:200]
         self._components.metrics.failures.labels(outcome.value).inc()
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -140,6 +140,12 @@
     def _can_retry(self, call, outcome, budget):
         if outcome is _call.AttemptOutcome.REFUSED:
             return False
+        if (
+            call.is_response_lost
+            and self._components.request_crashes.is_suspected(call)
+        ):
+            # It may crash the next server too.
+            return False
         if call.response_started and not call.can_resume:
             # Part of the response may have reached the caller, and the stream
             # cannot be resumed.
@@ -234,7 +240,7 @@
             call.tried.update(self._components.server_ids(call.service))
             return _call.AttemptOutcome.NOT_SENT
         if self._has_refused_trait(call):
-            # The part was refused while the request waited for a server.
+            # The trait was refused while the request waited for a server.
             balancer.cancel(flight)
             return _call.AttemptOutcome.REFUSED
         server = self._components.server(flight.server_id)
@@ -244,16 +250,20 @@
         ).run(conn, balancer)
 
     def _has_refused_trait(self, call):
-        """Return whether the prompt has a part that crashes servers.
+        """Return whether ``call`` has a trait that crashes servers.
 
-        A run that is continued elsewhere has shown that it has none.
+        A run that is continued elsewhere has shown that its prompt has none.
         """
-        if call.continuation is not None:
-            return False
         refused = self._components.request_crashes.refused_trait(call)
         if refused is None:
             return False
-        call.reason = f'prompt part {refused.id} crashes servers'
+        if call.continuation is not None and not refused.is_request:
+            return False
+        call.reason = (
+            'the request crashes servers'
+            if refused.is_request
+            else f'prompt part {refused.id} crashes servers'
+        )
         return True
 
     def _engine_work(self, call):
--- a/packages/router/src/paddle_router/gateway/_request_crashes.py
+++ b/packages/router/src/paddle_router/gateway/_request_crashes.py
@@ -21,7 +21,7 @@
 # change of the lease holder.
 REPEAT_MS = 30_000
 # Bounds on memory and on the size of a message.
-MAX_REPORTS = 16
+MAX_REPORTS = 32
 MAX_TRAITS_PER_REPORT = 64
 MAX_SERVED_TRAITS = 4_096
 
@@ -39,7 +39,7 @@
         self._wall = components.wall
         self._incarnation = incarnation
         self._numbers = itertools.count(1)
-        # Prompts of requests whose server is being checked, by server.
+        # Requests whose server is being checked, with their traits, by server.
         self._unchecked = {}
         self._reports = collections.deque(maxlen=MAX_REPORTS)
         # When the newest served request with a trait was sent.
@@ -52,7 +52,8 @@
         if not self._refused_until_ms:
             return None
         now_ms = self._wall.now_ms()
-        for trait in call.metadata.shared_part_ids:
+        # The fingerprint is last; it explains most.
+        for trait in reversed(call.traits):
             until_ms = self._refused_until_ms.get(trait, 0)
             if until_ms > now_ms:
                 return policy.RefusedTrait(id=trait, until_ms=until_ms)
@@ -65,18 +66,28 @@
     def record_served(self, call, sent_ms):
         """Record that ``call``, sent at ``sent_ms``, was served completely."""
         offset_ms = self._wall.now_ms() - self._clock.now_ms()
-        for trait in call.metadata.shared_part_ids:
+        for trait in call.traits:
             self._served_ms[trait] = sent_ms + offset_ms
             self._served_ms.move_to_end(trait)
         while len(self._served_ms) > MAX_SERVED_TRAITS:
             self._served_ms.popitem(last=False)
 
-    def check_server(self, call, server):
-        """Find out whether ``server`` crashed before it answered ``call``."""
-        if not call.metadata.shared_part_ids:
-            return
+    def is_suspected(self, call):
+        """Return whether ``call`` or a repeat of it ran at a crash."""
+        trait = policy.request_trait(call.fingerprint)
+        return trait in self._suspects or any(
+            trait in item.traits for item in self._reports
+        )
+
+    def check_server(self, call, server, *, has_begun):
+        """Find out whether ``server`` crashed while it ran ``call``.
+
+        ``has_begun`` tells whether it had begun to answer, so that the prompt
+        is not the cause.
+        """
+        traits = call.traits[-1:] if has_begun else call.traits
         calls = self._unchecked.setdefault(server.incarnation, [])
-        calls.append(call)
+        calls.append((call, traits[-MAX_TRAITS_PER_REPORT:]))
         if len(calls) == 1:
             gevent.spawn(self._check, server)
 
@@ -142,12 +153,12 @@
         if not is_crashed:
             return
         self._components.metrics.server_crashes.inc()
-        for call in calls:
+        for call, traits in calls:
             report = policy.CrashReport(
                 id=f'{self._incarnation}/{next(self._numbers)}',
                 server=server.incarnation,
                 at_ms=at_ms,
-                traits=call.metadata.shared_part_ids[-MAX_TRAITS_PER_REPORT:],
+                traits=traits,
             )
             self._reports.append(report)
             paddle_kernel.emit(
@@ -155,7 +166,7 @@
                 request=call.metadata.request_id,
                 server=server.id,
                 address=server.address,
-                shared=report.traits,
+                traits=traits,
             )
 
     def _refuses_connections(self, server):
--- a/packages/router/src/paddle_router/policy/_request_crashes.py
+++ b/packages/router/src/paddle_router/policy/_request_crashes.py
@@ -1,16 +1,19 @@
 """Finds traits of requests that crash each server that runs them.
 
-A trait is something that requests can have in common: a part of the prompt.
-It can trigger a defect of the engine: each server that begins to answer a
-request with the trait crashes and cuts the responses to all other requests.
-The requests that a server had not begun to answer when it crashed are the
-candidates. A trait is blamed if it is among them in several crashes and no
-request with it has been served around that time.
+A trait is something that requests can have in common: a part of the prompt,
+or the fingerprint of the whole request, which its repeats have. Each server
+that begins to run a request with such a trait crashes and cuts the responses
+to all other requests. The requests that a server was running when it crashed
+are the candidates; a prompt part is one only if the server had not begun to
+answer. A trait is blamed if it is among them in several crashes and no request
+with it has been served around that time.
 
 Traits are shared: every request of a route may begin with the same prompt
 part, so most candidates are sound. They are cleared by requests with the same
 trait that were served. Once a trait is blamed, the crashes that it explains do
-not count against the others.
+not count against the others. Only if the blamed trait is a fingerprint, they
+still count as one crash against the prompt parts: a part that crashes servers
+is found although one request with it was repeated several times.
 
 Times are ms since the Unix epoch by the synchronized clock of the instances,
 so that evidence can be merged in any order and several times.
@@ -40,15 +43,30 @@
 # Parts of crashes in this time are suspects, of which gateways report when
 # they were served last.
 SUSPICION_MS = 30_000
+# Suspected fingerprints are announced after this many crashes; all requests
+# that a crash interrupts have a fingerprint.
+CRASHES_TO_SUSPECT_REQUEST = 2
+# Ids of prompt parts contain no colon.
+REQUEST_PREFIX = 'request:'
 # Bounds on memory and message size.
 MAX_REPORTS = 512
 MAX_SUSPECTS = 64
 MAX_REFUSED = 64
 
 
+def request_trait(fingerprint):
+    """Return the trait that a request shares with its repeats."""
+    return REQUEST_PREFIX + fingerprint
+
+
+def is_request_trait(trait):
+    """Return whether ``trait`` identifies a request and its repeats."""
+    return trait.startswith(REQUEST_PREFIX)
+
+
 @attrs.frozen(kw_only=True)
 class CrashReport:
-    """A request that a server had not begun to answer when it crashed.
+    """A request that a server was running when it crashed.
 
     ``id`` identifies the report, ``traits`` holds the request's traits, the
     one that the fewest requests have last.
@@ -78,6 +96,11 @@
     id: str
     until_ms: int
 
+    @property
+    def is_request(self):
+        """Whether only one request and its repeats have the trait."""
+        return is_request_trait(self.id)
+
 
 @attrs.define(eq=False)
 class _Crash:
@@ -112,6 +135,7 @@
         # Report ids by arrival, to recognize repeated reports.
         self._reports = collections.OrderedDict()
         self._crashes = []
+        self._crashes_of = collections.defaultdict(list)
         self._served_ms = {}
         self._refused_until_ms = {}
         self._suspected_since_ms = {}
@@ -130,7 +154,7 @@
         ]
         for item in new:
             self._reports[item.id] = item
-            self._crash_of(item).add(item)
+            self._add_report(item)
         if new:
             self._forget(now_ms)
 
@@ -215,6 +239,13 @@
             'refused_until_ms': dict(self._refused_until_ms),
         }
 
+    def _add_report(self, report):
+        crash = self._crash_of(report)
+        new_traits = set(report.traits).difference(crash.positions)
+        crash.add(report)
+        for trait in new_traits:
+            self._crashes_of[trait].append(crash)
+
     def _crash_of(self, report):
         for crash in self._crashes:
             if (
@@ -232,57 +263,92 @@
         Among traits with as many crashes, the last one of a request is chosen:
         fewer requests have it.
         """
-        best = None
+        candidates = {}
         for trait, crashes in self._crashes_by_trait().items():
-            needed = (
-                1 if trait in self._refused_until_ms else CRASHES_TO_REFUSE
-            )
+            needed = self._crashes_to_refuse(trait)
             since_ms = self._suspected_since_ms.get(trait)
             if (
-                len(crashes) < needed
-                or since_ms is None
-                or now_ms - since_ms < collection_ms
+                len(crashes) >= needed
+                and since_ms is not None
+                and now_ms - since_ms >= collection_ms
             ):
-                continue
-            position = max(crash.positions[trait] for crash in crashes)
-            weight = len(crashes), position
-            if best is None or weight > best[0]:
-                best = weight, trait, crashes
-        return None if best is None else best[1:]
+                position = max(crash.positions[trait] for crash in crashes)
+                candidates[trait] = (len(crashes), position), crashes
+        if not candidates:
+            return None
+        trait, (weight, crashes) = max(
+            candidates.items(), key=lambda item: item[1][0]
+        )
+        equals = [item for item in candidates.values() if item[0] == weight]
+        if len(equals) > 1 and is_request_trait(trait):
+            # All but one are probably sound and are served when they come
+            # again.
+            times_ms = sorted(crash.at_ms for crash in crashes)
+            decisive_ms = times_ms[self._crashes_to_refuse(trait) - 1]
+            if now_ms - decisive_ms < collection_ms:
+                return None
+        return trait, crashes
+
+    def _crashes_to_refuse(self, trait):
+        return 1 if trait in self._refused_until_ms else CRASHES_TO_REFUSE
+
+    def _crashes_to_suspect(self, trait):
+        if not is_request_trait(trait):
+            return 1
+        return min(self._crashes_to_refuse(trait), CRASHES_TO_SUSPECT_REQUEST)
 
     def _crashes_by_trait(self):
-        """Return the crashes that each trait may have caused."""
-        by_trait = collections.defaultdict(list)
-        for crash in self._crashes:
-            if self._is_explained(crash):
+        """Return the crashes that each suspicious trait may have caused."""
+        by_trait = {}
+        for trait, crashes in self._crashes_of.items():
+            needed = self._crashes_to_suspect(trait)
+            if len(crashes) < needed:
                 continue
-            for trait in crash.positions:
-                served_ms = self._served_ms.get(trait)
-                if (
-                    served_ms is None
-                    or crash.at_ms > served_ms + SERVED_VALIDITY_MS
-                ):
-                    by_trait[trait].append(crash)
+            served_ms = self._served_ms.get(trait)
+            if served_ms is not None:
+                crashes = [
+                    crash
+                    for crash in crashes
+                    if crash.at_ms > served_ms + SERVED_VALIDITY_MS
+                ]
+            crashes = self._without_explained(trait, crashes)
+            if len(crashes) >= needed:
+                by_trait[trait] = crashes
         return by_trait
 
-    def _is_explained(self, crash):
-        return any(
-            crash.at_ms <= self._refused_until_ms.get(trait, 0)
-            for trait in crash.positions
-        )
+    def _without_explained(self, trait, crashes):
+        """Return the ``crashes`` that count against ``trait``."""
+        counted = {}
+        for crash in crashes:
+            causes = self._refused_traits(crash)
+            if not causes:
+                counted[id(crash)] = crash
+            elif not is_request_trait(trait) and all(
+                map(is_request_trait, causes)
+            ):
+                counted[causes[0]] = crash
+        return list(counted.values())
+
+    def _refused_traits(self, crash):
+        return [
+            trait
+            for trait, until_ms in self._refused_until_ms.items()
+            if trait in crash.positions and crash.at_ms <= until_ms
+        ]
 
     def _update_suspects(self, now_ms):
-        last_crash_ms = {
-            trait: max(crash.at_ms for crash in crashes)
+        weights = {
+            trait: (len(crashes), max(crash.at_ms for crash in crashes))
             for trait, crashes in self._crashes_by_trait().items()
         }
         recent = sorted(
             (
                 trait
-                for trait, at_ms in last_crash_ms.items()
-                if now_ms - at_ms <= SUSPICION_MS
+                for trait, (_count, last_ms) in weights.items()
+                if now_ms - last_ms <= SUSPICION_MS
             ),
-            key=lambda trait: -last_crash_ms[trait],
+            key=weights.get,
+            reverse=True,
         )
         self._suspected_since_ms = {
             trait: self._suspected_since_ms.get(trait, now_ms)
@@ -296,9 +362,13 @@
         ):
             self._reports.popitem(last=False)
         oldest_ms = now_ms - RETENTION_MS
-        self._crashes = [
-            crash for crash in self._crashes if crash.at_ms >= oldest_ms
-        ][-MAX_REPORTS:]
+        kept = [crash for crash in self._crashes if crash.at_ms >= oldest_ms]
+        if len(kept) < len(self._crashes) or len(kept) > MAX_REPORTS:
+            self._crashes = kept[-MAX_REPORTS:]
+            self._crashes_of.clear()
+            for crash in self._crashes:
+                for trait in crash.positions:
+                    self._crashes_of[trait].append(crash)
         self._served_ms = {
             trait: sent_ms
             for trait, sent_ms in self._served_ms.items()
--- a/packages/testbed/tests/test_crashing_requests.py
+++ b/packages/testbed/tests/test_crashing_requests.py
@@ -9,10 +9,12 @@
 import time
 
 import gevent
+from paddle_router import policy
 import pytest
 
 from paddle_testbed import fakes
 from paddle_testbed import fleet_load
+from paddle_testbed import gateway_harness
 
 
 SERVERS = 6
@@ -169,3 +171,75 @@
     ]
     assert len(served) >= 20
     assert served.count(True) >= 0.95 * len(served)
+
+
+# One gateway
+
+exchange = gateway_harness.exchange
+BOOKING = {'method': 'POST', 'body': b'crash'}
+
+
+def serve_crashing(harness, servers):
+    """Serve with backend servers that crash on every request."""
+    harness.serve(*[lambda req, sock: None] * servers)
+    for origin in harness.origins:
+        origin.script = lambda req, sock, origin=origin: [
+            0.02,
+            lambda: origin.crash(5.0),
+            None,
+        ]
+
+
+def reported_traits(harness):
+    """Return the traits in the gateway's next report, one row a crash."""
+    gevent.sleep(0.2)
+    harness.follower.step()
+    (report,) = harness.controllers.requests[-1].reports
+    return [item.traits for item in report.crashes]
+
+
+@pytest.mark.parametrize('path', ['/safe/x', '/book/x', '/chat/x'])
+def test_a_crash_is_reported_with_the_fingerprint(harness, path):
+    # Guards against crashes by requests without prompt parts that are not
+    # connected.
+    serve_crashing(harness, 2)
+    call = gateway_harness.request(path, **BOOKING)
+    exchange(harness, call)
+    first = reported_traits(harness)
+    assert len(set(first)) == 1
+    ((trait,),) = set(first)
+    assert policy.is_request_trait(trait)
+
+
+def test_only_the_same_request_is_refused(harness):
+    # Guards against sound requests that are refused with the crashing one.
+    serve_crashing(harness, 1)
+    crashing = gateway_harness.request('/book/x', **BOOKING)
+    exchange(harness, crashing)
+    ((trait,),) = reported_traits(harness)
+    harness.origins.append(fakes.FakeOrigin(gateway_harness.respond_ok))
+    until_ms = harness.gateway.components.wall.now_ms() + 5_000
+    harness.controllers.refused = (
+        policy.RefusedTrait(id=trait, until_ms=until_ms),
+    )
+    harness.set_servers()
+    sent = len(harness.requests)
+    assert exchange(harness, crashing)[0] == 503
+    assert len(harness.requests) == sent
+    for other in (
+        gateway_harness.request('/book/x', method='POST', body=b'sound'),
+        gateway_harness.request('/book/y', **BOOKING),
+    ):
+        assert exchange(harness, other)[0] == 200
+
+
+def test_a_request_that_ran_at_a_crash_is_not_retried_at_another(harness):
+    # Guards against our own retries that crash one server more at each repeat
+    # of a caller.
+    serve_crashing(harness, 4)
+    call = gateway_harness.request('/safe/x', method='GET')
+    exchange(harness, call)
+    gevent.sleep(0.2)
+    assert len(harness.requests) == 2
+    exchange(harness, call)
+    assert len(harness.requests) == 3
