Name the software version of servers in log lines

The list entry's version was dropped at the boundary, so no line said at which software version a request ran. No decision uses it yet.

--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -252,6 +252,7 @@
             request=call.metadata.request_id,
             server=self._server.id,
             address=self._server.address,
+            software=self._server.software_version,
             shared=(call.metadata.shared_part_ids or (None,))[-1],
             place=self._flight.affinity_rank,
             uncached=self._flight.uncached,
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -18,7 +18,8 @@
     the time when the list was read, -1 if unknown. A list that a controller
     sends has ``leaves_at_ms`` instead, in ms since the Unix epoch by the
     synchronized clock, 0 if unknown. ``born_ms`` is the start of this
-    incarnation in ms since the Unix epoch, 0 if unknown.
+    incarnation in ms since the Unix epoch, 0 if unknown. ``software_version``
+    is that of the server's program, empty if unknown.
     """
 
     id: str
@@ -33,6 +34,7 @@
     leaves_ms: int = -1
     leaves_at_ms: int = 0
     born_ms: int = 0
+    software_version: str = ''
 
     @property
     def incarnation(self):
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -222,6 +222,8 @@
             request=call.metadata.request_id,
             server=stream.server.id,
             target=destination.id,
+            software=stream.server.software_version,
+            target_software=destination.software_version,
             status=status,
             events=stream.events,
         )
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -13,6 +13,7 @@
   leavesMs @9 :Int64;
   leavesAtMs @10 :UInt64;
   bornMs @11 :UInt64;
+  softwareVersion @12 :Text;
 }
 
 struct Incarnation {
