--- a/packages/testbed/src/paddle_testbed/fleet_load.py
+++ b/packages/testbed/src/paddle_testbed/fleet_load.py
@@ -41,14 +41,14 @@
     }
 
 
-def list_entry(name, service, origin):
+def list_entry(name, service, origin, *, version='v1'):
     """Return the entry of a server for the platform's list of instances."""
     return {
         'identifier': name,
         'service': service,
         'address': origin.address,
         'zone': 'z1',
-        'version': 'v1',
+        'version': version,
         'slots': 8,
         'state': 'ready',
     }
@@ -79,7 +79,14 @@
 
 
 def send_request(
-    address, *, method='GET', path=PATH, headers=(), body=b'p', end=b''
+    address,
+    *,
+    method='GET',
+    path=PATH,
+    request_id=None,
+    headers=(),
+    body=b'p',
+    end=b'',
 ):
     """Send one request and return the bytes of its response.
 
@@ -91,7 +98,8 @@
     lines = [
         f'{method} {path} HTTP/1.1',
         f'Host: {HOST}',
-        f'Rosemarypaddle-Request-Id: r{time.monotonic_ns()}',
+        'Rosemarypaddle-Request-Id: '
+        + (request_id or f'r{time.monotonic_ns()}'),
         f'Authorization: Token {KEY}',
         *headers,
     ]
--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -148,11 +148,17 @@
         self.gateway.entry.start()
         return self
 
-    def set_servers(self, **fields):
-        """List all servers, with ``fields`` set in their entries."""
+    def set_servers(self, *, versions=(), **fields):
+        """List all servers, with ``fields`` set in their entries.
+
+        ``versions`` are their software versions in turn.
+        """
         self.controllers.servers = tuple(
             gateway.ListedServer(
                 id=f'i-{index}',
+                software_version=versions[index % len(versions)]
+                if versions
+                else '',
                 service='plain',
                 address=origin.address,
                 domain='d1',
