Continue a stream only at the software version that began it

Cause: the version of a server was not known to the gateway, so the target of a move and the server of a resumption were chosen among all servers of the service. Now a call remembers the version of the server whose events its caller has, and servers of other versions are excluded from placement, waiting and moves; a server that is listed while the request waits is checked again before the request is sent. Without another server of the version a stream ends incomplete, and a run stays on its leaving server, which serves for some seconds more.

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -64,7 +64,10 @@
     its events, ``forwarded_events`` counts those of ended attempts.
     ``stream_format`` is the :func:`_stream.stream_format` of a stream that was
     started; ``has_event_id`` and ``has_data`` tell whether events with an id
-    and with content were forwarded. ``continuation`` is the
+    and with content were forwarded. ``software_version`` is that of the
+    servers whose events the caller has, ``None`` before the first; servers of
+    other versions cannot continue the stream, and ``unsuitable`` holds the
+    ids of those listed. ``continuation`` is the
     :class:`Continuation` of a stopped run.
     ``rank`` is the sort key for waiting requests, lowest first; ``urgency`` is
     the rank sent to engines, ``None`` for a plain service.
@@ -94,6 +97,8 @@
     stream_format: tuple = ()
     has_event_id: bool = False
     has_data: bool = False
+    software_version: str | None = None
+    unsuitable: frozenset = frozenset()
     last_event_id: bytes | None = None
     continuation: object = None
     rank: tuple[int, int] = (0, 0)
@@ -126,6 +131,11 @@
             policy.request_trait(self.fingerprint),
         )
 
+    @property
+    def excluded(self):
+        """The ids of the servers that the request must not be sent to."""
+        return self.unsuitable.union(self.tried)
+
     @property
     def can_resume(self):
         """Whether the stream can go on where the caller's part ends.
@@ -136,6 +146,10 @@
             self.has_event_id or not self.has_data
         )
 
+    def can_continue_at(self, server):
+        """Return whether ``server`` can follow those that ran the request."""
+        return self.software_version in (None, server.software_version)
+
     def mark_response_started(self, status):
         """Record that a response with ``status`` is sent to the caller now."""
         self.status = status
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -188,9 +188,10 @@
 
     def has_untried_server(self, call):
         """Return whether an untried server accepts ``call`` now."""
+        self._components.exclude_other_versions(call)
         balancer = self._components.balancers.get(call.service)
         return balancer is not None and balancer.can_place(
-            call.tried, self._clock.now_ms()
+            call.excluded, self._clock.now_ms()
         )
 
     def _has_candidate_server(self, call):
@@ -224,6 +225,7 @@
         flight = None
         if self._has_refused_trait(call):
             return _call.AttemptOutcome.REFUSED
+        self._components.exclude_other_versions(call)
         if call.continuation is not None:
             flight = balancer.place(
                 call.continuation.target_id, self._engine_work(call), now_ms
@@ -245,6 +247,11 @@
             return _call.AttemptOutcome.REFUSED
         server = self._components.server(flight.server_id)
         call.tried.add(flight.server_id)
+        if not call.can_continue_at(server):
+            # It was listed while the request waited.
+            balancer.cancel(flight)
+            call.reason = 'server of another version'
+            return _call.AttemptOutcome.NOT_SENT
         return _exchange.Exchange(
             self, self._components, call, flight, server
         ).run(conn, balancer)
@@ -273,7 +280,7 @@
             parts=tuple((part.id, part.tokens) for part in metadata.parts),
             target_ms=call.route.target_ms,
             gap_ms=call.route.gap_ms,
-            avoid=frozenset(call.tried),
+            avoid=call.excluded,
         )
 
     # Responses
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -196,6 +196,19 @@
             if item.service == service
         }
 
+    def exclude_other_versions(self, call):
+        """Exclude the servers that cannot continue the stream of ``call``.
+
+        Two software versions generate different continuations, and a server
+        does not know which one began a stream.
+        """
+        if call.software_version is not None:
+            call.unsuitable = frozenset(
+                item.id
+                for item in self._servers.values()
+                if not call.can_continue_at(item)
+            )
+
     def connection_limit(self, service):
         """Return this gateway's share of a server's connection limit."""
         table = self.follower.table
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -238,12 +238,13 @@
         """Choose the server that the run of ``stream`` is copied to."""
         service = stream.call.service
         balancer = self._components.balancers[service]
+        self._components.exclude_other_versions(stream.call)
         others = sorted(
             self._components.server_ids(service)
             - {stream.server.id}
             - set(self._leaving)
             # Includes servers without room for a copy of this run.
-            - stream.call.tried
+            - stream.call.excluded
         )
         if not others:
             raise _MoveError('no other server')
@@ -253,7 +254,9 @@
         flight = balancer.choose(
             policy.EngineWork(
                 gap_ms=stream.call.route.gap_ms,
-                avoid=frozenset({stream.server.id, *excluded}),
+                avoid=stream.call.unsuitable.union(
+                    (stream.server.id, *excluded)
+                ),
             ),
             self._components.clock.now_ms(),
         )
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -123,6 +123,7 @@
             self._flight, now_ms, self._stream.events
         )
         self._components.waiting.wake_next(call.service)
+        call.software_version = self._stream.server.software_version
         if not call.response_started:
             call.mark_response_started(self._head.status_code)
             call.stream_format = stream_format(self._head)
--- a/packages/router/src/paddle_router/gateway/_waiting.py
+++ b/packages/router/src/paddle_router/gateway/_waiting.py
@@ -114,7 +114,7 @@
         now_ms = self._clock.now_ms()
         for queue in sorted(queues, key=policy.WaitingQueue.first_position):
             waiter = queue.first()
-            if balancer.can_place(waiter.call.tried, now_ms):
+            if balancer.can_place(waiter.call.excluded, now_ms):
                 return waiter
         return None
 
@@ -124,7 +124,7 @@
     def _can_finish_in_time(self, call, balancer):
         """Return whether ``call`` can wait and finish before its deadline."""
         now_ms = self._clock.now_ms()
-        available = balancer.next_availability(call.tried, now_ms)
+        available = balancer.next_availability(call.excluded, now_ms)
         if available is None:
             return False
         ahead = sum(
@@ -144,7 +144,7 @@
 
     def _wait(self, call, work, balancer):
         queues = self._queues.setdefault(call.service, {})
-        key = frozenset(call.tried)
+        key = call.excluded
         queue = queues.setdefault(key, policy.WaitingQueue())
         waiter = _Waiter(call)
         position = queue.join(call.rank, call.req.received_ms, waiter)
@@ -182,7 +182,7 @@
                     flight = balancer.choose(work, now_ms)
                     if flight is not None:
                         return flight
-                available = balancer.next_availability(call.tried, now_ms)
+                available = balancer.next_availability(call.excluded, now_ms)
                 if available is None:
                     return None
                 pause_ms = max(
