Continue taken-up streams at the software version that began them

Callers whose streams had broken off took them up again and got the rest from another software version: a stream with Last-Event-Id was placed like a new one, and nobody remembered which version had begun it. After all gateways were killed at once, or when the old version had just left, most such streams were joined from two versions.

While several versions of a service have served in the last minute, a gateway tells two controllers at which version a stream runs. A stream that began before the second version came is recorded once it comes. A take-up names the request that brought the first event; the gateway looks it up in its own memory, then at all controllers, and sends the request only to servers of that version. Without a record it goes on only if a majority of the controllers has seen a single version; otherwise it is answered 503, not run. The versions of recent lists are stored in a register, for a loss of power of all machines.

Weighed: a record with the next exchange leaves a window in which nobody else knows; choosing the version by a hash of the id would not balance load when versions have unequal numbers of servers; storing each record costs a disk sync a stream.

--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -40,6 +40,7 @@
 USAGE_PERIOD_MS = 400
 SCALING_PERIOD_MS = 500
 CLOCK_CHECK_PERIOD_MS = 250
+VERSIONS_PERIOD_MS = 150
 REPLICA_RETRY_MS = 500
 MAX_LOGGED_ENTRIES = 10
 # Time limit for a register change with its retries; an operator tries another
@@ -133,6 +134,7 @@
             'request_crashes', self.exchange.request_crashes.dump
         )
         self.dump.register('limits', self.exchange.limits.dump)
+        self.dump.register('stream_origins', self.exchange.origins.dump)
         self.dump.register('traffic', self.transport.traffic.dump)
         self._peer_server = paddle_kernel.TcpServer(
             settings.peer,
@@ -177,6 +179,7 @@
             self.exchange.decide_on_refusals,
             _request_crashes.DECISION_PERIOD_MS,
         )
+        self._run(self.exchange.track_versions, VERSIONS_PERIOD_MS)
         self._run(self.clocks.step, CLOCK_CHECK_PERIOD_MS)
         if self.settings.reports_usage:
             self._run(self.usage.step, USAGE_PERIOD_MS)
@@ -277,6 +280,7 @@
                 return
         # Before the configuration, without which gateways serve nothing.
         self.exchange.request_crashes.load(self.register)
+        self.exchange.origins.load(self.register)
         age_ms = self.document.age_ms()
         if age_ms is not None:
             if age_ms < REFRESH_PERIOD_MS:
@@ -384,6 +388,10 @@
             return self.exchange.handle_sync(message)
         if isinstance(message, gateway.ControllerReport):
             return self.exchange.handle_report(message)
+        if isinstance(message, gateway.RecordStreams):
+            return self.exchange.origins.handle_record(message)
+        if isinstance(message, gateway.FindStream):
+            return self.exchange.origins.handle_query(message)
         if self.replica is None:
             return None
         return self.replica.handle(message)
--- a/packages/router/src/paddle_router/controller/_events.py
+++ b/packages/router/src/paddle_router/controller/_events.py
@@ -61,6 +61,11 @@
     'WARNING',
     'a trait of requests crashed several servers; they are refused',
 )
+VERSIONS_NOT_STORED = paddle_kernel.declare_event(
+    3462,
+    'WARNING',
+    'no majority stored the software versions in time; retrying',
+)
 REFUSALS_NOT_STORED = paddle_kernel.declare_event(
     3461,
     'WARNING',
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -10,6 +10,7 @@
 from paddle_router.controller import _events
 from paddle_router.controller import _gateway_sums
 from paddle_router.controller import _request_crashes
+from paddle_router.controller import _stream_origins
 from paddle_router import gateway
 from paddle_router import policy
 
@@ -86,6 +87,9 @@
         self.request_crashes = _request_crashes.RequestCrashCollection(
             controller.wall, controller.fleet
         )
+        self.origins = _stream_origins.StreamOrigins(
+            controller.wall, controller.fleet
+        )
         self.limits = policy.ServerLimits()
         self._compressed_version = None
         self._compressed_content = b''
@@ -121,6 +125,12 @@
             self.request_crashes.decide()
             self.request_crashes.store(self._controller.register)
 
+    def track_versions(self):
+        """Record the versions in the list; store them as the lease holder."""
+        self.origins.observe()
+        if self._controller.holds_lease:
+            self.origins.store(self._controller.register)
+
     def is_holder_silent(self):
         """Whether the lease holder has not replied recently."""
         age_ms = self.sums.reply_age_ms()
@@ -227,6 +237,7 @@
             unheard_holder=self._silent_holder(),
             limits=self._reported_limits(),
             position=position,
+            unlisted_versions=self.origins.unlisted_versions(),
             **self.request_crashes.reply_fields(),
         )
 
--- a/packages/router/src/paddle_router/gateway/__init__.py
+++ b/packages/router/src/paddle_router/gateway/__init__.py
@@ -14,10 +14,15 @@
 from paddle_router.gateway._messages import ControllerLocation
 from paddle_router.gateway._messages import ControllerReply
 from paddle_router.gateway._messages import ControllerReport
+from paddle_router.gateway._messages import FindStream
 from paddle_router.gateway._messages import GatewayReport
 from paddle_router.gateway._messages import ListedServer
+from paddle_router.gateway._messages import RecordStreams
 from paddle_router.gateway._messages import RelayedReport
 from paddle_router.gateway._messages import ServerFlights
+from paddle_router.gateway._messages import StreamFound
+from paddle_router.gateway._messages import StreamOrigin
+from paddle_router.gateway._messages import StreamsRecorded
 from paddle_router.gateway._messages import SyncReply
 from paddle_router.gateway._messages import SyncRequest
 from paddle_router.gateway._messages import UsageCount
@@ -50,6 +55,7 @@
     'Customer',
     'Dialect',
     'EngineTraits',
+    'FindStream',
     'Follower',
     'ForwardingContext',
     'Gateway',
@@ -61,6 +67,7 @@
     'Load',
     'NoConnectionError',
     'PromptPart',
+    'RecordStreams',
     'RelayedReport',
     'RequestMetadata',
     'ResponseMetadata',
@@ -69,6 +76,9 @@
     'Scaling',
     'ServerFlights',
     'Service',
+    'StreamFound',
+    'StreamOrigin',
+    'StreamsRecorded',
     'SyncReply',
     'SyncRequest',
     'UsageCount',
--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -67,8 +67,10 @@
     and with content were forwarded. ``software_version`` is that of the
     servers whose events the caller has, ``None`` before the first; servers of
     other versions cannot continue the stream, and ``unsuitable`` holds the
-    ids of those listed. ``continuation`` is the
-    :class:`Continuation` of a stopped run.
+    ids of those listed. ``origin`` is the :class:`StreamOrigin` that the
+    stream has if its first event comes from this attempt; the event
+    ``origin_recorded`` is set once a controller knows it. ``continuation`` is
+    the :class:`Continuation` of a stopped run.
     ``rank`` is the sort key for waiting requests, lowest first; ``urgency`` is
     the rank sent to engines, ``None`` for a plain service.
     """
@@ -99,6 +101,8 @@
     has_data: bool = False
     software_version: str | None = None
     unsuitable: frozenset = frozenset()
+    origin: object = None
+    origin_recorded: object = None
     last_event_id: bytes | None = None
     continuation: object = None
     rank: tuple[int, int] = (0, 0)
--- a/packages/router/src/paddle_router/gateway/_controllers.py
+++ b/packages/router/src/paddle_router/gateway/_controllers.py
@@ -113,6 +113,19 @@
             item for item in known if not self._is_backing_off(item, now_ms)
         )
 
+    @property
+    def members(self):
+        """The peer addresses of the replica set, as far as known."""
+        return self._members
+
+    def known_addresses(self):
+        """Return all addresses of controllers that replies named.
+
+        Those of the settings if there was no reply yet.
+        """
+        known = {*self._members, *(item.address for item in self._locations)}
+        return sorted(known or self._seeds)
+
     def dump(self):
         """Return plain data for the state dump."""
         return {
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -75,6 +75,12 @@
 SERVER_CRASHED = paddle_kernel.declare_event(
     3335, 'WARNING', 'a server crashed while it ran a request'
 )
+STREAM_TAKEN_UP = paddle_kernel.declare_event(
+    3339, 'INFO', 'a caller takes a stream up again'
+)
+STREAMS_NOT_RECORDED = paddle_kernel.declare_event(
+    3340, 'WARNING', 'a controller did not record where streams began'
+)
 PROMPT_PART_REFUSED = paddle_kernel.declare_event(
     3336,
     'WARNING',
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -246,6 +246,7 @@
         call.may_have_run = True
         call.server_id = self._server.id
         call.sent_server_ids.add(self._server.id)
+        self._components.origins.record_sent(call, self._server)
         self._flight.sent_ms = self._clock.now_ms()
         paddle_kernel.emit(
             _events.REQUEST_SENT,
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -115,6 +115,7 @@
         self._listing = ''
         self._has_position = False
         self._listeners = []
+        self._reply_listeners = []
         self.table = None
         self.servers = None
         self.gateway_count = 1
@@ -129,6 +130,18 @@
         """Call ``listener()`` after a new configuration or server list."""
         self._listeners.append(listener)
 
+    def on_reply(self, listener):
+        """Call ``listener(reply)`` after each reply of a controller."""
+        self._reply_listeners.append(listener)
+
+    def controller_addresses(self):
+        """Return the addresses of all known controllers."""
+        return self._selector.known_addresses()
+
+    def member_addresses(self):
+        """Return the addresses of the controllers in the replica set."""
+        return self._selector.members
+
     def step(self):
         """Exchange state once; return the delay in ms until the next step."""
         address = self._choose_controller()
@@ -300,6 +313,8 @@
             self._apply_totals(reply, now_ms)
         self._apply_limits(reply, now_ms)
         self._request_crashes.apply_reply(reply)
+        for listener in self._reply_listeners:
+            listener(reply)
         self._check_controller(address, reply, now_ms)
 
     def _apply_configuration(self, reply):
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -41,6 +41,12 @@
             self._refuse(conn, exc.status, exc.reason)
             self._log_refused(req, exc)
             return
+        if not self._components.origins.resolve(call):
+            self._fail_unknown_origin(conn, call)
+            return
+        call.urgency = self._follower.table.urgency(
+            call.route, call.customer, call.service
+        )
         budget = self._components.budgets.of(call.service)
         budget.record_request(self._clock.now_ms())
         timeout = gevent.Timeout(
@@ -118,7 +124,6 @@
             end_ms=req.received_ms + allowed_ms,
             last_event_id=metadata.last_event_id,
             rank=_routes.priority_key(route, customer),
-            urgency=table.urgency(route, customer, service),
         )
 
     # Attempts
@@ -200,6 +205,12 @@
             call
         ) or self._components.waiting.can_wait(call)
 
+    def _fail_unknown_origin(self, conn, call):
+        """Refuse to continue a stream that any version may have begun."""
+        self._refuse(conn, 503, 'the version of the stream is unknown', call)
+        call.reason = 'the version of the stream is unknown'
+        self._log_done(call)
+
     def _fail_call(self, conn, call, outcome):
         call.reason = call.reason or outcome.value
         if outcome is _call.AttemptOutcome.REFUSED:
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -18,6 +18,7 @@
 from paddle_router.gateway import _moves
 from paddle_router.gateway import _request_crashes
 from paddle_router.gateway import _server_notices
+from paddle_router.gateway import _stream_origins
 from paddle_router.gateway import _usage_counts
 from paddle_router.gateway import _waiting
 from paddle_router import policy
@@ -128,6 +129,12 @@
             request_crashes=self.request_crashes,
             incarnation=incarnation,
         )
+        self.origins = _stream_origins.StreamOrigins(self, transport)
+        self.follower.on_reply(
+            lambda reply: self.origins.apply_versions(
+                self.follower.servers or (), reply.unlisted_versions
+            )
+        )
         self._last_resort_services = set()
         self._servers = {}
         self._rng = random.Random()
@@ -274,6 +281,7 @@
             ('follower', self.components.follower),
             ('connections', self.components.pool),
             ('request_crashes', self.components.request_crashes),
+            ('stream_origins', self.components.origins),
             ('entry', self.entry),
         ):
             self.dump.register(name, part.dump)
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -42,6 +42,54 @@
         return policy.Incarnation(self.id, self.born_ms)
 
 
+@attrs.frozen(kw_only=True)
+class StreamOrigin:
+    """Where a stream began: a software version of a service.
+
+    ``id`` is that of the request that brings the first event, ``sent_ms`` the
+    time when it was sent to the server.
+    """
+
+    id: str
+    service: str
+    version: str
+    sent_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class RecordStreams:
+    """Request from a gateway to a controller to remember ``origins``."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+@attrs.frozen(kw_only=True)
+class StreamsRecorded:
+    """Reply to :class:`RecordStreams`."""
+
+    count: int
+
+
+@attrs.frozen(kw_only=True)
+class FindStream:
+    """Question of a gateway to a controller: where did stream ``id`` begin."""
+
+    id: str
+
+
+@attrs.frozen(kw_only=True)
+class StreamFound:
+    """Reply to :class:`FindStream`.
+
+    ``origin`` is ``None`` if the controller does not know it. ``versions`` are
+    those that served recently, all of them if ``is_complete``.
+    """
+
+    origin: StreamOrigin | None
+    versions: tuple[policy.ServiceVersion, ...]
+    is_complete: bool
+
+
 @attrs.frozen(kw_only=True)
 class ServerFlights:
     """Load of one backend server, as counted by the gateways.
@@ -134,7 +182,8 @@
     parts in ``suspects`` the gateway reports when they were served; requests
     with a part in ``refused`` are not sent. ``limits`` contains the known
     limits of servers. ``position`` is that of the gateway among ``fronts``,
-    from 1, and 0 if it is not known yet.
+    from 1, and 0 if it is not known yet. ``unlisted_versions`` served recently
+    and have left the list.
     """
 
     controllers: tuple[ControllerLocation, ...]
@@ -154,6 +203,7 @@
     refused: tuple[policy.RefusedTrait, ...] = ()
     limits: tuple[policy.ServerLimit, ...] = ()
     position: int = 0
+    unlisted_versions: tuple[policy.ServiceVersion, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -233,8 +283,14 @@
         policy.RefusedTrait,
         policy.ServedTrait,
         policy.ServerLimit,
+        policy.ServiceVersion,
+        FindStream,
         ListedServer,
+        RecordStreams,
         ServerFlights,
+        StreamFound,
+        StreamOrigin,
+        StreamsRecorded,
         SyncReply,
         SyncRequest,
         UsageCount,
--- a/packages/router/src/paddle_router/gateway/_model.py
+++ b/packages/router/src/paddle_router/gateway/_model.py
@@ -150,7 +150,9 @@
     """Information from the headers of a request.
 
     ``deadline_ms`` is how long the caller waits after the arrival of the
-    request, ``length_hint`` the caller's estimate of the output tokens.
+    request, ``length_hint`` the caller's estimate of the output tokens. A
+    caller that takes a stream up again sends the id of its last event and
+    ``resumed_id``, that of the request that brought the first one.
     """
 
     request_id: str | None = None
@@ -162,6 +164,7 @@
     length_hint: int | None = None
     parts: tuple[PromptPart, ...] = ()
     last_event_id: bytes | None = None
+    resumed_id: str | None = None
 
     @property
     def shared_part_ids(self):
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -125,6 +125,7 @@
         self._components.waiting.wake_next(call.service)
         call.software_version = self._stream.server.software_version
         if not call.response_started:
+            self._components.origins.record_begun(call)
             call.mark_response_started(self._head.status_code)
             call.stream_format = stream_format(self._head)
             self._caller.begin(
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -44,6 +44,37 @@
   seenMs @2 :UInt64;
 }
 
+struct ServiceVersion {
+  service @0 :Text;
+  version @1 :Text;
+  seenMs @2 :UInt64;
+}
+
+struct StreamOrigin {
+  id @0 :Text;
+  service @1 :Text;
+  version @2 :Text;
+  sentMs @3 :UInt64;
+}
+
+struct RecordStreams {
+  origins @0 :List(StreamOrigin);
+}
+
+struct StreamsRecorded {
+  count @0 :UInt32;
+}
+
+struct FindStream {
+  id @0 :Text;
+}
+
+struct StreamFound {
+  origin @0 :StreamOrigin;
+  versions @1 :List(ServiceVersion);
+  isComplete @2 :Bool;
+}
+
 struct ServerFlights {
   id @0 :Text;
   running @1 :UInt32;
@@ -104,6 +135,7 @@
   refused @14 :List(RefusedTrait);
   limits @15 :List(ServerLimit);
   position @16 :UInt32;
+  unlistedVersions @17 :List(ServiceVersion);
 }
 
 struct FrontNews {
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -84,6 +84,9 @@
 from paddle_router.policy._shared_server import SharedLoad
 from paddle_router.policy._slots import own_slots
 from paddle_router.policy._slots import share_of
+from paddle_router.policy._software_versions import ServiceVersion
+from paddle_router.policy._software_versions import STREAM_RETENTION_MS
+from paddle_router.policy._software_versions import VersionHistory
 from paddle_router.policy._tiered_fair import TieredFairScheduler
 from paddle_router.policy._waiting_queue import WaitingQueue
 
@@ -157,6 +160,7 @@
     'ServerLimits',
     'ServerNotices',
     'servers_needed',
+    'ServiceVersion',
     'share_of',
     'SharedFlight',
     'SharedLoad',
@@ -165,8 +169,10 @@
     'STARTING',
     'StartUpTime',
     'StaticPeakPlanner',
+    'STREAM_RETENTION_MS',
     'Ticket',
     'TieredFairScheduler',
+    'VersionHistory',
     'WaitingQueue',
     'WindowBudget',
     'Work',
--- a/packages/testbed/tests/test_taken_up_streams.py
+++ b/packages/testbed/tests/test_taken_up_streams.py
@@ -13,6 +13,8 @@
 from paddle_testbed import fleet_load
 
 STREAMS = 16
+# Time in which a change of the list reaches all gateways.
+LIST_S = 1.5
 EVENTS = 4
 CONFIG = fleet_load.build_config(
     'engines',
@@ -108,19 +110,18 @@
         ]
         gevent.sleep(LIST_S)
 
-    def restart_gateways(self):
-        """Kill all gateways at once and start them again."""
-        names = self.fleet.names('gateway')
+    def restart(self, names):
+        """Kill the processes of the machines ``names`` and start them."""
         for name in names:
             self.fleet.kill(name)
         for name in names:
             self.fleet.start(name)
-        for name in names:
+        for name in self.fleet.names('gateway'):
             self.fleet.wait_ready(name)
 
-
-# Time in which a change of the list reaches all gateways.
-LIST_S = 1.5
+    def restart_gateways(self):
+        """Kill all gateways at once and start them again."""
+        self.restart(self.fleet.names('gateway'))
 
 
 def find_version(data):
@@ -178,6 +179,17 @@
     assert continued == list(begun.values()).count(b'v2')
 
 
+def test_no_stream_goes_on_at_another_version_after_all_processes_were_killed(
+    streams,
+):
+    # Guards against controllers that only know the versions of the new list.
+    begun = streams.begin()
+    streams.list_versions('v2')
+    streams.restart(streams.fleet.machines)
+    joined, _continued = streams.take_up_all(begun)
+    assert joined == 0
+
+
 def test_a_stream_begun_before_the_second_version_goes_on(streams):
     # Guards against streams that were not recorded while one version served.
     streams.list_versions('v1')
