Refuse a late request that a planned stop could cut

Reported for systems like ours: requests that came late in a planned stop were passed on and cut without an answer at its end. A gateway stops accepting connections 2.9 s after the signal, but a request that a slow sender had begun by then was passed on whenever it was complete, for as long as other requests kept the process running, and cut 0.4 s before the end of the grace period, also one that must not be repeated.

--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -114,6 +114,11 @@
         allowed_ms = route.timeout_ms
         if metadata.deadline_ms is not None:
             allowed_ms = min(allowed_ms, metadata.deadline_ms)
+        end_ms = req.received_ms + allowed_ms
+        cut_at_ms = self._components.cut_at_ms
+        if cut_at_ms is not None and end_ms > cut_at_ms:
+            # Its sender was slow. The stop could cut it without an answer.
+            raise _call.RefusedError(503, 'stopping', metadata.request_id)
         service = _routes.choose_service(route, self._rng)
         return _call.Call(
             req=req,
@@ -121,7 +126,7 @@
             route=route,
             customer=customer,
             service=service,
-            end_ms=req.received_ms + allowed_ms,
+            end_ms=end_ms,
             last_event_id=metadata.last_event_id,
             rank=_routes.priority_key(route, customer),
         )
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -135,6 +135,8 @@
                 self.follower.servers or (), reply.unlisted_versions
             )
         )
+        # In a planned stop, the time at which requests in progress are cut.
+        self.cut_at_ms = None
         self._last_resort_services = set()
         self._servers = {}
         self._rng = random.Random()
@@ -333,8 +335,9 @@
         self.clock.sleep_ms(READINESS_NOTICE_MS)
         self.entry.close_idle()
         self.clock.sleep_ms(STOP_ACCEPT_MS - READINESS_NOTICE_MS)
-        self.entry.stop_listening()
         abort_at_ms = stop_start_ms + self.settings.stop_ms - ABORT_MARGIN_MS
+        self.components.cut_at_ms = abort_at_ms
+        self.entry.stop_listening()
         while self.entry.busy and self.clock.now_ms() < abort_at_ms:
             self.clock.sleep_ms(STOP_POLL_MS)
         self.components.follower.step()
