Name the events on crashing requests after traits

Two events and a text still spoke of prompt parts, although a request's fingerprint is refused in the same way since. Names and one text change; numbers and behaviour do not. The test of the event catalogue passes.

--- a/packages/router/src/paddle_router/controller/_events.py
+++ b/packages/router/src/paddle_router/controller/_events.py
@@ -56,7 +56,7 @@
 REPLICA_FAILED = paddle_kernel.declare_event(
     3450, 'ERROR', 'the replica cannot be opened; retrying'
 )
-PROMPT_PART_BLAMED = paddle_kernel.declare_event(
+TRAIT_BLAMED = paddle_kernel.declare_event(
     3460,
     'WARNING',
     'a trait of requests crashed several servers; they are refused',
@@ -69,5 +69,5 @@
 REFUSALS_NOT_STORED = paddle_kernel.declare_event(
     3461,
     'WARNING',
-    'no majority stored the refused prompt parts in time; retrying',
+    'no majority stored the refused traits in time; retrying',
 )
--- a/packages/router/src/paddle_router/controller/_request_crashes.py
+++ b/packages/router/src/paddle_router/controller/_request_crashes.py
@@ -104,7 +104,7 @@
         self._suspects = self._evidence.suspects
         for blame in blames:
             paddle_kernel.emit(
-                _events.PROMPT_PART_BLAMED,
+                _events.TRAIT_BLAMED,
                 trait=blame.trait.id,
                 until_ms=blame.trait.until_ms,
                 servers=[item.id for item in blame.servers],
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -81,7 +81,7 @@
 STREAMS_NOT_RECORDED = paddle_kernel.declare_event(
     3340, 'WARNING', 'a controller did not record where streams began'
 )
-PROMPT_PART_REFUSED = paddle_kernel.declare_event(
+TRAIT_REFUSED = paddle_kernel.declare_event(
     3336,
     'WARNING',
     'requests with a trait that crashes servers are refused',
--- a/packages/router/src/paddle_router/gateway/_request_crashes.py
+++ b/packages/router/src/paddle_router/gateway/_request_crashes.py
@@ -118,7 +118,7 @@
         for item in reply.refused:
             if item.id not in self._refused_until_ms:
                 paddle_kernel.emit(
-                    _events.PROMPT_PART_REFUSED,
+                    _events.TRAIT_REFUSED,
                     trait=item.id,
                     for_ms=item.until_ms - now_ms,
                 )
