--- a/packages/router/src/paddle_router/controller/_events.py
+++ b/packages/router/src/paddle_router/controller/_events.py
@@ -61,13 +61,13 @@
     'WARNING',
     'a trait of requests crashed several servers; they are refused',
 )
-VERSIONS_NOT_STORED = paddle_kernel.declare_event(
-    3462,
-    'WARNING',
-    'no majority stored the software versions in time; retrying',
-)
 REFUSALS_NOT_STORED = paddle_kernel.declare_event(
     3461,
     'WARNING',
     'no majority stored the refused traits in time; retrying',
 )
+VERSIONS_NOT_STORED = paddle_kernel.declare_event(
+    3462,
+    'WARNING',
+    'no majority stored the software versions in time; retrying',
+)
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -75,12 +75,6 @@
 SERVER_CRASHED = paddle_kernel.declare_event(
     3335, 'WARNING', 'a server crashed while it ran a request'
 )
-STREAM_TAKEN_UP = paddle_kernel.declare_event(
-    3339, 'INFO', 'a caller takes a stream up again'
-)
-STREAMS_NOT_RECORDED = paddle_kernel.declare_event(
-    3340, 'WARNING', 'a controller did not record where streams began'
-)
 TRAIT_REFUSED = paddle_kernel.declare_event(
     3336,
     'WARNING',
@@ -92,3 +86,9 @@
 LIMIT_IGNORED = paddle_kernel.declare_event(
     3338, 'WARNING', 'a server named a limit that is not a number'
 )
+STREAM_TAKEN_UP = paddle_kernel.declare_event(
+    3339, 'INFO', 'a caller takes a stream up again'
+)
+STREAMS_NOT_RECORDED = paddle_kernel.declare_event(
+    3340, 'WARNING', 'a controller did not record where streams began'
+)
--- a/packages/testbed/tests/test_gateway_versions.py
+++ b/packages/testbed/tests/test_gateway_versions.py
@@ -132,3 +132,82 @@
         assert expected in targets[0]
     else:
         assert targets == []
+
+
+def set_chat_route(harness, **fields):
+    """Change the configuration's chat route."""
+    config = copy.deepcopy(gateway_harness.CONFIG)
+    config['version'] += 1
+    for route in config['routes']:
+        if route['name'] == 'chat':
+            route.update(fields)
+            if 'split' in fields:
+                del route['service']
+    config['services'].append({'name': 'other', 'connectionLimit': 50})
+    harness.controllers.config = config
+    harness.follower.step()
+
+
+class QuietServer(CutServer):
+    """Asks for a quiet time once before it resumes a stream."""
+
+    QUIET = (b'Rosemarypaddle-Not-Run: 1', b'Retry-After: 0.6')
+
+    def __init__(self, version):
+        super().__init__(version)
+        self.refusals = 0
+
+    def __call__(self, req, sock):
+        if b'last-event-id' in req.headers and not self.refusals:
+            self.refusals += 1
+            return fakes.response(
+                req, b'', status=b'503 Full', extra=self.QUIET
+            )
+        return super().__call__(req, sock)
+
+
+def test_a_stream_that_waits_does_not_go_on_at_a_version_listed_meanwhile(
+    harness,
+):
+    # Guards against a choice from the list of when the wait began.
+    servers = [QuietServer('v1'), QuietServer('v1'), CutServer('v2')]
+    harness.serve(*servers)
+    set_chat_route(harness, attempts=3)
+    versions = ['v1', 'v1', 'v2']
+    harness.set_servers(versions=versions)
+    harness.controllers.servers = harness.controllers.servers[:2]
+    harness.follower.step()
+    request = gateway_harness.request('/chat/x', **CHAT)
+    caller = gevent.spawn(gateway_harness.exchange, harness, request)
+    gevent.sleep(0.3)
+    harness.set_servers(versions=versions)
+    _status, _text, body = caller.get(timeout=5)
+    assert sum(server.refusals for server in servers[:2]) == 1
+    assert found_versions(body) == {b'v1'}
+    assert body.endswith(fakes.STREAM_END)
+    assert servers[2].resumed == []
+
+
+def test_a_taken_up_stream_goes_on_at_the_service_that_began_it(harness):
+    # Guards against a take-up that is split between services like a new
+    # request.
+    shares = [{'service': name, 'weight': 1} for name in ('plain', 'other')]
+    serve(harness, 'v1', 'v2')
+    set_chat_route(harness, split=shares, attempts=1)
+    first, second = harness.controllers.servers
+    harness.controllers.servers = (
+        attrs.evolve(first, software_version='v1'),
+        attrs.evolve(second, service='other', software_version='v1'),
+    )
+    harness.follower.step()
+    for number in range(REPEATS):
+        request = gateway_harness.request('/chat/x', **CHAT)
+        request_id = request.split(b'Request-Id: ')[1].split(b'\r\n')[0]
+        _status, _text, begun = gateway_harness.exchange(harness, request)
+        extra = ('Last-Event-Id: 2', f'Resumes: {request_id.decode()}')
+        again = gateway_harness.request(
+            '/chat/x', method='POST', body=b'p', extra=extra
+        )
+        status, _text, rest = gateway_harness.exchange(harness, again)
+        assert status == 200, number
+        assert found_versions(rest) == found_versions(begun)
