Blame a request before the prompt parts that were at the same crashes

Found while reading the fix: a request that crashes servers after its first events is reported without its prompt parts, so requests that waited at the same servers had a part in a later position and were blamed first; and a part, suspected from its first crash on, was collected earlier than a request, suspected from its second. Then sound requests with that part would be refused and the request itself three crashes later. Now a fingerprint goes before any part with as many crashes, a part does not go first because it was suspected earlier, and the tie between several requests is judged by crashes alone.

--- a/packages/router/src/paddle_router/policy/_request_crashes.py
+++ b/packages/router/src/paddle_router/policy/_request_crashes.py
@@ -260,27 +260,34 @@
     def _blamed(self, now_ms, collection_ms):
         """Return the trait to refuse next and its crashes, or ``None``.
 
-        Among traits with as many crashes, the last one of a request is chosen:
-        fewer requests have it.
+        Among traits with as many crashes, the one is chosen that the fewest
+        requests have: a fingerprint, or else the last part of a prompt.
         """
-        candidates = {}
-        for trait, crashes in self._crashes_by_trait().items():
-            needed = self._crashes_to_refuse(trait)
-            since_ms = self._suspected_since_ms.get(trait)
-            if (
-                len(crashes) >= needed
-                and since_ms is not None
-                and now_ms - since_ms >= collection_ms
-            ):
-                position = max(crash.positions[trait] for crash in crashes)
-                candidates[trait] = (len(crashes), position), crashes
+        candidates = {
+            trait: crashes
+            for trait, crashes in self._crashes_by_trait().items()
+            if len(crashes) >= self._crashes_to_refuse(trait)
+        }
         if not candidates:
             return None
-        trait, (weight, crashes) = max(
-            candidates.items(), key=lambda item: item[1][0]
-        )
-        equals = [item for item in candidates.values() if item[0] == weight]
-        if len(equals) > 1 and is_request_trait(trait):
+
+        def weight(trait):
+            crashes = candidates[trait]
+            position = max(crash.positions[trait] for crash in crashes)
+            return len(crashes), is_request_trait(trait), position
+
+        trait = max(candidates, key=weight)
+        crashes = candidates[trait]
+        # A less specific trait, suspected earlier, is not blamed instead.
+        since_ms = self._suspected_since_ms.get(trait, now_ms)
+        if now_ms - since_ms < collection_ms:
+            return None
+        equals = [
+            item
+            for item in candidates
+            if weight(item)[:2] == (len(crashes), True)
+        ]
+        if len(equals) > 1:
             # All but one are probably sound and are served when they come
             # again.
             times_ms = sorted(crash.at_ms for crash in crashes)
--- a/packages/router/tests/test_policy_request_crashes.py
+++ b/packages/router/tests/test_policy_request_crashes.py
@@ -245,6 +245,29 @@
     assert decider.refused() == [crashing]
 
 
+def test_a_request_that_had_events_goes_before_parts_that_waited(decider):
+    # Guards against a refusal of the prompts that waited at the servers which
+    # a request crashed after its first events.
+    for number in range(3):
+        waiting = (PREAMBLE, 'b1', request_of(10 + number))
+        decider.add_crash(number, 1_000 * number, (request_of(1),), waiting)
+    decider.run_until(5_000)
+    assert decider.refused() == [request_of(1)]
+
+
+def test_requests_with_prompts_are_not_blamed_before_others(decider):
+    # Guards against a choice by the number of prompt parts among requests
+    # that ran at the same crashes.
+    crashing, sound = request_of(1), request_of(2)
+    for number in range(3):
+        decider.add_crash(
+            number, 400 * number, (crashing,), ('a1', 'b1', sound)
+        )
+    decider.add_served(1_500, 'a1', 'b1', sound)
+    decider.run_until(5_000)
+    assert decider.refused() == [crashing]
+
+
 def test_a_part_is_found_although_its_first_request_is_repeated(decider):
     # Guards against requests with a crashing part that are only refused one
     # by one, since each is repeated until it explains its own crashes.
