--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -212,8 +212,8 @@
 
     def _fail_unknown_origin(self, conn, call):
         """Refuse to continue a stream that any version may have begun."""
-        self._refuse(conn, 503, 'the version of the stream is unknown', call)
         call.reason = 'the version of the stream is unknown'
+        self._refuse(conn, 503, call.reason, call)
         self._log_done(call)
 
     def _fail_call(self, conn, call, outcome):
