--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -3,6 +3,7 @@
 Requires ``platform/`` on the import path, as in the tests.
 """
 
+import copy
 import json
 import random
 import zlib
@@ -76,6 +77,18 @@
 }
 
 
+def build_engine_config():
+    """Return the configuration with model engines that move runs."""
+    config = copy.deepcopy(CONFIG)
+    config['services'][0]['engine'] = {
+        'slots': 4,
+        'kvCacheTokens': 1000,
+        'stride': 1,
+        'moves': True,
+    }
+    return config
+
+
 class FakeControllers:
     """Replaces the transport to the controllers."""
 
--- a/packages/testbed/tests/test_gateway_moves.py
+++ b/packages/testbed/tests/test_gateway_moves.py
@@ -1,6 +1,5 @@
 """Tests of streams that are moved when their server is shut down."""
 
-import copy
 import json
 import types
 
@@ -89,13 +88,7 @@
 @pytest.fixture
 def serve_movable(harness):
     """Return a function that starts a gateway with engines that move runs."""
-    config = copy.deepcopy(gateway_harness.CONFIG)
-    config['services'][0]['engine'] = {
-        'slots': 4,
-        'kvCacheTokens': 1000,
-        'stride': 1,
-        'moves': True,
-    }
+    config = gateway_harness.build_engine_config()
     for route in config['routes']:
         if route['name'] == 'report':
             route['timeoutMs'] = STREAM_TIMEOUT_MS
--- a/packages/testbed/tests/test_gateway_versions.py
+++ b/packages/testbed/tests/test_gateway_versions.py
@@ -102,14 +102,7 @@
 ):
     # Guards against most joined streams of the incident: runs moved from
     # servers that leave when a new version is released.
-    config = copy.deepcopy(gateway_harness.CONFIG)
-    config['services'][0]['engine'] = {
-        'slots': 4,
-        'kvCacheTokens': 1000,
-        'stride': 1,
-        'moves': True,
-    }
-    harness.controllers.config = config
+    harness.controllers.config = gateway_harness.build_engine_config()
     servers = [MovableServer() for _ in range(4)]
     harness.serve(*servers)
     versions = ['v1', 'v2', 'v2', 'v1' if is_other_same else 'v2']
