Give the late booking a time limit that has not passed

test_a_late_request_that_ends_before_the_stop_is_served failed once (503). Traced: the time limit of a request begins with its first byte, so the booking of 1.5 s had 1 ms left when it was complete 4.2 s later, and was served or not by chance. It now has 6 s, which end before requests are cut, as the test says.

--- a/packages/testbed/tests/test_gateway_late_requests.py
+++ b/packages/testbed/tests/test_gateway_late_requests.py
@@ -14,6 +14,9 @@
 LATE_S = 4.2
 # Time limit of the longest requests on the users' data sheets.
 LONG_MS = 15_000
+# The time limit of a booking begins with its first byte and ends after LATE_S,
+# but before requests are cut.
+TIMEOUTS_MS = {'report': LONG_MS, 'book': 6_000}
 BODY = b'body'
 # A request in progress keeps the process running.
 HOLD_AT_S = 2.5
@@ -25,8 +28,8 @@
     """A gateway that gives callers time to send a request slowly."""
     routes = copy.deepcopy(gateway_harness.CONFIG['routes'])
     for route in routes:
-        if route['name'] == 'report':
-            route['timeoutMs'] = LONG_MS
+        if route['name'] in TIMEOUTS_MS:
+            route['timeoutMs'] = TIMEOUTS_MS[route['name']]
     harness.controllers.config = {
         **gateway_harness.CONFIG,
         'version': 6,
