Look a stream up with the configuration that admitted it

Found while reading: a take-up that asks the controllers for its stream lets other work run, and a configuration that arrives meanwhile may no longer have the service; then the request ended with an error outside the code that answers errors, so the caller's connection closed without an answer. The routes that admitted the request are now used to its end, and the look-up is within the request's time limit and error handling.

--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -35,26 +35,19 @@
     def serve(self, conn, req):
         """Handle ``req`` and write the response to ``conn``."""
         self._await_configuration()
+        table = self._follower.table
         try:
-            call = self._admit(req)
+            call = self._admit(req, table)
         except _call.RefusedError as exc:
             self._refuse(conn, exc.status, exc.reason)
             self._log_refused(req, exc)
             return
-        if not self._components.origins.resolve(call):
-            self._fail_unknown_origin(conn, call)
-            return
-        call.urgency = self._follower.table.urgency(
-            call.route, call.customer, call.service
-        )
-        budget = self._components.budgets.of(call.service)
-        budget.record_request(self._clock.now_ms())
         timeout = gevent.Timeout(
             max(1, call.end_ms - self._clock.now_ms()) / MS_PER_S
         )
         timeout.start()
         try:
-            self._run_attempts(conn, call, budget)
+            self._run(conn, call, table)
         except gevent.Timeout as exc:
             if exc is not timeout:
                 raise
@@ -75,6 +68,17 @@
             timeout.close()
             self._log_done(call)
 
+    def _run(self, conn, call, table):
+        """Serve an admitted request."""
+        if not self._components.origins.resolve(call):
+            call.reason = 'the version of the stream is unknown'
+            self._refuse(conn, 503, call.reason, call)
+            return
+        call.urgency = table.urgency(call.route, call.customer, call.service)
+        budget = self._components.budgets.of(call.service)
+        budget.record_request(self._clock.now_ms())
+        self._run_attempts(conn, call, budget)
+
     def _version(self):
         table = self._follower.table
         return table.configuration.version if table else None
@@ -91,12 +95,11 @@
         while not self._follower.is_ready and self._clock.now_ms() < end_ms:
             self._clock.sleep_ms(CONFIGURATION_POLL_MS)
 
-    def _admit(self, req):
+    def _admit(self, req, table):
         """Return the :class:`Call` for a request.
 
         :raises RefusedError: if the request must not be sent to a server.
         """
-        table = self._follower.table
         if not self._follower.is_ready:
             raise _call.RefusedError(503, 'no configuration yet')
         try:
@@ -210,12 +213,6 @@
             call
         ) or self._components.waiting.can_wait(call)
 
-    def _fail_unknown_origin(self, conn, call):
-        """Refuse to continue a stream that any version may have begun."""
-        call.reason = 'the version of the stream is unknown'
-        self._refuse(conn, 503, call.reason, call)
-        self._log_done(call)
-
     def _fail_call(self, conn, call, outcome):
         call.reason = call.reason or outcome.value
         if outcome is _call.AttemptOutcome.REFUSED:
--- a/packages/testbed/tests/test_gateway_versions.py
+++ b/packages/testbed/tests/test_gateway_versions.py
@@ -204,3 +204,30 @@
         status, _text, rest = gateway_harness.exchange(harness, again)
         assert status == 200, number
         assert found_versions(rest) == found_versions(begun)
+
+
+def test_a_configuration_that_arrives_during_a_look_up_ends_no_request(
+    harness,
+):
+    # Guards against a connection that is closed without an answer, because
+    # the service of the taken-up stream is not configured any more.
+    serve(harness, 'v1')
+    answer = harness.controllers.call
+
+    def replace_configuration(address, message, timeout_ms):
+        if type(message).__name__ == 'FindStream':
+            config = copy.deepcopy(gateway_harness.CONFIG)
+            config['version'] += 1
+            config['routes'] = config['routes'][:1]
+            config['routes'][0]['service'] = 'other'
+            config['services'] = [{'name': 'other', 'connectionLimit': 5}]
+            harness.controllers.config = config
+            harness.follower.step()
+        return answer(address, message, timeout_ms)
+
+    harness.controllers.call = replace_configuration
+    extra = ('Last-Event-Id: 2', 'Resumes: unknown')
+    request = gateway_harness.request(
+        '/chat/x', method='POST', body=b'p', extra=extra
+    )
+    assert gateway_harness.exchange(harness, request)[0] == 503
