--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -516,7 +516,7 @@
         id='r',
         server=policy.Incarnation('i-1'),
         at_ms=1,
-        parts=metadata.shared_part_ids,
+        traits=metadata.shared_part_ids,
     )
     kind, data = paddle_kernel.codec.encode(report)
     assert paddle_kernel.codec.decode(kind, data) == report
