Serve a take-up of a stream that began long ago

A stream that began more than a minute before it is taken up has an origin older than the retention: when it was remembered again, all entries were dropped and the look at the next one raised, so the caller got a 502.

--- a/packages/router/src/paddle_router/gateway/_stream_origins.py
+++ b/packages/router/src/paddle_router/gateway/_stream_origins.py
@@ -196,7 +196,7 @@
         self._origins[origin.id] = origin
         self._origins.move_to_end(origin.id)
         oldest_ms = self._wall.now_ms() - policy.STREAM_RETENTION_MS
-        while (
+        while self._origins and (
             len(self._origins) > MAX_ORIGINS
             or next(iter(self._origins.values())).sent_ms < oldest_ms
         ):
--- a/packages/testbed/tests/test_gateway_versions.py
+++ b/packages/testbed/tests/test_gateway_versions.py
@@ -4,7 +4,9 @@
 
 import attrs
 import gevent
+from paddle_router import gateway
 import pytest
+import returns.result
 
 from paddle_testbed import fakes
 from paddle_testbed import gateway_harness
@@ -215,7 +217,7 @@
     answer = harness.controllers.call
 
     def replace_configuration(address, message, timeout_ms):
-        if type(message).__name__ == 'FindStream':
+        if isinstance(message, gateway.FindStream):
             config = copy.deepcopy(gateway_harness.CONFIG)
             config['version'] += 1
             config['routes'] = config['routes'][:1]
@@ -223,11 +225,19 @@
             config['services'] = [{'name': 'other', 'connectionLimit': 5}]
             harness.controllers.config = config
             harness.follower.step()
+            found = gateway.StreamOrigin(
+                id=message.id, service='plain', version='v1', sent_ms=1
+            )
+            return returns.result.Success(
+                gateway.StreamFound(
+                    origin=found, versions=(), is_complete=True
+                )
+            )
         return answer(address, message, timeout_ms)
 
     harness.controllers.call = replace_configuration
-    extra = ('Last-Event-Id: 2', 'Resumes: unknown')
+    extra = ('Last-Event-Id: 2', 'Resumes: elsewhere')
     request = gateway_harness.request(
         '/chat/x', method='POST', body=b'p', extra=extra
     )
-    assert gateway_harness.exchange(harness, request)[0] == 503
+    assert gateway_harness.exchange(harness, request)[0] == 200
