--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,6 +14,8 @@
 RECOVER_S = 30
 # The operator reads back for at least contactMs.
 READ_BACK_S = 8
+# The time in which a gateway that starts should become ready.
+RESTART_S = 10
 ROUTES = [standins.route('book', 'desk', 'unsafe', 800)]
 
 
@@ -73,8 +75,14 @@
     record(f'put version 30: statuses {put}')
     booked = standins.call(fleet.front(0), 'book-1', '/book/x')
     record(f'booking {booked}')
+    front = fleet.machines['front-0']
+    record(f'gateway stopped as planned, exit code {front.stop(8)}')
+    front.start()
+    time.sleep(RESTART_S)
+    ready = fleet.is_ready('front-0')
+    record(f'gateway started again; ready after {RESTART_S} s: {ready}')
     print(f'read back: versions {versions or "none"}, statuses {statuses}; '
-          f'put of a new version: {put}')
+          f'put of a new version: {put}; restarted gateway ready: {ready}')
     if 20 not in versions:
         return [
             'CONFIG/LOST: acknowledged version 20 was not read back at any '
