--- a/review/1/case.py
+++ b/review/1/case.py
@@ -40,14 +40,16 @@
         fleet.add_controller('core-3').start()
         record('core-3 started at a new address with an empty disk')
         time.sleep(CATCH_UP_S)
-        old = fleet.machines.pop('core-2')
-        record(f'core-2 stopped for good, exit code {old.stop(8)}')
+        code = fleet.machines['core-2'].stop(8)
+        del fleet.machines['core-2']
+        record(f'core-2 stopped for good, exit code {code}')
         time.sleep(CATCH_UP_S)
         fleet.put_until_acknowledged(configuration(20))
         if trouble:
             fleet.machines['core-1'].lose_disk()
             record('core-1 killed, its disk is lost')
             time.sleep(1)
+            fleet.list_seeds(fleet.machines['core-1'])
             fleet.machines['core-1'].start()
             record('core-1 started at its old address with an empty disk')
         time.sleep(RECOVER_S)
@@ -63,9 +65,10 @@
     while time.monotonic() < end:
         for name in fleet.names('core'):
             running = fleet.machines[name].process.poll() is None
+            record(f'sent read to {name}')
             status, document = fleet.get(name)
             version = document['version'] if document else None
-            record(f'read {name} running={running} status={status} '
+            record(f'answered read by {name} running={running} status={status} '
                    f'version={version}')
             statuses.add(status)
             if document:
@@ -73,8 +76,7 @@
         time.sleep(0.3)
     put = [fleet.put(name, configuration(30)) for name in fleet.names('core')]
     record(f'put version 30: statuses {put}')
-    booked = standins.call(fleet.front(0), 'book-1', '/book/x')
-    record(f'booking {booked}')
+    standins.call(fleet.front(0), 'book-1', '/book/x', record=record)
     front = fleet.machines['front-0']
     record(f'gateway stopped as planned, exit code {front.stop(8)}')
     front.start()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,9 +25,9 @@
 LESS_URGENT_PAUSE_S = 2.0
 LIMIT_MS = 15_000
 URGENT = {'path': '/chat/x', 'parts': '5c1e07a2:800,{id}:5200',
-          'tokens': '6000,300'}
+          'tokens': '6000,300', 'own': 'a0'}
 LESS_URGENT = {'path': '/text/x', 'parts': '91bd3f06:900,{id}:23100',
-               'tokens': '24000,300'}
+               'tokens': '24000,300', 'own': 'b0'}
 STREAM = {'targetLatencyMs': 2500, 'targetGapMs': 300, 'sticky': True}
 CONFIG = standins.config(
     1,
@@ -107,36 +107,36 @@
             model.kill()
 
 
-def attempt(fleet, record, req_id, number, kind, end):
+def attempt(fleet, record, req_id, front, kind, part, end):
     left_ms = max(1, int((end - time.monotonic()) * 1000))
-    answer = standins.call(
-        fleet.front(number % 2), req_id, kind['path'],
-        deadline_ms=left_ms,
+    return standins.call(
+        fleet.front(front), req_id, kind['path'], deadline_ms=left_ms,
         extra=(
             'Rosemarypaddle-Model: m',
             f'Rosemarypaddle-Token-Counts: {kind["tokens"]}',
-            'Rosemarypaddle-Prompt-Prefix: '
-            + kind['parts'].format(id=f'{number:08x}'),
+            f'Rosemarypaddle-Prompt-Prefix: {kind["parts"].format(id=part)}',
         ),
-        body=req_id.encode(),
+        body=req_id.encode(), record=record,
     )
-    record(f'answer {req_id} {answer} '
-           f'retry-after={answer.headers.get("retry-after")} '
-           f'{answer.body[:60] if answer.status >= 400 else ""}')
-    return answer
 
 
 def serve_one(fleet, record, name, number, kind, results):
     """One request of a caller that retries once, as told, after a 503."""
     sent_s = standins.now_ms() / 1000
     end = time.monotonic() + LIMIT_MS / 1000
-    answer = attempt(fleet, record, f'{name}-{number}', number, kind, end)
+    # The last part is that of this request alone.
+    part = f'{kind["own"]}{number:06x}'
+    front = number % 2
+    answer = attempt(
+        fleet, record, f'{name}-{number}', front, kind, part, end
+    )
     if answer.status in (429, 503) or answer.error.startswith('connect'):
         left_s = end - time.monotonic()
         wait_s = float(answer.headers.get('retry-after', '0'))
         time.sleep(max(0, min(wait_s, left_s / 3)))
         answer = attempt(
-            fleet, record, f'{name}-{number}-again', number + 1, kind, end
+            fleet, record, f'{name}-{number}-again', 1 - front, kind, part,
+            end,
         )
     results.append(
         (sent_s, name, answer.status == 200 and answer.complete)
@@ -207,7 +207,7 @@
             and begin <= at_s < begin + WINDOW_S
             for at_s, kind, name in runs
         )
-        if nothing >= 10 and nothing > len(urgent) / 12 and begun:
+        if nothing >= 10 and nothing > len(urgent) / 12 and begun >= 2:
             worst = max(worst, (nothing, len(urgent), begun))
     served = [ok for _at, name, ok in results if name == 'urgent']
     print(f'urgent requests in all: {len(served)}, served '
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -57,10 +57,18 @@
     )
     fleet = None
     try:
+        entry = json.loads(model.stdout.readline())
+        threading.Thread(
+            target=lambda: [
+                record(f'run {line.decode().strip()} at i-model')
+                for line in model.stdout
+            ],
+            daemon=True,
+        ).start()
         cloud = standins.Cloud(record)
         cloud.servers = [
             standins.Server('i-desk', 'desk', record, run_booking),
-            ListedServer(json.loads(model.stdout.readline())),
+            ListedServer(entry),
         ]
         fleet = standins.Fleet(cloud, record, controllers=3, gateways=1)
         fleet.start(CONFIG)
@@ -78,17 +86,17 @@
 
     def stream():
         path = '/text/endless' if trouble else '/text/sound'
-        answer = standins.call(
+        standins.call(
             front, 'stream', path, deadline_ms=15_000,
             patience_ms=STREAM_PATIENCE_MS, keep_body=not trouble,
+            record=record,
         )
-        record(f'answer stream {answer}')
 
     def book(number):
         answer = standins.call(
-            front, f'book-{number}', '/book/x', deadline_ms=1500
+            front, f'book-{number}', '/book/x', deadline_ms=1500,
+            record=record,
         )
-        record(f'answer book-{number} {answer}')
         answers.append(answer)
 
     def start(function, *args):
@@ -99,7 +107,6 @@
     start(stream)
     time.sleep(0.3)
     for number in range(BOOKINGS):
-        record(f'send book-{number}')
         start(book, number)
         time.sleep(BOOKING_PAUSE_S)
         if number % 5 == 0:
--- a/review/3/endless_server.py
+++ b/review/3/endless_server.py
@@ -22,6 +22,7 @@
 
 
 def answer(server, req, sock):
+    print(req.id, flush=True)
     sock.sendall(
         standins.head(
             req,
--- a/review/standins.py
+++ b/review/standins.py
@@ -33,6 +33,8 @@
     'usageTolerance': 0.05, 'usageLateS': 10, 'recoveryS': 12,
     'passMs': 120, 'reuseWindowS': 10,
 }
+# A script has 120 s; the rest is for ending its processes.
+LIMIT_S = 110
 START = time.monotonic()
 
 
@@ -49,7 +51,7 @@
     """Writes record.txt: what was sent, answered and run."""
 
     def __init__(self, folder):
-        self._out = open(pathlib.Path(folder) / 'record.txt', 'w')
+        self._out = open(pathlib.Path(folder) / sys.argv[1], 'w')
         self._lock = threading.Lock()
 
     def __call__(self, text):
@@ -279,8 +281,19 @@
 
 
 def call(address, req_id, path, method='POST', body=b'', deadline_ms=1500,
-         patience_ms=None, extra=(), keep_body=True):
-    """Send one request on a new connection; wait until the time limit."""
+         patience_ms=None, extra=(), keep_body=True, record=None):
+    """Send one request on a new connection; wait until the time limit.
+
+    ``record`` gets a line when it is sent and one when it is answered.
+    """
+    if record is not None:
+        record(f'sent {req_id} {method} {path} to {address}')
+        answer = call(address, req_id, path, method, body, deadline_ms,
+                      patience_ms, extra, keep_body)
+        reason = answer.body[:60] if answer.status >= 400 else b''
+        record(f'answered {req_id} {answer} '
+               f'retry-after={answer.headers.get("retry-after")} {reason}')
+        return answer
     began = time.monotonic()
     end = began + (patience_ms or deadline_ms) / 1000
     host, port = address.rsplit(':', 1)
@@ -410,10 +423,11 @@
         return self.process.returncode
 
     def lose_disk(self):
-        """Kill the process and empty its data directory."""
+        """Kill the process; it will start with an empty data directory."""
         self.kill()
-        shutil.rmtree(self.folder / 'data')
-        (self.folder / 'data').mkdir()
+        empty = self.folder / 'data-after-loss'
+        empty.mkdir()
+        self.settings['dataDirectory'] = str(empty)
         self.settings['firstStart'] = False
 
     def kill(self):
@@ -507,6 +521,13 @@
         self.machines[name] = machine
         return machine
 
+    def list_seeds(self, machine):
+        """Put the addresses of the present core into a machine's settings."""
+        machine.settings['seeds'] = [
+            f'{self.machines[name].ip}:{self.control}'
+            for name in self.names('core')
+        ][:3]
+
     def names(self, prefix):
         return [item for item in self.machines if item.startswith(prefix)]
 
@@ -521,12 +542,14 @@
         return status == 200
 
     def put(self, name, config, timeout_s=1.0):
-        body = config if isinstance(config, bytes) else json.dumps(
-            config).encode()
+        body = json.dumps(config).encode()
+        self.record(f'sent configuration {config["version"]} to {name}')
         status, _ = http(
             self.machines[name].ip, self.control, 'PUT', '/api/configuration',
             body, timeout_s,
         )
+        self.record(f'answered configuration {config["version"]} by {name}: '
+                    f'status {status}')
         return status
 
     def get(self, name, timeout_s=1.0):
@@ -593,9 +616,17 @@
     }
 
 
+def _interrupt(number, _frame):
+    raise CannotRun(f'ended by {signal.Signals(number).name}')
+
+
 def main(folder, case):
     """Run ``case(record, trouble)``, which returns a list of breaks."""
     record = Record(folder)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        # The case then ends its processes.
+        signal.signal(number, _interrupt)
+    signal.alarm(LIMIT_S)
     trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
         broken = case(record, trouble)
