Take members that stop or are gone out of the replica set

Cause: a set only lost a member to another one that joined, and only if that member was silent then. In a planned replacement the new one joins while the old one answers, so the set grew to four and the member that was stopped counted in each later quorum: three of four, all that ran.

Ruled out: the join of the emptied replica (it joins in the same set without the replacement) and the store (both other replicas held the version in memory and on disk).

Now a replica that stops leaves the set first, and members remove one that has not answered for 3 s. Both only happen if the rest bears more losses, so a restart in a set of odd size changes nothing, and never below 2 f + 1 members for f tolerated losses.

--- a/packages/coord/src/paddle_coord/_events.py
+++ b/packages/coord/src/paddle_coord/_events.py
@@ -73,5 +73,5 @@
     'the platform has a different report of this window; check it manually',
 )
 MEMBERSHIP_STEP = kernel.declare_event(
-    2006, 'INFO', 'a replica formed a set, joined one or resumed a change'
+    2006, 'INFO', 'a replica formed, joined, left or repaired a set'
 )
--- a/packages/coord/src/paddle_coord/_self_forming.py
+++ b/packages/coord/src/paddle_coord/_self_forming.py
@@ -7,6 +7,11 @@
 is used, because a process that is restarted during the first start gets
 ``first_start=False``. A replica without the permission can only join, so a
 second set cannot be formed.
+
+A member that is gone counts in every later quorum. A replica that stops
+therefore leaves the set first, and the members remove one that does not
+answer for longer than a restart takes, both only if the rest of the set then
+bears more losses.
 """
 
 import os
@@ -32,6 +37,15 @@
 # A member that has not answered for this long may be replaced by a joining
 # replica. It joins again by itself if it comes back.
 MEMBER_ABSENT_MS = 1_200
+# Interval at which a member checks whether the others answer.
+MEMBER_CHECK_INTERVAL_MS = 1_000
+# A member that has not answered for this long is removed if it adds to the
+# quorum. Longer than a restart, and with the change of the set still below
+# the few seconds after which another member may be lost.
+MEMBER_REMOVAL_MS = 3_000
+# Limit for leaving the set, and the pause between two tries.
+LEAVE_LIMIT_MS = 3_000
+LEAVE_RETRY_MS = 200
 # Other replicas wait this long before they resume a change of the set; a
 # change takes 100 to 400 ms. If all replicas resumed it at the same time, each
 # would rewrite every key and their ballots would conflict.
@@ -42,10 +56,20 @@
 
 @attrs.frozen
 class Placement:
-    """Own address of a replica and the seed addresses of the replica set."""
+    """Own address of a replica and the seed addresses of the replica set.
+
+    ``tolerated_losses`` is the number of replicas that may lose their disks
+    at the same time; the set never shrinks below what that takes.
+    """
 
     address: str
     seeds: tuple[str, ...]
+    tolerated_losses: int = 1
+
+    @property
+    def min_members(self):
+        """Size of the smallest set that bears the tolerated losses."""
+        return 2 * self.tolerated_losses + 1
 
 
 class SelfForming:
@@ -60,6 +84,8 @@
         self._placement = placement
         self._may_found = may_found
         self._absent_since_ms = {}
+        self._next_check_ms = 0
+        self._is_leaving = False
         self._rng = rng or random.Random()
         # Epoch of a change in progress and the time at which to resume it.
         self._observed_change = (0, 0)
@@ -88,17 +114,20 @@
         )
 
     def step(self, seen=_view.UNFORMED):
-        """Form a set, join one or resume a change, if necessary.
+        """Form, join or repair a set or resume a change, if necessary.
 
         ``seen`` is the newest view received by this process. A replica that
         was replaced while it was unreachable learns that only from others.
         """
+        if self._is_leaving:
+            return
         status = self._replica.handle(_messages.StatusRequest())
         for view in (status.view, seen):
             self.known.update(_view.contacts(view))
         newest = max(status.view, seen, key=lambda view: view.epoch)
         member = newest.member(status.identity)
         if member is not None and not newest.changing:
+            self._check_members(newest)
             return
         if newest.changing and not self._is_abandoned(newest):
             return
@@ -113,9 +142,93 @@
         elif self._may_found and not status.view.epoch:
             self._form_first_set()
 
+    def leave(self):
+        """Have the set go on without this replica, which is about to stop.
+
+        Returns when it is no member any more or the set is better off with
+        it, at the latest after about ``LEAVE_LIMIT_MS``.
+        """
+        self._is_leaving = True
+        deadline_ms = self._clock.now_ms() + LEAVE_LIMIT_MS
+        while not self._try_leave() and self._clock.now_ms() < deadline_ms:
+            self._clock.sleep_ms(LEAVE_RETRY_MS)
+
+    def _try_leave(self):
+        """Return whether this replica need not try again to leave."""
+        own = self._replica.handle(_messages.StatusRequest())
+        statuses = self._query(_view.contacts(own.view))
+        view = max(
+            (own.view, *(item.view for item in statuses.values())),
+            key=lambda view: view.epoch,
+        )
+        if view.changing:
+            # The process that began the change finishes it, or another one
+            # resumes it.
+            return False
+        if view.member(own.identity) is None:
+            return True
+        if view.epoch > own.view.epoch:
+            statuses = self._query(_view.contacts(view))
+        statuses.pop(self._placement.address, None)
+        # It has been absent for the shortest time.
+        members = sorted(
+            view.new, key=lambda item: item.identity != own.identity
+        )
+        remaining = self._remaining(members, statuses)
+        if len(remaining) == len(members):
+            return True
+        return self._change_members('left', view, remaining)
+
+    def _check_members(self, view):
+        """Remove members that have not answered for long, if that helps."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._next_check_ms:
+            return
+        if now_ms > self._next_check_ms + MEMBER_CHECK_INTERVAL_MS:
+            # This process has stood still, so the others may have answered.
+            self._absent_since_ms.clear()
+        self._next_check_ms = now_ms + MEMBER_CHECK_INTERVAL_MS
+        statuses = self._query(_view.contacts(view))
+        present = {item.identity for item in statuses.values()}
+        if not _view.has_quorum(view, present):
+            return
+        now_ms = self._clock.now_ms()
+        # The one that was silent last is the most likely one to come back.
+        members = sorted(
+            view.new,
+            key=lambda item: -self._absent_since_ms.get(item.address, 0),
+        )
+        remaining = self._remaining(members, statuses)
+        removed = [item for item in members if item not in remaining]
+        if removed and all(
+            now_ms - self._absent_since_ms.get(item.address, now_ms)
+            >= MEMBER_REMOVAL_MS
+            for item in removed
+        ):
+            self._change_members('removed', view, remaining)
+
+    def _remaining(self, members, statuses):
+        """Return the ``members`` to keep if only ``statuses`` answered."""
+        present = {
+            item.identity for item in members if item.address in statuses
+        }
+        return _view.without_absent(
+            members, present, self._placement.min_members
+        )
+
+    def _change_members(self, step, view, members):
+        """Change the set to ``members``; return whether that succeeded."""
+        addresses = [item.address for item in members]
+        result = self._view_change(view).replace_at(view.epoch, addresses)
+        self._log_step(step, result)
+        return isinstance(result, returns.result.Success)
+
     def _query_replicas(self):
-        """Return the status of every replica that answers, by address."""
-        addresses = self.known | {self._placement.address}
+        """Return the status of every known replica that answers."""
+        return self._query(self.known | {self._placement.address})
+
+    def _query(self, addresses):
+        """Return the status of the replicas that answer, by address."""
         calls = {item: _messages.StatusRequest() for item in addresses}
         statuses = {}
         now_ms = self._clock.now_ms()
@@ -140,20 +253,13 @@
 
     def _join_or_resume(self, view, status, statuses):
         """Resume an abandoned change, or start the change that joins."""
-        change = _view_change.ViewChange(
-            self._proposer(view),
-            self._transport,
-            self._clock,
-            options=_view_change.ViewChangeOptions(
-                call_timeout_ms=CALL_TIMEOUT_MS, step_limit_ms=2_000
-            ),
-        )
+        change = self._view_change(view)
         if view.changing or view.member(status.identity) is not None:
             if not view.changing or self._is_abandoned(view):
                 self._log_step('resumed', change.resume())
             return
         addresses = self._addresses_after_join(view, statuses)
-        if addresses is not None:
+        if addresses is not None and not self._is_leaving:
             joined = change.replace_at(view.epoch, addresses)
             self._log_step('joined', joined)
 
@@ -190,6 +296,16 @@
             others.remove(longest_silent)
         return (*others, own)
 
+    def _view_change(self, view):
+        return _view_change.ViewChange(
+            self._proposer(view),
+            self._transport,
+            self._clock,
+            options=_view_change.ViewChangeOptions(
+                call_timeout_ms=CALL_TIMEOUT_MS, step_limit_ms=2_000
+            ),
+        )
+
     def _proposer(self, view):
         proposer = _admin.open_proposer(
             self._transport, tuple(self.known), self._clock
--- a/packages/coord/src/paddle_coord/_view.py
+++ b/packages/coord/src/paddle_coord/_view.py
@@ -76,6 +76,24 @@
     return {item.address: item for item in view.old + view.new}
 
 
+def without_absent(members, present, min_members):
+    """Return the ``members`` that should remain when others are absent.
+
+    ``present`` holds the identities of the members that answer, ``members``
+    begins with those that should rather remain. Each absent member adds to
+    the quorum, but a set of an odd size bears as many losses as the even one
+    below it, so one absent member remains where that makes the size odd. The
+    set does not become smaller than ``min_members``.
+    """
+    remaining = [item for item in members if item.identity in present]
+    absent = [item for item in members if item.identity not in present]
+    if len(remaining) % 2 == 0:
+        remaining += absent[:1]
+    if len(remaining) < min_members:
+        return tuple(members)
+    return tuple(item for item in members if item in remaining)
+
+
 def refusal(view, identity, target, epoch):
     """Return the reason why a replica must not vote, or ``None``."""
     if target != identity:
--- a/packages/coord/tests/test_coord_self_forming.py
+++ b/packages/coord/tests/test_coord_self_forming.py
@@ -1,6 +1,7 @@
 """Tests of replica sets that form themselves and of the document."""
 
 import errno
+import random
 import types
 
 import paddle_coord as coord
@@ -10,6 +11,9 @@
 import returns.result
 
 SEEDS = ('a:1', 'b:1', 'c:1')
+# Time after which another replica may be lost (catchUpS).
+SETTLE_MS = 4_000
+SETTLE_ROUNDS = -(-SETTLE_MS // coord.MEMBERSHIP_LOOK_MS)
 
 
 class System:
@@ -17,6 +21,7 @@
 
     def __init__(self, root):
         self.root = root
+        self.tolerated_losses = 1
         self.clock = kernel.FakeClock()
         self.network = kernel.MemoryNetwork()
         self.replicas = {}
@@ -34,11 +39,15 @@
             replica,
             self.network.transport(address),
             self.clock,
-            coord.Placement(address, seeds),
+            coord.Placement(address, seeds, self.tolerated_losses),
             data_dir=directory,
             first_start=first_start,
         )
 
+    def stop_as_planned(self, address):
+        self.tasks[address].leave()
+        self.stop(address)
+
     def stop(self, address):
         self.network.stop(address)
         self.replicas.pop(address).stop()
@@ -141,6 +150,172 @@
     assert formed.members() == ['a:1', 'b:1', 'c:1', 'd:1', 'e:1', 'f:1']
 
 
+def founding_set(system):
+    for address in SEEDS:
+        system.start(address, first_start=True)
+    system.run_steps()
+    assert system.proposer().change('k', lambda _: b'v').unwrap().applied
+    return system
+
+
+def lose_disk(system, address):
+    system.stop(address)
+    seeds = tuple(system.tasks)
+    system.start(address, seeds=seeds, disk=f'{address[0]}_empty')
+
+
+def test_planned_replacement_is_followed_by_the_loss_of_a_disk(system):
+    # Guards against a stopped member that counts in the quorum for good: with
+    # three of four members running, the next lost disk ended all changes.
+    founding_set(system)
+    system.start('d:1')
+    system.run_steps()
+    system.stop_as_planned('c:1')
+    assert system.members() == ['a:1', 'b:1', 'd:1']
+    lose_disk(system, 'a:1')
+    system.run_steps()
+    assert system.members() == ['a:1', 'b:1', 'd:1']
+    assert system.proposer(('b:1', 'd:1')).read('k').unwrap() == b'v'
+
+
+def test_member_that_is_killed_for_good_is_removed(system):
+    # Guards against a set that only a planned stop makes smaller.
+    founding_set(system)
+    system.start('d:1')
+    system.run_steps()
+    system.stop('c:1')
+    system.run_steps(SETTLE_ROUNDS)
+    assert system.members() == ['a:1', 'b:1', 'd:1']
+    lose_disk(system, 'a:1')
+    system.run_steps()
+    assert system.proposer(('b:1', 'd:1')).read('k').unwrap() == b'v'
+
+
+def test_members_that_stop_at_the_same_time_do_not_count_for_good(system):
+    # Guards against two replacements at once, of which each stopping member
+    # sees the other one running.
+    founding_set(system)
+    for address in ('d:1', 'e:1'):
+        system.start(address)
+    system.run_steps()
+    for address in ('b:1', 'c:1'):
+        system.tasks[address].leave()
+    for address in ('b:1', 'c:1'):
+        system.stop(address)
+    system.run_steps(SETTLE_ROUNDS)
+    lose_disk(system, 'a:1')
+    system.run_steps()
+    assert system.proposer(('d:1', 'e:1')).read('k').unwrap() == b'v'
+
+
+def test_restart_of_one_of_an_odd_set_changes_nothing(formed):
+    # Guards against a copy of all keys for each restart, which would not make
+    # the set bear more losses.
+    epoch = formed.proposer().refresh_view().epoch
+    formed.stop_as_planned('e:1')
+    formed.run_steps(SETTLE_ROUNDS)
+    formed.start('e:1')
+    formed.run_steps()
+    assert formed.proposer().refresh_view().epoch == epoch
+
+
+def test_short_absence_removes_no_member(formed):
+    # Guards against changes of the set for each cut link or restart.
+    formed.start('f:1')
+    formed.run_steps()
+    formed.network.stop('c:1')
+    formed.run_steps(5)
+    formed.network.serve('c:1', formed.replicas['c:1'].handle)
+    formed.run_steps(SETTLE_ROUNDS)
+    assert len(formed.members()) == 6
+
+
+def test_a_process_that_stood_still_removes_no_member(formed):
+    # Guards against an absence that is measured over a pause of the process
+    # itself: of the other member, only single answers were lost.
+    formed.start('f:1')
+    formed.run_steps()
+    for _ in range(2):
+        formed.network.stop('c:1')
+        formed.run_steps(4)
+        formed.network.serve('c:1', formed.replicas['c:1'].handle)
+        formed.clock.advance(5_000)
+    assert len(formed.members()) == 6
+
+
+def test_set_does_not_shrink_below_the_tolerated_losses(system):
+    # Guards against a value that is stored on fewer disks than may be lost.
+    system.tolerated_losses = 2
+    for address in (*SEEDS, 'd:1', 'e:1'):
+        system.start(address, first_start=True)
+    system.run_steps()
+    for address in ('d:1', 'e:1'):
+        system.stop(address)
+    system.run_steps(2 * SETTLE_ROUNDS)
+    assert len(system.members()) == 5
+
+
+def replace(system, rng):
+    """Replace a member as planned or not, the new one first."""
+    new = f'n{len(list(system.root.iterdir()))}:1'
+    system.start(new, seeds=tuple(system.tasks))
+    system.run_steps(SETTLE_ROUNDS)
+    old = rng.choice([item for item in system.tasks if item != new])
+    if rng.random() < 0.7:
+        system.stop_as_planned(old)
+        # Planned work does not count as a loss.
+        return 0
+    system.stop(old)
+    return SETTLE_ROUNDS
+
+
+def restart(system, rng):
+    address = rng.choice(list(system.tasks))
+    system.stop_as_planned(address)
+    system.run_steps(rng.randrange(SETTLE_ROUNDS))
+    system.start(address, seeds=tuple(system.tasks))
+    return SETTLE_ROUNDS
+
+
+def lose_a_disk(system, rng):
+    address = rng.choice(list(system.tasks))
+    system.stop(address)
+    disk = f'x{len(list(system.root.iterdir()))}'
+    system.run_steps(rng.randrange(SETTLE_ROUNDS))
+    system.start(address, seeds=tuple(system.tasks), disk=disk)
+    return SETTLE_ROUNDS
+
+
+def crash(system, rng):
+    address = rng.choice(list(system.tasks))
+    folder = system.replicas[address]._commit._store.path.parent.name
+    system.stop(address)
+    system.run_steps(rng.randrange(3 * SETTLE_ROUNDS))
+    system.start(address, seeds=tuple(system.tasks), disk=folder)
+    return SETTLE_ROUNDS
+
+
+@pytest.mark.parametrize('size', [3, 4, 5])
+@pytest.mark.parametrize('seed', range(8))
+def test_values_outlast_replacements_with_later_losses(system, size, seed):
+    # Guards against members that are gone and still count, whatever the order
+    # of planned replacements, restarts, crashes and lost disks, one at a time.
+    rng = random.Random(1_000 * size + seed)
+    for address in (*SEEDS, 'd:1', 'e:1')[:size]:
+        system.start(address, first_start=True)
+    system.run_steps()
+    for number in range(8):
+        value = b'%d' % number
+        written = system.proposer(tuple(system.tasks)).change(
+            'k', lambda _, value=value: value
+        )
+        assert written.unwrap().applied
+        event = rng.choice([replace, replace, restart, lose_a_disk, crash])
+        system.run_steps(event(system, rng))
+        reader = system.proposer(tuple(system.tasks))
+        assert reader.read('k').unwrap() == value
+
+
 def start_and_abandon_change(formed, address):
     """Let ``address`` join, but block its change before the rewrite."""
 
--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -47,6 +47,9 @@
 # controller after a second.
 REGISTER_CHANGE_TIMEOUT_MS = 1_500
 REGISTER_CALL_TIMEOUT_MS = 400
+# With the release of the lease below the 8 s within which a stopped process
+# has to end.
+LEAVE_TIMEOUT_MS = 4_000
 
 
 class Controller:
@@ -196,10 +199,13 @@
         return self
 
     def stop(self):
-        """Release the lease and stop; return true."""
+        """Release the lease, leave the replica set and stop; return true."""
         paddle_kernel.emit(_events.STOPPING, in_charge=self.holds_lease)
         with gevent.Timeout(2 * REGISTER_CHANGE_TIMEOUT_MS / 1_000, False):
             self.lease.release()
+        if self.forming is not None:
+            with gevent.Timeout(LEAVE_TIMEOUT_MS / 1_000, False):
+                self.forming.leave()
         self.close()
         return True
 
@@ -267,7 +273,11 @@
             self.replica,
             self.transport,
             self.clock,
-            paddle_coord.Placement(self.settings.peer, self.settings.seeds),
+            paddle_coord.Placement(
+                self.settings.peer,
+                self.settings.seeds,
+                self.settings.tolerated_losses,
+            ),
             data_dir=folder,
             first_start=self.settings.first_start,
         )
--- a/packages/router/src/paddle_router/controller/_settings.py
+++ b/packages/router/src/paddle_router/controller/_settings.py
@@ -11,6 +11,7 @@
     other controllers. ``seeds`` are peer addresses of other controllers; with
     ``first_start`` they form the first replica set. The report of a usage
     window is due ``usage_late_ms`` after the window has ended.
+    ``tolerated_losses`` controllers may be lost at the same time.
     """
 
     name: str
@@ -25,3 +26,4 @@
     usage_late_ms: int
     reports_usage: bool
     orders_servers: bool
+    tolerated_losses: int = 1
--- a/packages/router/tests/test_controller_replica.py
+++ b/packages/router/tests/test_controller_replica.py
@@ -15,7 +15,11 @@
     """A controller with what it needs to open its replica."""
     built = object.__new__(_controller.Controller)
     built.settings = types.SimpleNamespace(
-        data_dir=tmp_path, peer='a:1', seeds=('a:1',), first_start=True
+        data_dir=tmp_path,
+        peer='a:1',
+        seeds=('a:1',),
+        first_start=True,
+        tolerated_losses=1,
     )
     built.replica = built.forming = None
     built.clock = kernel.FakeClock()
--- a/packages/testbed/src/paddle_testbed/fleet.py
+++ b/packages/testbed/src/paddle_testbed/fleet.py
@@ -28,6 +28,7 @@
 POLL_INTERVAL_S = 0.05
 WAIT_S = 20
 BOUNDS = {
+    'catchUpS': 4,
     'drainMs': 3_000,
     'gracePeriodS': 8,
     'leaseDurationMs': 3_000,
@@ -52,6 +53,8 @@
     ip: str
     folder: pathlib.Path
     process: subprocess.Popen | None = None
+    # Whether it was removed for good; its folder and log remain.
+    is_removed: bool = False
 
 
 class Fleet:
@@ -66,9 +69,7 @@
             self.add(f'core-{index}', 'controller')
         for index in range(gateways):
             self.add(f'front-{index}', 'gateway')
-        self.seeds = [
-            f'{ip}:{CONTROL_PORT}' for ip in self._controller_ips()[:3]
-        ]
+        self.seeds = self._first_controllers()
 
     def add(self, name, role):
         """Add a machine without starting it."""
@@ -111,6 +112,24 @@
         process.kill()
         process.wait()
 
+    def add_controller(self):
+        """Start a controller with an empty disk; return its name."""
+        count = sum(
+            item.role == 'controller' for item in self.machines.values()
+        )
+        name = f'core-{count}'
+        self.add(name, 'controller')
+        self.start(name)
+        return name
+
+    def remove(self, name):
+        """Remove a controller that was stopped for good.
+
+        Machines that start later get other seeds.
+        """
+        self.machines[name].is_removed = True
+        self.seeds = self._first_controllers()
+
     def delete_data(self, name):
         """Delete the data directory of a stopped machine."""
         shutil.rmtree(self.machines[name].folder / 'data')
@@ -184,7 +203,9 @@
     def names(self, role):
         """Return the names of the machines of ``role``."""
         return [
-            item.name for item in self.machines.values() if item.role == role
+            item.name
+            for item in self.machines.values()
+            if item.role == role and not item.is_removed
         ]
 
     def gateway_address(self, name):
@@ -216,12 +237,10 @@
         status, body = self.call(name, 'GET', '/dump')
         return json.loads(body) if status == 200 else {}
 
-    def _controller_ips(self):
-        return [
-            item.ip
-            for item in self.machines.values()
-            if item.role == 'controller'
-        ]
+    def _first_controllers(self):
+        """Return the addresses for operators of three controllers at most."""
+        ips = [self.machines[name].ip for name in self.names('controller')]
+        return [f'{ip}:{CONTROL_PORT}' for ip in ips[:3]]
 
     def _settings(self, machine, first_start):
         ip = machine.ip
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -131,6 +131,31 @@
         system.fleet.wait_voting_again(name)
 
 
+@faults.register('replace_controller')
+def replace_controller(system, rng):
+    """Replace one controller as planned: the new one first, then SIGTERM.
+
+    No other controller is disturbed until the old one has stopped; any may be
+    from then on.
+    """
+    with contextlib.ExitStack() as stack:
+        if not stack.enter_context(system.locks.lock_disk()):
+            return
+        names = system.locks.lock_all(stack, 'controller')
+        if names != system.fleet.names('controller'):
+            return
+        for name in names:
+            system.fleet.wait_voting_again(name)
+        new = system.fleet.add_controller()
+        stack.enter_context(system.locks.lock(new))
+        system.fleet.wait_voting_again(new)
+        gevent.sleep(system.fleet.bounds['catchUpS'])
+        old = rng.choice(names)
+        with recorded_disturbance(system, 'stop', old):
+            system.stop(old, STOP_LIMIT_S)
+            system.fleet.remove(old)
+
+
 @faults.register('full_disk')
 def full_disk(system, rng):
     """Make the files of one controller refuse writes for a while."""
@@ -178,9 +203,9 @@
 def reload(system, rng):
     """Send SIGHUP to all programs, twice in a row."""
     for _ in range(2):
-        for name in system.fleet.machines:
+        for name, machine in system.fleet.machines.items():
             with system.locks.lock(name) as is_free:
-                if is_free:
+                if is_free and not machine.is_removed:
                     system.signal(name, signal.SIGHUP)
         sleep_random(rng, (0, 0.3))
 
--- a/packages/testbed/src/paddle_testbed/soak/_run.py
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -159,6 +159,13 @@
         ``signal_schedule`` lists further signals for it as pairs of a pause
         in s and a signal number.
         """
+        self.stop(name, limit_s, signal_schedule)
+        self.restart(name)
+        if name in self.fleet.names('gateway'):
+            self.fleet.wait_ready(name)
+
+    def stop(self, name, limit_s, signal_schedule=()):
+        """Stop a process with SIGTERM; kill it after ``limit_s``."""
         process = self.fleet.machines[name].process
         begin_ms = _ledger.now_ms()
         self.signal(name, signal.SIGTERM)
@@ -174,9 +181,6 @@
         self.ledger.stops.append((name, process.poll(), elapsed_ms))
         if process.poll() is None:
             self.kill(name)
-        self.restart(name)
-        if name in self.fleet.names('gateway'):
-            self.fleet.wait_ready(name)
 
     def restart(self, name):
         """Start a process and wait until it has its own signal handlers.
@@ -220,7 +224,11 @@
         while True:
             gevent.sleep(PROCESS_POLL_S)
             for machine in self.fleet.machines.values():
-                if self.locks.is_locked(machine.name) or not machine.process:
+                if (
+                    self.locks.is_locked(machine.name)
+                    or machine.is_removed
+                    or not machine.process
+                ):
                     continue
                 code = machine.process.poll()
                 entry = (machine.name, code)
--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -363,6 +363,27 @@
     assert send_request(serving, 'front-0') == 200
 
 
+def test_a_planned_replacement_is_followed_by_the_loss_of_a_disk(serving):
+    # Guards against a controller that was stopped for good and remains a
+    # member: the next lost disk left no quorum, and the acknowledged
+    # configuration could not be read or changed any more.
+    replacement = serving.add_controller()
+    serving.wait_voting_again(replacement)
+    serving.signal('core-2', signal.SIGTERM)
+    assert serving.machines['core-2'].process.wait(timeout=9) == 0
+    serving.remove('core-2')
+    serving.put_configuration(build_config(30))
+    serving.kill('core-1')
+    serving.delete_data('core-1')
+    serving.start('core-1')
+    for name in serving.names('controller'):
+        fleets.wait_for(
+            lambda name=name: read_config_version(serving, name) == 30,
+            f'{name} does not return the acknowledged version',
+        )
+    serving.put_configuration(build_config(31))
+
+
 def test_a_planned_stop_cuts_no_request(serving, origin):
     origin.script = lambda req, sock: [0.5, fakes.response(req)]
     pending = gevent.spawn(send_request, serving, 'front-0')
