Let other requests run beside a peer that always has bytes ready

Cause: gevent switches only where an operation would block. A relay loop whose reads and writes always succeed at once keeps its greenlet, so no other request and no timer runs. The cost of an incomplete event grew with the square of its size, and a pause limit that has passed fired only if reading waited.

Ruled out: limits on sizes. They hold; short events never reach them.

The soak gets such an answer as a fault and a check of late answers.

--- a/packages/kernel/src/paddle_kernel/__init__.py
+++ b/packages/kernel/src/paddle_kernel/__init__.py
@@ -28,6 +28,7 @@
 from paddle_kernel._loop import check as check_loop
 from paddle_kernel._loop import state as loop_state
 from paddle_kernel._loop import WrongLoopError
+from paddle_kernel._loop import yield_if_due
 from paddle_kernel._memory import DELAY
 from paddle_kernel._memory import DELIVER
 from paddle_kernel._memory import DROP
@@ -97,4 +98,5 @@
     'read_entries',
     'run_in_thread',
     'split_address',
+    'yield_if_due',
 ]
--- a/packages/kernel/src/paddle_kernel/_transport.py
+++ b/packages/kernel/src/paddle_kernel/_transport.py
@@ -17,6 +17,7 @@
 from paddle_kernel import _clock
 from paddle_kernel import _codec
 from paddle_kernel import _events
+from paddle_kernel import _loop
 
 # Number of bytes that follow, call id and length of the message kind.
 FRAME_HEADER = struct.Struct('!IQB')
@@ -125,6 +126,7 @@
         :raises EOFError: at the end of the connection.
         :raises FrameError: if the frame is too long or cannot be decoded.
         """
+        _loop.yield_if_due()
         self._receive_until(_FRAME_SIZE.size)
         (size,) = _FRAME_SIZE.unpack_from(self._buffer)
         if size > MAX_FRAME_BYTES:
@@ -140,6 +142,7 @@
 
     def _receive_until(self, size):
         while len(self._buffer) < size:
+            _loop.yield_if_due()
             data = self._sock.recv(RECEIVE_BYTES)
             if not data:
                 raise EOFError
--- a/packages/router/src/paddle_router/_http_out.py
+++ b/packages/router/src/paddle_router/_http_out.py
@@ -70,6 +70,7 @@
         return b''.join(parts)
 
     def _receive(self):
+        paddle_kernel.yield_if_due()
         data = self._sock.recv(RECEIVE_BYTES)
         try:
             self.feed(data)
--- a/packages/router/src/paddle_router/gateway/_entry.py
+++ b/packages/router/src/paddle_router/gateway/_entry.py
@@ -233,4 +233,4 @@
     _half_close(sock)
     with gevent.Timeout(LINGER_MS / MS_PER_S, False):
         while sock.recv(_http1.RECEIVE_BYTES):
-            continue
+            paddle_kernel.yield_if_due()
--- a/packages/router/src/paddle_router/gateway/_http1.py
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -14,6 +14,7 @@
 import gevent.socket
 import h11
 
+import paddle_kernel
 from paddle_kernel import MS_PER_S
 from paddle_router.gateway import _response_limits
 
@@ -261,6 +262,7 @@
 
     def _event(self):
         while True:
+            paddle_kernel.yield_if_due()
             event = self._h11.next_event()
             if event is not h11.NEED_DATA:
                 if isinstance(event, h11.ConnectionClosed):
@@ -436,6 +438,7 @@
     def _event(self):
         try:
             while True:
+                paddle_kernel.yield_if_due()
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
                     return event
--- a/packages/router/src/paddle_router/gateway/_response_limits.py
+++ b/packages/router/src/paddle_router/gateway/_response_limits.py
@@ -21,6 +21,9 @@
 # Maximum size of an event; those in the users' data sheets have at most 360
 # bytes.
 MAX_EVENT_BYTES = 262_144
+# Bytes without an event that may still be read after the pause limit, for
+# comments that were received while this process did not run.
+MAX_IDLE_BYTES = 16_384
 # Bytes received in addition to the body: heads, chunk sizes and extensions,
 # trailers. The size of the body is added to this limit.
 MAX_FRAMING_BYTES = 262_144
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+import paddle_kernel
 from paddle_kernel import MS_PER_S
 from paddle_router import _sse
 from paddle_router.gateway import _http1
@@ -9,6 +10,9 @@
 
 ID_FIELD = b'id:'
 DATA_FIELD = b'data:'
+# Received bytes are processed in steps, between which other requests may run;
+# events of two bytes cost 1 ms for each kB.
+MAX_STEP_BYTES = 4_096
 # Names of the fields of server-sent events; a comment has an empty name.
 FIELD_NAMES = frozenset({b'', b'data', b'event', b'id', b'retry'})
 
@@ -43,6 +47,8 @@
         self._head = head
         self._is_resumed = self._call.response_started
         self._last_event_ms = self._clock.now_ms()
+        # Bytes received since the last event with content.
+        self._idle_bytes = 0
 
     def run(self):
         """Forward the complete response.
@@ -52,10 +58,14 @@
         """
         splitter = _sse.EventSplitter()
         while (data := self._read_with_timeout()) is not None:
-            events = splitter.feed(data)
-            if events:
-                self._forward_events(events)
-            if len(splitter.remainder) > _response_limits.MAX_EVENT_BYTES:
+            for start in range(0, len(data), MAX_STEP_BYTES):
+                if start:
+                    paddle_kernel.yield_if_due()
+                events = splitter.feed(data[start : start + MAX_STEP_BYTES])
+                if events:
+                    self._forward_events(events)
+            self._check_idle_bytes(len(data))
+            if splitter.remainder_size > _response_limits.MAX_EVENT_BYTES:
                 raise _http1.BrokenResponseError('event too long')
         if self._is_resumed and splitter.remainder.strip():
             raise _http1.BrokenResponseError('resumed stream ends in an event')
@@ -79,14 +89,34 @@
 
     def _read_with_timeout(self):
         """Return the next bytes, ``None`` at the end of the response."""
+        silence_error = _http1.BrokenResponseError('no event in time')
+        left_s = max(0, self._pause_left_ms()) / MS_PER_S
+        with gevent.Timeout(left_s, silence_error):
+            return self._conn.read_data()
+
+    def _pause_left_ms(self):
+        """Return the time until the pause since the last event is too long."""
         call = self._call
         limit_ms = _response_limits.pause_limit_ms(call.route)
         if call.can_resume and call.attempts < call.route.attempts:
             limit_ms = _response_limits.resume_pause_limit_ms(call.route)
-        left_ms = self._last_event_ms + limit_ms - self._clock.now_ms()
-        silence_error = _http1.BrokenResponseError('no event in time')
-        with gevent.Timeout(max(0, left_ms) / MS_PER_S, silence_error):
-            return self._conn.read_data()
+        return self._last_event_ms + limit_ms - self._clock.now_ms()
+
+    def _check_idle_bytes(self, size):
+        """Check that ``size`` more bytes do not only keep the stream alive.
+
+        Reading never waits, so never times out, if bytes arrive faster than
+        they are read. After a pause of this process, on the other hand, events
+        may follow some bytes that were received meanwhile.
+
+        :raises BrokenResponseError: if there were many without an event.
+        """
+        self._idle_bytes += size
+        if (
+            self._idle_bytes > _response_limits.MAX_IDLE_BYTES
+            and self._pause_left_ms() <= 0
+        ):
+            raise _http1.BrokenResponseError('bytes without an event')
 
     def _check_resumed(self, events):
         """Check that ``events`` continue what the caller has.
@@ -115,6 +145,7 @@
         self._components.record_response(call)
         if any(_has_content(event) for event in events):
             self._last_event_ms = now_ms
+            self._idle_bytes = 0
             call.has_data = True
         call.record_events(now_ms)
         self._stream.record_events(len(events), now_ms - self._flight.last_ms)
--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -128,6 +128,21 @@
         pass
 
 
+def listed_server(server_id, service, address, **fields):
+    """Return the entry of a server, with ``fields`` set in it."""
+    return gateway.ListedServer(
+        **{
+            'id': server_id,
+            'service': service,
+            'address': address,
+            'domain': 'd1',
+            'slots': 4,
+            'software_version': '',
+            **fields,
+        }
+    )
+
+
 class GatewayHarness:
     """A gateway with fake controllers and backend servers."""
 
@@ -167,15 +182,13 @@
         ``versions`` are their software versions in turn.
         """
         self.controllers.servers = tuple(
-            gateway.ListedServer(
-                id=f'i-{index}',
+            listed_server(
+                f'i-{index}',
+                'plain',
+                origin.address,
                 software_version=versions[index % len(versions)]
                 if versions
                 else '',
-                service='plain',
-                address=origin.address,
-                domain='d1',
-                slots=4,
                 **fields,
             )
             for index, origin in enumerate(self.origins)
--- a/packages/testbed/src/paddle_testbed/soak/_callers.py
+++ b/packages/testbed/src/paddle_testbed/soak/_callers.py
@@ -19,6 +19,21 @@
 _EVENT = re.compile(rb'id: (\d+)\ndata: (\S*)\n\n')
 
 
+def request_bytes(path, request_id, state=None):
+    """Return the bytes of a request; ``state`` is that of its connection."""
+    state = state or h11.Connection(h11.CLIENT)
+    head = h11.Request(
+        method='GET',
+        target=path,
+        headers=[
+            ('Host', HOST),
+            ('Authorization', f'Token {KEY}'),
+            ('Rosemarypaddle-Request-Id', request_id),
+        ],
+    )
+    return state.send(head) + state.send(h11.EndOfMessage())
+
+
 class Connection:
     """One connection to a gateway, for one request at a time."""
 
@@ -40,17 +55,9 @@
 
         :raises OSError: if the connection ends before the answer is complete.
         """
-        head = h11.Request(
-            method='GET',
-            target=f'/{attempt.kind}/x',
-            headers=[
-                ('Host', HOST),
-                ('Authorization', f'Token {KEY}'),
-                ('Rosemarypaddle-Request-Id', attempt.request_id),
-            ],
-        )
+        path = f'/{attempt.kind}/x'
         self._sock.sendall(
-            self._state.send(head) + self._state.send(h11.EndOfMessage())
+            request_bytes(path, attempt.request_id, self._state)
         )
         body = bytearray()
         try:
--- a/packages/testbed/src/paddle_testbed/soak/_checks.py
+++ b/packages/testbed/src/paddle_testbed/soak/_checks.py
@@ -21,6 +21,10 @@
 # A request sent while the gateway closes the connection may go unanswered.
 LOSS_SLACK_MS = 200
 RETRY_WINDOW_MS = 10_000
+# Timeout of the routes that are no streams, and the time after it until which
+# most requests have to be answered.
+ROUTE_TIMEOUT_MS = 2_000
+LATE_MS = 500
 MIN_SERVED_RATIO = 0.95
 # When a server asks for quiet, requests already in flight may still arrive
 # within the grace time, and two more after it.
@@ -110,6 +114,36 @@
             )
 
 
+@checks.register('requests are answered by their time limit')
+def late_answers(ledger, calls, findings):
+    """Check that a gateway ends requests that exceed their route's timeout.
+
+    Of the requests that are unanswered at the timeout, at most half may have
+    no answer half a second later.
+    """
+    spent_ms = [
+        item.ended_ms - item.sent_ms
+        for item in ledger.attempts
+        if item.ended_ms is not None
+        and item.kind != _ledger.CHAT
+        and not _was_disturbed(
+            ledger,
+            (item.gateway, 'all'),
+            item.sent_ms - RECONNECT_MS,
+            item.ended_ms,
+        )
+    ]
+    unanswered = [item for item in spent_ms if item > ROUTE_TIMEOUT_MS]
+    late = [item for item in unanswered if item > ROUTE_TIMEOUT_MS + LATE_MS]
+    if len(late) > len(unanswered) / 2:
+        findings.add(
+            f'{len(unanswered)} requests unanswered after '
+            f'{ROUTE_TIMEOUT_MS} ms',
+            f'{len(late)} without an answer {LATE_MS} ms later',
+            'half of them at most',
+        )
+
+
 @checks.register('repeats stay within the budget')
 def retry_budget(ledger, calls, findings):
     seen = set()
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -10,7 +10,9 @@
 import gevent
 
 import paddle_kernel
+from paddle_testbed import endless_peer
 from paddle_testbed import fakes
+from paddle_testbed.soak import _callers
 from paddle_testbed.soak import _ledger
 from paddle_testbed.soak import _proxy
 from paddle_testbed.soak import _servers
@@ -27,6 +29,10 @@
 # Longer than the time in which gateways must learn of a limit, and a window.
 LIMIT_DURATION_S = (7.5, 10.0)
 LIMITS_PER_S = (0.5, 6.0)
+# Time until gateways use a server that the platform has just listed.
+LISTING_DELAY_S = 1.5
+# Longer than the time in which other requests have to be answered.
+ENDLESS_DURATION_S = (3.5, 5.0)
 
 faults = paddle_kernel.Registry('fault')
 
@@ -223,6 +229,31 @@
         server.fault = _servers.Fault.NONE
 
 
+@faults.register('endless_answer')
+def endless_answer(system, rng):
+    """One caller reads an answer without end, as fast as it comes.
+
+    It excuses nothing, so it is not recorded as a disturbance.
+    """
+    kind = rng.choice(sorted(endless_peer.PIECES))
+    name = rng.choice(system.fleet.names('gateway'))
+    address = '%s:%d' % system.fleet.gateway_address(name)
+    peers = [endless_peer.EndlessPeer.serve()]
+    server = peers[0].read_line()
+    system.endless_addresses.append(server)
+    system.publish_servers()
+    try:
+        gevent.sleep(LISTING_DELAY_S)
+        req = _callers.request_bytes(f'/endless/{kind}', server)
+        peers.append(endless_peer.EndlessPeer.read(address, req))
+        sleep_random(rng, ENDLESS_DURATION_S)
+    finally:
+        for peer in peers:
+            peer.stop()
+        system.endless_addresses.remove(server)
+        system.publish_servers()
+
+
 @faults.register('stream_errors')
 def stream_errors(system, rng):
     """One server breaks streams off, another fails to resume them."""
--- a/packages/testbed/src/paddle_testbed/soak/_run.py
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -32,11 +32,13 @@
 CONFIG_PROPAGATION_S = 2
 PROCESS_POLL_S = 0.1
 FAULT_PAUSE_S = (0.1, 1.2)
+# Service and route of servers whose answers have no end.
+ENDLESS = 'endless'
 ROUTE = {
     'host': _callers.HOST,
     'service': 'plain',
     'targetLatencyMs': 300,
-    'timeoutMs': 2000,
+    'timeoutMs': _checks.ROUTE_TIMEOUT_MS,
     'attempts': 3,
 }
 CONFIG = {
@@ -58,8 +60,20 @@
             'resumable': True,
             'targetGapMs': 300,
         },
+        {
+            **ROUTE,
+            'name': ENDLESS,
+            'pathPrefix': f'/{ENDLESS}/',
+            'kind': 'streaming',
+            'timeoutMs': 8000,
+            'service': ENDLESS,
+            'attempts': 1,
+        },
+    ],
+    'services': [
+        {'name': 'plain', 'connectionLimit': 100},
+        {'name': ENDLESS, 'connectionLimit': 10},
     ],
-    'services': [{'name': 'plain', 'connectionLimit': 100}],
     'limits': {'idleTimeoutMs': 15000},
     'tenants': [{'name': 'cust', 'accessKeys': [_callers.KEY]}],
 }
@@ -90,6 +104,7 @@
             )
             for number in range(options.servers)
         ]
+        self.endless_addresses = []
         self.publish_servers()
         self.fleet = fleets.Fleet(
             folder,
@@ -133,7 +148,21 @@
 
     def publish_servers(self):
         """Publish the current servers in the platform's list of instances."""
-        self.cloud.entries = [item.list_entry() for item in self.servers]
+        self.cloud.entries = [
+            *(item.list_entry() for item in self.servers),
+            *(
+                {
+                    'identifier': f'endless-{address}',
+                    'service': ENDLESS,
+                    'address': address,
+                    'zone': DOMAINS[0],
+                    'version': 'v1',
+                    'slots': 1,
+                    'state': 'ready',
+                }
+                for address in self.endless_addresses
+            ),
+        ]
 
     def signal(self, name, number):
         """Send a signal to the process of a machine and record it."""
@@ -303,7 +332,7 @@
                 for document in self.ledger.read_back.values()
                 if document
                 for route in document['routes']
-                if route['name'] not in _callers.KINDS
+                if route['name'] not in (*_callers.KINDS, ENDLESS)
             }
         )
 
--- a/packages/testbed/tests/test_soak.py
+++ b/packages/testbed/tests/test_soak.py
@@ -194,6 +194,10 @@
         ledger.runs.append(run(name, _ledger.SAFE, at_ms=1_610))
 
 
+def late_answer(ledger, calls):
+    ledger.attempts.append(attempt('late', kind=_ledger.SAFE, ended_ms=3_600))
+
+
 def requests_beyond_a_limit(ledger, calls):
     ledger.limit_periods.append(
         _ledger.LimitPeriod(
@@ -225,6 +229,7 @@
     unexpected_exit,
     repair_overdue,
     slow_stop,
+    late_answer,
     lost_without_a_fault,
     unreported_signal,
     unreported_before_a_kill,
