Clear prompts by answers that have begun, and count one cause once

Cause: a part was cleared only by requests that had ended, dated by when they were sent, so streams of more than some 6 s cleared nothing; and each of several servers that crash at one moment counted as a proof of its own.

Ruled out by reading: reports counted twice, and a decision before the gateways had reported.

A request whose answer has begun now clears its prompt parts, one that ended also its fingerprint, as of that moment. Crashes within 1 s count once unless a request with the trait was sent in between. Reports therefore carry the time at which the request was sent.

--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -441,9 +441,7 @@
         return _call.AttemptOutcome.MOVED
 
     def _record_served(self):
-        self._components.request_crashes.record_served(
-            self._call, self._flight.sent_ms
-        )
+        self._components.request_crashes.record_served(self._call)
 
     def _fail(self, outcome, detail):
         self._call.is_response_lost = (
@@ -453,7 +451,7 @@
         )
         if self._call.is_response_lost:
             self._components.request_crashes.check_server(
-                self._call, self._server, has_begun=self._flight.started
+                self._call, self._server, self._flight
             )
         self._call.reason = f'{outcome.value}: {detail}'[:200]
         self._components.metrics.failures.labels(outcome.value).inc()
--- a/packages/router/src/paddle_router/gateway/_request_crashes.py
+++ b/packages/router/src/paddle_router/gateway/_request_crashes.py
@@ -42,7 +42,7 @@
         # Requests whose server is being checked, with their traits, by server.
         self._unchecked = {}
         self._reports = collections.deque(maxlen=MAX_REPORTS)
-        # When the newest served request with a trait was sent.
+        # When a request with a trait was last served.
         self._served_ms = collections.OrderedDict()
         self._suspects = ()
         self._refused_until_ms = {}
@@ -63,11 +63,18 @@
         """Return the time until requests with ``refused`` are sent again."""
         return max(0, refused.until_ms - self._wall.now_ms())
 
-    def record_served(self, call, sent_ms):
-        """Record that ``call``, sent at ``sent_ms``, was served completely."""
-        offset_ms = self._wall.now_ms() - self._clock.now_ms()
-        for trait in call.traits:
-            self._served_ms[trait] = sent_ms + offset_ms
+    def record_begun(self, call):
+        """Record that a server has begun to answer the prompt of ``call``."""
+        self._record(call.metadata.shared_part_ids)
+
+    def record_served(self, call):
+        """Record that ``call`` was served completely."""
+        self._record(call.traits)
+
+    def _record(self, traits):
+        now_ms = self._wall.now_ms()
+        for trait in traits:
+            self._served_ms[trait] = now_ms
             self._served_ms.move_to_end(trait)
         while len(self._served_ms) > MAX_SERVED_TRAITS:
             self._served_ms.popitem(last=False)
@@ -79,15 +86,15 @@
             trait in item.traits for item in self._reports
         )
 
-    def check_server(self, call, server, *, has_begun):
+    def check_server(self, call, server, flight):
         """Find out whether ``server`` crashed while it ran ``call``.
 
-        ``has_begun`` tells whether it had begun to answer, so that the prompt
-        is not the cause.
+        If it had begun to answer in ``flight``, the prompt is not the cause.
         """
-        traits = call.traits[-1:] if has_begun else call.traits
+        traits = call.traits[-1:] if flight.started else call.traits
+        sent_ms = flight.sent_ms + self._wall.now_ms() - self._clock.now_ms()
         calls = self._unchecked.setdefault(server.incarnation, [])
-        calls.append((call, traits[-MAX_TRAITS_PER_REPORT:]))
+        calls.append((call, traits[-MAX_TRAITS_PER_REPORT:], sent_ms))
         if len(calls) == 1:
             gevent.spawn(self._check, server)
 
@@ -101,7 +108,7 @@
                 if now_ms - item.at_ms <= REPEAT_MS
             ),
             'served': tuple(
-                policy.ServedTrait(id=trait, sent_ms=self._served_ms[trait])
+                policy.ServedTrait(id=trait, at_ms=self._served_ms[trait])
                 for trait in self._suspects
                 if trait in self._served_ms
             ),
@@ -153,12 +160,13 @@
         if not is_crashed:
             return
         self._components.metrics.server_crashes.inc()
-        for call, traits in calls:
+        for call, traits, sent_ms in calls:
             report = policy.CrashReport(
                 id=f'{self._incarnation}/{next(self._numbers)}',
                 server=server.incarnation,
                 at_ms=at_ms,
                 traits=traits,
+                sent_ms=sent_ms,
             )
             self._reports.append(report)
             paddle_kernel.emit(
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -47,6 +47,7 @@
         self._head = head
         self._is_resumed = self._call.response_started
         self._last_event_ms = self._clock.now_ms()
+        self._has_begun = False
         # Bytes received since the last event with content.
         self._idle_bytes = 0
 
@@ -147,6 +148,9 @@
             self._last_event_ms = now_ms
             self._idle_bytes = 0
             call.has_data = True
+            if not self._has_begun:
+                self._has_begun = True
+                self._components.request_crashes.record_begun(call)
         call.record_events(now_ms)
         self._stream.record_events(len(events), now_ms - self._flight.last_ms)
         self._components.moves.move_if_needed(self._stream)
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -26,11 +26,12 @@
   server @1 :Incarnation;
   atMs @2 :UInt64;
   traits @3 :List(Text);
+  sentMs @4 :UInt64;
 }
 
 struct ServedTrait {
   id @0 :Text;
-  sentMs @1 :UInt64;
+  atMs @1 :UInt64;
 }
 
 struct RefusedTrait {
--- a/packages/router/src/paddle_router/policy/_request_crashes.py
+++ b/packages/router/src/paddle_router/policy/_request_crashes.py
@@ -10,10 +10,15 @@
 
 Traits are shared: every request of a route may begin with the same prompt
 part, so most candidates are sound. They are cleared by requests with the same
-trait that were served. Once a trait is blamed, the crashes that it explains do
-not count against the others. Only if the blamed trait is a fingerprint, they
-still count as one crash against the prompt parts: a part that crashes servers
-is found although one request with it was repeated several times.
+trait that were served, and prompt parts by those whose response has begun.
+Once a trait is blamed, the crashes that it explains do not count against the
+others. Only if the blamed trait is a fingerprint, they still count as one
+crash against the prompt parts: a part that crashes servers is found although
+one request with it was repeated several times.
+
+Servers that crash at the same moment have one cause. If no request with a
+trait was sent between two such crashes, they count as one against the trait,
+however many of its requests the servers were running.
 
 Times are ms since the Unix epoch by the synchronized clock of the instances,
 so that evidence can be merged in any order and several times.
@@ -28,9 +33,13 @@
 # Crashes after which a trait is refused. With two, a rarely used trait that
 # waited at two servers that crashed for another reason would be refused.
 CRASHES_TO_REFUSE = 3
-# A trait is not blamed for a crash if a request that was sent with it at most
-# this long before the crash, or later, has been served.
+# A trait is not blamed for a crash if a request with it was served, or a
+# prompt with it began to be answered, at most this long before the crash or
+# later.
 SERVED_VALIDITY_MS = 5_000
+# Crashes of servers within this time may have one cause. The clocks of
+# instances differ by less.
+SAME_MOMENT_MS = 1_000
 # How long requests with a blamed trait are refused. Afterwards one more crash
 # is enough to refuse them again.
 REFUSAL_MS = 600_000
@@ -69,24 +78,26 @@
     """A request that a server was running when it crashed.
 
     ``id`` identifies the report, ``traits`` holds the request's traits, the
-    one that the fewest requests have last.
+    one that the fewest requests have last. The request was sent at
+    ``sent_ms``, the server crashed at ``at_ms``.
     """
 
     id: str
     server: _server_notices.Incarnation
     at_ms: int
     traits: tuple[str, ...]
+    sent_ms: int
 
 
 @attrs.frozen(kw_only=True)
 class ServedTrait:
-    """A trait with which a request that was sent at ``sent_ms`` ended.
+    """A trait that had not crashed the server of a request at ``at_ms``.
 
-    The response was complete, so the trait did not crash that server.
+    The response was complete or, for a prompt part, had begun.
     """
 
     id: str
-    sent_ms: int
+    at_ms: int
 
 
 @attrs.frozen(kw_only=True)
@@ -104,17 +115,25 @@
 
 @attrs.define(eq=False)
 class _Crash:
-    """A crash and the positions of the candidate traits in their requests."""
+    """A crash and its candidate traits.
+
+    ``positions`` holds their positions in their requests, ``sent_ms`` when
+    the last request with each was sent to the server.
+    """
 
     server: _server_notices.Incarnation
     at_ms: int
     positions: dict = attrs.field(factory=dict)
+    sent_ms: dict = attrs.field(factory=dict)
 
     def add(self, report):
         for position, trait in enumerate(report.traits):
             self.positions[trait] = max(
                 position, self.positions.get(trait, position)
             )
+            self.sent_ms[trait] = max(
+                report.sent_ms, self.sent_ms.get(trait, report.sent_ms)
+            )
 
 
 @attrs.frozen
@@ -162,7 +181,7 @@
         """Add :class:`ServedTrait` objects."""
         for item in served:
             self._served_ms[item.id] = max(
-                min(item.sent_ms, now_ms), self._served_ms.get(item.id, 0)
+                min(item.at_ms, now_ms), self._served_ms.get(item.id, 0)
             )
 
     def add_refused(self, refused, now_ms):
@@ -184,7 +203,7 @@
     def served(self, traits):
         """Return a :class:`ServedTrait` for each of ``traits`` that was."""
         return tuple(
-            ServedTrait(id=trait, sent_ms=self._served_ms[trait])
+            ServedTrait(id=trait, at_ms=self._served_ms[trait])
             for trait in traits
             if trait in self._served_ms
         )
@@ -318,7 +337,9 @@
                     for crash in crashes
                     if crash.at_ms > served_ms + SERVED_VALIDITY_MS
                 ]
-            crashes = self._without_explained(trait, crashes)
+            crashes = _independent(
+                trait, self._without_explained(trait, crashes)
+            )
             if len(crashes) >= needed:
                 by_trait[trait] = crashes
         return by_trait
@@ -377,9 +398,9 @@
                 for trait in crash.positions:
                     self._crashes_of[trait].append(crash)
         self._served_ms = {
-            trait: sent_ms
-            for trait, sent_ms in self._served_ms.items()
-            if sent_ms >= oldest_ms
+            trait: at_ms
+            for trait, at_ms in self._served_ms.items()
+            if at_ms >= oldest_ms
         }
         # A trait that was served after its refusal is sound again.
         self._refused_until_ms = {
@@ -388,3 +409,21 @@
             if until_ms + RETENTION_MS > now_ms
             and self._served_ms.get(trait, 0) <= until_ms
         }
+
+
+def _independent(trait, crashes):
+    """Return the ``crashes`` that may each have been caused by ``trait``.
+
+    One that follows another at once counts only if a request with the trait
+    was sent after that: servers that lose their power together were all
+    running earlier requests.
+    """
+    found = []
+    for crash in sorted(crashes, key=lambda crash: crash.at_ms):
+        if (
+            not found
+            or crash.at_ms - found[-1].at_ms > SAME_MOMENT_MS
+            or crash.sent_ms[trait] >= found[-1].at_ms
+        ):
+            found.append(crash)
+    return found
--- a/packages/router/tests/test_controller_request_crashes.py
+++ b/packages/router/tests/test_controller_request_crashes.py
@@ -40,6 +40,7 @@
                     server=policy.Incarnation(f's{self.number}'),
                     at_ms=now_ms,
                     traits=parts,
+                    sent_ms=now_ms,
                 ),
             )
         self.collections[name].add(
@@ -51,7 +52,7 @@
                 usage=(),
                 crashes=crashes,
                 served=tuple(
-                    policy.ServedTrait(id=part, sent_ms=now_ms)
+                    policy.ServedTrait(id=part, at_ms=now_ms)
                     for part in served
                 ),
                 refused=refused,
--- a/packages/router/tests/test_policy_request_crashes.py
+++ b/packages/router/tests/test_policy_request_crashes.py
@@ -14,12 +14,19 @@
 PREAMBLE = 'a1'
 
 
-def report(number, at_ms, *parts, server=None):
+# Time from the sending of a request to the crash that it causes.
+RUN_MS = 50
+
+
+def report(number, at_ms, *parts, server=None, sent_ms=None):
+    if sent_ms is None:
+        sent_ms = at_ms - RUN_MS
     return policy.CrashReport(
         id=f'g/{number}',
         server=policy.Incarnation(server or f's{number}'),
         at_ms=START_MS + at_ms,
         traits=parts,
+        sent_ms=START_MS + sent_ms,
     )
 
 
@@ -35,12 +42,18 @@
             self.now_ms += 150
             self.crashes.decide(START_MS + self.now_ms, COLLECTION_MS)
 
-    def add_crash(self, number, at_ms, *prompts, server=None):
+    def add_crash(self, number, at_ms, *prompts, sent_ms=None):
         """Add a crash that left requests with ``prompts`` unanswered."""
         self.run_until(at_ms)
         self.crashes.add_reports(
             [
-                report(f'{number}.{index}', at_ms, *parts, server=f's{number}')
+                report(
+                    f'{number}.{index}',
+                    at_ms,
+                    *parts,
+                    server=f's{number}',
+                    sent_ms=sent_ms,
+                )
                 for index, parts in enumerate(prompts)
             ],
             START_MS + at_ms,
@@ -50,7 +63,7 @@
         self.run_until(at_ms)
         self.crashes.add_served(
             [
-                policy.ServedTrait(id=part, sent_ms=START_MS + at_ms)
+                policy.ServedTrait(id=part, at_ms=START_MS + at_ms)
                 for part in parts
             ],
             START_MS + at_ms,
@@ -81,6 +94,40 @@
     assert decider.refused() == []
 
 
+@pytest.mark.parametrize('apart_ms', [0, 3, 400])
+@pytest.mark.parametrize('count', [3, 12])
+def test_servers_that_crash_together_count_once(decider, count, apart_ms):
+    # Guards against a part of all requests of a kind that is refused for ten
+    # minutes because several servers lost their power together.
+    for number in range(count):
+        at_ms = 3_000 + number * apart_ms // count
+        decider.add_crash(
+            number,
+            at_ms,
+            (PREAMBLE, f'b{number}', request_of(number)),
+            sent_ms=3_000 - 200 * number - 1,
+        )
+    decider.run_until(30_000)
+    assert decider.refused() == []
+
+
+def test_requests_sent_after_each_crash_count_each(decider):
+    # Guards against a part that crashes servers one soon after the other and
+    # is taken for a loss of power.
+    for number in range(3):
+        decider.add_crash(number, 100 * number, (CRASHING,), sent_ms=None)
+    decider.run_until(3_000)
+    assert decider.refused() == [CRASHING]
+
+
+def test_crashes_far_apart_count_each(decider):
+    # Guards against a part whose requests all waited at a server for long.
+    for number in range(3):
+        decider.add_crash(number, 1_500 * number, (CRASHING,), sent_ms=-9_000)
+    decider.run_until(6_000)
+    assert decider.refused() == [CRASHING]
+
+
 def test_several_requests_in_one_crash_count_once(decider):
     # Guards against a part that is refused after one crash of a server with
     # several waiting requests, reported by several gateways.
@@ -170,7 +217,7 @@
 @given(st.randoms(use_true_random=False))
 def test_evidence_may_arrive_in_any_order_and_repeatedly(rng):
     reports = [report(n, 400 * n, PREAMBLE, CRASHING) for n in range(4)]
-    served = [policy.ServedTrait(id=PREAMBLE, sent_ms=START_MS + 2_000)]
+    served = [policy.ServedTrait(id=PREAMBLE, at_ms=START_MS + 2_000)]
     decider = Decider()
     facts = [*reports, *reports]
     rng.shuffle(facts)
@@ -206,6 +253,97 @@
     assert decider.refused() == []
 
 
+class Fleet:
+    """Servers with requests that all begin with ``PREAMBLE``.
+
+    A request begins to be answered ``first_ms`` after it was sent, and ends
+    ``stream_ms`` later. The gateways tell the decider what they see.
+    """
+
+    def __init__(self, decider, rng, *, servers, first_ms, stream_ms):
+        self._decider = decider
+        self._rng = rng
+        self._servers = servers
+        self._first_ms = first_ms
+        self._stream_ms = stream_ms
+        self._running = []
+        self._number = 0
+
+    def run(self, end_ms, crashes):
+        """Send a request each 100 ms; ``crashes`` are pairs (ms, server)."""
+        for now_ms in range(self._decider.now_ms, end_ms, 100):
+            self._number += 1
+            server = self._rng.randrange(self._servers)
+            self._running.append((now_ms, server, self._number))
+            while crashes and crashes[0][0] <= now_ms:
+                self._crash(*crashes.pop(0))
+            self._serve(now_ms)
+
+    def _crash(self, at_ms, server):
+        for sent_ms, running, number in self._running:
+            if running != server or sent_ms > at_ms:
+                continue
+            has_begun = at_ms - sent_ms >= self._first_ms
+            traits = (PREAMBLE, request_of(number))[has_begun:]
+            self._decider.crashes.add_reports(
+                [
+                    report(
+                        f'{number}.{at_ms}',
+                        at_ms,
+                        *traits,
+                        server=f's{server}',
+                        sent_ms=sent_ms,
+                    )
+                ],
+                START_MS + at_ms,
+            )
+        self._running = [
+            item
+            for item in self._running
+            if item[1] != server or item[0] > at_ms
+        ]
+
+    def _serve(self, now_ms):
+        last_ms = self._first_ms + self._stream_ms
+        for sent_ms, _server, number in self._running:
+            if 0 <= now_ms - sent_ms - self._first_ms < 100:
+                self._decider.add_served(now_ms, PREAMBLE)
+            if now_ms - sent_ms >= last_ms:
+                self._decider.add_served(now_ms, PREAMBLE, request_of(number))
+        self._running = [
+            item for item in self._running if now_ms - item[0] < last_ms
+        ]
+
+
+@pytest.mark.parametrize('first_ms', [200, 2_000, 5_000, 9_000])
+@pytest.mark.parametrize('seed', range(6))
+def test_groups_of_servers_that_crash_refuse_nothing(decider, first_ms, seed):
+    # Guards against a decision that depends on how long requests wait and
+    # run: up to half of the servers crash at one moment or soon after each
+    # other, up to three times.
+    rng = random.Random(100 * first_ms + seed)
+    servers = rng.choice([4, 12, 30])
+    crashes = []
+    at_ms = 2 * first_ms
+    for _round in range(rng.randint(1, 3)):
+        at_ms += rng.randint(3_000, 9_000)
+        group = rng.sample(range(servers), rng.randint(2, servers // 2))
+        spread_ms = rng.choice([0, 50, 900])
+        crashes += [
+            (at_ms + rng.randint(0, spread_ms), item) for item in group
+        ]
+    fleet = Fleet(
+        decider,
+        rng,
+        servers=servers,
+        first_ms=first_ms,
+        stream_ms=rng.choice([500, 7_000]),
+    )
+    fleet.run(at_ms + 30_000, sorted(crashes))
+    decider.run_until(at_ms + 30_000)
+    assert decider.refused() == []
+
+
 def test_evidence_is_bounded_at_controllers_that_never_decide():
     # Guards against memory that grows with every crash, as only the lease
     # holder decides.
--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -517,6 +517,7 @@
         server=policy.Incarnation('i-1'),
         at_ms=1,
         traits=metadata.shared_part_ids,
+        sent_ms=1,
     )
     kind, data = paddle_kernel.codec.encode(report)
     assert paddle_kernel.codec.decode(kind, data) == report
