Wait for the record of a stream before its version is concluded

A take-up of a stream without a record goes on if a majority of the controllers knows one version only. The gateway decided as soon as that majority had answered, before the two controllers that would have the record.

Ruled out: the state of a gateway that stood still.

--- a/packages/router/src/paddle_router/gateway/_stream_origins.py
+++ b/packages/router/src/paddle_router/gateway/_stream_origins.py
@@ -162,27 +162,36 @@
         """Return the origin that controllers know of, or ``None``.
 
         Without a record, it is known if only one version served recently. A
-        minority of the controllers may have missed another one.
+        minority of the controllers may have missed another one, and this
+        gateway and a majority may not know yet of servers that just joined.
+        Whoever began a stream there has sent a record, so the controllers
+        that would have it are waited for.
         """
         follower = self._components.follower
         members = follower.member_addresses()
+        controllers = follower.controller_addresses()
         message = _messages.FindStream(id=resumed_id)
         complete = set()
+        recorders = set(_recorders(resumed_id, controllers))
         for address, result in paddle_kernel.broadcast(
             self._transport,
-            dict.fromkeys(follower.controller_addresses(), message),
+            dict.fromkeys(controllers, message),
             QUERY_TIMEOUT_MS,
         ):
+            recorders.discard(address)
             answer = result.value_or(None)
-            if not isinstance(answer, _messages.StreamFound):
-                continue
-            if answer.origin is not None:
-                return answer.origin
-            self._history.add(answer.versions, self._wall.now_ms())
-            if answer.is_complete and address in members:
-                complete.add(address)
+            if isinstance(answer, _messages.StreamFound):
+                if answer.origin is not None:
+                    return answer.origin
+                self._history.add(answer.versions, self._wall.now_ms())
+                if answer.is_complete and address in members:
+                    complete.add(address)
             candidates = self._candidates(call.route)
-            if 2 * len(complete) > len(members) and len(candidates) == 1:
+            if (
+                not recorders
+                and 2 * len(complete) > len(members)
+                and len(candidates) == 1
+            ):
                 ((service, version),) = candidates
                 return _messages.StreamOrigin(
                     id='',
@@ -207,10 +216,7 @@
         controllers = self._components.follower.controller_addresses()
         by_address = collections.defaultdict(list)
         for origin in origins:
-            ranked = sorted(
-                controllers, key=lambda address: _rank(origin.id, address)
-            )
-            for address in ranked[:RECORD_COPIES]:
+            for address in _recorders(origin.id, controllers):
                 by_address[address].append(origin)
         for address, items in by_address.items():
             for start in range(0, len(items), MAX_ORIGINS_PER_MESSAGE):
@@ -241,6 +247,14 @@
     return {item.service for item in route.services}
 
 
+def _recorders(request_id, controllers):
+    """Return the controllers that get the record of a stream."""
+    ranked = sorted(
+        controllers, key=lambda address: _rank(request_id, address)
+    )
+    return ranked[:RECORD_COPIES]
+
+
 def _rank(request_id, address):
     text = f'{request_id}/{address}'.encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/packages/testbed/tests/test_taken_up_streams.py
+++ b/packages/testbed/tests/test_taken_up_streams.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import signal
 
 import gevent
 import pytest
@@ -223,6 +224,33 @@
     assert continued == STREAMS
 
 
+@pytest.mark.parametrize('is_sent_before_thaw', [False, True])
+def test_a_gateway_that_stood_still_continues_at_the_version_that_joined(
+    streams, is_sent_before_thaw
+):
+    # Guards against a gateway that missed the servers of another version: it
+    # takes the only one that it knows for the one that began each stream.
+    streams.list_versions('v1')
+    gateways = [
+        streams.fleet.gateway_address(name)
+        for name in streams.fleet.names('gateway')
+    ]
+    streams.fleet.signal('front-1', signal.SIGSTOP)
+    streams.list_versions('v1', 'v2')
+    begun = streams.begin(gateways[0])
+    assert set(begun.values()) == CONTENT
+    if is_sent_before_thaw:
+        gevent.spawn_later(
+            0.5, streams.fleet.signal, 'front-1', signal.SIGCONT
+        )
+    else:
+        streams.fleet.signal('front-1', signal.SIGCONT)
+    joined, _continued = streams.take_up_all(begun, gateways[1])
+    assert joined == 0
+    gevent.sleep(LIST_S)
+    assert streams.take_up_all(begun, gateways[1]) == (0, STREAMS)
+
+
 def test_a_take_up_costs_nothing_while_one_version_serves(tmp_path):
     # Guards against refusals of streams of which nobody knows the version.
     origins = [build_server('v1') for _ in range(2)]
