Bound heads, chunk framing and events that engines send without end

A faulty server that sends a head or an event without end was read by the chat daemon, and a head of the platform by the controllers, until memory ran out; the requests of all other callers end with the process (reported by other operators).

Cause: the client of _http_out bounded bodies only, and the relay of chats kept an incomplete event of any size. Its timeouts are for each receive, so they do not end a flood.

Heads, and chunk framing with trailers, are limited to 64 kB each, an event of a chat to 1 MB.

--- a/packages/router/src/paddle_router/_http_out.py
+++ b/packages/router/src/paddle_router/_http_out.py
@@ -18,6 +18,11 @@
 MAX_IDLE_MS = 15_000
 MS_PER_S = paddle_kernel.MS_PER_S
 MAX_INTERIM_STATUS = 199
+# Size of the headers, with those of interim responses.
+MAX_HEAD_BYTES = 65_536
+# Bytes of chunk sizes, extensions and trailers in addition to the size of the
+# body.
+MAX_FRAMING_BYTES = 65_536
 
 
 class BrokenResponseError(ConnectionError):
@@ -30,15 +35,26 @@
     def __init__(self, sock, method):
         super().__init__(method)
         self._sock = sock
+        self._received_bytes = 0
+        self._body_bytes = 0
 
     def read_head(self):
         """Read until the headers of the final response are complete."""
-        while (
-            not self.headers_complete or self.get_code() <= MAX_INTERIM_STATUS
-        ):
+        while not self._is_head_complete:
             self._receive()
+            if (
+                not self._is_head_complete
+                and self._received_bytes > MAX_HEAD_BYTES
+            ):
+                raise BrokenResponseError(
+                    f'response headers exceed {MAX_HEAD_BYTES} bytes'
+                )
         return self
 
+    @property
+    def _is_head_complete(self):
+        return self.headers_complete and self.get_code() > MAX_INTERIM_STATUS
+
     def read_some(self):
         """Return the body bytes received so far; ``b''`` at the end.
 
@@ -49,9 +65,15 @@
         while not self._body_buffer:
             if self.message_complete:
                 return b''
+            if (
+                self._received_bytes
+                > MAX_HEAD_BYTES + MAX_FRAMING_BYTES + 2 * self._body_bytes
+            ):
+                raise BrokenResponseError('too many bytes of chunk framing')
             self._receive()
         data = bytes(self._body_buffer)
         self._body_buffer.clear()
+        self._body_bytes += len(data)
         return data
 
     def read_all(self, limit):
@@ -72,6 +94,7 @@
     def _receive(self):
         paddle_kernel.yield_if_due()
         data = self._sock.recv(RECEIVE_BYTES)
+        self._received_bytes += len(data)
         try:
             self.feed(data)
         except geventhttpclient.response.HTTPParseError as exc:
--- a/packages/router/src/paddle_router/_relay.py
+++ b/packages/router/src/paddle_router/_relay.py
@@ -18,6 +18,8 @@
 from paddle_router import policy
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# A longer event is none: the engine sends something else.
+MAX_EVENT_BYTES = 1024 * 1024
 OK = 200
 # These report a fault or overload of the engine, not of the request.
 RETRYABLE_STATUSES = frozenset({429, 500, 502, 503, 504})
@@ -132,7 +134,7 @@
             except OSError:
                 data = b''
             self._read_count += 1
-            if data:
+            if data and self._splitter.remainder_size <= MAX_EVENT_BYTES:
                 events = self._splitter.feed(data)
                 if events:
                     return self._forward(events)
--- a/packages/router/tests/test_http_out.py
+++ b/packages/router/tests/test_http_out.py
@@ -1,5 +1,8 @@
 """Connections to backend servers: resends, partial reads, header filters."""
 
+import contextlib
+import tracemalloc
+
 import gevent
 import gevent.event
 import gevent.server
@@ -102,6 +105,56 @@
         conn.read_head(1_000).read_all(100)
 
 
+PIECE = b'x' * 65_536
+# Limits an endless response to 64 MB.
+PIECE_COUNT = 1_024
+MAX_MEMORY_BYTES = 4_000_000
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+ENDLESS_RESPONSES = {
+    'header': (b'HTTP/1.1 200 OK\r\nX-Long: ', PIECE),
+    'headers': (b'HTTP/1.1 200 OK\r\n', b'X-Long: y\r\n' * 5_000),
+    'interim heads': (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n' * 2_000),
+    'chunk extension': (CHUNKED_HEAD + b'1;e=', PIECE),
+    'chunk extensions': (
+        CHUNKED_HEAD,
+        b'1;e=' + b'e' * 60_000 + b'\r\ny\r\n',
+    ),
+    'trailers': (CHUNKED_HEAD + b'0\r\n', b'X-Long: y\r\n' * 5_000),
+    'no answer at all': (b'', PIECE),
+    'a body': (CHUNKED_HEAD, b'10000\r\n' + PIECE + b'\r\n'),
+}
+
+
+@pytest.mark.parametrize('name', ENDLESS_RESPONSES)
+def test_endless_response_ends_with_an_error(scripted_server, name):
+    """Guards against a process that keeps a response until memory is full."""
+    first, piece = ENDLESS_RESPONSES[name]
+
+    def script(sock, number):
+        with contextlib.suppress(OSError):
+            sock.sendall(first)
+            for _ in range(PIECE_COUNT):
+                sock.sendall(piece)
+        return False
+
+    server = scripted_server(script)
+    pool = _http_out.ConnectionPool(paddle_kernel.SystemClock())
+    tracemalloc.start()
+    try:
+        with pytest.raises(_http_out.BrokenResponseError):
+            _http_out.exchange(
+                pool,
+                server.address,
+                'GET',
+                '/',
+                timeout_ms=5_000,
+                limit=1_000_000,
+            )
+        assert tracemalloc.get_traced_memory()[1] < MAX_MEMORY_BYTES
+    finally:
+        tracemalloc.stop()
+
+
 @pytest.mark.parametrize('line_end', [b'\n', b'\r\n'])
 @pytest.mark.parametrize('chunk_size', [1, 2, 3, 7, 1_000])
 def test_events_are_split_with_any_chunk_size(line_end, chunk_size):
--- a/packages/router/tests/test_request_life.py
+++ b/packages/router/tests/test_request_life.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import tracemalloc
 
 import gevent
 
@@ -106,6 +107,34 @@
     assert resumes[0] == '7'
 
 
+def test_stream_without_an_end_of_its_event_is_broken_off(
+    stack, scripted_server
+):
+    """Guards against a daemon that keeps a stream until memory is full."""
+
+    def script(sock, number):
+        sock.sendall(
+            b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        with contextlib.suppress(OSError):
+            for _ in range(2_000):
+                sock.sendall(b'10000\r\n' + b'x' * 65_536 + b'\r\n')
+        return False
+
+    server = scripted_server(script)
+    stack.platform.add('engine-1', server.address, models=['small'])
+    daemon = stack.add_daemon(bounds={'load_poll_ms': 600_000})
+    tracemalloc.start()
+    try:
+        _, response = stack.open_stream(daemon)
+        data = response.read_all(stack.limit)
+        assert tracemalloc.get_traced_memory()[1] < 12_000_000
+    finally:
+        tracemalloc.stop()
+    assert json.loads(data.removeprefix(b'data: '))['error']
+
+
 def test_broken_stream_ends_with_an_error_event(stack):
     """Guards against a broken stream that looks complete."""
     engine = stack.add_engine()
