Require a change after the last fault in the soak

Operators of other systems saw changes refused for good after the disks of controllers had been full one after another. The soak read the configuration after its last fault, but changed nothing any more, so it could not see this.

--- a/packages/testbed/src/paddle_testbed/soak/_run.py
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -227,6 +227,27 @@
 
     def submit_configuration(self, rng):
         """Submit a new configuration version to a random controller."""
+        version, document = self._next_configuration(rng)
+        name = rng.choice(self.fleet.names('controller'))
+        body = json.dumps(document).encode()
+        status, _body = self.fleet.call(
+            name, 'PUT', '/api/configuration', body
+        )
+        if status == 200:
+            self.ledger.acknowledged.append(version)
+
+    def submit_final_configuration(self, rng):
+        """Submit a version that has to be acknowledged after all faults."""
+        version, document = self._next_configuration(rng)
+        try:
+            self.fleet.put_configuration(document)
+        except fleets.WaitError as exc:
+            self.ledger.overdue.append(('final change', str(exc)))
+        else:
+            self.ledger.acknowledged.append(version)
+
+    def _next_configuration(self, rng):
+        """Return a new version and its document."""
         self._version += rng.randint(1, 3)
         version = self._version
         document = copy.deepcopy(CONFIG)
@@ -240,13 +261,7 @@
             }
         )
         self.ledger.sent[version] = document
-        name = rng.choice(self.fleet.names('controller'))
-        body = json.dumps(document).encode()
-        status, _body = self.fleet.call(
-            name, 'PUT', '/api/configuration', body
-        )
-        if status == 200:
-            self.ledger.acknowledged.append(version)
+        return version, document
 
     def watch_processes(self):
         """Record processes that ended although no fault disturbed them."""
@@ -391,6 +406,7 @@
         stack.callback(watcher.kill)
         _inject_faults(system, rng, options)
         gevent.sleep(_checks.RECONNECT_MS / 1_000)
+        system.submit_final_configuration(rng)
         system.collect_final_state()
         findings = _checks.check_all(system.ledger, system.cloud.calls)
         return findings, system.ledger
