--- a/packages/router/src/paddle_router/controller/_gateway_sums.py
+++ b/packages/router/src/paddle_router/controller/_gateway_sums.py
@@ -38,6 +38,15 @@
     loads: tuple
 
 
+@attrs.frozen(kw_only=True)
+class _Snapshot:
+    """Encoded totals, and the gateways' reports that they contain."""
+
+    loads: bytes
+    extra_loads: bytes
+    sequences: dict
+
+
 class GatewaySums:
     """Sums over the gateways of all controllers, kept by each controller.
 
@@ -72,7 +81,8 @@
         self._reply = self._reply_requested_ms = None
         self._positions = {}
         peer_report = _PeerReport(
-            report.place, gateway.unpack_loads(report.loads)
+            report.place,
+            gateway.unpack_loads(report.loads, report.extra_loads),
         )
         now_ms = self._clock.now_ms()
         previous = self._peer_reports.put(
@@ -102,10 +112,12 @@
             # A new holder has not received any usage counts from here.
             self._holder = holder
             self._confirmed_usage = {}
+        loads = tuple(self._fleet.loads().values())
         return gateway.ControllerReport(
             place=self._location,
             fronts=self._fleet.reports_to_relay(self._confirmed_usage),
-            loads=gateway.pack_loads(self._fleet.loads().values()),
+            loads=gateway.pack_loads(loads),
+            extra_loads=gateway.pack_extra_loads(loads),
             version=version,
             listing=self._fleet.listing,
             leaving=self._fleet.list.leaving_by_notice(),
@@ -114,7 +126,9 @@
     def apply_reply(self, report, reply, requested_ms):
         """Store the lease holder's reply to ``report``."""
         self._reply = reply
-        self._remote_loads = gateway.unpack_loads(reply.loads)
+        self._remote_loads = gateway.unpack_loads(
+            reply.loads, reply.extra_loads
+        )
         self._reply_requested_ms = requested_ms
         self._gateway_count = reply.fronts
         self._gateway_count_ms = requested_ms
@@ -195,12 +209,16 @@
         if (
             self._snapshot is None
             or now_ms - self._snapshot_ms >= SNAPSHOT_MAX_AGE_MS
-            or incarnation not in self._snapshot[1]
+            or incarnation not in self._snapshot.sequences
         ):
             self._snapshot = self._take_snapshot()
             self._snapshot_ms = now_ms
-        encoded, sequences = self._snapshot
-        return encoded, sequences.get(incarnation, 0)
+        sequence = self._snapshot.sequences.get(incarnation, 0)
+        return self._snapshot.loads, sequence
+
+    def extra_totals(self):
+        """Return the further columns of the last :meth:`totals`, encoded."""
+        return b'' if self._snapshot is None else self._snapshot.extra_loads
 
     def all_loads(self):
         """Return the load summed over all gateways, by server id."""
@@ -219,8 +237,12 @@
         }
 
     def _take_snapshot(self):
-        encoded = gateway.pack_loads(self.all_loads().values())
-        return encoded, self._fleet.sequences()
+        loads = tuple(self.all_loads().values())
+        return _Snapshot(
+            loads=gateway.pack_loads(loads),
+            extra_loads=gateway.pack_extra_loads(loads),
+            sequences=self._fleet.sequences(),
+        )
 
     def _has_reply(self):
         age_ms = self.reply_age_ms()
--- a/packages/router/src/paddle_router/controller/_load_sums.py
+++ b/packages/router/src/paddle_router/controller/_load_sums.py
@@ -13,6 +13,10 @@
     failures: int = 0
     answers: int = 0
     read_rate: int = 0
+    told_count: int = 0
+    told_percent: int = 0
+    rejections: int = 0
+    in_time: int = 0
     # Sum over all gateways of pace_ms times answers.
     paced_ms: int = 0
 
@@ -67,6 +71,10 @@
     total.failures += sign * item.failures
     total.answers += sign * item.answers
     total.read_rate += sign * item.read_rate
+    total.told_count += sign * item.told_count
+    total.told_percent += sign * item.told_percent
+    total.rejections += sign * item.rejections
+    total.in_time += sign * item.in_time
     total.paced_ms += sign * item.pace_ms * item.answers
 
 
@@ -79,4 +87,8 @@
         answers=total.answers,
         pace_ms=total.paced_ms // total.answers if total.answers else 0,
         read_rate=total.read_rate,
+        told_count=total.told_count,
+        told_percent=total.told_percent,
+        rejections=total.rejections,
+        in_time=total.in_time,
     )
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -39,6 +39,7 @@
         listing=request.listing,
         servers=(),
         totals=b'',
+        extra_totals=b'',
         counted=0,
         suspects=(),
         refused=(),
@@ -231,6 +232,7 @@
             servers=servers,
             fronts=self.sums.gateway_count(len(members)),
             totals=totals,
+            extra_totals=self.sums.extra_totals() if totals else b'',
             counted=counted,
             period_ms=self._controller.fleet.period_ms(),
             true_ms=self._controller.wall.now_ms(),
@@ -259,15 +261,17 @@
             self._controller.fleet.listing,
             self._controller.fleet.servers or (),
         )
+        loads = (
+            self.sums.loads_excluding(report.place.address)
+            if holds_lease
+            else ()
+        )
         return gateway.ControllerReply(
             in_charge=holds_lease,
             controllers=self.sums.controllers() if holds_lease else (),
             fronts=self.sums.gateway_count(len(self._controller.members())),
-            loads=gateway.pack_loads(
-                self.sums.loads_excluding(report.place.address)
-            )
-            if holds_lease
-            else b'',
+            loads=gateway.pack_loads(loads) if holds_lease else b'',
+            extra_loads=gateway.pack_extra_loads(loads),
             version=self._version(),
             confirmed_age_ms=-1
             if confirmed_age_ms is None
--- a/packages/router/src/paddle_router/gateway/__init__.py
+++ b/packages/router/src/paddle_router/gateway/__init__.py
@@ -14,12 +14,14 @@
 from paddle_router.gateway._messages import ControllerLocation
 from paddle_router.gateway._messages import ControllerReply
 from paddle_router.gateway._messages import ControllerReport
+from paddle_router.gateway._messages import Evacuation
 from paddle_router.gateway._messages import FindStream
 from paddle_router.gateway._messages import GatewayReport
 from paddle_router.gateway._messages import ListedServer
 from paddle_router.gateway._messages import RecordStreams
 from paddle_router.gateway._messages import RelayedReport
 from paddle_router.gateway._messages import ServerFlights
+from paddle_router.gateway._messages import ServiceDemand
 from paddle_router.gateway._messages import StreamFound
 from paddle_router.gateway._messages import StreamOrigin
 from paddle_router.gateway._messages import StreamsRecorded
@@ -41,6 +43,7 @@
 from paddle_router.gateway._model import Scaling
 from paddle_router.gateway._model import Service
 from paddle_router.gateway._model import Weight
+from paddle_router.gateway._packed_loads import pack_extra_loads
 from paddle_router.gateway._packed_loads import pack_loads
 from paddle_router.gateway._packed_loads import unpack_loads
 from paddle_router.gateway._routes import RouteTable
@@ -55,6 +58,7 @@
     'Customer',
     'Dialect',
     'EngineTraits',
+    'Evacuation',
     'FindStream',
     'Follower',
     'ForwardingContext',
@@ -76,6 +80,7 @@
     'Scaling',
     'ServerFlights',
     'Service',
+    'ServiceDemand',
     'StreamFound',
     'StreamOrigin',
     'StreamsRecorded',
@@ -84,6 +89,7 @@
     'UsageCount',
     'Weight',
     'end_to_end_headers',
+    'pack_extra_loads',
     'pack_loads',
     'unpack_loads',
 ]
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -268,6 +268,10 @@
                     answers=_bounded_count(load.answers),
                     pace_ms=_bounded_count(load.pace_ms),
                     read_rate=_bounded_count(load.read_rate),
+                    told_count=_bounded_count(load.told_count),
+                    told_percent=_bounded_count(load.told_percent),
+                    rejections=_bounded_count(load.rejections),
+                    in_time=_bounded_count(load.in_time),
                 )
                 for server_id, load in loads.items()
             ),
@@ -372,7 +376,9 @@
     def _apply_totals(self, reply, now_ms):
         counted = self._reported_loads.get(reply.counted, {})
         loads = {}
-        for item in _packed_loads.unpack_loads(reply.totals):
+        for item in _packed_loads.unpack_loads(
+            reply.totals, reply.extra_totals
+        ):
             own = counted.get(item.id, policy.SharedLoad())
             loads[item.id] = policy.SharedLoad(
                 running=max(0, item.running - own.running),
@@ -381,6 +387,10 @@
                 answers=max(0, item.answers - own.answers),
                 pace_ms=item.pace_ms,
                 read_rate=max(0, item.read_rate - own.read_rate),
+                told_count=max(0, item.told_count - own.told_count),
+                told_percent=max(0, item.told_percent - own.told_percent),
+                rejections=max(0, item.rejections - own.rejections),
+                in_time=max(0, item.in_time - own.in_time),
             )
         for balancer in self._balancers.values():
             balancer.set_other_loads(loads, now_ms)
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -138,6 +138,7 @@
         # In a planned stop, the time at which requests in progress are cut.
         self.cut_at_ms = None
         self._last_resort_services = set()
+        self._paced_services = set()
         self._servers = {}
         self._rng = random.Random()
         self.follower.on_change(self.apply_servers)
@@ -244,12 +245,25 @@
         if call.customer is not None:
             self.usage.count_request(call.customer.name)
 
+    def has_load_control(self, service):
+        """Whether requests of ``service`` wait and are turned away by load.
+
+        The settings ask for it, or a server of the service has told the pace
+        of its machine, so that its capacity changes from moment to moment.
+        """
+        return self.settings.load_control or service in self._paced_services
+
     def record_load(self, service, server_id, load):
         """Pass the load reported in a response to the balancer."""
+        if load.pace_percent is not None:
+            self._paced_services.add(service)
         self.balancers[service].report(
             server_id,
             policy.LoadReport(
-                running=load.running, waiting=load.waiting, slots=load.slots
+                running=load.running,
+                waiting=load.waiting,
+                slots=load.slots,
+                pace_percent=load.pace_percent,
             ),
             self.clock.now_ms(),
         )
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -19,7 +19,9 @@
     sends has ``leaves_at_ms`` instead, in ms since the Unix epoch by the
     synchronized clock, 0 if unknown. ``born_ms`` is the start of this
     incarnation in ms since the Unix epoch, 0 if unknown. ``software_version``
-    is that of the server's program, empty if unknown.
+    is that of the server's program, empty if unknown. ``cold_until_ms`` is
+    until when a server that has just started is slow, in ms since the Unix
+    epoch by the synchronized clock, 0 if it is not.
     """
 
     id: str
@@ -35,6 +37,7 @@
     leaves_at_ms: int = 0
     born_ms: int = 0
     software_version: str = ''
+    cold_until_ms: int = 0
 
     @property
     def incarnation(self):
@@ -98,7 +101,11 @@
     prompt tokens that the server has not processed yet. ``failures`` and
     ``answers`` count the last few seconds. ``pace_ms`` is the mean response
     time, for streams the mean time between events. ``read_rate`` is the number
-    of prompt tokens per second sent to the server.
+    of prompt tokens per second sent to the server. Of the answers of the last
+    seconds, ``told_count`` carried the pace of the server's machine and
+    ``told_percent`` is the sum of these paces (100 each on an undisturbed
+    machine); ``rejections`` stated that the request was not run, and
+    ``in_time`` began within the latency target.
     """
 
     id: str
@@ -108,6 +115,36 @@
     answers: int = 0
     pace_ms: int = 0
     read_rate: int = 0
+    told_count: int = 0
+    told_percent: int = 0
+    rejections: int = 0
+    in_time: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class ServiceDemand:
+    """Demand for a service at one or several gateways.
+
+    ``waiting`` is the number of requests that wait at the gateways,
+    ``arrivals`` the number of requests per second, and ``weight`` the
+    capacity of the gateways in thousandths of a core.
+    """
+
+    service: str
+    waiting: int = 0
+    arrivals: int = 0
+    weight: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Evacuation:
+    """Failure domains whose servers must get no more requests.
+
+    ``version`` increases with each change; a newer one replaces an older one.
+    """
+
+    version: int = 0
+    domains: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -128,7 +165,7 @@
     announced their shutdown but are not listed as leaving yet. ``crashes``
     contains the last crashes, ``served`` when suspects were served, and
     ``refused`` the parts that are refused here. ``limits`` contains the known
-    limits of servers.
+    limits of servers and ``demands`` the demand for each service.
     """
 
     name: str
@@ -142,6 +179,7 @@
     served: tuple[policy.ServedTrait, ...] = ()
     refused: tuple[policy.RefusedTrait, ...] = ()
     limits: tuple[policy.ServerLimit, ...] = ()
+    demands: tuple[ServiceDemand, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -183,7 +221,10 @@
     with a part in ``refused`` are not sent. ``limits`` contains the known
     limits of servers. ``position`` is that of the gateway among ``fronts``,
     from 1, and 0 if it is not known yet. ``unlisted_versions`` served recently
-    and have left the list.
+    and have left the list. ``extra_totals`` contains the columns that
+    :func:`pack_extra_loads` encodes, and ``demands`` the sums over all
+    gateways, this one included. ``evacuation`` is ``None`` if the controller
+    does not know it.
     """
 
     controllers: tuple[ControllerLocation, ...]
@@ -204,6 +245,9 @@
     limits: tuple[policy.ServerLimit, ...] = ()
     position: int = 0
     unlisted_versions: tuple[policy.ServiceVersion, ...] = ()
+    extra_totals: bytes = b''
+    demands: tuple[ServiceDemand, ...] = ()
+    evacuation: Evacuation | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -230,6 +274,9 @@
     ``loads`` contains the sums over these gateways (see :func:`pack_loads`),
     ``leaving`` the servers that announced their shutdown to them. ``crashes``,
     ``served``, ``refused`` and ``limits`` are as in :class:`GatewayReport`.
+    ``extra_loads`` contains further columns of ``loads`` (see
+    :func:`pack_extra_loads`), ``demands`` the sums over these gateways, and
+    ``evacuation_version`` identifies the known :class:`Evacuation`.
     """
 
     place: ControllerLocation
@@ -242,6 +289,9 @@
     served: tuple[policy.ServedTrait, ...] = ()
     refused: tuple[policy.RefusedTrait, ...] = ()
     limits: tuple[policy.ServerLimit, ...] = ()
+    extra_loads: bytes = b''
+    demands: tuple[ServiceDemand, ...] = ()
+    evacuation_version: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -255,7 +305,9 @@
     ``confirmed_age_ms`` ago; -1 if unknown. ``servers`` is sent only if
     ``listing`` differs from that of the report. ``suspects``,
     ``refused`` and ``limits`` are as in :class:`SyncReply`. ``positions`` are
-    those of the gateways in the report's ``fronts``.
+    those of the gateways in the report's ``fronts``. ``extra_loads`` and
+    ``demands`` are those of all other controllers' gateways, ``evacuation``
+    is ``None`` if it is not newer than that of the report.
     """
 
     in_charge: bool
@@ -272,6 +324,9 @@
     refused: tuple[policy.RefusedTrait, ...] = ()
     limits: tuple[policy.ServerLimit, ...] = ()
     positions: tuple[int, ...] = ()
+    extra_loads: bytes = b''
+    demands: tuple[ServiceDemand, ...] = ()
+    evacuation: Evacuation | None = None
 
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('gateway.capnp')))
@@ -284,10 +339,12 @@
         policy.ServedTrait,
         policy.ServerLimit,
         policy.ServiceVersion,
+        Evacuation,
         FindStream,
         ListedServer,
         RecordStreams,
         ServerFlights,
+        ServiceDemand,
         StreamFound,
         StreamOrigin,
         StreamsRecorded,
--- a/packages/router/src/paddle_router/gateway/_model.py
+++ b/packages/router/src/paddle_router/gateway/_model.py
@@ -91,13 +91,20 @@
 
 @attrs.frozen(kw_only=True)
 class Service:
-    """A group of equivalent backend servers."""
+    """A group of equivalent backend servers.
+
+    A server that has just started is cold for ``cold_start_ms`` and then
+    tolerates ``cold_rate_per_s`` requests per second from all gateways
+    together; 0 means that no limit is specified.
+    """
 
     name: str
     health_path: str
     connection_limit: int
     engine: EngineTraits | None = None
     scaling: Scaling | None = None
+    cold_start_ms: int = 0
+    cold_rate_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -174,11 +181,16 @@
 
 @attrs.frozen(kw_only=True)
 class Load:
-    """Running and waiting requests of a server, and its number of slots."""
+    """Running and waiting requests of a server, and its number of slots.
+
+    ``pace_percent`` is how long work takes on the server's machine, 100 if
+    undisturbed; ``None`` if the server does not tell it.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace_percent: int | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/router/src/paddle_router/gateway/_packed_loads.py
+++ b/packages/router/src/paddle_router/gateway/_packed_loads.py
@@ -10,28 +10,79 @@
 import sys
 import zlib
 
-import attrs
-
 from paddle_router.gateway import _messages
 
 _IDS_SIZE = struct.Struct('!I')
 _SEPARATOR = '\n'
 _MAX_COUNT = 2**32 - 1
-_COLUMNS = tuple(
-    item.name
-    for item in attrs.fields(_messages.ServerFlights)
-    if item.name != 'id'
+# Readers expect exactly these columns, so that instances of different versions
+# understand each other. Further columns are encoded separately.
+_COLUMNS = (
+    'running',
+    'prefill',
+    'failures',
+    'answers',
+    'pace_ms',
+    'read_rate',
 )
+_EXTRA_COLUMNS = ('told_count', 'told_percent', 'rejections', 'in_time')
 # Limit on the unpacked size, enough for 10,000 servers.
 MAX_UNPACKED_BYTES = 1_048_576
 
 
 def pack_loads(flights):
-    """Encode a sequence of :class:`ServerFlights`."""
-    flights = tuple(flights)
+    """Encode a sequence of :class:`ServerFlights`.
+
+    The columns that :func:`pack_extra_loads` encodes are left out.
+    """
+    return _pack(tuple(flights), _COLUMNS)
+
+
+def pack_extra_loads(flights):
+    """Encode the columns that :func:`pack_loads` leaves out.
+
+    Servers without a value in any of them are left out. A version that
+    encodes more columns appends them, and an older one ignores those.
+    """
+    flights = tuple(
+        item
+        for item in flights
+        if any(getattr(item, name) for name in _EXTRA_COLUMNS)
+    )
+    return _pack(flights, _EXTRA_COLUMNS) if flights else b''
+
+
+def unpack_loads(data, extra=b''):
+    """Decode ``data`` into a tuple of :class:`ServerFlights`.
+
+    ``extra`` is the result of :func:`pack_extra_loads`.
+
+    :raises ValueError: if ``data`` or ``extra`` is malformed.
+    """
+    extra_rows = {
+        server_id: dict(zip(_EXTRA_COLUMNS, values, strict=False))
+        for server_id, *values in _unpack(extra)
+    }
+    flights = []
+    for server_id, *values in _unpack(data):
+        if len(values) != len(_COLUMNS):
+            raise ValueError(
+                f'{len(values)} instead of {len(_COLUMNS)} columns'
+            )
+        flights.append(
+            _messages.ServerFlights(
+                id=server_id,
+                **dict(zip(_COLUMNS, values, strict=True)),
+                **extra_rows.get(server_id, {}),
+            )
+        )
+    return tuple(flights)
+
+
+def _pack(flights, columns):
     ids = _SEPARATOR.join(item.id for item in flights).encode()
     counts = array.array('I')
-    for name in _COLUMNS:
+    for name in columns:
         counts.extend(
             min(int(getattr(item, name)), _MAX_COUNT) for item in flights
         )
@@ -41,11 +92,8 @@
     return zlib.compress(data, 1)
 
 
-def unpack_loads(data):
-    """Decode ``data`` into a tuple of :class:`ServerFlights`.
-
-    :raises ValueError: if ``data`` is malformed.
-    """
+def _unpack(data):
+    """Return the rows ``(id, *values)`` encoded in ``data``."""
     if not data:
         return ()
     unpacker = zlib.decompressobj()
@@ -63,16 +111,11 @@
     if not unpacker.eof:
         raise ValueError('unreadable loads: truncated data')
     rows = len(ids)
-    if len(counts) != rows * len(_COLUMNS):
-        raise ValueError(f'{len(counts)} counts for {rows} servers')
     if not rows:
         return ()
+    if len(counts) % rows:
+        raise ValueError(f'{len(counts)} counts for {rows} servers')
     columns = [
         counts[start : start + rows] for start in range(0, len(counts), rows)
     ]
-    return tuple(
-        _messages.ServerFlights(
-            id=server_id, **dict(zip(_COLUMNS, values, strict=True))
-        )
-        for server_id, *values in zip(ids, *columns, strict=True)
-    )
+    return tuple(zip(ids, *columns, strict=True))
--- a/packages/router/src/paddle_router/gateway/_settings.py
+++ b/packages/router/src/paddle_router/gateway/_settings.py
@@ -17,6 +17,15 @@
     together in any ``retry_window_ms``. ``usage_window_ms`` is the length of a
     usage window. ``drain_ms`` is how long a backend server accepts requests
     after it has announced its shutdown.
+
+    With ``load_control``, requests wait and are turned away by load, and the
+    load of servers that have started or recovered grows with their answers.
+    Without it, this applies to the services whose servers tell the pace of
+    their machines. ``memory_mb`` is the memory limit of the process, 0 if it
+    is not to bound its buffers by it. ``cpu_share`` is the part of a core and
+    ``link_mbps`` the bandwidth that the process has, 0 if unknown. All
+    gateways together send a cold server at most its rate times
+    ``cold_overage`` plus ``cold_slack`` requests in any second.
     """
 
     name: str
@@ -30,3 +39,9 @@
     retry_window_ms: int
     usage_window_ms: int
     drain_ms: int = policy.DRAIN_MS
+    load_control: bool = False
+    memory_mb: int = 0
+    cpu_share: float = 0.0
+    link_mbps: float = 0.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -14,6 +14,7 @@
   leavesAtMs @10 :UInt64;
   bornMs @11 :UInt64;
   softwareVersion @12 :Text;
+  coldUntilMs @13 :UInt64;
 }
 
 struct Incarnation {
@@ -84,6 +85,22 @@
   answers @4 :UInt32;
   paceMs @5 :UInt32;
   readRate @6 :UInt32;
+  toldCount @7 :UInt32;
+  toldPercent @8 :UInt32;
+  rejections @9 :UInt32;
+  inTime @10 :UInt32;
+}
+
+struct ServiceDemand {
+  service @0 :Text;
+  waiting @1 :UInt32;
+  arrivals @2 :UInt32;
+  weight @3 :UInt32;
+}
+
+struct Evacuation {
+  version @0 :UInt64;
+  domains @1 :List(Text);
 }
 
 struct UsageCount {
@@ -104,6 +121,7 @@
   served @8 :List(ServedTrait);
   refused @9 :List(RefusedTrait);
   limits @10 :List(ServerLimit);
+  demands @11 :List(ServiceDemand);
 }
 
 struct SyncRequest {
@@ -137,6 +155,9 @@
   limits @15 :List(ServerLimit);
   position @16 :UInt32;
   unlistedVersions @17 :List(ServiceVersion);
+  extraTotals @18 :Data;
+  demands @19 :List(ServiceDemand);
+  evacuation @20 :Evacuation;
 }
 
 struct FrontNews {
@@ -159,6 +180,9 @@
   served @7 :List(ServedTrait);
   refused @8 :List(RefusedTrait);
   limits @9 :List(ServerLimit);
+  extraLoads @10 :Data;
+  demands @11 :List(ServiceDemand);
+  evacuationVersion @12 :UInt64;
 }
 
 struct HubReply {
@@ -176,4 +200,7 @@
   refused @11 :List(RefusedTrait);
   limits @12 :List(ServerLimit);
   positions @13 :List(UInt32);
+  extraLoads @14 :Data;
+  demands @15 :List(ServiceDemand);
+  evacuation @16 :Evacuation;
 }
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -78,6 +78,10 @@
 from paddle_router.policy._server_notices import MAX_QUIET_MS
 from paddle_router.policy._server_notices import ServerNotices
 from paddle_router.policy._server_notices import SlowStart
+from paddle_router.policy._server_view import Send
+from paddle_router.policy._server_view import ServerView
+from paddle_router.policy._server_view import TurnAway
+from paddle_router.policy._server_view import Wait
 from paddle_router.policy._shared_load import SharedLoadBalancer
 from paddle_router.policy._shared_server import EngineWork
 from paddle_router.policy._shared_server import SharedFlight
@@ -155,11 +159,13 @@
     'schedulers',
     'SchedulingDecision',
     'ServedTrait',
+    'Send',
     'Server',
     'ServerLimit',
     'ServerLimits',
     'ServerNotices',
     'servers_needed',
+    'ServerView',
     'ServiceVersion',
     'share_of',
     'SharedFlight',
@@ -172,7 +178,9 @@
     'STREAM_RETENTION_MS',
     'Ticket',
     'TieredFairScheduler',
+    'TurnAway',
     'VersionHistory',
+    'Wait',
     'WaitingQueue',
     'WindowBudget',
     'Work',
--- a/packages/router/src/paddle_router/policy/_hooks.py
+++ b/packages/router/src/paddle_router/policy/_hooks.py
@@ -164,12 +164,17 @@
 
 @attrs.frozen(kw_only=True)
 class LoadReport:
-    """A load report of an engine, ``age_ms`` old when received."""
+    """A load report of an engine, ``age_ms`` old when received.
+
+    ``pace_percent`` is how long work takes on the engine's machine relative
+    to an undisturbed one, ``None`` if the engine does not tell it.
+    """
 
     running: int = 0
     waiting: int = 0
     slots: int = 0
     age_ms: int = 0
+    pace_percent: int | None = None
 
 
 class Balancer(typing.Protocol):
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -25,6 +25,7 @@
 from paddle_router.policy import _prompt_parts
 from paddle_router.policy import _server_limits
 from paddle_router.policy import _server_notices
+from paddle_router.policy import _server_view
 from paddle_router.policy import _shared_server
 
 # Prefill rate assumed until responses allow an estimate; the lower of the
@@ -184,6 +185,34 @@
             state, attrs.evolve(work, prompt_tokens=0), now_ms, None
         )
 
+    def views(self, now_ms):
+        """Return the :class:`ServerView` of every listed server."""
+        usable, _last = self._availability.usable(
+            self._states.values(), now_ms
+        )
+        usable_ids = {state.engine.id for state in usable}
+        return tuple(
+            self._view(state, state.engine.id in usable_ids, now_ms)
+            for state in self._states.values()
+        )
+
+    def _view(self, state, is_usable, now_ms):
+        report = state.reported
+        return _server_view.ServerView(
+            server=state.incarnation,
+            failure_domain=state.engine.failure_domain,
+            slots=max(1, state.engine.slots),
+            own=len(state.flights),
+            running=state.running(now_ms),
+            report=report,
+            report_age_ms=None
+            if report is None
+            else now_ms - state.reported_ms,
+            pace_ms=state.pace_ms(now_ms),
+            is_excluded=not is_usable,
+            reason='' if is_usable else 'not available',
+        )
+
     def can_place(self, avoid, now_ms):
         """Return whether a server not in ``avoid`` accepts requests now."""
         states, _last = self._availability.usable(
--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -57,7 +57,10 @@
     ``running`` counts in-flight requests and ``prefill`` the prompt tokens
     whose prefill is not finished. ``failures`` and ``answers`` are counts over
     the last seconds, ``pace_ms`` is the mean pace and ``read_rate`` the
-    prompt tokens sent per second.
+    prompt tokens sent per second. ``told_count`` answers carried the pace of
+    the server's machine, ``told_percent`` is the sum of these paces;
+    ``rejections`` requests were not run, and ``in_time`` answers began within
+    the latency target.
     """
 
     running: int = 0
@@ -66,6 +69,10 @@
     answers: int = 0
     pace_ms: int = 0
     read_rate: int = 0
+    told_count: int = 0
+    told_percent: int = 0
+    rejections: int = 0
+    in_time: int = 0
 
 
 @attrs.define(eq=False)
--- a/packages/router/tests/test_gateway_packed_loads.py
+++ b/packages/router/tests/test_gateway_packed_loads.py
@@ -49,3 +49,24 @@
     huge = gateway.ServerFlights(id='i', running=1, prefill=2**40)
     (found,) = gateway.unpack_loads(gateway.pack_loads([huge]))
     assert found.prefill == 2**32 - 1
+
+
+def test_further_columns_are_not_lost():
+    # Starts and paces are decided by these sums.
+    flights = (
+        gateway.ServerFlights(id='a', running=1, told_count=2, in_time=3),
+        gateway.ServerFlights(id='b', running=4),
+    )
+    data = gateway.pack_loads(flights)
+    extra = gateway.pack_extra_loads(flights)
+    assert gateway.unpack_loads(data, extra) == flights
+
+
+def test_an_older_instance_reads_the_loads_without_the_further_columns():
+    # In a rolling upgrade one version reads the messages of the other; an
+    # unreadable sum would stop the exchange.
+    new = (gateway.ServerFlights(id='a', running=1, rejections=7),)
+    old = (gateway.ServerFlights(id='a', running=1),)
+    assert gateway.pack_loads(new) == gateway.pack_loads(old)
+    assert gateway.pack_extra_loads(old) == b''
+    assert gateway.unpack_loads(gateway.pack_loads(new)) == old
