--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -44,6 +44,7 @@
         suspects=(),
         refused=(),
         limits=(),
+        placements=(),
     )
 
 
@@ -57,6 +58,7 @@
         suspects=(),
         refused=(),
         limits=(),
+        placements=(),
     )
 
 
@@ -70,6 +72,7 @@
         served=(),
         refused=(),
         limits=(),
+        placements=(),
     )
 
 
@@ -92,6 +95,7 @@
             controller.wall, controller.fleet
         )
         self.limits = policy.ServerLimits()
+        self.placements = policy.PartPlacements()
         self._compressed_version = None
         self._compressed_content = b''
 
@@ -103,6 +107,7 @@
         report = attrs.evolve(
             self.sums.report(holder, self._version()),
             limits=self._reported_limits(),
+            placements=self.placements.news(self._controller.wall.now_ms()),
             **self.request_crashes.report_fields(holder),
         )
         requested_ms = self._controller.clock.now_ms()
@@ -151,7 +156,7 @@
     def _apply_reply(self, report, reply, requested_ms):
         self.sums.apply_reply(report, reply, requested_ms)
         self.request_crashes.apply_reply(report, reply)
-        self._add_limits(reply)
+        self._add_observations(reply)
         if reply.confirmed_age_ms >= 0:
             self._controller.document.confirm(
                 reply.version, requested_ms - reply.confirmed_age_ms
@@ -206,7 +211,7 @@
             self.log_list()
         for item in request.reports:
             self.request_crashes.add(item)
-            self._add_limits(item)
+            self._add_observations(item)
         current = self._controller.document.current
         version = self._version()
         is_newer = request.attached and version > request.version
@@ -238,6 +243,7 @@
             true_ms=self._controller.wall.now_ms(),
             unheard_holder=self._silent_holder(),
             limits=self._reported_limits(),
+            placements=self.placements.news(self._controller.wall.now_ms()),
             position=position,
             unlisted_versions=self.origins.unlisted_versions(),
             **self.request_crashes.reply_fields(),
@@ -250,7 +256,7 @@
             listing = self._controller.fleet.listing
             self.sums.add_report(report)
             self.request_crashes.add(report)
-            self._add_limits(report)
+            self._add_observations(report)
             if self._controller.fleet.listing != listing:
                 self.log_list()
             if report.version > self._version():
@@ -281,6 +287,7 @@
             servers=() if listing == report.listing else servers,
             reporting=self._controller.fleet.reporting_count(),
             limits=self._reported_limits(),
+            placements=self.placements.news(self._controller.wall.now_ms()),
             positions=tuple(
                 self._controller.fleet.position(item.name)
                 for item in report.fronts
@@ -292,9 +299,10 @@
         age_ms = self._controller.document.age_ms()
         return age_ms is not None and age_ms < CONFIRMATION_MAX_AGE_MS
 
-    def _add_limits(self, message):
+    def _add_observations(self, message):
         for limit in message.limits:
             self.limits.add(limit)
+        self.placements.add(message.placements, self._controller.wall.now_ms())
 
     def _reported_limits(self):
         now_ms = self._controller.wall.now_ms()
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -238,6 +238,9 @@
             urgency=call.urgency,
             last_event_id=call.last_event_id,
             copy=_copied_run(call.continuation),
+            copy_parts_from=self._components.address_of(
+                self._flight.copy_from_id
+            ),
         )
         headers = self._dialect.forwarded_headers(call.req.headers, context)
         if call.continuation is None:
@@ -257,6 +260,7 @@
             shared=(call.metadata.shared_part_ids or (None,))[-1],
             place=self._flight.affinity_rank,
             uncached=self._flight.uncached,
+            copied_from=self._flight.copy_from_id,
             attempt=call.attempts,
             kept=self._conn.use_count > 0,
             rank=call.rank,
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -83,6 +83,7 @@
         limits,
         request_crashes,
         incarnation,
+        placements=None,
     ):
         self._settings = settings
         self._dialect = dialect
@@ -94,6 +95,7 @@
         self._notices = notices
         self._limits = limits
         self._request_crashes = request_crashes
+        self._placements = placements or policy.PartPlacements()
         self._incarnation = incarnation
         self._sequence = itertools.count(1)
         self._selector = _controllers.ControllerSelector(
@@ -286,6 +288,7 @@
                 self._notices, self.servers
             ),
             limits=self._limits.reports(self._wall.now_ms()),
+            placements=self._placements.news(self._wall.now_ms()),
             **self._request_crashes.report_fields(),
         )
         return _messages.SyncRequest(
@@ -317,6 +320,7 @@
             self._apply_totals(reply, now_ms)
         self._apply_limits(reply, now_ms)
         self._request_crashes.apply_reply(reply)
+        self._placements.add(reply.placements, self._wall.now_ms())
         for listener in self._reply_listeners:
             listener(reply)
         self._check_controller(address, reply, now_ms)
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -294,6 +294,7 @@
             target_ms=call.route.target_ms,
             gap_ms=call.route.gap_ms,
             avoid=call.excluded,
+            copy_rate=self._components.copy_rate(call.service),
         )
 
     # Responses
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -97,6 +97,7 @@
         self.metrics = _metrics.GatewayMetrics()
         self.notices = policy.ServerNotices(drain_ms=settings.drain_ms)
         self.limits = policy.ServerLimits()
+        self.placements = policy.PartPlacements()
         self.waiting = _waiting.WaitingRequests(self)
         self.notice_recorder = _server_notices.ServerNoticeRecorder(
             self.notices,
@@ -127,6 +128,7 @@
             notices=self.notices,
             limits=self.limits,
             request_crashes=self.request_crashes,
+            placements=self.placements,
             incarnation=incarnation,
         )
         self.origins = _stream_origins.StreamOrigins(self, transport)
@@ -168,6 +170,7 @@
                     failure_domain=self.settings.failure_domain,
                     notices=self.notices,
                     limits=self.limits,
+                    placements=self.placements,
                 )
             self.balancers[service].sync(groups[service], now_ms)
             self.waiting.wake_all(service)
@@ -191,6 +194,16 @@
         config = self.follower.table.configuration.services.get(service)
         return config.engine if config is not None else None
 
+    def copy_rate(self, service):
+        """Return the cached tokens per ms that servers copy, 0 if they don't.
+
+        They copy only where load control is on.
+        """
+        traits = self.engine_traits(service)
+        if traits is None or not self.has_load_control(service):
+            return 0.0
+        return traits.copy_rate
+
     def server(self, server_id):
         """Return the listed server.
 
@@ -198,6 +211,11 @@
         """
         return self._servers[server_id]
 
+    def address_of(self, server_id):
+        """Return the address of a server, ``None`` if it is not listed."""
+        server = self._servers.get(server_id)
+        return None if server is None else server.address
+
     def server_ids(self, service):
         """Return the ids of the servers of ``service``."""
         return {
@@ -307,6 +325,7 @@
             lambda: self.components.notices.dump(self.clock.now_ms()),
         )
         self.dump.register('limits', self.components.limits.dump)
+        self.dump.register('placements', self.components.placements.dump)
         if isinstance(self.transport, paddle_kernel.TcpTransport):
             self.dump.register('traffic', self.transport.traffic.dump)
         self.metrics.add_state_gauges(self)
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -166,6 +166,7 @@
     contains the last crashes, ``served`` when suspects were served, and
     ``refused`` the parts that are refused here. ``limits`` contains the known
     limits of servers and ``demands`` the demand for each service.
+    ``placements`` are the recently learned placements of prompt parts.
     """
 
     name: str
@@ -180,6 +181,7 @@
     refused: tuple[policy.RefusedTrait, ...] = ()
     limits: tuple[policy.ServerLimit, ...] = ()
     demands: tuple[ServiceDemand, ...] = ()
+    placements: tuple[policy.PartPlacement, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -248,6 +250,7 @@
     extra_totals: bytes = b''
     demands: tuple[ServiceDemand, ...] = ()
     evacuation: Evacuation | None = None
+    placements: tuple[policy.PartPlacement, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -292,6 +295,7 @@
     extra_loads: bytes = b''
     demands: tuple[ServiceDemand, ...] = ()
     evacuation_version: int = 0
+    placements: tuple[policy.PartPlacement, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -327,6 +331,7 @@
     extra_loads: bytes = b''
     demands: tuple[ServiceDemand, ...] = ()
     evacuation: Evacuation | None = None
+    placements: tuple[policy.PartPlacement, ...] = ()
 
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('gateway.capnp')))
@@ -335,6 +340,7 @@
     (
         policy.CrashReport,
         policy.Incarnation,
+        policy.PartPlacement,
         policy.RefusedTrait,
         policy.ServedTrait,
         policy.ServerLimit,
--- a/packages/router/src/paddle_router/gateway/_model.py
+++ b/packages/router/src/paddle_router/gateway/_model.py
@@ -8,6 +8,10 @@
 
 import attrs
 
+BITS_PER_BYTE = 8
+# Bits per ms of a link with 1 Mbit/s.
+BITS_PER_MEGABIT_MS = 1_000
+
 
 class Kind(enum.Enum):
     """How a request may be retried.
@@ -65,13 +69,27 @@
     """Configured properties of the model engines of a service.
 
     An event of a stream contains ``stride`` tokens. With ``moves``, a run can
-    be stopped and continued on another server.
+    be stopped and continued on another server. An engine's link carries
+    ``link_mbps`` and a cached token has ``kv_token_bytes``; 0 if unknown.
     """
 
     slots: int
     kv_tokens: int
     stride: int = 1
     moves: bool = False
+    kv_token_bytes: int = 0
+    link_mbps: float = 0.0
+
+    @property
+    def copy_rate(self):
+        """Cached tokens per ms that the link carries, 0 if unknown."""
+        if not self.kv_token_bytes:
+            return 0.0
+        return (
+            self.link_mbps
+            * BITS_PER_MEGABIT_MS
+            / (self.kv_token_bytes * BITS_PER_BYTE)
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -240,7 +258,8 @@
     """Information that the gateway adds to a request for a backend server.
 
     ``copy`` identifies the copied KV cache of a stopped run to continue, as
-    the address of the source server and a handle.
+    the address of the source server and a handle. ``copy_parts_from`` is the
+    address of the server from which to copy cached prompt parts.
     """
 
     left_ms: int
@@ -249,3 +268,4 @@
     urgency: int | None
     last_event_id: bytes | None = None
     copy: tuple[str, str] | None = None
+    copy_parts_from: str | None = None
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -91,6 +91,12 @@
   inTime @10 :UInt32;
 }
 
+struct PartPlacement {
+  part @0 :Text;
+  server @1 :Text;
+  sentMs @2 :UInt64;
+}
+
 struct ServiceDemand {
   service @0 :Text;
   waiting @1 :UInt32;
@@ -122,6 +128,7 @@
   refused @9 :List(RefusedTrait);
   limits @10 :List(ServerLimit);
   demands @11 :List(ServiceDemand);
+  placements @12 :List(PartPlacement);
 }
 
 struct SyncRequest {
@@ -158,6 +165,7 @@
   extraTotals @18 :Data;
   demands @19 :List(ServiceDemand);
   evacuation @20 :Evacuation;
+  placements @21 :List(PartPlacement);
 }
 
 struct FrontNews {
@@ -183,6 +191,7 @@
   extraLoads @10 :Data;
   demands @11 :List(ServiceDemand);
   evacuationVersion @12 :UInt64;
+  placements @13 :List(PartPlacement);
 }
 
 struct HubReply {
@@ -203,4 +212,5 @@
   extraLoads @14 :Data;
   demands @15 :List(ServiceDemand);
   evacuation @16 :Evacuation;
+  placements @17 :List(PartPlacement);
 }
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -55,6 +55,8 @@
 from paddle_router.policy._planners import cheapest_mix
 from paddle_router.policy._planners import offline_cost
 from paddle_router.policy._planners import StaticPeakPlanner
+from paddle_router.policy._prefix_copies import PartPlacement
+from paddle_router.policy._prefix_copies import PartPlacements
 from paddle_router.policy._preset import PolicyPreset
 from paddle_router.policy._preset import PolicySet
 from paddle_router.policy._ranks import engine_ranks
@@ -142,6 +144,8 @@
     'Order',
     'OVERFLOW',
     'own_slots',
+    'PartPlacement',
+    'PartPlacements',
     'Planner',
     'planners',
     'PlanView',
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -22,6 +22,7 @@
 
 from paddle_router.policy import _availability
 from paddle_router.policy import _hooks
+from paddle_router.policy import _prefix_copies
 from paddle_router.policy import _prompt_parts
 from paddle_router.policy import _server_limits
 from paddle_router.policy import _server_notices
@@ -92,16 +93,26 @@
     """Choose servers by the expected wait and the delay of running requests.
 
     One object serves one service. ``notices`` holds the leaving and quiet
-    notices of the servers and ``limits`` the limits that they name; all
-    services of a gateway share them. ``is_last_resort`` is true while all
+    notices of the servers, ``limits`` the limits that they name and
+    ``placements`` where shared prompt parts were sent; all services of a
+    gateway share them. ``is_last_resort`` is true while all
     servers are leaving.
     """
 
-    def __init__(self, *, rng, failure_domain='', notices=None, limits=None):
+    def __init__(
+        self,
+        *,
+        rng,
+        failure_domain='',
+        notices=None,
+        limits=None,
+        placements=None,
+    ):
         self._rng = rng
         self._failure_domain = failure_domain
         self._notices = notices or _server_notices.ServerNotices()
         self._limits = limits or _server_limits.ServerLimits()
+        self._placements = placements or _prefix_copies.PartPlacements()
         self._availability = _availability.Availability(
             self._notices, self._limits
         )
@@ -170,7 +181,11 @@
             state for cost, state in costs if cost <= lowest_cost + TIE_MARGIN
         ]
         chosen = self._rng.choice(near_lowest)
-        return self._occupy(chosen, work, now_ms, ranks.get(chosen.engine.id))
+        flight = self._occupy(
+            chosen, work, now_ms, ranks.get(chosen.engine.id)
+        )
+        self._plan_copy(flight, work, now_ms)
+        return flight
 
     def place(self, server_id, work, now_ms):
         """Place ``work`` on a given server; return a :class:`SharedFlight`.
@@ -345,6 +360,26 @@
             if server_id not in avoid
         ]
 
+    def _plan_copy(self, flight, work, now_ms):
+        """Choose the server from which shared prompt parts are copied."""
+        part = _prefix_copies.shared_part(work)
+        if part is None:
+            return
+        synchronized_ms = now_ms + self._limits.wall_offset_ms
+        source_id = self._placements.server_of(part, synchronized_ms)
+        if source_id in self._states and source_id != flight.server_id:
+            flight.copy_from_id = source_id
+        self._placements.add(
+            (
+                _prefix_copies.PartPlacement(
+                    part=part,
+                    server=flight.server_id,
+                    sent_ms=synchronized_ms,
+                ),
+            ),
+            synchronized_ms,
+        )
+
     def _state_of(self, flight):
         """Return the state of the incarnation that ``flight`` was sent to.
 
--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -40,7 +40,8 @@
     ``parts`` holds pairs of part id and token count in the order of the
     prompt. ``target_ms`` is the latency target and ``gap_ms`` the longest
     allowed pause between events, 0 for a plain call. ``avoid`` holds the ids
-    of servers that must not be chosen.
+    of servers that must not be chosen. ``copy_rate`` is how many cached prompt
+    tokens per ms servers copy from each other, 0 if they don't.
     """
 
     prompt_tokens: int = 0
@@ -48,6 +49,7 @@
     target_ms: int = 1_000
     gap_ms: int = 0
     avoid: frozenset = frozenset()
+    copy_rate: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -83,6 +85,7 @@
     prompt's shared part, ``None`` without such a part. ``uncached`` is the
     number of prompt tokens that are not expected in the prefix cache.
     ``slow_start`` is set if the request was sent during a slow start.
+    ``copy_from_id`` is the server from which it copies prompt parts.
     """
 
     server_id: str
@@ -96,6 +99,7 @@
     started: bool = False
     events: int = 0
     slow_start: _server_notices.SlowStart | None = None
+    copy_from_id: str | None = None
 
 
 class _SlidingWindow:
--- a/packages/testbed/tests/test_gateway_path.py
+++ b/packages/testbed/tests/test_gateway_path.py
@@ -2,7 +2,9 @@
 
 import itertools
 
+import attrs
 import gevent
+from paddle_router import policy
 import pytest
 
 from paddle_testbed import fakes
@@ -391,3 +393,38 @@
     assert exchange(harness, request('/safe/x'))[0] == 200
     (failed,) = events.fields_of(3315)
     assert failed['error'] == "KeyError: 'i-0'"
+
+
+def test_a_prompt_names_the_server_to_copy_its_shared_parts_from(harness):
+    # Guards against parts that are prefilled again although another gateway
+    # has told where they are cached, and against a source that a caller names.
+    config = gateway_harness.build_engine_config()
+    config['services'][0]['engine'].update(
+        kvTokenBytes=163_840, linkMbps=1_100_000
+    )
+    harness.controllers.config = config
+    components = harness.gateway.components
+    components.settings = attrs.evolve(components.settings, load_control=True)
+    harness.serve(respond_ok, respond_ok)
+    prompt = (
+        'Rosemarypaddle-Token-Counts: 6000,10',
+        'Rosemarypaddle-Prompt-Prefix: aa:5000,bb:1000',
+        'Kv-Fetch: 10.0.0.1:80',
+    )
+    exchange(harness, request('/safe/x', extra=prompt))
+    (chosen,) = (item for item in harness.origins if item.requests)
+    (other,) = (item for item in harness.origins if not item.requests)
+    (other_id,) = (
+        item.id
+        for item in harness.controllers.servers
+        if item.address == other.address
+    )
+    now_ms = components.wall.now_ms()
+    components.placements.add(
+        [policy.PartPlacement(part='aa', server=other_id, sent_ms=now_ms)],
+        now_ms,
+    )
+    exchange(harness, request('/safe/x', extra=prompt))
+    first, second = chosen.requests
+    assert b'kv-fetch' not in first.headers
+    assert second.headers[b'kv-fetch'] == other.address.encode()
