--- a/packages/coord/src/paddle_coord/_document.py
+++ b/packages/coord/src/paddle_coord/_document.py
@@ -53,6 +53,16 @@
     return proposed.to_bytes()
 
 
+def _successor(current, function):
+    """Return the register's new bytes, or the rejection of ``function``."""
+    stored = Document.from_bytes(current)
+    content = function(None if stored is None else stored.content)
+    if isinstance(content, _register.Reject):
+        return content
+    version = 1 if stored is None else stored.version + 1
+    return Document(version, content).to_bytes()
+
+
 class VersionedDocument:
     """Local copy of the document in one process, and changes of it.
 
@@ -90,6 +100,27 @@
                 self._submit_all()
         return future.get()
 
+    def update(self, function):
+        """Store ``function(content)`` under the version after the stored one.
+
+        For a document that several callers change in parts. ``function``
+        takes the stored bytes, ``None`` without a document, and returns the
+        new ones or :class:`Reject`. It may be called more than once and has
+        no side effects. Returns ``Success(Change)`` whose value is the stored
+        :class:`Document` or ``None``, or ``Failure(RegisterError)``.
+        """
+        with self._lock:
+            result = self._register.change(
+                self._key, lambda data: _successor(data, function)
+            )
+            if isinstance(result, returns.result.Success):
+                self._adopt_if_newer(result.unwrap().value)
+        return result.map(
+            lambda change: _register.Change(
+                Document.from_bytes(change.value), rejected=change.rejected
+            )
+        )
+
     def refresh(self):
         """Compare with a majority and read if different; return success."""
         began_ms = self._clock.now_ms()
--- a/packages/coord/tests/test_coord_document.py
+++ b/packages/coord/tests/test_coord_document.py
@@ -58,3 +58,55 @@
     refresh.join()
     assert not refresh.value
     assert document.age_ms() == 10_000
+
+
+class LocalRegister:
+    """One register without replicas; ``interrupt`` runs before a decision.
+
+    As with a conflict between proposers, the change function is then called
+    again with the value that was stored meanwhile.
+    """
+
+    def __init__(self):
+        self.value = None
+        self.interrupt = None
+
+    def change(self, _key, function):
+        new = function(self.value)
+        if self.interrupt is not None:
+            interrupt, self.interrupt = self.interrupt, None
+            interrupt()
+            new = function(self.value)
+        if isinstance(new, coord.Reject):
+            return returns.result.Success(coord.Change(self.value, new.reason))
+        self.value = new
+        return returns.result.Success(coord.Change(new))
+
+
+def test_an_update_that_loses_a_race_is_applied_to_the_winner():
+    # Guards against two changes at the same time of which one is lost.
+    register = LocalRegister()
+    first, second = (
+        _document.VersionedDocument(register, kernel.FakeClock())
+        for _ in range(2)
+    )
+    register.interrupt = lambda: second.update(
+        lambda content: (content or b'') + b'b'
+    )
+    change = first.update(lambda content: (content or b'') + b'a').unwrap()
+    assert change.value == _document.Document(2, b'ba')
+    assert first.current == change.value
+
+
+def test_a_rejected_update_reads_the_stored_document():
+    # Guards against a repeated order that makes a new version, which every
+    # instance would have to take again.
+    register = LocalRegister()
+    writer, reader = (
+        _document.VersionedDocument(register, kernel.FakeClock())
+        for _ in range(2)
+    )
+    writer.update(lambda _content: b'one')
+    change = reader.update(lambda _content: coord.Reject('unchanged')).unwrap()
+    assert change.rejected == 'unchanged'
+    assert change.value == reader.current == _document.Document(1, b'one')
