--- a/packages/coord/src/paddle_coord/_document.py
+++ b/packages/coord/src/paddle_coord/_document.py
@@ -186,12 +186,15 @@
         for _document, future in batch:
             future.set(result)
 
-    def _adopt_if_newer(self, data):
-        found = Document.from_bytes(data)
-        if found is None:
-            return
-        if self.current is None or found.version > self.current.version:
-            self.current = found
+    def adopt(self, document):
+        """Use ``document``, which another process read, if it is newer."""
+        if self.current is None or document.version > self.current.version:
+            self.current = document
             self._current_ballot = None
             if self._on_change is not None:
-                self._on_change(found)
+                self._on_change(document)
+
+    def _adopt_if_newer(self, data):
+        found = Document.from_bytes(data)
+        if found is not None:
+            self.adopt(found)
--- a/packages/router/src/paddle_router/controller/_control_api.py
+++ b/packages/router/src/paddle_router/controller/_control_api.py
@@ -1,11 +1,15 @@
-"""HTTP interface for operators: the configuration document."""
+"""HTTP interface for operators: configuration and evacuations."""
+
+import select
 
 import falcon
 import gevent
+from gevent import pywsgi
 import returns.result
 
 import paddle_coord
 import paddle_kernel
+from paddle_router.controller import _evacuation
 from paddle_router.controller import _events
 from paddle_router import gateway
 
@@ -13,6 +17,18 @@
 # An operator waits for a second before it asks another controller. The rest of
 # that time is for the way there and back.
 ANSWER_LIMIT_MS = 800
+# Key of the caller's socket in the environment of a request.
+SOCKET_KEY = 'paddle.socket'
+
+
+class OperatorHandler(pywsgi.WSGIHandler):
+    """Passes the caller's socket on to the resources."""
+
+    def get_environ(self):
+        """Return the environment of the request, with the socket."""
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
 
 
 class ConfigurationResource:
@@ -84,6 +100,92 @@
         return None
 
 
+class EvacuationResource:
+    """POST evacuates a failure domain, DELETE has it used again.
+
+    Both may be repeated. Any name is accepted: a domain may have no servers
+    now. The answer tells the number of listed ones, which shows a mistyped
+    name.
+    """
+
+    def __init__(self, evacuations, fleet, clock):
+        self._evacuations = evacuations
+        self._fleet = fleet
+        self._clock = clock
+
+    def on_post(self, req, resp, domain):
+        """Acknowledge once a majority stores that nothing is sent there."""
+        self._apply(req, resp, domain, is_evacuated=True)
+
+    def on_delete(self, req, resp, domain):
+        """Acknowledge once a majority stores that the domain is used."""
+        self._apply(req, resp, domain, is_evacuated=False)
+
+    def _apply(self, req, resp, domain, *, is_evacuated):
+        caller = req.env.get(SOCKET_KEY)
+        order = _evacuation.Order(
+            domain=domain,
+            is_evacuated=is_evacuated,
+            expires_ms=self._clock.now_ms() + ANSWER_LIMIT_MS,
+            has_caller_left=lambda: _has_left(caller),
+        )
+        try:
+            stored = _within_limit(self._evacuations.apply, order)
+        except _evacuation.InvalidOrderError as exc:
+            paddle_kernel.emit(
+                _events.EVACUATION_INVALID,
+                domain=domain[: _evacuation.MAX_NAME_LENGTH],
+                error=str(exc),
+            )
+            resp.status = 400
+            resp.media = {'error': str(exc)}
+            return
+        if stored is None:
+            resp.status = 503
+            resp.media = {'error': 'no majority stored the order; retry'}
+            return
+        resp.media = {
+            **_evacuation_body(stored),
+            'servers': sum(
+                item.domain == domain for item in self._fleet.servers or ()
+            ),
+        }
+
+
+class EvacuationListResource:
+    """GET returns the evacuated failure domains."""
+
+    def __init__(self, evacuations):
+        self._evacuations = evacuations
+
+    def on_get(self, _req, resp):
+        """Return the domains, or 503 without a confirmed version."""
+        stored = _within_limit(self._evacuations.read)
+        if stored is None:
+            resp.status = 503
+            resp.media = {'error': 'no confirmed version of the domains'}
+            return
+        resp.media = _evacuation_body(stored)
+
+
+def _evacuation_body(evacuation):
+    return {
+        'version': evacuation.version,
+        'domains': list(evacuation.domains),
+    }
+
+
+def _has_left(sock):
+    """Whether the caller has closed its connection, at least for sending."""
+    if sock is None:
+        return False
+    if sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _within_limit(function, *args):
     """Return the result of ``function``, ``None`` after the time limit.
 
--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -13,6 +13,7 @@
 from paddle_router.controller import _clocks
 from paddle_router.controller import _control_api
 from paddle_router.controller import _duties
+from paddle_router.controller import _evacuation
 from paddle_router.controller import _events
 from paddle_router.controller import _fenced_sender
 from paddle_router.controller import _fleet
@@ -43,6 +44,8 @@
 VERSIONS_PERIOD_MS = 150
 REPLICA_RETRY_MS = 500
 MAX_LOGGED_ENTRIES = 10
+# Path of the evacuations for the operator's command.
+EVACUATION_PATH = '/evacuation'
 # Time limit for a register change with its retries; an operator tries another
 # controller after a second.
 REGISTER_CHANGE_TIMEOUT_MS = 1_500
@@ -56,7 +59,8 @@
     """Stores the configuration, serves gateways and runs periodic duties.
 
     While it holds the lease, it also seals and reports usage and orders
-    backend servers.
+    backend servers. Operators use ``config_path`` and, if it is given,
+    ``evacuation_path``; the latter is also served as ``/evacuation``.
     """
 
     def __init__(
@@ -66,6 +70,7 @@
         platform,
         *,
         config_path,
+        evacuation_path=None,
         clock=None,
         transport=None,
     ):
@@ -97,6 +102,11 @@
         self.document = paddle_coord.VersionedDocument(
             self.register, self.clock
         )
+        self.evacuations = _evacuation.Evacuations(
+            self.register,
+            self.clock,
+            is_served=evacuation_path is not None,
+        )
         self.lease = paddle_coord.Lease(
             self.register,
             self.clock,
@@ -114,6 +124,7 @@
         self.dump = paddle_kernel.StateDump()
         for name, component in (
             ('document', self.document),
+            ('evacuations', self.evacuations),
             ('lease', self.lease),
             ('fleet', self.fleet),
             ('usage', self.usage),
@@ -146,9 +157,10 @@
         )
         self._api_server = pywsgi.WSGIServer(
             paddle_kernel.split_address(settings.listen),
-            self._application(dialect, config_path),
+            self._application(dialect, config_path, evacuation_path),
             log=None,
             error_log=None,
+            handler_class=_control_api.OperatorHandler,
         )
         self.list_requested = gevent.event.Event()
         self._refresh_wake = gevent.event.Event()
@@ -291,6 +303,8 @@
         # Before the configuration, without which gateways serve nothing.
         self.exchange.request_crashes.load(self.register)
         self.exchange.origins.load(self.register)
+        if not self.evacuations.is_known and not self.evacuations.refresh():
+            return
         age_ms = self.document.age_ms()
         if age_ms is not None:
             if age_ms < REFRESH_PERIOD_MS:
@@ -306,7 +320,8 @@
             ):
                 return
         self._is_refresh_requested = False
-        self.document.refresh()
+        if self.document.refresh():
+            self.evacuations.refresh_if_due()
 
     def request_refresh(self):
         """Compare the configuration soon, for a gateway that asked for it."""
@@ -410,12 +425,20 @@
         """Return the peer addresses of the replica set."""
         return tuple(item.address for item in self.register.view.new)
 
-    def _application(self, dialect, config_path):
+    def _application(self, dialect, config_path, evacuation_path):
         app = falcon.App()
         app.add_route(
             config_path,
             _control_api.ConfigurationResource(self.document, dialect),
         )
+        if evacuation_path is not None:
+            listing = _control_api.EvacuationListResource(self.evacuations)
+            domain = _control_api.EvacuationResource(
+                self.evacuations, self.fleet, self.clock
+            )
+            for path in (evacuation_path, EVACUATION_PATH):
+                app.add_route(path, listing)
+                app.add_route(path + '/{domain}', domain)
         app.add_route('/dump', _DumpResource(self.dump))
         return app
 
--- a/packages/router/src/paddle_router/controller/_events.py
+++ b/packages/router/src/paddle_router/controller/_events.py
@@ -71,3 +71,25 @@
     'WARNING',
     'no majority stored the software versions in time; retrying',
 )
+EVACUATION_ACCEPTED = paddle_kernel.declare_event(
+    3470, 'INFO', 'an evacuation order was acknowledged'
+)
+EVACUATION_INVALID = paddle_kernel.declare_event(
+    3471, 'WARNING', 'an invalid evacuation order was rejected'
+)
+EVACUATION_UNDECIDED = paddle_kernel.declare_event(
+    3472, 'WARNING', 'no majority confirmed an evacuation order in time'
+)
+EVACUATION_ABANDONED = paddle_kernel.declare_event(
+    3473,
+    'WARNING',
+    'an evacuation order changed nothing: its caller has left or it is late',
+)
+EVACUATION_CHANGED = paddle_kernel.declare_event(
+    3474, 'INFO', 'the evacuated failure domains have changed'
+)
+EVACUATION_UNCONFIRMED = paddle_kernel.declare_event(
+    3475,
+    'WARNING',
+    'a read of the evacuated domains was refused: no confirmed version',
+)
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -102,6 +102,7 @@
             return
         report = attrs.evolve(
             self.sums.report(holder, self._version()),
+            evacuation_version=self._controller.evacuations.version,
             limits=self._reported_limits(),
             **self.request_crashes.report_fields(holder),
         )
@@ -158,6 +159,8 @@
             )
         if reply.version > self._version():
             self._controller.document.refresh()
+        if reply.evacuation is not None:
+            self._controller.evacuations.adopt(reply.evacuation)
         if reply.list_age_ms >= 0:
             # The list may have aged by the whole round trip.
             round_trip_ms = self._controller.clock.now_ms() - requested_ms
@@ -209,7 +212,13 @@
             self._add_limits(item)
         current = self._controller.document.current
         version = self._version()
-        is_newer = request.attached and version > request.version
+        # Without the evacuations, a gateway that starts would send requests
+        # to evacuated domains.
+        is_newer = (
+            request.attached
+            and version > request.version
+            and self._controller.evacuations.is_known
+        )
         listing, servers = request.listing, ()
         if request.attached:
             listing, servers = self._controller.fleet.list_update(
@@ -240,6 +249,7 @@
             limits=self._reported_limits(),
             position=position,
             unlisted_versions=self.origins.unlisted_versions(),
+            evacuation=self._controller.evacuations.message(),
             **self.request_crashes.reply_fields(),
         )
 
@@ -255,6 +265,11 @@
                 self.log_list()
             if report.version > self._version():
                 gevent.spawn(self._controller.document.refresh)
+            if (
+                report.evacuation_version
+                > self._controller.evacuations.version
+            ):
+                gevent.spawn(self._controller.evacuations.refresh)
         confirmed_age_ms = self._controller.document.age_ms()
         list_age_ms = self._controller.fleet.list_age_ms()
         listing, servers = (
@@ -280,6 +295,9 @@
             list_age_ms=-1 if list_age_ms is None else list_age_ms,
             servers=() if listing == report.listing else servers,
             reporting=self._controller.fleet.reporting_count(),
+            evacuation=self._controller.evacuations.newer_message(
+                report.evacuation_version
+            ),
             limits=self._reported_limits(),
             positions=tuple(
                 self._controller.fleet.position(item.name)
@@ -290,7 +308,11 @@
 
     def _is_confirmed(self):
         age_ms = self._controller.document.age_ms()
-        return age_ms is not None and age_ms < CONFIRMATION_MAX_AGE_MS
+        return (
+            age_ms is not None
+            and age_ms < CONFIRMATION_MAX_AGE_MS
+            and self._controller.evacuations.is_known
+        )
 
     def _add_limits(self, message):
         for limit in message.limits:
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -92,3 +92,11 @@
 STREAMS_NOT_RECORDED = paddle_kernel.declare_event(
     3340, 'WARNING', 'a controller did not record where streams began'
 )
+EVACUATION_APPLIED = paddle_kernel.declare_event(
+    3350, 'INFO', 'the gateway applied the evacuated failure domains'
+)
+ALL_SERVERS_EVACUATED = paddle_kernel.declare_event(
+    3351,
+    'WARNING',
+    'all servers of a service are in evacuated domains; it gets no requests',
+)
--- a/packages/router/tests/test_controller_state_exchange.py
+++ b/packages/router/tests/test_controller_state_exchange.py
@@ -5,6 +5,7 @@
 import attrs
 import paddle_coord
 import paddle_kernel
+from paddle_router.controller import _evacuation
 from paddle_router.controller import _fleet
 from paddle_router.controller import _server_list
 from paddle_router.controller import _state_exchange
@@ -78,6 +79,7 @@
         lease=types.SimpleNamespace(observed_holder='c0/1'),
         holds_lease=False,
         document=paddle_coord.VersionedDocument(register, clock),
+        evacuations=_evacuation.Evacuations(register, clock, is_served=False),
         request_refresh=lambda: None,
     )
 
