--- a/packages/router/src/paddle_router/controller/_scaling.py
+++ b/packages/router/src/paddle_router/controller/_scaling.py
@@ -46,6 +46,8 @@
             return
         if configuration is None or not fleet.has_collected_reports:
             return
+        if not self._controller.evacuations.is_known:
+            return
         for service in configuration.services.values():
             if service.scaling is not None:
                 self._plan(service)
@@ -59,10 +61,22 @@
 
     def _plan(self, service):
         now_ms = self._controller.clock.now_ms()
-        existing = self._existing_counts(service)
+        # The platform's operator releases the servers of an evacuated domain.
+        # Their load counts as demand for servers in the others.
+        evacuated = self._controller.evacuations.domains
+        bounds = _fleet_bounds(service, evacuated)
+        for key in [
+            key
+            for key in self._sent
+            if key[0] == service.name and key[1] in evacuated
+        ]:
+            del self._sent[key]
+        if not bounds.prices:
+            return
+        existing = self._existing_counts(service, evacuated)
         leaving = self._leaving_by_notice_counts(service)
         wanted = self._fleet_sizes[service.name].wanted(
-            self._demand(service), _fleet_bounds(service), existing, now_ms
+            self._demand(service), bounds, existing, now_ms
         )
         # Servers are released only while enough others already serve.
         spare = max(
@@ -106,11 +120,13 @@
             if item.service == service.name and not item.spot
         )
 
-    def _existing_counts(self, service):
+    def _existing_counts(self, service, evacuated):
         return collections.Counter(
             (item.domain, item.spot)
             for item in self._controller.fleet.servers
-            if item.service == service.name and not item.leaving
+            if item.service == service.name
+            and not item.leaving
+            and item.domain not in evacuated
         )
 
     def _leaving_by_notice_counts(self, service):
@@ -187,11 +203,16 @@
         )
 
 
-def _fleet_bounds(service):
+def _fleet_bounds(service, evacuated):
+    """Return the bounds for the domains that are not evacuated."""
     scaling = service.scaling
     return policy.FleetBounds(
         minimum=scaling.minimum,
         maximum=scaling.maximum,
-        prices=scaling.prices,
+        prices={
+            domain: price
+            for domain, price in scaling.prices.items()
+            if domain not in evacuated
+        },
         cheap_price_ratio=scaling.spot_price,
     )
--- a/packages/router/src/paddle_router/policy/_fleet_size.py
+++ b/packages/router/src/paddle_router/policy/_fleet_size.py
@@ -140,12 +140,19 @@
         )
         cheap = self._options(bounds, existing, now_ms, cheap=True)
         firm = self._options(bounds, existing, now_ms, cheap=False)
+        # Nothing can remain of servers that are all in one domain.
+        can_protect = len(bounds.prices) > 1
         mix = _planners.cheapest_mix(
-            cheap_needed, math.ceil(PROTECTED_RATIO * cheap_needed), cheap
+            cheap_needed,
+            math.ceil(PROTECTED_RATIO * cheap_needed) if can_protect else 0,
+            cheap,
         )
         missing = self.min_servers - sum(mix.values())
         if missing > 0:
-            mix = {**mix, **_planners.cheapest_mix(missing, 1, firm)}
+            mix = {
+                **mix,
+                **_planners.cheapest_mix(missing, int(can_protect), firm),
+            }
         return _apply_bounds(mix, bounds, cheap + firm)
 
     def _initial_firm_servers(self, demand, existing):
--- a/packages/router/tests/test_controller_scaling.py
+++ b/packages/router/tests/test_controller_scaling.py
@@ -82,6 +82,7 @@
         fenced_sender=FakeFencedSender(),
         platform=FakePlatform(),
         fleet=fleet,
+        evacuations=types.SimpleNamespace(is_known=True, domains=frozenset()),
         configuration=lambda: types.SimpleNamespace(services={'s': SERVICE}),
         exchange=types.SimpleNamespace(
             sums=types.SimpleNamespace(all_loads=lambda: loads)
@@ -134,3 +135,56 @@
     )
     duty.step()
     assert fake_controller.platform.orders == [('d1', 4)]
+
+
+def test_an_evacuated_domain_is_replaced_by_servers_of_the_others(
+    duty, fake_controller, clock
+):
+    # Guards against orders for servers that get no requests, and against
+    # servers of the domain that count as capacity.
+    fake_controller.evacuations.domains = frozenset({'d1'})
+    clock.advance(1_000)
+    duty.step()
+    assert fake_controller.platform.orders == [('d2', 4)]
+    # Nothing is ordered while all domains are evacuated.
+    fake_controller.evacuations.domains = frozenset({'d1', 'd2'})
+    for _ in range(10):
+        clock.advance(1_000)
+        duty.step()
+    assert fake_controller.platform.orders == [('d2', 4)]
+
+
+def test_servers_of_an_evacuated_domain_allow_no_release(
+    fake_controller, clock
+):
+    # Guards against a release of servers that have to carry the load until
+    # the cheaper ones have started.
+    service = attrs.evolve(
+        SERVICE,
+        scaling=attrs.evolve(SERVICE.scaling, maximum=10, spot_price=0.3),
+    )
+    fake_controller.configuration = lambda: types.SimpleNamespace(
+        services={'s': service}
+    )
+    moved = [attrs.evolve(listed_server(n), domain='d2') for n in range(4, 7)]
+    fake_controller.fleet.set_servers(
+        (*SERVERS, *moved), is_platform_read=True
+    )
+    fake_controller.evacuations.domains = frozenset({'d1'})
+    _scaling.ScalingDuty(fake_controller).step()
+    # Reclaimable ones for 8 requests at 40% of 4 slots; the others stay.
+    assert fake_controller.platform.orders == [('d2', 5)]
+
+
+def test_nothing_is_ordered_before_the_evacuations_are_known(
+    fake_controller,
+):
+    # Guards against orders for an evacuated domain after a restart.
+    fake_controller.evacuations.is_known = False
+    fake_controller.fleet.set_servers((), is_platform_read=True)
+    duty = _scaling.ScalingDuty(fake_controller)
+    duty.step()
+    assert fake_controller.platform.orders == []
+    fake_controller.evacuations.is_known = True
+    duty.step()
+    assert fake_controller.platform.orders != []
--- a/packages/router/tests/test_gateway_policies.py
+++ b/packages/router/tests/test_gateway_policies.py
@@ -232,6 +232,16 @@
             assert 2 <= total <= 3
 
 
+def test_the_last_domain_gets_the_servers_that_the_demand_needs():
+    # Guards against orders that keep servers back for the loss of the only
+    # domain, while the others are evacuated.
+    alone = policy.FleetBounds(
+        minimum=1, maximum=20, prices={'d0': 1.0}, cheap_price_ratio=None
+    )
+    wanted = policy.FleetSize().wanted(demand(120_000), alone, {}, NOW)
+    assert wanted['d0', False] == policy.servers_needed(demand(120_000))
+
+
 # Retry budget
 
 
