--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -66,7 +66,8 @@
 
     ``table`` is the :class:`RouteTable` in use, ``None`` before the first
     configuration; its version never decreases. ``servers`` is the list of
-    backend servers, ``None`` before the first one.
+    backend servers, ``None`` before the first one. ``evacuation`` holds the
+    evacuated failure domains; its version never decreases either.
     """
 
     def __init__(
@@ -118,6 +119,7 @@
         self._reply_listeners = []
         self.table = None
         self.servers = None
+        self.evacuation = _messages.Evacuation()
         self.gateway_count = 1
         self.synced_ms = None
 
@@ -127,7 +129,7 @@
         return self.table is not None and self.servers is not None
 
     def on_change(self, listener):
-        """Call ``listener()`` after a new configuration or server list."""
+        """Call ``listener()`` after a change of what requests depend on."""
         self._listeners.append(listener)
 
     def on_reply(self, listener):
@@ -187,6 +189,7 @@
             **self._selector.dump(),
             'version': version,
             'listing': self._listing,
+            'evacuation': attrs.asdict(self.evacuation),
             'fronts': self.gateway_count,
             'synced_ms': self.synced_ms,
         }
@@ -309,6 +312,9 @@
         self._is_trying_others = False
         if reply.true_ms:
             self._wall.agree(reply.true_ms, CLOCK_TOLERANCE_MS)
+        # First, since the gateway may be ready with the next two.
+        if reply.evacuation is not None:
+            self._apply_evacuation(reply.evacuation)
         if reply.document is not None:
             self._apply_configuration(reply)
         if reply.listing != self._listing:
@@ -321,6 +327,17 @@
             listener(reply)
         self._check_controller(address, reply, now_ms)
 
+    def _apply_evacuation(self, evacuation):
+        if evacuation.version <= self.evacuation.version:
+            return
+        self.evacuation = evacuation
+        paddle_kernel.emit(
+            _events.EVACUATION_APPLIED,
+            version=evacuation.version,
+            domains=list(evacuation.domains),
+        )
+        self._notify_listeners()
+
     def _apply_configuration(self, reply):
         held_version = self.table.configuration.version if self.table else -1
         if reply.version <= held_version:
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -138,15 +138,22 @@
         # In a planned stop, the time at which requests in progress are cut.
         self.cut_at_ms = None
         self._last_resort_services = set()
+        # Ids of the listed servers in evacuated failure domains.
+        self.evacuated_ids = frozenset()
+        self._evacuated_services = set()
         self._paced_services = set()
         self._servers = {}
         self._rng = random.Random()
         self.follower.on_change(self.apply_servers)
 
     def apply_servers(self):
-        """Apply the current server list and the servers' own announcements."""
+        """Apply server list, evacuations and the servers' announcements."""
         now_ms = self.clock.now_ms()
         servers = self.follower.servers or ()
+        evacuated = frozenset(self.follower.evacuation.domains)
+        self.evacuated_ids = frozenset(
+            item.id for item in servers if item.domain in evacuated
+        )
         self._servers = {item.id: item for item in servers}
         groups = collections.defaultdict(list)
         for item in servers:
@@ -158,6 +165,7 @@
                     slots=item.slots,
                     cheap=item.spot,
                     leaving=item.leaving,
+                    evacuated=item.id in self.evacuated_ids,
                 )
             )
         for service in set(self.balancers) | set(groups):
@@ -171,6 +179,7 @@
                 )
             self.balancers[service].sync(groups[service], now_ms)
             self.waiting.wake_all(service)
+        self._log_evacuated(groups)
         self.notices.retain((item.incarnation for item in servers), now_ms)
         self.limits.retain(item.incarnation for item in servers)
         self.pool.close_all_except(item.address for item in servers)
@@ -178,6 +187,17 @@
             _server_notices.mark_known_leaving(self.notices, servers)
         )
 
+    def _log_evacuated(self, groups):
+        """Log once that a service has servers in evacuated domains only."""
+        services = {
+            service
+            for service, engines in groups.items()
+            if all(item.evacuated for item in engines)
+        }
+        for service in sorted(services - self._evacuated_services):
+            paddle_kernel.emit(_events.ALL_SERVERS_EVACUATED, service=service)
+        self._evacuated_services = services
+
     def log_last_resort(self, service):
         """Log once when only leaving servers of ``service`` remain."""
         if not self.balancers[service].is_last_resort:
--- a/packages/router/src/paddle_router/gateway/_metrics.py
+++ b/packages/router/src/paddle_router/gateway/_metrics.py
@@ -89,6 +89,11 @@
                 'Connections opened to backend servers.',
                 lambda: gateway.components.pool.opened_count,
             ),
+            (
+                'servers_evacuated',
+                'Listed servers in evacuated failure domains.',
+                lambda: len(gateway.components.evacuated_ids),
+            ),
             (
                 'moves_begun',
                 'Streams whose server was asked to move the run.',
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -243,6 +243,7 @@
             self._components.server_ids(service)
             - {stream.server.id}
             - set(self._leaving)
+            - self._components.evacuated_ids
             # Includes servers without room for a copy of this run.
             - stream.call.excluded
         )
--- a/packages/router/src/paddle_router/policy/_availability.py
+++ b/packages/router/src/paddle_router/policy/_availability.py
@@ -4,7 +4,8 @@
 :mod:`paddle_router.policy._server_notices`. A server with a limit is used with
 the permits of this gateway; see :mod:`paddle_router.policy._server_limits`.
 If all servers of a service are leaving, those that still accept work are used
-until they stop.
+until they stop. Servers of an evacuated failure domain are not used at all,
+also if no others are left.
 """
 
 import attrs
@@ -76,9 +77,13 @@
         """Return ``(states, is_last_resort)`` of servers to use now.
 
         ``is_last_resort`` is true if all servers are leaving and some of them
-        still accept work. Replaced servers are not counted.
+        still accept work. Replaced and evacuated servers are not counted.
         """
-        present = [state for state in states if not state.is_replaced(now_ms)]
+        present = [
+            state
+            for state in states
+            if not state.is_replaced(now_ms) and not state.engine.evacuated
+        ]
         not_leaving = [
             state for state in present if not self.is_leaving(state)
         ]
@@ -104,13 +109,15 @@
     def next_availability(self, states, now_ms):
         """Return the :class:`NextAvailability` of ``states``.
 
-        ``None`` if all of the servers are replaced or leaving.
+        ``None`` if all of the servers are replaced, evacuated or leaving.
         """
         times = []
         intervals_ms = []
         for state in states:
             if state.is_replaced(now_ms) or self.is_leaving(state):
                 continue
+            if state.engine.evacuated:
+                continue
             until_ms = self.notices.quiet_until_ms(state.incarnation)
             at_ms = now_ms if until_ms is None else max(now_ms, until_ms)
             at_ms = max(
--- a/packages/router/src/paddle_router/policy/_hooks.py
+++ b/packages/router/src/paddle_router/policy/_hooks.py
@@ -124,7 +124,8 @@
     """A backend server that a balancer can choose.
 
     ``born_ms`` is its start in ms since the Unix epoch, 0 if unknown. A
-    different value means a different incarnation with the same id.
+    different value means a different incarnation with the same id. An
+    ``evacuated`` one gets no requests until its domain is used again.
     """
 
     id: str
@@ -133,6 +134,7 @@
     slots: int = 8
     cheap: bool = False
     leaving: bool = False
+    evacuated: bool = False
     can_resume: bool = False
 
 
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -176,10 +176,12 @@
         """Place ``work`` on a given server; return a :class:`SharedFlight`.
 
         Used to continue a run whose state is held by that server. ``None`` if
-        the server is not listed or in a quiet period.
+        the server is not listed, evacuated or in a quiet period.
         """
         state = self._states.get(server_id)
-        if state is None or self._availability.is_quiet(state, now_ms):
+        if state is None or state.engine.evacuated:
+            return None
+        if self._availability.is_quiet(state, now_ms):
             return None
         return self._occupy(
             state, attrs.evolve(work, prompt_tokens=0), now_ms, None
@@ -198,6 +200,7 @@
 
     def _view(self, state, is_usable, now_ms):
         report = state.reported
+        reason = 'evacuated' if state.engine.evacuated else 'not available'
         return _server_view.ServerView(
             server=state.incarnation,
             failure_domain=state.engine.failure_domain,
@@ -210,7 +213,7 @@
             else now_ms - state.reported_ms,
             pace_ms=state.pace_ms(now_ms),
             is_excluded=not is_usable,
-            reason='' if is_usable else 'not available',
+            reason='' if is_usable else reason,
         )
 
     def can_place(self, avoid, now_ms):
--- a/packages/router/tests/test_gateway_policies.py
+++ b/packages/router/tests/test_gateway_policies.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -147,6 +148,41 @@
     assert not built.can_place({'s1'}, NOW)
 
 
+@pytest.mark.parametrize('evacuated', [1, 2])
+def test_servers_of_an_evacuated_domain_get_nothing(evacuated):
+    # Guards against requests, continued runs and waits for such servers, also
+    # if no others are left.
+    built = policy.SharedLoadBalancer(rng=random.Random(1))
+    built.sync(
+        [
+            attrs.evolve(item, evacuated=index < evacuated)
+            for index, item in enumerate(engines(2))
+        ],
+        NOW,
+    )
+    chosen = {
+        flight and flight.server_id
+        for flight in (built.choose(SHORT, NOW) for _ in range(10))
+    }
+    assert chosen == ({'s1'} if evacuated == 1 else {None})
+    assert built.place('s0', SHORT, NOW) is None
+    assert not built.can_place({'s1'}, NOW)
+    assert built.next_availability({'s1'}, NOW) is None
+    view = next(item for item in built.views(NOW) if item.server.id == 's0')
+    assert (view.free, view.reason) == (0, 'evacuated')
+
+
+def test_the_load_of_an_evacuated_server_is_kept_for_its_return():
+    # Guards against a server that looks idle when its domain is used again.
+    built = policy.SharedLoadBalancer(rng=random.Random(1))
+    built.sync(engines(1), NOW)
+    built.choose(SHORT, NOW)
+    built.sync([attrs.evolve(engines(1)[0], evacuated=True)], NOW)
+    assert built.own_loads(NOW)['s0'].running == 1
+    built.sync(engines(1), NOW)
+    assert built.views(NOW)[0].own == 1
+
+
 def test_the_prefill_rate_is_estimated_from_long_prompts():
     built = balancer(1)
     for index in range(80):
--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -98,6 +98,7 @@
         self.suspects = ()
         self.refused = ()
         self.limits = ()
+        self.evacuation = None
         self.requests = []
 
     def call(self, address, message, timeout_ms):
@@ -121,6 +122,7 @@
                 refused=self.refused,
                 limits=self.limits,
                 position=1,
+                evacuation=self.evacuation,
             )
         )
 
