--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -12,6 +12,7 @@
 
 from fleet_adapter import cloud
 from fleet_adapter import configuration
+from fleet_adapter import controller_role
 from fleet_adapter import dialect
 from fleet_adapter import settings
 import paddle_kernel
@@ -648,6 +649,33 @@
         settings.PlatformSettings.load()
 
 
+SETTINGS = {
+    'nodeName': 'core-0',
+    'zone': 'z0',
+    'ipAddress': '127.0.0.1',
+    'listen': {'control': '127.0.0.1:0'},
+    'internalPorts': [0],
+    'seeds': [],
+    'dataDirectory': '/nonexistent',
+    'bounds': {'leaseDurationMs': 3_000, 'usageWindowS': 5, 'usageLateS': 10},
+    'cloud': {'address': '127.0.0.1:1'},
+}
+
+
+@pytest.mark.parametrize('bounds', [{}, {'evacuationMs': 5_000}])
+def test_evacuations_are_served_where_the_platform_has_a_bound_for_them(
+    bounds,
+):
+    # Guards against further reads of registers on the other platforms.
+    loaded = settings.PlatformSettings.from_document(
+        {**SETTINGS, 'bounds': {**SETTINGS['bounds'], **bounds}}
+    )
+    built = controller_role.build(loaded)
+    assert built.evacuations.dump()['served'] is bool(bounds)
+    found = built._api_server.application._router.find('/api/evacuation/z1')
+    assert bool(found) is bool(bounds)
+
+
 @pytest.mark.parametrize('price', [1.0, 'x'])
 def test_a_zone_name_that_cannot_be_encoded_is_rejected_with_a_readable_error(
     price,
--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -38,6 +38,8 @@
 }
 
 
+# The users' bound for an evacuation to be in force.
+EVACUATION_S = 5
 # Each request writes about three lines of 300 bytes.
 BURST_REQUESTS = 400
 BURST_CLIENTS = 20
@@ -94,6 +96,36 @@
     return start_fleet(fleet)
 
 
+@pytest.fixture
+def far_origin():
+    """The server of a second failure domain."""
+    built = fakes.FakeOrigin(lambda req, sock: fakes.response(req))
+    yield built
+    built.stop()
+
+
+@pytest.fixture
+def evacuable_fleet(tmp_path, cloud, far_origin):
+    """A running fleet on a platform whose operators evacuate domains."""
+    cloud.entries.append(
+        {
+            **cloud.entries[0],
+            'identifier': 'i-2',
+            'address': far_origin.address,
+            'zone': 'z2',
+        }
+    )
+    built = fleets.Fleet(
+        tmp_path,
+        cloud,
+        controllers=3,
+        gateways=2,
+        bounds={'evacuationMs': EVACUATION_S * 1_000},
+    )
+    yield start_fleet(built)
+    built.stop()
+
+
 @pytest.fixture
 def fleet_with_late_reports(tmp_path, cloud):
     """A running fleet with the users' bound on late usage reports.
@@ -506,3 +538,101 @@
     assert all(
         item.process.poll() is None for item in serving.machines.values()
     )
+
+
+def order_evacuation(fleet, method, domain, names=None):
+    """Send an order to the controllers in turn until one acknowledges it."""
+    names = names or fleet.names('controller')
+
+    def send_once():
+        return any(
+            fleet.call(name, method, f'/api/evacuation/{domain}')[0] == 200
+            for name in names
+        )
+
+    fleets.wait_for(send_once, 'no controller acknowledged the order')
+
+
+def read_evacuated(fleet, name):
+    """Return the evacuated domains, ``None`` if they are not confirmed."""
+    status, body = fleet.call(name, 'GET', '/api/evacuation')
+    return json.loads(body)['domains'] if status == 200 else None
+
+
+def wait_evacuated(fleet, *domains):
+    """Wait until all gateways have applied ``domains``, within the bound."""
+    for name in fleet.names('gateway'):
+        fleets.wait_for(
+            lambda name=name: (
+                fleet.dump(name)['follower']['evacuation']['domains']
+                == list(domains)
+            ),
+            f'{name} has not applied the evacuations',
+            wait_s=EVACUATION_S,
+        )
+
+
+def send_to_all(fleet, count=10):
+    """Send requests to each gateway; return the statuses."""
+    return {
+        send_request(fleet, name)
+        for name in fleet.names('gateway')
+        for _ in range(count)
+    }
+
+
+def test_an_evacuation_survives_a_kill_of_all_processes(
+    evacuable_fleet, origin, far_origin
+):
+    # Guards against an acknowledged order that only lives in memory, and
+    # against one of two orders at the same time that is lost.
+    fleet = evacuable_fleet
+    operators = [
+        gevent.spawn(order_evacuation, fleet, 'POST', domain, [name])
+        for domain, name in (('z1', 'core-0'), ('z9', 'core-1'))
+    ]
+    gevent.joinall(operators, raise_error=True)
+    for name in fleet.machines:
+        fleet.kill(name)
+    before = len(origin.requests)
+    for name in fleet.machines:
+        fleet.start(name)
+    for name in fleet.names('gateway'):
+        fleet.wait_ready(name)
+    # Already the first requests of a gateway that is ready.
+    assert send_to_all(fleet) == {200}
+    assert len(origin.requests) == before and far_origin.requests
+    assert read_evacuated(fleet, 'core-2') == ['z1', 'z9']
+    order_evacuation(fleet, 'DELETE', 'z1')
+    wait_evacuated(fleet, 'z9')
+    assert send_to_all(fleet) == {200}
+    assert len(origin.requests) > before
+
+
+def test_a_late_copy_of_an_order_does_not_repeat_it(
+    evacuable_fleet, origin, far_origin
+):
+    # Guards against a controller that is frozen, and evacuates the domain once
+    # more when it wakes, after the order was taken back elsewhere.
+    fleet = evacuable_fleet
+    fleet.signal('core-1', signal.SIGSTOP)
+    status, _body = fleet.call(
+        'core-1', 'POST', '/api/evacuation/z1', timeout_s=OPERATOR_WAIT_S
+    )
+    assert status is None
+    others = ['core-0', 'core-2']
+    order_evacuation(fleet, 'POST', 'z1', others)
+    wait_evacuated(fleet, 'z1')
+    before = len(origin.requests)
+    # A gateway that starts meanwhile.
+    fleet.kill('front-0')
+    fleet.start('front-0')
+    fleet.wait_ready('front-0')
+    assert send_to_all(fleet) == {200}
+    assert len(origin.requests) == before
+    order_evacuation(fleet, 'DELETE', 'z1', others)
+    fleet.signal('core-1', signal.SIGCONT)
+    gevent.sleep(CONTACT_S)
+    assert [
+        read_evacuated(fleet, name) for name in fleet.names('controller')
+    ] == [[], [], []]
