--- a/packages/ctl/src/paddle_ctl/_client.py
+++ b/packages/ctl/src/paddle_ctl/_client.py
@@ -55,6 +55,10 @@
         """Return the :class:`Answer` to ``POST path`` with a JSON body."""
         return self._request('POST', path, json.dumps(body))
 
+    def delete(self, path):
+        """Return the :class:`Answer` to ``DELETE path``."""
+        return self._request('DELETE', path, None)
+
     def _request(self, method, path, body):
         problems = []
         for address in self._addresses:
--- a/packages/ctl/tests/test_ctl_command.py
+++ b/packages/ctl/tests/test_ctl_command.py
@@ -107,3 +107,58 @@
     assert commands.difference(before, after) == [
         {'path': '$.classes.chat.tier', 'before': 1, 'after': 2}
     ]
+
+
+class FakeController:
+    """Records orders that evacuate domains; answers with ``status``."""
+
+    def __init__(self, status):
+        self.orders = []
+        self._status = status
+        self._server = gevent.pywsgi.WSGIServer(
+            ('127.0.0.1', 0), self._serve, log=None
+        )
+        self._server.start()
+        self.address = '{}:{}'.format(*self._server.address)
+
+    def close(self):
+        self._server.stop(timeout=0)
+
+    def _serve(self, environ, start_response):
+        self.orders.append((environ['REQUEST_METHOD'], environ['PATH_INFO']))
+        start_response(
+            f'{self._status} X', [('Content-Type', 'application/json')]
+        )
+        return [b'{"version": 1, "domains": ["d 1"]}']
+
+
+@pytest.mark.parametrize(
+    ('words', 'order'),
+    [
+        (['start', 'd 1'], ('POST', '/evacuation/d 1')),
+        (['stop', 'd 1'], ('DELETE', '/evacuation/d 1')),
+        (['show'], ('GET', '/evacuation')),
+    ],
+)
+@pytest.mark.parametrize(
+    ('status', 'code'),
+    [
+        (200, command.EXIT_OK),
+        (404, command.EXIT_REJECTED),
+        (503, command.EXIT_UNKNOWN),
+    ],
+)
+def test_evacuations_are_ordered_and_shown(run, words, order, status, code):
+    # Guards against scripts that take an order without an acknowledgement
+    # for one in force.
+    controller = FakeController(status)
+    found, captured = run([controller.address], ['evacuation', *words])
+    controller.close()
+    assert (found, controller.orders) == (code, [order])
+    assert (code == command.EXIT_OK) == bool(captured.out)
+
+
+def test_an_evacuation_of_no_domain_is_wrong_usage(run):
+    code, captured = run(['127.0.0.1:1'], ['evacuation', 'start'])
+    assert code == command.EXIT_USAGE
+    assert 'evacuation start DOMAIN' in captured.err
