--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -140,6 +140,19 @@
         """The ids of the servers that the request must not be sent to."""
         return self.unsuitable.union(self.tried)
 
+    @property
+    def engine_work(self):
+        """What the balancer places the request by."""
+        return policy.EngineWork(
+            prompt_tokens=self.metadata.prompt_tokens,
+            parts=tuple(
+                (part.id, part.tokens) for part in self.metadata.parts
+            ),
+            target_ms=self.route.target_ms,
+            gap_ms=self.route.gap_ms,
+            avoid=self.excluded,
+        )
+
     @property
     def can_resume(self):
         """Whether the stream can go on where the caller's part ends.
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -11,7 +11,6 @@
 from paddle_router.gateway import _events
 from paddle_router.gateway import _exchange
 from paddle_router.gateway import _routes
-from paddle_router import policy
 
 # When all processes start at the same time, a gateway gets its configuration
 # from a controller within 0.2 to 0.8 s. The shortest deadline of a caller is
@@ -241,12 +240,10 @@
         self._components.exclude_other_versions(call)
         if call.continuation is not None:
             flight = balancer.place(
-                call.continuation.target_id, self._engine_work(call), now_ms
+                call.continuation.target_id, call.engine_work, now_ms
             )
         elif balancer is not None:
-            flight = self._components.waiting.place(
-                call, self._engine_work(call)
-            )
+            flight = self._components.waiting.place(call, call.engine_work)
             self._components.log_last_resort(call.service)
         if flight is None:
             call.reason = 'no server'
@@ -286,16 +283,6 @@
         )
         return True
 
-    def _engine_work(self, call):
-        metadata = call.metadata
-        return policy.EngineWork(
-            prompt_tokens=metadata.prompt_tokens,
-            parts=tuple((part.id, part.tokens) for part in metadata.parts),
-            target_ms=call.route.target_ms,
-            gap_ms=call.route.gap_ms,
-            avoid=call.excluded,
-        )
-
     # Responses
 
     def _refuse(self, conn, status, reason, call=None):
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -12,6 +12,7 @@
 from paddle_router.gateway import _connections
 from paddle_router.gateway import _entry
 from paddle_router.gateway import _events
+from paddle_router.gateway import _explain
 from paddle_router.gateway import _follower
 from paddle_router.gateway import _forward
 from paddle_router.gateway import _metrics
@@ -418,6 +419,12 @@
         app.add_route(ready_path, _Readiness(self))
         app.add_route('/metrics', _MetricsText(self.metrics))
         app.add_route('/dump', _Dump(self.dump))
+        app.add_route(
+            '/explain',
+            _explain.ExplanationResource(
+                _explain.Explainer(self.components, self.settings.name)
+            ),
+        )
         return app
 
     def _dump_balancers(self):
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -82,6 +82,7 @@
 from paddle_router.policy._server_view import ServerView
 from paddle_router.policy._server_view import TurnAway
 from paddle_router.policy._server_view import Wait
+from paddle_router.policy._shared_load import Explanation
 from paddle_router.policy._shared_load import SharedLoadBalancer
 from paddle_router.policy._shared_server import EngineWork
 from paddle_router.policy._shared_server import SharedFlight
@@ -115,6 +116,7 @@
     'Engine',
     'engine_ranks',
     'EngineWork',
+    'Explanation',
     'FifoScheduler',
     'FIRST_TOKEN',
     'FleetBounds',
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -16,6 +16,7 @@
 prompts, and the chats would exceed the longest allowed pause between events.
 """
 
+import copy
 import statistics
 
 import attrs
@@ -87,6 +88,29 @@
 SLOW_RATIO = 3.0
 
 
+@attrs.frozen(kw_only=True)
+class Explanation:
+    """Where a request would go, as one gateway sees it.
+
+    ``views`` are the :class:`ServerView` of all listed servers, ``costs`` has
+    the cost of each usable one by id (1.0 is a time-to-first-token equal to
+    its target). One of the ``candidates`` is chosen at random; there are none
+    if no server is usable.
+    """
+
+    views: tuple
+    costs: dict
+    candidates: tuple[str, ...]
+
+
+@attrs.frozen
+class _Weighed:
+    costs: list
+    near_lowest: list
+    chosen: _shared_server.ServerState
+    affinity_rank: int | None
+
+
 @_hooks.balancers.register('shared_load')
 class SharedLoadBalancer:
     """Choose servers by the expected wait and the delay of running requests.
@@ -146,6 +170,35 @@
 
         Return a :class:`SharedFlight`, ``None`` if no server is usable.
         """
+        weighed = self._weigh(work, now_ms)
+        if weighed is None:
+            return None
+        return self._occupy(
+            weighed.chosen, work, now_ms, weighed.affinity_rank
+        )
+
+    def explain(self, work, now_ms):
+        """Return the :class:`Explanation` of where ``work`` would go now.
+
+        Works on a copy: choosing also records what it has seen. The time for
+        that grows with the servers and the requests in flight.
+        """
+        copied = copy.deepcopy(self)
+        weighed = copied._weigh(work, now_ms)
+        return Explanation(
+            views=copied.views(now_ms),
+            costs={state.engine.id: cost for cost, state in weighed.costs}
+            if weighed
+            else {},
+            candidates=tuple(
+                sorted(state.engine.id for state in weighed.near_lowest)
+            )
+            if weighed
+            else (),
+        )
+
+    def _weigh(self, work, now_ms):
+        """Return the :class:`_Weighed` servers, ``None`` if none is usable."""
         states, self.is_last_resort = self._availability.usable(
             self._states_except(work.avoid), now_ms
         )
@@ -170,7 +223,9 @@
             state for cost, state in costs if cost <= lowest_cost + TIE_MARGIN
         ]
         chosen = self._rng.choice(near_lowest)
-        return self._occupy(chosen, work, now_ms, ranks.get(chosen.engine.id))
+        return _Weighed(
+            costs, near_lowest, chosen, ranks.get(chosen.engine.id)
+        )
 
     def place(self, server_id, work, now_ms):
         """Place ``work`` on a given server; return a :class:`SharedFlight`.
--- a/packages/router/tests/test_gateway_policies.py
+++ b/packages/router/tests/test_gateway_policies.py
@@ -183,6 +183,26 @@
     assert built.views(NOW)[0].own == 1
 
 
+def test_an_explanation_names_the_choice_and_does_not_change_it():
+    # Guards against an explanation that draws a random number, or is counted
+    # as a request that was placed.
+    asked, other = balancer(), balancer()
+    for number in range(20):
+        work = long_prompt(own=str(number)) if number % 2 else SHORT
+        found = asked.explain(work, NOW + number)
+        chosen = asked.choose(work, NOW + number)
+        assert chosen.server_id in found.candidates
+        assert other.choose(work, NOW + number).server_id == chosen.server_id
+        assert min(found.costs, key=found.costs.get) in found.candidates
+    assert asked.own_loads(NOW) == other.own_loads(NOW)
+
+
+def test_an_explanation_without_usable_servers_has_no_candidates():
+    found = balancer(leaving=range(4)).explain(SHORT, NOW + 10_000)
+    assert not found.candidates and not found.costs
+    assert {view.is_excluded for view in found.views} == {True}
+
+
 def test_the_prefill_rate_is_estimated_from_long_prompts():
     built = balancer(1)
     for index in range(80):
