--- a/packages/ctl/src/paddle_ctl/_client.py
+++ b/packages/ctl/src/paddle_ctl/_client.py
@@ -51,6 +51,22 @@
         """Return the :class:`Answer` to ``GET path``."""
         return self._request('GET', path, None)
 
+    def get_each(self, path):
+        """Return ``{address: Answer}`` of all daemons.
+
+        The status of one that does not answer is ``None``.
+        """
+        answers = {}
+        for address in self._addresses:
+            client = OperatorClient(
+                (address,), self._token, timeout_ms=self._timeout_s * 1_000
+            )
+            try:
+                answers[address] = client.get(path)
+            except UnreachableError as exc:
+                answers[address] = Answer(None, {'error': str(exc)})
+        return answers
+
     def post(self, path, body):
         """Return the :class:`Answer` to ``POST path`` with a JSON body."""
         return self._request('POST', path, json.dumps(body))
--- a/packages/ctl/tests/test_ctl_command.py
+++ b/packages/ctl/tests/test_ctl_command.py
@@ -1,6 +1,7 @@
 """Tests of the command line tool with a stub of the operator interface."""
 
 import json
+import urllib.parse
 
 import gevent.pywsgi
 import pytest
@@ -162,3 +163,91 @@
     code, captured = run(['127.0.0.1:1'], ['evacuation', 'start'])
     assert code == command.EXIT_USAGE
     assert 'evacuation start DOMAIN' in captured.err
+
+
+EXPLANATION = {
+    'gateway': 'g1',
+    'route': 'chat',
+    'services': [
+        {
+            'service': 's',
+            'decision': 'send',
+            'reason': 'lowest cost',
+            'candidates': ['i-1'],
+            'servers': [
+                {'id': 'i-1', 'cost': 0.1, 'excluded': None},
+                {'id': 'i-2', 'cost': None, 'excluded': 'evacuated'},
+            ],
+        }
+    ],
+}
+
+
+class FakeGateway:
+    """Records the questions and answers with an explanation."""
+
+    def __init__(self, status=200):
+        self.questions = []
+        self._status = status
+        self._server = gevent.pywsgi.WSGIServer(
+            ('127.0.0.1', 0), self._serve, log=None
+        )
+        self._server.start()
+        self.address = '{}:{}'.format(*self._server.address)
+
+    def close(self):
+        self._server.stop(timeout=0)
+
+    def _serve(self, environ, start_response):
+        self.questions.append(
+            dict(urllib.parse.parse_qsl(environ['QUERY_STRING']))
+        )
+        start_response(f'{self._status} X', [])
+        return [json.dumps(EXPLANATION).encode()]
+
+
+QUESTION = ['explain', 'host=h', 'path=/a/x', 'customer=7', 'parts=p:4,q:2']
+
+
+def test_all_gateways_explain_a_request(run):
+    # Guards against an explanation of the first gateway that answers only,
+    # and against one gateway that is down and hides the others.
+    gateways = [FakeGateway(), FakeGateway(), FakeGateway()]
+    gateways[0].close()
+    code, captured = run([item.address for item in gateways], QUESTION)
+    for item in gateways[1:]:
+        item.close()
+    rows = json.loads(captured.out)
+    assert code == command.EXIT_OK
+    assert rows[0]['gateway'] == gateways[0].address
+    assert rows[0]['says'].startswith('no answer: ')
+    assert [row['says'] for row in rows[1:4]] == [
+        'send: lowest cost',
+        'candidate',
+        'evacuated',
+    ]
+    assert [item.questions for item in gateways[1:]] == [
+        [{'host': 'h', 'path': '/a/x', 'customer': '7', 'parts': 'p:4,q:2'}]
+    ] * 2
+
+
+@pytest.mark.parametrize(
+    ('words', 'status', 'expected'),
+    [
+        (['explain', 'host=h'], 200, command.EXIT_USAGE),
+        ([*QUESTION, 'key=k'], 200, command.EXIT_USAGE),
+        (QUESTION, 400, command.EXIT_REJECTED),
+    ],
+)
+def test_a_wrong_question_is_not_explained(run, words, status, expected):
+    gateway = FakeGateway(status)
+    code, _captured = run([gateway.address], words)
+    gateway.close()
+    assert code == expected
+
+
+def test_no_gateway_that_answers_is_no_explanation(run):
+    gateway = FakeGateway()
+    gateway.close()
+    code, _captured = run([gateway.address], QUESTION)
+    assert code == command.EXIT_UNKNOWN
