--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -72,7 +72,8 @@
     ``origin_recorded`` is set once a controller knows it. ``continuation`` is
     the :class:`Continuation` of a stopped run.
     ``rank`` is the sort key for waiting requests, lowest first; ``urgency`` is
-    the rank sent to engines, ``None`` for a plain service.
+    the rank sent to engines, ``None`` for a plain service. ``copy_rate`` is
+    how many cached prompt tokens per ms the servers copy, 0 if they don't.
     """
 
     req: _http1.Request
@@ -107,6 +108,7 @@
     continuation: object = None
     rank: tuple[int, int] = (0, 0)
     urgency: int | None = None
+    copy_rate: float = 0.0
 
     @functools.cached_property
     def fingerprint(self):
@@ -140,6 +142,20 @@
         """The ids of the servers that the request must not be sent to."""
         return self.unsuitable.union(self.tried)
 
+    @property
+    def engine_work(self):
+        """What the balancer places the request by."""
+        return policy.EngineWork(
+            prompt_tokens=self.metadata.prompt_tokens,
+            parts=tuple(
+                (part.id, part.tokens) for part in self.metadata.parts
+            ),
+            target_ms=self.route.target_ms,
+            gap_ms=self.route.gap_ms,
+            avoid=self.excluded,
+            copy_rate=self.copy_rate,
+        )
+
     @property
     def can_resume(self):
         """Whether the stream can go on where the caller's part ends.
--- a/packages/router/tests/test_gateway_policies.py
+++ b/packages/router/tests/test_gateway_policies.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -147,6 +148,61 @@
     assert not built.can_place({'s1'}, NOW)
 
 
+@pytest.mark.parametrize('evacuated', [1, 2])
+def test_servers_of_an_evacuated_domain_get_nothing(evacuated):
+    # Guards against requests, continued runs and waits for such servers, also
+    # if no others are left.
+    built = policy.SharedLoadBalancer(rng=random.Random(1))
+    built.sync(
+        [
+            attrs.evolve(item, evacuated=index < evacuated)
+            for index, item in enumerate(engines(2))
+        ],
+        NOW,
+    )
+    chosen = {
+        flight and flight.server_id
+        for flight in (built.choose(SHORT, NOW) for _ in range(10))
+    }
+    assert chosen == ({'s1'} if evacuated == 1 else {None})
+    assert built.place('s0', SHORT, NOW) is None
+    assert not built.can_place({'s1'}, NOW)
+    assert built.next_availability({'s1'}, NOW) is None
+    view = next(item for item in built.views(NOW) if item.server.id == 's0')
+    assert (view.free, view.reason) == (0, 'evacuated')
+
+
+def test_the_load_of_an_evacuated_server_is_kept_for_its_return():
+    # Guards against a server that looks idle when its domain is used again.
+    built = policy.SharedLoadBalancer(rng=random.Random(1))
+    built.sync(engines(1), NOW)
+    built.choose(SHORT, NOW)
+    built.sync([attrs.evolve(engines(1)[0], evacuated=True)], NOW)
+    assert built.own_loads(NOW)['s0'].running == 1
+    built.sync(engines(1), NOW)
+    assert built.views(NOW)[0].own == 1
+
+
+def test_an_explanation_names_the_choice_and_does_not_change_it():
+    # Guards against an explanation that draws a random number, or is counted
+    # as a request that was placed.
+    asked, other = balancer(), balancer()
+    for number in range(20):
+        work = long_prompt(own=str(number)) if number % 2 else SHORT
+        found = asked.explain(work, NOW + number)
+        chosen = asked.choose(work, NOW + number)
+        assert chosen.server_id in found.candidates
+        assert other.choose(work, NOW + number).server_id == chosen.server_id
+        assert min(found.costs, key=found.costs.get) in found.candidates
+    assert asked.own_loads(NOW) == other.own_loads(NOW)
+
+
+def test_an_explanation_without_usable_servers_has_no_candidates():
+    found = balancer(leaving=range(4)).explain(SHORT, NOW + 10_000)
+    assert not found.candidates and not found.costs
+    assert {view.is_excluded for view in found.views} == {True}
+
+
 def test_the_prefill_rate_is_estimated_from_long_prompts():
     built = balancer(1)
     for index in range(80):
@@ -232,6 +288,16 @@
             assert 2 <= total <= 3
 
 
+def test_the_last_domain_gets_the_servers_that_the_demand_needs():
+    # Guards against orders that keep servers back for the loss of the only
+    # domain, while the others are evacuated.
+    alone = policy.FleetBounds(
+        minimum=1, maximum=20, prices={'d0': 1.0}, cheap_price_ratio=None
+    )
+    wanted = policy.FleetSize().wanted(demand(120_000), alone, {}, NOW)
+    assert wanted['d0', False] == policy.servers_needed(demand(120_000))
+
+
 # Retry budget
 
 
