--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -9,6 +9,10 @@
 from paddle_router.policy._admission import INTER_TOKEN
 from paddle_router.policy._admission import Prediction
 from paddle_router.policy._availability import NextAvailability
+from paddle_router.policy._buffer_budget import BufferBudget
+from paddle_router.policy._buffer_budget import PROGRESS_SHARE
+from paddle_router.policy._buffer_budget import STALL_MS
+from paddle_router.policy._buffer_budget import Verdict
 from paddle_router.policy._engine_state import Ejection
 from paddle_router.policy._fifo import FifoScheduler
 from paddle_router.policy._fleet_size import Bounds as FleetBounds
@@ -101,6 +105,7 @@
     'Balancer',
     'balancers',
     'BoundedCheapPlanner',
+    'BufferBudget',
     'cheapest_mix',
     'ClassPolicy',
     'CrashReport',
@@ -149,6 +154,7 @@
     'PolicySet',
     'Prediction',
     'priority_pair',
+    'PROGRESS_SHARE',
     'Refusal',
     'RefusedTrait',
     'request_trait',
@@ -172,6 +178,7 @@
     'SharedLoad',
     'SharedLoadBalancer',
     'SlowStart',
+    'STALL_MS',
     'STARTING',
     'StartUpTime',
     'StaticPeakPlanner',
@@ -179,6 +186,7 @@
     'Ticket',
     'TieredFairScheduler',
     'TurnAway',
+    'Verdict',
     'VersionHistory',
     'Wait',
     'WaitingQueue',
