--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -21,6 +21,10 @@
     """The caller closed its connection."""
 
 
+class CallerTooSlow(CallerDisconnected):
+    """The caller was ended, because it does not read its response."""
+
+
 class RefusedError(Exception):
     """A request is rejected without being sent to a server."""
 
--- a/packages/router/src/paddle_router/gateway/_connections.py
+++ b/packages/router/src/paddle_router/gateway/_connections.py
@@ -40,10 +40,14 @@
 
 
 class ConnectionPool:
-    """Opens connections and keeps idle ones for the next request."""
+    """Opens connections and keeps idle ones for the next request.
 
-    def __init__(self, clock):
+    ``buffers`` is the :class:`BufferAccount` that bounds what is received.
+    """
+
+    def __init__(self, clock, buffers):
         self._clock = clock
+        self._buffers = buffers
         self._addresses = collections.defaultdict(_AddressState)
         self.opened_count = 0
 
@@ -128,7 +132,10 @@
             raise
         self.opened_count += 1
         _set_options(sock)
-        return _http1.ServerConnection(sock, address)
+        self._buffers.limit_receive_buffer(sock)
+        return _http1.ServerConnection(
+            sock, address, receive_bytes=self._buffers.receive_bytes
+        )
 
 
 def _set_options(sock):
--- a/packages/router/src/paddle_router/gateway/_entry.py
+++ b/packages/router/src/paddle_router/gateway/_entry.py
@@ -6,6 +6,7 @@
 
 import paddle_kernel
 from paddle_kernel import MS_PER_S
+from paddle_router.gateway import _buffers
 from paddle_router.gateway import _call
 from paddle_router.gateway import _events
 from paddle_router.gateway import _http1
@@ -15,6 +16,9 @@
 # Closing a socket with unread bytes resets the connection, which can destroy a
 # response that the caller has not read yet.
 LINGER_MS = 500
+# Bodies in progress end within about the time of a request, and callers only
+# honour a Retry-After of up to a third of their remaining time.
+BODY_RETRY_AFTER_MS = 300
 
 
 class CallerChannel:
@@ -29,7 +33,9 @@
     @property
     def is_response_incomplete(self):
         """Whether a response was started and not written to its end."""
-        return self._response_started and not self._response_ended
+        return self._response_started and (
+            not self._response_ended or bool(self._conn.writer.pending)
+        )
 
     def answer(self, status, headers, body):
         """Write a complete response unless one has been started."""
@@ -56,16 +62,40 @@
         self._conn.send_end()
         self._response_ended = True
 
+    def wait_for_room(self):
+        """Wait until more of the response may be held for the caller."""
+        self._conn.writer.wait_for_room()
+
+    def buffer_limit(self, limit):
+        """Return how many bytes of a response may wait for its end."""
+        return self._conn.writer.buffer_limit(limit)
+
+    def hold(self, size):
+        """Count ``size`` bytes of a response that wait for its end."""
+        self._conn.writer.hold(size)
+
+    def flush(self):
+        """Wait until the caller has been sent all."""
+        self._conn.writer.flush()
+
 
 class Entry:
     """Accepts callers; ``closing`` ends each connection after its response."""
 
     def __init__(
-        self, address, follower, forwarder, clock, *, max_connections
+        self,
+        address,
+        follower,
+        forwarder,
+        clock,
+        buffers,
+        *,
+        max_connections,
     ):
         self._follower = follower
         self._forwarder = forwarder
         self._clock = clock
+        self._buffers = buffers
         self._max_connections = max_connections
         self._idle = {}
         self._count = 0
@@ -75,6 +105,8 @@
         listener.setsockopt(
             gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1
         )
+        # Accepted connections inherit it.
+        buffers.limit_receive_buffer(listener)
         listener.bind(paddle_kernel.split_address(address))
         listener.listen(BACKLOG)
         self._server = gevent.server.StreamServer(listener, self._serve)
@@ -120,15 +152,17 @@
             return
         self._count += 1
         limits = self._limits()
+        writer = self._buffers.writer(sock)
         try:
             _http1.set_no_delay(sock)
-            conn = _http1.CallerConnection(sock, self._clock, limits)
+            conn = _http1.CallerConnection(sock, self._clock, limits, writer)
             self._serve_requests(conn)
         except OSError:
             # The caller's connection broke, so no response can be sent.
             pass
         finally:
             self._count -= 1
+            writer.close()
             sock.close()
 
     def _limits(self):
@@ -137,70 +171,103 @@
 
     def _serve_requests(self, conn):
         while True:
-            req = self._read(conn)
-            if req is None or conn.is_closing:
-                return
-            if not self._serve_one(conn, req):
-                return
+            with self._buffers.body() as room:
+                req = self._read(conn, room)
+                if req is None or conn.is_closing:
+                    return
+                if not self._serve_one(conn, req):
+                    return
+                # The body is not kept while the connection is idle.
+                del req
             if self.closing or not conn.is_reusable:
                 _linger(conn.sock)
                 return
             conn.next_cycle()
 
-    def _read(self, conn):
+    def _read(self, conn, room):
         key = id(conn)
         self._idle[key] = conn
         try:
             return conn.read_request(
-                self._limits(), lambda: self._idle.pop(key, None)
+                self._limits(), lambda: self._idle.pop(key, None), room
             )
         except _http1.BadRequestError as exc:
-            self._refuse(conn, exc)
+            paddle_kernel.emit(
+                _events.BAD_REQUEST, status=exc.status, error=str(exc)
+            )
+            _refuse(conn, exc.status, b'bad request')
+            return None
+        except _buffers.BodyRefusedError as exc:
+            retry_after = b'%.3f' % (BODY_RETRY_AFTER_MS / MS_PER_S)
+            _refuse(
+                conn,
+                503,
+                str(exc).encode(),
+                headers=[(b'Retry-After', retry_after)],
+            )
             return None
         finally:
             self._idle.pop(key, None)
 
-    def _refuse(self, conn, exc):
-        paddle_kernel.emit(
-            _events.BAD_REQUEST, status=exc.status, error=str(exc)
-        )
-        body = b'{"error":"bad request"}'
-        conn.send_response(
-            exc.status,
-            [(b'Content-Type', b'application/json')],
-            body,
-            close=True,
-        )
-        _linger(conn.sock)
-
     def _serve_one(self, conn, req):
         """Serve one request; return whether the connection is still usable."""
         channel = CallerChannel(conn, self)
         worker = gevent.getcurrent()
+        conn.writer.start_request(
+            lambda writer: self._end_slow(writer, worker, req)
+        )
         watcher = gevent.spawn(_watch_disconnect, conn, worker)
         self.busy += 1
         try:
             self._forwarder.serve(channel, req)
-        except _call.CallerDisconnected:
-            paddle_kernel.emit(
-                _events.CALLER_DISCONNECTED,
-                target=req.target.decode('latin-1'),
-            )
-            return False
-        except OSError:
-            # A write failed because the caller has disconnected.
-            paddle_kernel.emit(
-                _events.CALLER_DISCONNECTED,
-                target=req.target.decode('latin-1'),
-            )
+            _flush(conn)
+        except (_call.CallerDisconnected, OSError):
+            # A write fails if the caller has disconnected.
+            if not conn.writer.was_ended:
+                paddle_kernel.emit(
+                    _events.CALLER_DISCONNECTED,
+                    target=req.target.decode('latin-1'),
+                )
             return False
         finally:
             self.busy -= 1
+            conn.writer.start_request(None)
             watcher.kill(block=False)
-            if channel.is_response_incomplete:
+            if conn.writer.was_ended:
+                # It does not read what it has; a reset releases that.
+                _http1.abort(conn.sock)
+            elif channel.is_response_incomplete:
                 _end_incomplete(conn.sock, req.http_version)
         return not channel.is_response_incomplete
 
+    def _end_slow(self, writer, worker, req):
+        paddle_kernel.emit(
+            _events.CALLER_ENDED,
+            target=req.target.decode('latin-1'),
+            pending=writer.pending,
+            stalled_ms=writer.stalled_ms(self._clock.now_ms()),
+            held=self._buffers.held_for_callers,
+        )
+        worker.kill(_call.CallerTooSlow, block=False)
+
+
+def _refuse(conn, status, reason, *, headers=()):
+    """Refuse a request that was not read completely."""
+    conn.send_response(
+        status,
+        [(b'Content-Type', b'application/json'), *headers],
+        b'{"error":"' + reason + b'"}',
+        close=True,
+    )
+    _flush(conn)
+    _linger(conn.sock)
+
+
+def _flush(conn):
+    """Let the caller read the end of a response that is due already."""
+    with gevent.Timeout(LINGER_MS / MS_PER_S, False):
+        conn.writer.flush()
+
 
 def _watch_disconnect(conn, worker):
     if conn.wait_for_disconnect():
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -89,6 +89,14 @@
 STREAM_TAKEN_UP = paddle_kernel.declare_event(
     3339, 'INFO', 'a caller takes a stream up again'
 )
+CALLER_ENDED = paddle_kernel.declare_event(
+    3360,
+    'WARNING',
+    'a caller that reads too slowly was ended, because memory is scarce',
+)
+BODY_REFUSED = paddle_kernel.declare_event(
+    3361, 'WARNING', 'a request was refused, because its body has no room'
+)
 STREAMS_NOT_RECORDED = paddle_kernel.declare_event(
     3340, 'WARNING', 'a controller did not record where streams began'
 )
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -338,13 +338,17 @@
         """Forward a plain response; buffer it completely unless it is long."""
         parts = []
         size = 0
-        while (data := self._conn.read_data()) is not None:
-            parts.append(data)
-            size += len(data)
-            if size > _response_limits.MAX_BUFFERED_BYTES:
-                return self._forward_incrementally(caller, head, parts)
-        self._silence_timeout.close()
-        return self._forward_complete(caller, head, parts)
+        try:
+            while (data := self._conn.read_data()) is not None:
+                parts.append(data)
+                size += len(data)
+                caller.hold(size)
+                if size > _buffer_limit(caller, head):
+                    return self._forward_incrementally(caller, head, parts)
+            self._silence_timeout.close()
+            return self._forward_complete(caller, head, parts)
+        finally:
+            caller.hold(0)
 
     def _forward_incrementally(self, caller, head, parts):
         """Forward a response that exceeds the buffer limit as it arrives."""
@@ -359,9 +363,15 @@
             head.status_code,
             self._dialect.response_headers(head.headers.raw_items()),
         )
-        caller.data(b''.join(parts))
-        while (data := self._conn.read_data()) is not None:
+        data = b''.join(parts)
+        parts.clear()
+        caller.hold(0)
+        while data is not None:
             caller.data(data)
+            # While the caller's part is full, the server is not read from.
+            data = None
+            caller.wait_for_room()
+            data = self._conn.read_data()
         self._is_response_complete = True
         self._is_server_at_fault = False
         self._record_served()
@@ -393,6 +403,7 @@
             status = 502
             headers = self._dialect.without_signature(headers)
         call.mark_response_started(status)
+        caller.hold(0)
         caller.answer(status, headers, response.body)
         return None
 
@@ -481,6 +492,15 @@
     """A server did not respond within the silence limit."""
 
 
+def _buffer_limit(caller, head):
+    """Return the size up to which a response is buffered completely.
+
+    One that is not forwarded in parts may use all of it.
+    """
+    limit = _response_limits.MAX_BUFFERED_BYTES
+    return caller.buffer_limit(limit) if _is_success(head) else limit
+
+
 def _is_success(head):
     return 200 <= head.status_code < 300
 
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -48,6 +48,7 @@
         timeout.start()
         try:
             self._run(conn, call, table)
+            conn.flush()
         except gevent.Timeout as exc:
             if exc is not timeout:
                 raise
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -9,6 +9,7 @@
 from gevent import pywsgi
 
 import paddle_kernel
+from paddle_router.gateway import _buffers
 from paddle_router.gateway import _connections
 from paddle_router.gateway import _entry
 from paddle_router.gateway import _events
@@ -92,9 +93,12 @@
         self.dialect = dialect
         self.clock = clock
         self.wall = paddle_kernel.SteadyWall(clock)
-        self.pool = _connections.ConnectionPool(clock)
-        self.balancers = {}
         self.metrics = _metrics.GatewayMetrics()
+        self.buffers = _buffers.BufferAccount(
+            settings.memory_mb, clock, self.metrics
+        )
+        self.pool = _connections.ConnectionPool(clock, self.buffers)
+        self.balancers = {}
         self.notices = policy.ServerNotices(drain_ms=settings.drain_ms)
         self.limits = policy.ServerLimits()
         self.waiting = _waiting.WaitingRequests(self)
@@ -290,6 +294,7 @@
             self.components.follower,
             _forward.Forwarder(self.components),
             self.clock,
+            self.components.buffers,
             max_connections=DEFAULT_DESCRIPTORS - OTHER_DESCRIPTORS,
         )
         self.dump = paddle_kernel.StateDump()
@@ -299,6 +304,7 @@
             ('request_crashes', self.components.request_crashes),
             ('stream_origins', self.components.origins),
             ('entry', self.entry),
+            ('buffers', self.components.buffers),
         ):
             self.dump.register(name, part.dump)
         self.dump.register('balancers', self._dump_balancers)
--- a/packages/router/src/paddle_router/gateway/_http1.py
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -19,6 +19,9 @@
 from paddle_router.gateway import _response_limits
 
 RECEIVE_BYTES = 65_536
+# Bytes of a request body that are written together with the head; the rest of
+# a longer body is not copied.
+FIRST_BODY_BYTES = 65_536
 # Hop-by-hop headers and framing; never forwarded.
 CONNECTION_HEADERS = frozenset(
     {
@@ -108,10 +111,14 @@
 
 
 class CallerConnection:
-    """Reads requests from a caller and writes the responses."""
+    """Reads requests from a caller and writes the responses.
 
-    def __init__(self, sock, clock, limits):
+    ``writer`` writes to the caller; see :mod:`_buffers`.
+    """
+
+    def __init__(self, sock, clock, limits, writer):
         self.sock = sock
+        self.writer = writer
         self._clock = clock
         self._limits = limits
         self._h11 = h11.Connection(
@@ -149,10 +156,13 @@
         self._h11.start_next_cycle()
         self._served += 1
 
-    def read_request(self, limits, on_first_byte):
+    def read_request(self, limits, on_first_byte, room):
         """Return the next :class:`Request`, ``None`` at a clean end.
 
+        ``room`` is the :class:`_buffers.BodyRoom` for its body.
+
         :raises BadRequestError: if the request must be rejected.
+        :raises BodyRefusedError: if there is no room for its body.
         :raises OSError: if the connection breaks.
         """
         self._limits = limits
@@ -163,7 +173,7 @@
         began_ms = self._clock.now_ms()
         try:
             with gevent.Timeout(limits.header_ms / MS_PER_S, False):
-                return self._read(began_ms)
+                return self._read(began_ms, room)
         except h11.RemoteProtocolError as exc:
             raise BadRequestError(exc.error_status_hint, str(exc)) from exc
         raise BadRequestError(408, 'the request did not arrive in time')
@@ -182,17 +192,17 @@
         event = h11.Response(
             status_code=status, headers=[*headers, *framing], reason=b''
         )
-        self.sock.sendall(self._h11.send(event))
+        self.writer.write(self._h11.send(event))
 
     def send_data(self, data):
         """Write a part of the body."""
-        self.sock.sendall(self._h11.send(h11.Data(data=data)))
+        self.writer.write(self._h11.send(h11.Data(data=data)))
 
     def send_end(self):
         """Write the end of the body."""
         data = self._h11.send(h11.EndOfMessage())
         if data:
-            self.sock.sendall(data)
+            self.writer.write(data)
 
     def send_response(self, status, headers, body, *, close):
         """Write a complete response with a single call.
@@ -209,7 +219,7 @@
         if body and self._method != b'HEAD':
             data += self._h11.send(h11.Data(data=body)) or b''
         data += self._h11.send(h11.EndOfMessage()) or b''
-        self.sock.sendall(data)
+        self.writer.write(data)
 
     def _receive(self, timeout_ms):
         """Feed received bytes to the parser.
@@ -233,13 +243,15 @@
             self._head += data
         self._h11.receive_data(data)
 
-    def _read(self, began_ms):
+    def _read(self, began_ms, room):
         head = self._event()
         self._method = head.method
         raw = self._head.partition(_HEAD_END)[0]
         if _AMBIGUOUS_LINE.search(raw):
             raise BadRequestError(400, 'folded header line or bare line feed')
         _check_framing(head)
+        length = int(get(head.headers, b'content-length') or 0)
+        room.expect(min(length, self._limits.body_bytes))
         if self._h11.they_are_waiting_for_100_continue:
             self.sock.sendall(
                 self._h11.send(
@@ -255,6 +267,7 @@
             size += len(event.data)
             if size > self._limits.body_bytes:
                 raise BadRequestError(413, 'the body is too large')
+            room.use(len(event.data))
             parts.append(bytes(event.data))
         return Request(
             method=head.method,
@@ -299,7 +312,14 @@
     other requests with :meth:`skip_response`.
     """
 
-    def __init__(self, sock, address, *, max_head_bytes=65_536):
+    def __init__(
+        self,
+        sock,
+        address,
+        *,
+        max_head_bytes=65_536,
+        receive_bytes=RECEIVE_BYTES,
+    ):
         self.sock = sock
         self.address = address
         self.idle_since_ms = 0
@@ -311,6 +331,7 @@
         # Whether the body of the last response ends with the connection.
         self.is_unframed = False
         self._max_head_bytes = max_head_bytes
+        self._receive_bytes = receive_bytes
         self._h11 = None
         self._unread = b''
         self._method = b'GET'
@@ -357,11 +378,12 @@
         if body:
             self._h11.send(h11.Data(data=body))
         self._h11.send(h11.EndOfMessage())
-        data += body
+        data += body[:FIRST_BODY_BYTES]
         sent = self.sock.send(data)
-        self.is_request_sent = sent == len(data)
+        rest = memoryview(body)[FIRST_BODY_BYTES:]
+        self.is_request_sent = sent == len(data) and not rest
         if not self.is_request_sent:
-            gevent.spawn(self._send_rest, data[sent:])
+            gevent.spawn(self._send_rest, data[sent:], rest)
 
     def read_head(self):
         """Return the next :class:`h11.Response`.
@@ -428,9 +450,10 @@
         """Reset the connection, so that a busy server notices it."""
         abort(self.sock)
 
-    def _send_rest(self, data):
+    def _send_rest(self, *parts):
         try:
-            self.sock.sendall(data)
+            for part in parts:
+                self.sock.sendall(part)
         except OSError:
             # Reading the response will fail on the same broken connection.
             return
@@ -448,7 +471,7 @@
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = self.sock.recv(RECEIVE_BYTES)
+                data = self.sock.recv(self._receive_bytes)
                 self._received += len(data)
                 framing = self._received - self._delivered
                 if (
--- a/packages/router/src/paddle_router/gateway/_metrics.py
+++ b/packages/router/src/paddle_router/gateway/_metrics.py
@@ -57,6 +57,16 @@
             'Requests refused for a prompt part that crashes servers.',
             registry=self.registry,
         )
+        self.callers_ended = prometheus_client.Counter(
+            'paddle_gateway_callers_ended',
+            'Callers ended because they read too slowly for the memory.',
+            registry=self.registry,
+        )
+        self.bodies_refused = prometheus_client.Counter(
+            'paddle_gateway_bodies_refused',
+            'Requests refused because their body had no room.',
+            registry=self.registry,
+        )
         self.waited = prometheus_client.Histogram(
             'paddle_gateway_waited_seconds',
             'Time that requests waited for a server to accept requests.',
@@ -79,6 +89,16 @@
                 'Requests waiting for a server to accept requests.',
                 lambda: gateway.components.waiting.count,
             ),
+            (
+                'held_for_callers_bytes',
+                'Bytes of responses that wait for slow callers.',
+                lambda: gateway.components.buffers.held_for_callers,
+            ),
+            (
+                'held_bodies_bytes',
+                'Bytes of request bodies that are read or in progress.',
+                lambda: gateway.components.buffers.held_bodies,
+            ),
             (
                 'fronts',
                 'Gateways known to the controllers.',
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -88,7 +88,14 @@
             raise _http1.BrokenResponseError('closed before an event')
 
     def _read_with_timeout(self):
-        """Return the next bytes, ``None`` at the end of the response."""
+        """Return the next bytes, ``None`` at the end of the response.
+
+        While the caller's part is full, the server is not read from, which
+        does not count as its pause.
+        """
+        full_ms = self._clock.now_ms()
+        self._caller.wait_for_room()
+        self._last_event_ms += self._clock.now_ms() - full_ms
         silence_error = _http1.BrokenResponseError('no event in time')
         left_s = max(0, self._pause_left_ms()) / MS_PER_S
         with gevent.Timeout(left_s, silence_error):
--- a/packages/router/tests/test_gateway_connections.py
+++ b/packages/router/tests/test_gateway_connections.py
@@ -1,6 +1,7 @@
 """Tests of the connection pool for backend servers."""
 
 import paddle_kernel
+from paddle_router.gateway import _buffers
 from paddle_router.gateway import _connections
 import pytest
 
@@ -11,7 +12,10 @@
 def test_an_odd_address_is_no_connection(address):
     # Guards against a request that fails as internal error instead of being
     # sent to another server.
-    pool = _connections.ConnectionPool(paddle_kernel.FakeClock())
+    clock = paddle_kernel.FakeClock()
+    pool = _connections.ConnectionPool(
+        clock, _buffers.BufferAccount(0, clock, metrics=None)
+    )
     for _ in range(2):
         with pytest.raises(_connections.NoConnectionError):
             pool.acquire(address, limit=1)
--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -144,13 +144,16 @@
 
 
 class GatewayHarness:
-    """A gateway with fake controllers and backend servers."""
+    """A gateway with fake controllers and backend servers.
 
-    def __init__(self):
+    ``settings`` are set in its :class:`GatewaySettings`.
+    """
+
+    def __init__(self, **settings):
         self.controllers = FakeControllers()
         self.origins = []
         host = '127.0.0.1:0'
-        settings = gateway.GatewaySettings(
+        built = gateway.GatewaySettings(
             name='g1',
             failure_domain='d1',
             listen=host,
@@ -161,9 +164,10 @@
             retry_slack=56,
             retry_window_ms=10_000,
             usage_window_ms=5_000,
+            **settings,
         )
         self.gateway = gateway.Gateway(
-            settings,
+            built,
             dialect.FleetDialect(),
             ready_path='/api/readiness',
             transport=self.controllers,
