--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -97,6 +97,12 @@
 BODY_REFUSED = paddle_kernel.declare_event(
     3361, 'WARNING', 'a request was refused, because its body has no room'
 )
+BODY_LIMIT_LOWERED = paddle_kernel.declare_event(
+    3362,
+    'WARNING',
+    'a server crashed while it held large bodies; fewer bytes are sent to'
+    ' each server of its service',
+)
 STREAMS_NOT_RECORDED = paddle_kernel.declare_event(
     3340, 'WARNING', 'a controller did not record where streams began'
 )
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -295,6 +295,7 @@
             target_ms=call.route.target_ms,
             gap_ms=call.route.gap_ms,
             avoid=call.excluded,
+            body_bytes=len(call.req.body),
         )
 
     # Responses
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -162,6 +162,7 @@
                     slots=item.slots,
                     cheap=item.spot,
                     leaving=item.leaving,
+                    kv_tokens=self._kv_tokens(item.service),
                 )
             )
         for service in set(self.balancers) | set(groups):
@@ -173,8 +174,11 @@
                     notices=self.notices,
                     limits=self.limits,
                 )
+            held_work = self.balancers[service].held_work
+            held_work.is_enabled = self.buffers.is_enabled
             self.balancers[service].sync(groups[service], now_ms)
             self.waiting.wake_all(service)
+        self.share_limits()
         self.notices.retain((item.incarnation for item in servers), now_ms)
         self.limits.retain(item.incarnation for item in servers)
         self.pool.close_all_except(item.address for item in servers)
@@ -182,6 +186,14 @@
             _server_notices.mark_known_leaving(self.notices, servers)
         )
 
+    def share_limits(self):
+        """Divide the common limits among the gateways known now."""
+        gateway_count = self.follower.gateway_count
+        self.budgets.set_gateway_count(gateway_count)
+        for balancer in self.balancers.values():
+            balancer.held_work.gateway_count = gateway_count
+            balancer.held_work.index = self.limits.index
+
     def log_last_resort(self, service):
         """Log once when only leaving servers of ``service`` remain."""
         if not self.balancers[service].is_last_resort:
@@ -195,6 +207,12 @@
         config = self.follower.table.configuration.services.get(service)
         return config.engine if config is not None else None
 
+    def _kv_tokens(self, service):
+        if self.follower.table is None:
+            return 0
+        engine = self.engine_traits(service)
+        return 0 if engine is None else engine.kv_tokens
+
     def server(self, server_id):
         """Return the listed server.
 
@@ -384,9 +402,7 @@
             pause_ms = _follower.RETRY_DELAY_MS
             try:
                 pause_ms = self.components.follower.step()
-                self.components.budgets.set_gateway_count(
-                    self.components.follower.gateway_count
-                )
+                self.components.share_limits()
             except Exception as exc:
                 _log_failure(exc)
             self.clock.sleep_ms(pause_ms)
--- a/packages/router/src/paddle_router/gateway/_request_crashes.py
+++ b/packages/router/src/paddle_router/gateway/_request_crashes.py
@@ -41,6 +41,8 @@
         self._numbers = itertools.count(1)
         # Requests whose server is being checked, with their traits, by server.
         self._unchecked = {}
+        # Bytes of bodies at that server when the first of them was lost.
+        self._held_bytes = {}
         self._reports = collections.deque(maxlen=MAX_REPORTS)
         # When a request with a trait was last served.
         self._served_ms = collections.OrderedDict()
@@ -96,6 +98,10 @@
         calls = self._unchecked.setdefault(server.incarnation, [])
         calls.append((call, traits[-MAX_TRAITS_PER_REPORT:], sent_ms))
         if len(calls) == 1:
+            balancer = self._components.balancers[server.service]
+            self._held_bytes[server.incarnation] = balancer.held_bytes(
+                server.id
+            )
             gevent.spawn(self._check, server)
 
     def report_fields(self):
@@ -157,9 +163,11 @@
         self._clock.sleep_ms(CRASH_CHECK_DELAY_MS)
         is_crashed = self._refuses_connections(server)
         calls = self._unchecked.pop(server.incarnation)
+        held_bytes = self._held_bytes.pop(server.incarnation)
         if not is_crashed:
             return
         self._components.metrics.server_crashes.inc()
+        self._lower_limit(server, held_bytes)
         for call, traits, sent_ms in calls:
             report = policy.CrashReport(
                 id=f'{self._incarnation}/{next(self._numbers)}',
@@ -177,6 +185,19 @@
                 traits=traits,
             )
 
+    def _lower_limit(self, server, held_bytes):
+        """Lower the limit on bodies if the server may have lacked memory."""
+        balancer = self._components.balancers[server.service]
+        limit_bytes = balancer.record_crash(held_bytes, self._clock.now_ms())
+        if limit_bytes is not None:
+            paddle_kernel.emit(
+                _events.BODY_LIMIT_LOWERED,
+                service=server.service,
+                server=server.id,
+                held=held_bytes,
+                limit=limit_bytes,
+            )
+
     def _refuses_connections(self, server):
         """Return whether no process listens at the server's address.
 
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -20,6 +20,7 @@
 from paddle_router.policy._fleet_size import Demand
 from paddle_router.policy._fleet_size import FleetSize
 from paddle_router.policy._fleet_size import servers_needed
+from paddle_router.policy._held_work import HeldWork
 from paddle_router.policy._hooks import Balancer
 from paddle_router.policy._hooks import balancers
 from paddle_router.policy._hooks import ClassPolicy
@@ -125,6 +126,7 @@
     'FleetBounds',
     'FleetSize',
     'Flight',
+    'HeldWork',
     'Incarnation',
     'INTER_TOKEN',
     'is_request_trait',
--- a/packages/router/src/paddle_router/policy/_hooks.py
+++ b/packages/router/src/paddle_router/policy/_hooks.py
@@ -125,6 +125,7 @@
 
     ``born_ms`` is its start in ms since the Unix epoch, 0 if unknown. A
     different value means a different incarnation with the same id.
+    ``kv_tokens`` is its memory for tokens, 0 if unknown.
     """
 
     id: str
@@ -134,6 +135,7 @@
     cheap: bool = False
     leaving: bool = False
     can_resume: bool = False
+    kv_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/router/src/paddle_router/policy/_server_limits.py
+++ b/packages/router/src/paddle_router/policy/_server_limits.py
@@ -106,6 +106,11 @@
         self._index = index
         self._gateway_count = gateway_count
 
+    @property
+    def index(self):
+        """Which of the gateways this one is, from 0."""
+        return self._index
+
     def is_open(self, server, now_ms):
         """Return whether a request may be sent to ``server`` now."""
         return (
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -21,6 +21,7 @@
 import attrs
 
 from paddle_router.policy import _availability
+from paddle_router.policy import _held_work
 from paddle_router.policy import _hooks
 from paddle_router.policy import _prompt_parts
 from paddle_router.policy import _server_limits
@@ -85,6 +86,8 @@
 # The cost of a server whose pace is more than this many times the median is
 # multiplied by its ratio to the median.
 SLOW_RATIO = 3.0
+# Asks for servers with room for any work.
+NO_WORK = _shared_server.EngineWork()
 
 
 @_hooks.balancers.register('shared_load')
@@ -105,6 +108,7 @@
         self._availability = _availability.Availability(
             self._notices, self._limits
         )
+        self.held_work = _held_work.HeldWork()
         self._states = {}
         self.is_last_resort = False
         self._prefill_rate = DEFAULT_PREFILL_RATE_TOKENS_PER_MS
@@ -149,6 +153,7 @@
         states, self.is_last_resort = self._availability.usable(
             self._states_except(work.avoid), now_ms
         )
+        states = self.held_work.with_room(states, work, now_ms)
         ready = [state for state in states if state.hold_until_ms <= now_ms]
         states = ready or states
         if not states:
@@ -190,6 +195,7 @@
         usable, _last = self._availability.usable(
             self._states.values(), now_ms
         )
+        usable = self.held_work.with_room(usable, NO_WORK, now_ms)
         usable_ids = {state.engine.id for state in usable}
         return tuple(
             self._view(state, state.engine.id in usable_ids, now_ms)
@@ -218,7 +224,16 @@
         states, _last = self._availability.usable(
             self._states_except(avoid), now_ms
         )
-        return bool(states)
+        return bool(self.held_work.with_room(states, NO_WORK, now_ms))
+
+    def record_crash(self, held_bytes, now_ms):
+        """Record that a server crashed; see :meth:`HeldWork.record_crash`."""
+        return self.held_work.record_crash(held_bytes, now_ms)
+
+    def held_bytes(self, server_id):
+        """Return the bytes of bodies in progress at a server."""
+        state = self._states.get(server_id)
+        return 0 if state is None else self.held_work.held_bytes(state)
 
     def next_availability(self, avoid, now_ms):
         """Return the :class:`NextAvailability` of servers not in ``avoid``.
--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -40,7 +40,7 @@
     ``parts`` holds pairs of part id and token count in the order of the
     prompt. ``target_ms`` is the latency target and ``gap_ms`` the longest
     allowed pause between events, 0 for a plain call. ``avoid`` holds the ids
-    of servers that must not be chosen.
+    of servers that must not be chosen. ``body_bytes`` is the size of its body.
     """
 
     prompt_tokens: int = 0
@@ -48,6 +48,7 @@
     target_ms: int = 1_000
     gap_ms: int = 0
     avoid: frozenset = frozenset()
+    body_bytes: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/testbed/tests/test_gateway_slow_readers.py
+++ b/packages/testbed/tests/test_gateway_slow_readers.py
@@ -269,3 +269,38 @@
     received = [req for req in bounded.requests if len(req.body) > 1_000]
     assert len(received) == statuses.count(200)
     assert buffers.held_bodies == 0
+
+
+def test_prompts_wait_for_memory_of_the_engine(bounded):
+    # Guards against an engine that gets more prompt tokens at a time than it
+    # has memory for, although it has free slots.
+    running = []
+    most = [0]
+
+    def answer(req, _sock):
+        running.append(req)
+        most.append(len(running))
+        gevent.sleep(0.1)
+        running.remove(req)
+        return [fakes.stream_head(req), fakes.event(1), fakes.STREAM_END]
+
+    config = build_config()
+    config['version'] += 1
+    config['services'][1]['engine'] = {'slots': 16, 'kvCacheTokens': 1_000}
+    bounded.controllers.config = config
+    serve_large(bounded, answer)
+    data = [
+        gateway_harness.request(
+            f'/events/{number}',
+            method='POST',
+            deadline_ms=DEADLINE_MS,
+            extra=('Rosemarypaddle-Token-Counts: 600,1',),
+        )
+        for number in range(5)
+    ]
+    sent = [
+        gevent.spawn(gateway_harness.exchange, bounded, item) for item in data
+    ]
+    gevent.joinall(sent, timeout=5)
+    assert [item.value[0] for item in sent] == [200] * len(sent)
+    assert max(most) == 1
