--- a/packages/router/src/paddle_router/gateway/_buffers.py
+++ b/packages/router/src/paddle_router/gateway/_buffers.py
@@ -145,8 +145,12 @@
         self._check()
 
     def buffer_limit(self, limit):
-        """Return how many bytes of an answer may wait for its end."""
-        return min(limit, self._account.caller_room(self.pending))
+        """Return how many bytes of an answer may wait for its end.
+
+        Small answers always may.
+        """
+        room = self._account.caller_room(self.pending)
+        return min(limit, max(RECEIVE_BYTES, room))
 
     def hold(self, size):
         """Count ``size`` bytes that wait for the end of an answer."""
--- a/packages/router/src/paddle_router/gateway/_entry.py
+++ b/packages/router/src/paddle_router/gateway/_entry.py
@@ -180,7 +180,7 @@
                 # The body is not kept while the connection is idle.
                 del req
             if self.closing or not conn.is_reusable:
-                _linger(conn.sock)
+                _linger(conn.sock, LINGER_MS)
                 return
             conn.next_cycle()
 
@@ -204,6 +204,8 @@
                 503,
                 str(exc).encode(),
                 headers=[(b'Retry-After', retry_after)],
+                # The caller may read the refusal only after its body is sent.
+                linger_ms=self._limits().header_ms,
             )
             return None
         finally:
@@ -251,7 +253,7 @@
         worker.kill(_call.CallerTooSlow, block=False)
 
 
-def _refuse(conn, status, reason, *, headers=()):
+def _refuse(conn, status, reason, *, headers=(), linger_ms=LINGER_MS):
     """Refuse a request that was not read completely."""
     conn.send_response(
         status,
@@ -260,7 +262,7 @@
         close=True,
     )
     _flush(conn)
-    _linger(conn.sock)
+    _linger(conn.sock, linger_ms)
 
 
 def _flush(conn):
@@ -295,9 +297,9 @@
         pass
 
 
-def _linger(sock):
+def _linger(sock, limit_ms):
     """Let the caller read the response before the socket is closed."""
     _half_close(sock)
-    with gevent.Timeout(LINGER_MS / MS_PER_S, False):
+    with gevent.Timeout(limit_ms / MS_PER_S, False):
         while sock.recv(_http1.RECEIVE_BYTES):
             paddle_kernel.yield_if_due()
--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -89,6 +89,9 @@
     return config
 
 
+SEND_BUFFER_BYTES = 16_384
+
+
 class FakeControllers:
     """Replaces the transport to the controllers."""
 
@@ -203,6 +206,18 @@
     def requests(self):
         return [req for origin in self.origins for req in origin.requests]
 
+    def limit_send_buffers(self):
+        """Let the kernel take few bytes for callers that do not read.
+
+        The windows of the users' platform are small. Accepted connections
+        inherit the size.
+        """
+        self.gateway.entry._server.socket.setsockopt(
+            gevent.socket.SOL_SOCKET,
+            gevent.socket.SO_SNDBUF,
+            SEND_BUFFER_BYTES,
+        )
+
     def connect(self):
         host, port = paddle_kernel.split_address(self.gateway.entry.address)
         sock = gevent.socket.create_connection((host, port))
--- a/packages/testbed/src/paddle_testbed/gateway_process.py
+++ b/packages/testbed/src/paddle_testbed/gateway_process.py
@@ -60,6 +60,7 @@
     )
     harness.follower.step()
     harness.gateway.entry.start()
+    harness.limit_send_buffers()
     return harness.gateway.entry.address
 
 
--- a/packages/testbed/tests/test_gateway_slow_readers.py
+++ b/packages/testbed/tests/test_gateway_slow_readers.py
@@ -34,8 +34,6 @@
 STEADY_ANSWER = bytes(1_000_000)
 STEADY_READ_BYTES = 40_000
 READ_PAUSE_S = 0.1
-# The windows of the users' platform are small.
-SEND_BUFFER_BYTES = 16_384
 LARGE_BODY = bytes(4_000_000)
 LARGE_BODIES = 16
 
@@ -149,16 +147,13 @@
     assert in_time >= IN_TIME_RATIO * OTHER_REQUESTS
 
 
-def limit_send_buffer(sock):
-    """Bound what the kernel takes from the sender of ``sock``."""
-    sock.setsockopt(
-        gevent.socket.SOL_SOCKET, gevent.socket.SO_SNDBUF, SEND_BUFFER_BYTES
-    )
-
-
 def answer_or_cut(req, sock):
     """Send 1 MB, but break off if it is not read in time."""
-    limit_send_buffer(sock)
+    sock.setsockopt(
+        gevent.socket.SOL_SOCKET,
+        gevent.socket.SO_SNDBUF,
+        gateway_harness.SEND_BUFFER_BYTES,
+    )
     if b'/events/' in req.line:
         pieces = [fakes.stream_head(req)]
         for number in range(20):
@@ -190,8 +185,7 @@
         for service in ('plain', 'large')
     )
     harness.follower.step()
-    # Accepted connections inherit it.
-    limit_send_buffer(harness.gateway.entry._server.socket)
+    harness.limit_send_buffers()
 
 
 @pytest.mark.parametrize('kind', ['large', 'events'])
