--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -21,6 +21,10 @@
     """The caller closed its connection."""
 
 
+class CallerTooSlow(CallerDisconnected):
+    """The caller was ended, because it does not read its response."""
+
+
 class RefusedError(Exception):
     """A request is rejected without being sent to a server."""
 
@@ -154,6 +158,7 @@
             gap_ms=self.route.gap_ms,
             avoid=self.excluded,
             copy_rate=self.copy_rate,
+            body_bytes=len(self.req.body),
         )
 
     @property
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -89,6 +89,20 @@
 STREAM_TAKEN_UP = paddle_kernel.declare_event(
     3339, 'INFO', 'a caller takes a stream up again'
 )
+CALLER_ENDED = paddle_kernel.declare_event(
+    3360,
+    'WARNING',
+    'a caller that reads too slowly was ended, because memory is scarce',
+)
+BODY_REFUSED = paddle_kernel.declare_event(
+    3361, 'WARNING', 'a request was refused, because its body has no room'
+)
+BODY_LIMIT_LOWERED = paddle_kernel.declare_event(
+    3362,
+    'WARNING',
+    'a server crashed while it held large bodies; fewer bytes are sent to'
+    ' each server of its service',
+)
 STREAMS_NOT_RECORDED = paddle_kernel.declare_event(
     3340, 'WARNING', 'a controller did not record where streams began'
 )
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -9,6 +9,7 @@
 from gevent import pywsgi
 
 import paddle_kernel
+from paddle_router.gateway import _buffers
 from paddle_router.gateway import _connections
 from paddle_router.gateway import _entry
 from paddle_router.gateway import _events
@@ -93,9 +94,12 @@
         self.dialect = dialect
         self.clock = clock
         self.wall = paddle_kernel.SteadyWall(clock)
-        self.pool = _connections.ConnectionPool(clock)
-        self.balancers = {}
         self.metrics = _metrics.GatewayMetrics()
+        self.buffers = _buffers.BufferAccount(
+            settings.memory_mb, clock, self.metrics
+        )
+        self.pool = _connections.ConnectionPool(clock, self.buffers)
+        self.balancers = {}
         self.notices = policy.ServerNotices(drain_ms=settings.drain_ms)
         self.limits = policy.ServerLimits()
         self.placements = policy.PartPlacements()
@@ -169,6 +173,7 @@
                     cheap=item.spot,
                     leaving=item.leaving,
                     evacuated=item.id in self.evacuated_ids,
+                    kv_tokens=self._kv_tokens(item.service),
                 )
             )
         for service in set(self.balancers) | set(groups):
@@ -181,9 +186,12 @@
                     limits=self.limits,
                     placements=self.placements,
                 )
+            held_work = self.balancers[service].held_work
+            held_work.is_enabled = self.buffers.is_enabled
             self.balancers[service].sync(groups[service], now_ms)
             self.waiting.wake_all(service)
         self._log_evacuated(groups)
+        self.share_limits()
         self.notices.retain((item.incarnation for item in servers), now_ms)
         self.limits.retain(item.incarnation for item in servers)
         self.pool.close_all_except(item.address for item in servers)
@@ -202,6 +210,14 @@
             paddle_kernel.emit(_events.ALL_SERVERS_EVACUATED, service=service)
         self._evacuated_services = services
 
+    def share_limits(self):
+        """Divide the common limits among the gateways known now."""
+        gateway_count = self.follower.gateway_count
+        self.budgets.set_gateway_count(gateway_count)
+        for balancer in self.balancers.values():
+            balancer.held_work.gateway_count = gateway_count
+            balancer.held_work.index = self.limits.index
+
     def log_last_resort(self, service):
         """Log once when only leaving servers of ``service`` remain."""
         if not self.balancers[service].is_last_resort:
@@ -225,6 +241,12 @@
             return 0.0
         return traits.copy_rate
 
+    def _kv_tokens(self, service):
+        if self.follower.table is None:
+            return 0
+        engine = self.engine_traits(service)
+        return 0 if engine is None else engine.kv_tokens
+
     def server(self, server_id):
         """Return the listed server.
 
@@ -329,6 +351,7 @@
             self.components.follower,
             _forward.Forwarder(self.components),
             self.clock,
+            self.components.buffers,
             max_connections=DEFAULT_DESCRIPTORS - OTHER_DESCRIPTORS,
         )
         self.dump = paddle_kernel.StateDump()
@@ -338,6 +361,7 @@
             ('request_crashes', self.components.request_crashes),
             ('stream_origins', self.components.origins),
             ('entry', self.entry),
+            ('buffers', self.components.buffers),
         ):
             self.dump.register(name, part.dump)
         self.dump.register('balancers', self._dump_balancers)
@@ -418,9 +442,7 @@
             pause_ms = _follower.RETRY_DELAY_MS
             try:
                 pause_ms = self.components.follower.step()
-                self.components.budgets.set_gateway_count(
-                    self.components.follower.gateway_count
-                )
+                self.components.share_limits()
             except Exception as exc:
                 _log_failure(exc)
             self.clock.sleep_ms(pause_ms)
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -9,6 +9,10 @@
 from paddle_router.policy._admission import INTER_TOKEN
 from paddle_router.policy._admission import Prediction
 from paddle_router.policy._availability import NextAvailability
+from paddle_router.policy._buffer_budget import BufferBudget
+from paddle_router.policy._buffer_budget import PROGRESS_SHARE
+from paddle_router.policy._buffer_budget import STALL_MS
+from paddle_router.policy._buffer_budget import Verdict
 from paddle_router.policy._engine_state import Ejection
 from paddle_router.policy._fifo import FifoScheduler
 from paddle_router.policy._fleet_size import Bounds as FleetBounds
@@ -16,6 +20,7 @@
 from paddle_router.policy._fleet_size import Demand
 from paddle_router.policy._fleet_size import FleetSize
 from paddle_router.policy._fleet_size import servers_needed
+from paddle_router.policy._held_work import HeldWork
 from paddle_router.policy._hooks import Balancer
 from paddle_router.policy._hooks import balancers
 from paddle_router.policy._hooks import ClassPolicy
@@ -104,6 +109,7 @@
     'Balancer',
     'balancers',
     'BoundedCheapPlanner',
+    'BufferBudget',
     'cheapest_mix',
     'ClassPolicy',
     'CrashReport',
@@ -124,6 +130,7 @@
     'FleetBounds',
     'FleetSize',
     'Flight',
+    'HeldWork',
     'Incarnation',
     'INTER_TOKEN',
     'is_request_trait',
@@ -155,6 +162,7 @@
     'PolicySet',
     'Prediction',
     'priority_pair',
+    'PROGRESS_SHARE',
     'Refusal',
     'RefusedTrait',
     'request_trait',
@@ -178,6 +186,7 @@
     'SharedLoad',
     'SharedLoadBalancer',
     'SlowStart',
+    'STALL_MS',
     'STARTING',
     'StartUpTime',
     'StaticPeakPlanner',
@@ -185,6 +194,7 @@
     'Ticket',
     'TieredFairScheduler',
     'TurnAway',
+    'Verdict',
     'VersionHistory',
     'Wait',
     'WaitingQueue',
--- a/packages/router/src/paddle_router/policy/_hooks.py
+++ b/packages/router/src/paddle_router/policy/_hooks.py
@@ -126,6 +126,7 @@
     ``born_ms`` is its start in ms since the Unix epoch, 0 if unknown. A
     different value means a different incarnation with the same id. An
     ``evacuated`` one gets no requests until its domain is used again.
+    ``kv_tokens`` is its memory for tokens, 0 if unknown.
     """
 
     id: str
@@ -136,6 +137,7 @@
     leaving: bool = False
     evacuated: bool = False
     can_resume: bool = False
+    kv_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -42,6 +42,7 @@
     allowed pause between events, 0 for a plain call. ``avoid`` holds the ids
     of servers that must not be chosen. ``copy_rate`` is how many cached prompt
     tokens per ms servers copy from each other, 0 if they don't.
+    ``body_bytes`` is the size of the request's body.
     """
 
     prompt_tokens: int = 0
@@ -50,6 +51,7 @@
     gap_ms: int = 0
     avoid: frozenset = frozenset()
     copy_rate: float = 0.0
+    body_bytes: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -89,6 +89,9 @@
     return config
 
 
+SEND_BUFFER_BYTES = 16_384
+
+
 class FakeControllers:
     """Replaces the transport to the controllers."""
 
@@ -146,13 +149,16 @@
 
 
 class GatewayHarness:
-    """A gateway with fake controllers and backend servers."""
+    """A gateway with fake controllers and backend servers.
 
-    def __init__(self):
+    ``settings`` are set in its :class:`GatewaySettings`.
+    """
+
+    def __init__(self, **settings):
         self.controllers = FakeControllers()
         self.origins = []
         host = '127.0.0.1:0'
-        settings = gateway.GatewaySettings(
+        built = gateway.GatewaySettings(
             name='g1',
             failure_domain='d1',
             listen=host,
@@ -163,9 +169,10 @@
             retry_slack=56,
             retry_window_ms=10_000,
             usage_window_ms=5_000,
+            **settings,
         )
         self.gateway = gateway.Gateway(
-            settings,
+            built,
             dialect.FleetDialect(),
             ready_path='/api/readiness',
             transport=self.controllers,
@@ -201,6 +208,18 @@
     def requests(self):
         return [req for origin in self.origins for req in origin.requests]
 
+    def limit_send_buffers(self):
+        """Let the kernel take few bytes for callers that do not read.
+
+        The windows of the users' platform are small. Accepted connections
+        inherit the size.
+        """
+        self.gateway.entry._server.socket.setsockopt(
+            gevent.socket.SOL_SOCKET,
+            gevent.socket.SO_SNDBUF,
+            SEND_BUFFER_BYTES,
+        )
+
     def connect(self):
         host, port = paddle_kernel.split_address(self.gateway.entry.address)
         sock = gevent.socket.create_connection((host, port))
