--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -339,6 +339,43 @@
     assert parse_response_headers(200, [(name, b'3,0')]).load is None
 
 
+@pytest.mark.parametrize(
+    ('tail', 'pace_percent'),
+    [
+        (b'', None),
+        (b',100', 100),
+        (b', 250 ', 250),
+        (b',99.6', 100),
+        (b',100,7,x', 100),
+        (b',', None),
+        (b',,250', None),
+        (b',0', None),
+        (b',0.2', None),
+        (b',-150', None),
+        (b',+150', None),
+        (b',1e3', None),
+        (b',nan', None),
+        (b',inf', None),
+        (b',as usual', None),
+        (b',\xff', None),
+        (b',' + b'9' * 5_000, 2**31 - 1),
+        (500 * b',250', 250),
+    ],
+)
+def test_an_odd_pace_does_not_invalidate_the_load(tail, pace_percent):
+    # Guards against servers whose load reports are all dropped because of a
+    # figure after the first three.
+    metadata = read_response(
+        200,
+        (b'Rosemarypaddle-Server-Load', b'3,1,8' + tail),
+        (b'Server-Limit', b'5'),
+    )
+    assert metadata.load == gateway.Load(
+        running=3, waiting=1, slots=8, pace_percent=pace_percent
+    )
+    assert metadata.limit_per_s == 5
+
+
 def read_response(status, *headers):
     return dialect.FleetDialect().parse_response_headers(status, headers)
 
@@ -475,6 +512,8 @@
     metadata = read_response(status, *headers)
     assert metadata.quiet_ms is None or metadata.quiet_ms >= 0
     assert metadata.idle_ms is None or metadata.idle_ms >= 0
+    pace_percent = metadata.load and metadata.load.pace_percent
+    assert pace_percent is None or 1 <= pace_percent < 2**31
 
 
 HEADER_VALUES = (
