--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -38,6 +38,7 @@
 from paddle_router.policy._limits import Limits
 from paddle_router.policy._limits import LimitSettings
 from paddle_router.policy._observed import ObservedBalancer
+from paddle_router.policy._pace import PaceForecast
 from paddle_router.policy._plain_balancers import LeastReportedLoadBalancer
 from paddle_router.policy._plain_balancers import RoundRobinBalancer
 from paddle_router.policy._plan_view import DemandForecast
@@ -142,6 +143,7 @@
     'Order',
     'OVERFLOW',
     'own_slots',
+    'PaceForecast',
     'Planner',
     'planners',
     'PlanView',
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -14,15 +14,22 @@
 This addresses a burst of long prompts beside short chats. With placement by
 the number of requests alone, every server would constantly prefill long
 prompts, and the chats would exceed the longest allowed pause between events.
+
+With load control, costs also follow the measured pace of each server (see
+:mod:`paddle_router.policy._pace`), and the servers are divided among the kinds
+of streams as their demand asks (:mod:`paddle_router.policy._segments`).
 """
 
+import functools
 import statistics
 
 import attrs
 
 from paddle_router.policy import _availability
 from paddle_router.policy import _hooks
+from paddle_router.policy import _pace
 from paddle_router.policy import _prompt_parts
+from paddle_router.policy import _segments
 from paddle_router.policy import _server_limits
 from paddle_router.policy import _server_notices
 from paddle_router.policy import _server_view
@@ -50,6 +57,13 @@
 PREFILL_TIME_WEIGHT = 1.5
 # Requests beyond the slots wait until another request has finished.
 OVERFLOW_WEIGHT = 3.0
+# Usual duration of a stream. A request beyond the slots waits for its part of
+# it.
+STREAM_MS = 1_500
+# Costs are multiplied by a random number from 1 to 1 more than this. Between
+# two exchanges all gateways see the same sums, and the cheapest server would
+# get all requests of some hundred ms.
+COST_SPREAD = 1.0
 # Weight of the squared failure ratio; a ratio of one half outweighs any load.
 FAILURE_WEIGHT = 20.0
 # Slight preference for the gateway's own failure domain, where traffic is
@@ -75,6 +89,8 @@
 # Part of the hash that selects the reserved servers. It must not change, since
 # gateways of different versions must select the same servers.
 RESERVED_SALT = 'quiet'
+# Hashes kept for the servers of all services; a new server is a new one.
+RESERVED_KEYS = 4_096
 # Cost of each ms of other prefill work on a reserved server.
 RESERVED_PREFILL_COST_PER_MS = 0.005
 # Cost of placing such a stream on an unreserved server. In a burst nearly all
@@ -82,6 +98,17 @@
 UNRESERVED_COST = 0.5
 # Allowed pauses up to this multiple of the shortest one count as shortest.
 SHORTEST_GAP_RATIO = 1.2
+# Cost of a pause as long as the longest allowed one, or of a response time
+# equal to the target.
+PACE_WEIGHT = 1.0
+# Cost of prefill work that lasts as long as the allowed pause of the streams
+# for which the server is: such a pause makes all of those late.
+CAUSED_PAUSE_COST = 3.0
+# A server takes longer than the median one by more than the first ratio when
+# it becomes known as slow, and by less than the second when it no longer is.
+# Slow servers are reserved last, since an event that takes several steps there
+# uses up most of a short pause.
+LASTING_SLOW_RATIOS = (1.3, 1.15)
 # The cost of a server whose pace is more than this many times the median is
 # multiplied by its ratio to the median.
 SLOW_RATIO = 3.0
@@ -94,10 +121,20 @@
     One object serves one service. ``notices`` holds the leaving and quiet
     notices of the servers and ``limits`` the limits that they name; all
     services of a gateway share them. ``is_last_resort`` is true while all
-    servers are leaving.
+    servers are leaving. With ``load_control``, which may be set later, costs
+    follow the pace of each server and the parts of the servers for each kind
+    of stream follow the demand.
     """
 
-    def __init__(self, *, rng, failure_domain='', notices=None, limits=None):
+    def __init__(
+        self,
+        *,
+        rng,
+        failure_domain='',
+        notices=None,
+        limits=None,
+        load_control=False,
+    ):
         self._rng = rng
         self._failure_domain = failure_domain
         self._notices = notices or _server_notices.ServerNotices()
@@ -110,6 +147,8 @@
         self._prefill_rate = DEFAULT_PREFILL_RATE_TOKENS_PER_MS
         self._is_prefill_rate_measured = False
         self._gaps_ms = set()
+        self.load_control = load_control
+        self._segments = _segments.Segments()
 
     def sync(self, engines, now_ms):
         """Replace the list of servers; drop the state of unlisted ones."""
@@ -140,6 +179,8 @@
             state.reported = report
             state.reported_ms = now_ms
             state.flights_at_report = len(state.flights)
+            if report.pace_percent is not None:
+                state.record_told(report.pace_percent, now_ms)
 
     def choose(self, work, now_ms):
         """Place ``work`` on the cheapest server.
@@ -154,17 +195,39 @@
         if not states:
             return None
         self._has_shortest_gap(work)
-        reserved_ids = self._reserved_ids(states)
+        forecasts = self._update_forecasts(now_ms)
+        if self.load_control:
+            reserved_gaps = self._reserved_gaps(states, now_ms)
+            reserved_ids = self._ids_of_others(reserved_gaps, work)
+        else:
+            reserved_gaps = {}
+            reserved_ids = self._reserved_ids(states)
         ranks = _prompt_parts.server_ranks(states, work, reserved_ids)
         median_pace_ms = self._median_pace_ms(now_ms)
         costs = [
             (
-                self._cost(state, work, now_ms, ranks, median_pace_ms)
-                + self._reservation_cost(state, work, reserved_ids),
+                self._cost(
+                    state,
+                    work,
+                    now_ms,
+                    ranks,
+                    median_pace_ms,
+                    forecasts.get(state.engine.id, _pace.USUAL).ratio,
+                )
+                + (
+                    self._segment_cost(state, work, reserved_gaps, forecasts)
+                    if self.load_control
+                    else self._reservation_cost(state, work, reserved_ids)
+                ),
                 state,
             )
             for state in states
         ]
+        if self.load_control:
+            costs = [
+                (cost * (1.0 + COST_SPREAD * self._rng.random()), state)
+                for cost, state in costs
+            ]
         lowest_cost = min(cost for cost, _state in costs)
         near_lowest = [
             state for cost, state in costs if cost <= lowest_cost + TIE_MARGIN
@@ -209,10 +272,35 @@
             if report is None
             else now_ms - state.reported_ms,
             pace_ms=state.pace_ms(now_ms),
+            told_pace=state.told_pace(now_ms),
             is_excluded=not is_usable,
             reason='' if is_usable else 'not available',
         )
 
+    def forecasts(self, now_ms):
+        """Return ``{server id: PaceForecast}`` of the listed servers."""
+        return _pace.forecasts(
+            {
+                server_id: state.pace_evidence(now_ms, self._prefill_rate)
+                for server_id, state in self._states.items()
+            }
+        )
+
+    def _update_forecasts(self, now_ms):
+        """Return the forecasts and note which servers are slow.
+
+        Empty without load control.
+        """
+        if not self.load_control:
+            return {}
+        forecasts = self.forecasts(now_ms)
+        for server_id, forecast in forecasts.items():
+            state = self._states[server_id]
+            state.record_speed(forecast.ratio, now_ms)
+            limit = LASTING_SLOW_RATIOS[state.is_slow]
+            state.is_slow = state.lasting_speed > limit
+        return forecasts
+
     def can_place(self, avoid, now_ms):
         """Return whether a server not in ``avoid`` accepts requests now."""
         states, _last = self._availability.usable(
@@ -322,22 +410,33 @@
                     * 1_000
                     / (1.5 * _shared_server.WINDOW_MS)
                 ),
+                told_count=state.told_window.get(now_ms, 'count'),
+                told_percent=state.told_window.get(now_ms, 'percent'),
             )
             if load != _shared_server.SharedLoad():
                 loads[server_id] = load
         return loads
 
-    def dump(self):
+    def dump(self, now_ms):
         """Return the state as plain data."""
+        forecasts = self.forecasts(now_ms)
         return {
             server_id: {
                 'flights': len(state.flights),
                 'others': attrs.asdict(state.others),
                 'hold_until_ms': state.hold_until_ms,
+                'measured_ms': state.pace_ms(now_ms),
+                'told': state.told_pace(now_ms),
+                'forecast': forecasts[server_id].ratio,
+                'is_slow': state.is_slow,
             }
             for server_id, state in self._states.items()
         }
 
+    def segments(self):
+        """Return ``{allowed pause in ms: end of its part of the servers}``."""
+        return self._segments.ends()
+
     def _states_except(self, avoid):
         return [
             state
@@ -391,25 +490,91 @@
             return frozenset()
         ids = sorted(
             (state.engine.id for state in states),
-            key=lambda server_id: _prompt_parts.affinity_key(
-                RESERVED_SALT, server_id
-            ),
+            key=_reserved_key,
         )
         return frozenset(ids[: max(1, int(RESERVED_RATIO * len(ids)))])
 
-    def _cost(self, state, work, now_ms, ranks, median_pace_ms):
+    def _reserved_gaps(self, states, now_ms):
+        """Return ``{server id: allowed pause of the kind it is for}``."""
+        gaps_ms = [
+            flight.work.gap_ms
+            for state in self._states.values()
+            for flight in state.flights
+            if flight.work.gap_ms
+        ]
+        self._segments.update(
+            gaps_ms,
+            _segments.Capacity(
+                count=len(states),
+                slots=sum(max(1, state.engine.slots) for state in states),
+                running=sum(state.latest_running(now_ms) for state in states),
+            ),
+            now_ms,
+        )
+        ordered = sorted(
+            states,
+            key=lambda state: (
+                state.is_slow,
+                _reserved_key(state.engine.id),
+            ),
+        )
+        return {
+            state.engine.id: self._segments.gap_of(
+                (index + 0.5) / len(ordered)
+            )
+            for index, state in enumerate(ordered)
+        }
+
+    def _ids_of_others(self, reserved_gaps, work):
+        """Return the ids of servers that are for another kind of stream."""
+        kind = self._segments.kind_of(work.gap_ms)
+        return frozenset(
+            server_id
+            for server_id, gap_ms in reserved_gaps.items()
+            if gap_ms != kind
+        )
+
+    def _segment_cost(self, state, work, reserved_gaps, forecasts):
+        """Return the extra cost on a server that is for another kind.
+
+        Work with a longer allowed pause delays the streams for which the
+        server is; work with a shorter one is delayed there.
+        """
+        gap_ms = reserved_gaps.get(state.engine.id)
+        kind = self._segments.kind_of(work.gap_ms)
+        if not gap_ms or not work.prompt_tokens or gap_ms == kind:
+            return 0.0
+        if kind < gap_ms:
+            return UNRESERVED_COST
+        prefill_ms = (
+            forecasts[state.engine.id].ratio
+            * work.prompt_tokens
+            / self._prefill_rate
+        )
+        return CAUSED_PAUSE_COST * prefill_ms / gap_ms
+
+    def _cost(self, state, work, now_ms, ranks, median_pace_ms, ratio):
         slots = max(1, state.engine.slots)
-        running = state.running(now_ms)
+        running = (
+            state.latest_running(now_ms)
+            if self.load_control
+            else state.running(now_ms)
+        )
         cost = RUNNING_WEIGHT * running
         if running >= slots:
-            cost += OVERFLOW_WEIGHT * (1 + running - slots) / slots
+            weight = OVERFLOW_WEIGHT
+            if self.load_control and work.gap_ms:
+                weight = ratio * STREAM_MS / max(1, work.target_ms)
+            cost += weight * (1 + running - slots) / slots
         cost += FAILURE_WEIGHT * state.failure_ratio(now_ms) ** 2
         if state.engine.failure_domain != self._failure_domain:
             cost += REMOTE_DOMAIN_COST
         if work.prompt_tokens:
-            cost += self._prefill_cost(state, work, now_ms, ranks)
+            cost += self._prefill_cost(state, work, now_ms, ranks, ratio)
         else:
-            cost += running / slots
+            cost += ratio * running / slots
+        if self.load_control:
+            return cost + self._pace_cost(state, work, median_pace_ms, ratio)
         pace_ms = state.pace_ms(now_ms)
         if (
             pace_ms
@@ -419,14 +584,26 @@
             cost = (cost + 0.5) * pace_ms / median_pace_ms
         return cost
 
-    def _prefill_cost(self, state, work, now_ms, ranks):
+    def _pace_cost(self, state, work, median_pace_ms, ratio):
+        """Return the cost of the server's own pace.
+
+        Relative to the longest allowed pause for a stream and to the latency
+        target for a plain call.
+        """
+        if not median_pace_ms:
+            return 0.0
+        limit_ms = work.gap_ms or work.target_ms
+        return PACE_WEIGHT * ratio * median_pace_ms / max(1, limit_ms)
+
+    def _prefill_cost(self, state, work, now_ms, ranks, ratio):
         cached_tokens = _prompt_parts.expected_cached_tokens(
             state, work, now_ms, ranks
         )
         uncached = max(1, work.prompt_tokens - cached_tokens)
-        prefill_ms = uncached / self._prefill_rate
+        prefill_ms = ratio * uncached / self._prefill_rate
         backlog_ms = (
-            state.backlog_tokens(now_ms, self._prefill_rate)
+            ratio
+            * state.backlog_tokens(now_ms, self._prefill_rate)
             / self._prefill_rate
         )
         cost = (backlog_ms + prefill_ms) / max(1, work.target_ms)
@@ -437,8 +614,10 @@
             INTERFERENCE_COST_PER_MS * prefill_ms * state.running(now_ms) / 10
         )
         if work.prompt_tokens < _prompt_parts.LONG_PROMPT_TOKENS:
-            cost += PREFILL_TIME_WEIGHT * state.prefill_time_ratio(
-                now_ms, self._prefill_rate
+            cost += (
+                PREFILL_TIME_WEIGHT
+                * ratio
+                * state.prefill_time_ratio(now_ms, self._prefill_rate)
             )
         return cost
 
@@ -458,6 +637,10 @@
         state.record_parts(work.parts, now_ms)
         state.window.add(now_ms, tokens=flight.uncached)
         state.flights.add(flight)
+        if self.load_control and work.gap_ms:
+            self._segments.record(
+                work.gap_ms, flight.uncached / self._prefill_rate
+            )
         if state.slow_start is not None:
             flight.slow_start = state.slow_start
             state.slow_start.record_sent()
@@ -481,6 +664,11 @@
         return statistics.median_low(paces_ms) if len(paces_ms) > 1 else None
 
 
+@functools.lru_cache(maxsize=RESERVED_KEYS)
+def _reserved_key(server_id):
+    return _prompt_parts.affinity_key(RESERVED_SALT, server_id)
+
+
 def _end_slow_start(flight, *, is_accepted):
     """Record the outcome of a request sent during a slow start."""
     slow_start, flight.slow_start = flight.slow_start, None
--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -9,6 +9,7 @@
 import attrs
 
 from paddle_router.policy import _hooks
+from paddle_router.policy import _pace
 from paddle_router.policy import _server_notices
 
 # Successes added to the counted ones, so that one failure after few responses
@@ -19,6 +20,12 @@
 BACKOFF_MAX_MS = 2_000
 # Older sums of other gateways are ignored.
 OTHERS_LIFETIME_MS = 2_000
+# Time constant of the lasting speed: several times as long as the measured
+# pace, which one phase of much load can change.
+LASTING_SPEED_MS = 10_000
+# Age of the sums when they arrive: half an interval of the exchange, and the
+# way over two controllers.
+SUMS_AGE_MS = 275
 # A load report describes the time of the response that carried it. It gets
 # outdated soon, since streams last only 1 to 2 s.
 REPORT_LIFETIME_MS = 700
@@ -75,6 +82,9 @@
     in_time: int = 0
 
 
+NO_LOAD = SharedLoad()
+
+
 @attrs.define(eq=False)
 class SharedFlight:
     """An in-flight request of this gateway at a server.
@@ -99,9 +109,10 @@
 
 
 class _SlidingWindow:
-    """Sums over the last few seconds, kept in two halves."""
+    """Sums over the last one to two times ``half_ms``, in two halves."""
 
-    def __init__(self):
+    def __init__(self, half_ms):
+        self._half_ms = half_ms
         self._started_ms = 0
         self._current = collections.Counter()
         self._previous = collections.Counter()
@@ -115,8 +126,8 @@
         return self._current[name] + self._previous[name]
 
     def _rotate(self, now_ms):
-        if now_ms - self._started_ms >= WINDOW_MS:
-            recent = now_ms - self._started_ms < 2 * WINDOW_MS
+        if now_ms - self._started_ms >= self._half_ms:
+            recent = now_ms - self._started_ms < 2 * self._half_ms
             self._previous = self._current if recent else collections.Counter()
             self._current = collections.Counter()
             self._started_ms = now_ms
@@ -126,12 +137,21 @@
 class ServerState:
     engine: _hooks.Engine
     flights: set = attrs.field(factory=set)
-    others: SharedLoad = SharedLoad()
+    others: SharedLoad = NO_LOAD
     others_received_ms: int = -OTHERS_LIFETIME_MS
     reported: _hooks.LoadReport | None = None
     reported_ms: int = 0
     flights_at_report: int = 0
-    window: _SlidingWindow = attrs.field(factory=_SlidingWindow)
+    window: _SlidingWindow = attrs.field(
+        factory=lambda: _SlidingWindow(WINDOW_MS)
+    )
+    told_window: _SlidingWindow = attrs.field(
+        factory=lambda: _SlidingWindow(_pace.TOLD_WINDOW_MS)
+    )
+    told_percent: int | None = None
+    is_slow: bool = False
+    lasting_speed: float = 1.0
+    speed_ms: int | None = None
     parts: collections.OrderedDict = attrs.field(
         factory=collections.OrderedDict
     )
@@ -154,7 +174,7 @@
 
     def fresh_others(self, now_ms):
         if now_ms - self.others_received_ms > OTHERS_LIFETIME_MS:
-            return SharedLoad()
+            return NO_LOAD
         return self.others
 
     def running(self, now_ms):
@@ -170,6 +190,22 @@
         seen += len(self.flights) - self.flights_at_report
         return max(seen, len(self.flights), known_running * 0.5)
 
+    def latest_running(self, now_ms):
+        """Return the number of requests at the server by the later source.
+
+        A load report shows it at one moment, and the sums of other gateways
+        a moment that lies ``SUMS_AGE_MS`` before they arrived.
+        """
+        sums_age_ms = now_ms - self.others_received_ms + SUMS_AGE_MS
+        age_ms = now_ms - self.reported_ms
+        if self.reported is None or age_ms > sums_age_ms:
+            return len(self.flights) + self.fresh_others(now_ms).running
+        seen = self.reported.running + self.reported.waiting
+        return max(
+            len(self.flights),
+            seen + len(self.flights) - self.flights_at_report,
+        )
+
     def backlog_tokens(self, now_ms, tokens_per_ms):
         """Return the prompt tokens queued for prefill at the server."""
         own = sum(
@@ -209,6 +245,43 @@
         total = self.window.get(now_ms, 'pace_ms')
         return (total + others.answers * others.pace_ms) / count
 
+    def record_told(self, percent, now_ms):
+        """Record the pace that the server tells of its machine."""
+        self.told_percent = round(_pace.PERCENT * _pace.told_pace(percent))
+        self.told_window.add(now_ms, count=1, percent=self.told_percent)
+
+    def record_speed(self, speed, now_ms):
+        """Record a forecast speed; update the mean over some seconds."""
+        passed_ms = now_ms - (self.speed_ms or 0)
+        kept = 0.0
+        if self.speed_ms is not None:
+            kept = max(0.0, 1.0 - passed_ms / LASTING_SPEED_MS)
+        self.speed_ms = now_ms
+        self.lasting_speed += (1.0 - kept) * (speed - self.lasting_speed)
+
+    def pace_evidence(self, now_ms, tokens_per_ms):
+        """Return the :class:`PaceEvidence` of this server."""
+        return _pace.PaceEvidence(
+            measured_ms=self.pace_ms(now_ms),
+            prefill_ratio=self.prefill_time_ratio(now_ms, tokens_per_ms),
+        )
+
+    def told_pace(self, now_ms):
+        """Return the mean pace told to all gateways lately, else the last one.
+
+        1.0 is undisturbed; ``None`` if the server never told a pace.
+        """
+        others = self.fresh_others(now_ms)
+        count = self.told_window.get(now_ms, 'count') + others.told_count
+        if count:
+            percent = (
+                self.told_window.get(now_ms, 'percent') + others.told_percent
+            )
+            return _pace.told_pace(percent / count)
+        if self.told_percent is None:
+            return None
+        return _pace.told_pace(self.told_percent)
+
     def cached_tokens(self, parts, now_ms):
         """Return the leading prompt tokens recently sent to the server."""
         tokens = 0
