--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -168,6 +168,7 @@
                     failure_domain=self.settings.failure_domain,
                     notices=self.notices,
                     limits=self.limits,
+                    load_control=self.has_load_control(service),
                 )
             self.balancers[service].sync(groups[service], now_ms)
             self.waiting.wake_all(service)
@@ -257,6 +258,7 @@
         """Pass the load reported in a response to the balancer."""
         if load.pace_percent is not None:
             self._paced_services.add(service)
+            self.balancers[service].load_control = True
         self.balancers[service].report(
             server_id,
             policy.LoadReport(
@@ -402,7 +404,7 @@
 
     def _dump_balancers(self):
         return {
-            name: item.dump()
+            name: item.dump(self.components.clock.now_ms())
             for name, item in self.components.balancers.items()
         }
 
--- a/packages/router/src/paddle_router/gateway/_metrics.py
+++ b/packages/router/src/paddle_router/gateway/_metrics.py
@@ -11,6 +11,10 @@
     *(4.0, 8.0, 15.0),
 )
 
+# A server counts as disturbed if work takes this many times as long as usual
+# on its machine; less is within what requests vary anyway.
+DISTURBED_PACE = 1.5
+
 
 class GatewayMetrics:
     """Counters, latency histograms and gauges of one gateway."""
@@ -94,6 +98,18 @@
                 'Streams whose server was asked to move the run.',
                 lambda: gateway.components.moves.begun_count,
             ),
+            (
+                'told_pace',
+                'Mean pace that servers told of their machines, 1 as usual.',
+                lambda: _mean(_told_paces(gateway), default=1.0),
+            ),
+            (
+                'disturbed_servers',
+                'Part of these servers whose machine takes longer than usual.',
+                lambda: _mean(
+                    [pace >= DISTURBED_PACE for pace in _told_paces(gateway)]
+                ),
+            ),
             (
                 'streams_moved',
                 'Streams whose run was stopped and copied to be continued.',
@@ -116,3 +132,19 @@
     def text(self):
         """Return the metrics in the Prometheus text format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
+
+
+def _told_paces(gateway):
+    """Return the paces last told, of the servers of all services."""
+    components = gateway.components
+    now_ms = components.clock.now_ms()
+    return [
+        view.told_pace
+        for balancer in components.balancers.values()
+        for view in balancer.views(now_ms)
+        if view.told_pace is not None
+    ]
+
+
+def _mean(values, default=0.0):
+    return sum(values) / len(values) if values else default
