--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -185,6 +185,7 @@
                     notices=self.notices,
                     limits=self.limits,
                     placements=self.placements,
+                    load_control=self.has_load_control(service),
                 )
             held_work = self.balancers[service].held_work
             held_work.is_enabled = self.buffers.is_enabled
@@ -318,6 +319,7 @@
         """Pass the load reported in a response to the balancer."""
         if load.pace_percent is not None:
             self._paced_services.add(service)
+            self.balancers[service].load_control = True
         self.balancers[service].report(
             server_id,
             policy.LoadReport(
@@ -470,7 +472,7 @@
 
     def _dump_balancers(self):
         return {
-            name: item.dump()
+            name: item.dump(self.components.clock.now_ms())
             for name, item in self.components.balancers.items()
         }
 
