--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -305,6 +305,10 @@
         self.exchange.origins.load(self.register)
         if not self.evacuations.is_known and not self.evacuations.refresh():
             return
+        if self._needs_fresh_document():
+            # Also while the lease holder confirms the configuration: one of
+            # the version before does not report evacuations.
+            self.evacuations.refresh_if_due()
         age_ms = self.document.age_ms()
         if age_ms is not None:
             if age_ms < REFRESH_PERIOD_MS:
@@ -320,8 +324,7 @@
             ):
                 return
         self._is_refresh_requested = False
-        if self.document.refresh():
-            self.evacuations.refresh_if_due()
+        self.document.refresh()
 
     def request_refresh(self):
         """Compare the configuration soon, for a gateway that asked for it."""
