--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -108,7 +108,7 @@
             self.sums.report(holder, self._version()),
             evacuation_version=self._controller.evacuations.version,
             limits=self._reported_limits(),
-            placements=self.placements.news(self._controller.wall.now_ms()),
+            placements=self.placements.recent(self._controller.wall.now_ms()),
             **self.request_crashes.report_fields(holder),
         )
         requested_ms = self._controller.clock.now_ms()
@@ -252,7 +252,7 @@
             true_ms=self._controller.wall.now_ms(),
             unheard_holder=self._silent_holder(),
             limits=self._reported_limits(),
-            placements=self.placements.news(self._controller.wall.now_ms()),
+            placements=self.placements.recent(self._controller.wall.now_ms()),
             position=position,
             unlisted_versions=self.origins.unlisted_versions(),
             evacuation=self._controller.evacuations.message(),
@@ -305,7 +305,7 @@
                 report.evacuation_version
             ),
             limits=self._reported_limits(),
-            placements=self.placements.news(self._controller.wall.now_ms()),
+            placements=self.placements.recent(self._controller.wall.now_ms()),
             positions=tuple(
                 self._controller.fleet.position(item.name)
                 for item in report.fronts
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -291,7 +291,7 @@
                 self._notices, self.servers
             ),
             limits=self._limits.reports(self._wall.now_ms()),
-            placements=self._placements.news(self._wall.now_ms()),
+            placements=self._placements.recent(self._wall.now_ms()),
             **self._request_crashes.report_fields(),
         )
         return _messages.SyncRequest(
--- a/packages/router/src/paddle_router/policy/_prefix_copies.py
+++ b/packages/router/src/paddle_router/policy/_prefix_copies.py
@@ -23,10 +23,11 @@
 PLACEMENT_LIFETIME_MS = 10_000
 # Placements learned within this time go into each message. It covers two
 # exchanges of a gateway and one relay between controllers.
-NEWS_MS = 700
+RECENT_MS = 700
 # Bounds on memory and on the size of a message.
 MAX_PLACEMENTS = 4_096
-MAX_NEWS = 64
+MAX_RECENT = 64
+MAX_PART_LENGTH = 64
 
 
 @attrs.frozen(kw_only=True)
@@ -69,24 +70,24 @@
         while len(self._placements) > MAX_PLACEMENTS:
             self._placements.popitem(last=False)
 
-    def server_of(self, part, now_ms):
-        """Return the id of the server with ``part``, ``None`` if unknown."""
+    def find(self, part, now_ms):
+        """Return the :class:`PartPlacement`, ``None`` if unknown or old."""
         placement, _learned_ms = self._placements.get(part, (None, 0))
         if (
             placement is None
             or now_ms - placement.sent_ms > PLACEMENT_LIFETIME_MS
         ):
             return None
-        return placement.server
+        return placement
 
-    def news(self, now_ms):
-        """Return the newest placements learned within ``NEWS_MS``."""
-        news = []
+    def recent(self, now_ms):
+        """Return the newest placements learned within ``RECENT_MS``."""
+        recent = []
         for placement, learned_ms in reversed(self._placements.values()):
-            if now_ms - learned_ms > NEWS_MS or len(news) == MAX_NEWS:
+            if now_ms - learned_ms > RECENT_MS or len(recent) == MAX_RECENT:
                 break
-            news.append(placement)
-        return tuple(news)
+            recent.append(placement)
+        return tuple(recent)
 
     def dump(self):
         """Return plain data for the state dump."""
@@ -104,4 +105,6 @@
         or _prompt_parts.shared_tokens(work) < MIN_TOKENS
     ):
         return None
-    return work.parts[-2][0]
+    part = work.parts[-2][0]
+    # Callers choose the ids, which may be as long as a request's headers.
+    return part if len(part) <= MAX_PART_LENGTH else None
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -234,7 +234,8 @@
         Works on a copy: choosing also records what it has seen. The time for
         that grows with the servers and the requests in flight.
         """
-        copied = copy.deepcopy(self)
+        # Up to thousands of placements, which weighing does not use.
+        copied = copy.deepcopy(self, {id(self._placements): self._placements})
         weighed = copied._weigh(work, now_ms)
         return Explanation(
             views=copied.views(now_ms),
@@ -409,6 +410,8 @@
         if not flight.started:
             flight.started = True
             self._update_prefill_rate(flight, now_ms)
+            if state is not None:
+                self._record_placement(flight, now_ms)
             _end_slow_start(flight, is_accepted=True)
         elif state is not None:
             state.window.add(now_ms, paced=1, pace_ms=now_ms - flight.last_ms)
@@ -529,19 +532,29 @@
         if part is None:
             return
         synchronized_ms = now_ms + self._limits.wall_offset_ms
-        source_id = self._placements.server_of(part, synchronized_ms)
-        if source_id in self._states and source_id != flight.server_id:
-            flight.copy_from_id = source_id
-        self._placements.add(
-            (
-                _prefix_copies.PartPlacement(
-                    part=part,
-                    server=flight.server_id,
-                    sent_ms=synchronized_ms,
-                ),
-            ),
-            synchronized_ms,
+        placement = self._placements.find(part, synchronized_ms)
+        if placement is None or placement.server == flight.server_id:
+            return
+        source = self._states.get(placement.server)
+        if (
+            source is not None
+            # A server that has started since then has nothing cached.
+            and source.engine.born_ms <= placement.sent_ms
+            and source.hold_until_ms <= now_ms
+            and not source.is_replaced(now_ms)
+        ):
+            flight.copy_from_id = source.engine.id
+
+    def _record_placement(self, flight, now_ms):
+        """Record that the server of ``flight`` has prefilled its prompt."""
+        part = _prefix_copies.shared_part(flight.work)
+        if part is None:
+            return
+        synchronized_ms = now_ms + self._limits.wall_offset_ms
+        placement = _prefix_copies.PartPlacement(
+            part=part, server=flight.server_id, sent_ms=synchronized_ms
         )
+        self._placements.add((placement,), synchronized_ms)
 
     def _state_of(self, flight):
         """Return the state of the incarnation that ``flight`` was sent to.
@@ -746,6 +759,9 @@
         return flight
 
     def _update_prefill_rate(self, flight, now_ms):
+        if flight.copy_from_id is not None:
+            # A part of the prompt was copied, which is faster.
+            return
         tokens = flight.uncached + flight.backlog_tokens
         passed_ms = now_ms - flight.sent_ms
         if flight.uncached < PREFILL_RATE_MIN_TOKENS or passed_ms <= 0:
--- a/packages/router/tests/test_policy_prefix_copies.py
+++ b/packages/router/tests/test_policy_prefix_copies.py
@@ -11,6 +11,8 @@
 SHARED_TOKENS = 4_900
 EXCHANGE_MS = 250
 CACHE_LIFETIME_MS = 10_000
+# Time from sending a prompt until its server has it in the cache.
+PREFILL_MS = 200
 GATEWAYS = 20
 SERVERS = 12
 
@@ -75,9 +77,9 @@
                 },
                 now_ms,
             )
-        news = [item.news(now_ms) for item in self.placements]
+        recent = [item.recent(now_ms) for item in self.placements]
         for known in self.placements:
-            for item in news:
+            for item in recent:
                 known.add(item, now_ms)
 
     def send(self, index, work, now_ms):
@@ -96,9 +98,13 @@
             and not has(flight.copy_from_id)
         ):
             self.reread_tokens += SHARED_TOKENS
-        self.caches[flight.server_id][session] = now_ms
         return flight
 
+    def start(self, index, flight, now_ms):
+        """The first event of a prompt arrives."""
+        self.balancers[index].observe(flight, now_ms, 1)
+        self.caches[flight.server_id][flight.work.parts[-2][0]] = now_ms
+
 
 def replay(copy_rate):
     """Send long prompts of 40 sessions while servers come and go.
@@ -116,9 +122,11 @@
         index = rng.randrange(GATEWAYS)
         work = long_prompt(rng.randrange(40), now_ms, copy_rate)
         running.append((index, fleet.send(index, work, now_ms), now_ms))
+        for index, flight, sent_ms in running:
+            if sent_ms == now_ms - PREFILL_MS:
+                fleet.start(index, flight, now_ms)
         while running and running[0][2] <= now_ms - 1_500:
             index, flight, _sent_ms = running.pop(0)
-            fleet.balancers[index].observe(flight, now_ms, 1)
             fleet.balancers[index].finish(flight, now_ms, True)
     return fleet.reread_tokens
 
@@ -150,12 +158,73 @@
     assert balancer.choose(long_prompt(1, 1), 1_100).copy_from_id is None
 
 
+def balancer_with(placements, *engines):
+    built = policy.SharedLoadBalancer(
+        rng=random.Random(1), placements=placements
+    )
+    built.sync(engines, 1_000)
+    return built
+
+
+def test_a_server_that_got_no_prompt_is_no_source():
+    # Guards against a refused connection that replaces the server with the
+    # part by one that is down, at all gateways.
+    placements = policy.PartPlacements()
+    balancer = balancer_with(
+        placements, policy.Engine(id='s0'), policy.Engine(id='s1')
+    )
+    refused = balancer.choose(long_prompt(1, 1), 1_100)
+    balancer.back_off(refused, 1_110)
+    assert placements.find('session-1', 1_200) is None
+    served = balancer.choose(long_prompt(1, 2), 1_300)
+    balancer.observe(served, 1_500, 1)
+    assert placements.find('session-1', 1_600).server == served.server_id
+
+
+def test_a_server_that_has_restarted_is_no_source():
+    # Guards against a copy from a server whose cache is empty.
+    placements = policy.PartPlacements()
+    placements.add([placement('session-1', 's0', 1_000)], 1_000)
+    balancer = balancer_with(
+        placements,
+        policy.Engine(id='s0', born_ms=1_050, leaving=True),
+        policy.Engine(id='s1'),
+    )
+    flight = balancer.choose(long_prompt(1, 1), 1_100)
+    assert (flight.server_id, flight.copy_from_id) == ('s1', None)
+
+
+def test_copied_tokens_do_not_raise_the_prefill_rate():
+    # Guards against prompts that look cheap to prefill where nothing is
+    # cached, because others were copied.
+    placements = policy.PartPlacements()
+    placements.add([placement('session-1', 's0', 1_000)], 1_000)
+    balancer = balancer_with(
+        placements,
+        policy.Engine(id='s0', leaving=True),
+        policy.Engine(id='s1'),
+    )
+    flight = balancer.choose(long_prompt(1, 1), 1_100)
+    assert flight.copy_from_id == 's0'
+    balancer.observe(flight, 1_110, 1)
+    assert balancer.server_rate() == 0
+
+
+def test_long_ids_of_parts_are_not_kept():
+    # Guards against callers whose ids fill the memory of all gateways.
+    placements = policy.PartPlacements()
+    balancer = balancer_with(placements, policy.Engine(id='s0'))
+    flight = balancer.choose(long_prompt('x' * 1_000, 1), 1_100)
+    balancer.observe(flight, 1_200, 1)
+    assert placements.dump() == {'parts': 0}
+
+
 def test_the_newest_placement_of_a_part_counts():
     # Guards against a report that arrives late and names an earlier server.
     placements = policy.PartPlacements()
     placements.add([placement(server='new', sent_ms=2_000)], 2_100)
     placements.add([placement(server='old', sent_ms=1_000)], 2_200)
-    assert placements.server_of('p', 2_300) == 'new'
+    assert placements.find('p', 2_300).server == 'new'
 
 
 def test_a_wrong_clock_does_not_pin_a_part():
@@ -163,15 +232,15 @@
     placements = policy.PartPlacements()
     placements.add([placement(server='ahead', sent_ms=3_600_000)], 1_000)
     placements.add([placement(server='new', sent_ms=1_100)], 1_200)
-    assert placements.server_of('p', 1_300) == 'new'
+    assert placements.find('p', 1_300).server == 'new'
 
 
 def test_an_old_placement_is_not_used():
     # The cache of a part that nobody uses yields to others.
     placements = policy.PartPlacements()
     placements.add([placement(sent_ms=1_000)], 1_000)
-    assert placements.server_of('p', 10_000) == 's0'
-    assert placements.server_of('p', 12_000) is None
+    assert placements.find('p', 10_000).server == 's0'
+    assert placements.find('p', 12_000) is None
 
 
 @pytest.mark.parametrize('count', [10, 10_000])
@@ -180,8 +249,8 @@
     placements = policy.PartPlacements()
     for number in range(count):
         placements.add([placement(part=str(number))], 1_000)
-    news = placements.news(1_100)
-    assert len(news) == min(count, 64)
-    assert news[0].part == str(count - 1)
+    recent = placements.recent(1_100)
+    assert len(recent) == min(count, 64)
+    assert recent[0].part == str(count - 1)
     assert placements.dump()['parts'] == min(count, 4_096)
-    assert placements.news(1_701) == ()
+    assert placements.recent(1_701) == ()
