--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -110,8 +110,10 @@
 # uses up most of a short pause.
 LASTING_SLOW_RATIOS = (1.3, 1.15)
 # The cost of a server whose pace is more than this many times the median is
-# multiplied by its ratio to the median.
+# multiplied by its ratio to the median. The added cost keeps requests off such
+# a server while it is idle.
 SLOW_RATIO = 3.0
+SLOW_COST = 0.5
 
 
 @_hooks.balancers.register('shared_load')
@@ -581,7 +583,7 @@
             and median_pace_ms
             and pace_ms > SLOW_RATIO * median_pace_ms
         ):
-            cost = (cost + 0.5) * pace_ms / median_pace_ms
+            cost = (cost + SLOW_COST) * pace_ms / median_pace_ms
         return cost
 
     def _pace_cost(self, state, work, median_pace_ms, ratio):
@@ -593,7 +595,8 @@
         if not median_pace_ms:
             return 0.0
         limit_ms = work.gap_ms or work.target_ms
-        return PACE_WEIGHT * ratio * median_pace_ms / max(1, limit_ms)
+        cost = PACE_WEIGHT * ratio * median_pace_ms / max(1, limit_ms)
+        return cost + SLOW_COST * ratio if ratio > SLOW_RATIO else cost
 
     def _prefill_cost(self, state, work, now_ms, ranks, ratio):
         cached_tokens = _prompt_parts.expected_cached_tokens(
--- a/packages/router/tests/test_policy_pace.py
+++ b/packages/router/tests/test_policy_pace.py
@@ -94,6 +94,20 @@
     assert chosen[:60] == chosen[60:]
 
 
+def test_a_server_that_turns_slow_gets_few_requests():
+    # Guards against work on an idle server that takes four times as long.
+    built = balancer()
+    work = policy.EngineWork(target_ms=150)
+    chosen = []
+    for index in range(200):
+        now_ms = NOW + 20 * index
+        flight = built.choose(work, now_ms)
+        chosen.append(flight.server_id)
+        took_ms = 160 if flight.server_id == 's1' else 40
+        built.finish(flight, now_ms + took_ms, True)
+    assert chosen[100:].count('s1') <= 2
+
+
 def test_the_later_of_report_and_sums_tells_the_running_requests():
     # Guards against all gateways choosing a server by an old report.
     built = balancer()
