--- a/packages/testbed/src/paddle_testbed/fleet.py
+++ b/packages/testbed/src/paddle_testbed/fleet.py
@@ -200,6 +200,25 @@
             submit_once, 'no controller acknowledged the configuration'
         )
 
+    def order_evacuation(self, method, domain, names=None):
+        """Send an order until a controller acknowledges it.
+
+        ``method`` is POST to evacuate ``domain`` and DELETE to use it again.
+        """
+
+        def send_once():
+            return any(
+                self.call(name, method, f'/api/evacuation/{domain}')[0] == 200
+                for name in names or self.names('controller')
+            )
+
+        wait_for(send_once, f'no controller acknowledged {method} {domain}')
+
+    def evacuated(self, name):
+        """Return the evacuated domains, ``None`` if they are not confirmed."""
+        status, body = self.call(name, 'GET', '/api/evacuation')
+        return json.loads(body)['domains'] if status == 200 else None
+
     def names(self, role):
         """Return the names of the machines of ``role``."""
         return [
--- a/packages/testbed/src/paddle_testbed/soak/_checks.py
+++ b/packages/testbed/src/paddle_testbed/soak/_checks.py
@@ -37,6 +37,8 @@
 LIMIT_WINDOW_MS = 4_000
 LIMIT_RATIO = 1.5
 LIMIT_SLACK_REQUESTS = 5
+# The users' bound for an evacuation to be in force.
+EVACUATION_MS = 5_000
 # A signal that arrives while a process exits is not logged.
 EXIT_GRACE_MS = 500
 # Loading a program takes half a second, longer when many start at once.
@@ -293,6 +295,44 @@
             return
 
 
+@checks.register('evacuated domains get no requests')
+def evacuations(ledger, calls, findings):
+    """Check requests of undisturbed gateways after the bound.
+
+    While most controllers are disturbed, an order may take longer. The domains
+    are used again at the end.
+    """
+    attempts = {item.request_id: item for item in ledger.attempts}
+    for period in ledger.evacuations:
+        since_ms = period.begin_ms - RECONNECT_MS
+        bound_ms = period.begin_ms + EVACUATION_MS
+        controllers = [
+            _was_disturbed(ledger, (name,), since_ms, bound_ms)
+            for name in ledger.evacuated_after
+        ]
+        if 2 * sum(controllers) > len(controllers):
+            continue
+        for run in ledger.runs:
+            attempt = attempts.get(run.request_id)
+            if (
+                attempt is not None
+                and run.server in period.servers
+                and bound_ms <= run.at_ms <= period.end_ms
+                and not _was_disturbed(
+                    ledger, (attempt.gateway, 'all'), since_ms, run.at_ms
+                )
+            ):
+                findings.add(
+                    f'{run.kind} {run.request_id} from {attempt.gateway}',
+                    f'at {run.server} {run.at_ms - period.begin_ms} ms after '
+                    f'{period.domain} was evacuated',
+                    f'within {EVACUATION_MS} ms',
+                )
+    for name, domains in ledger.evacuated_after.items():
+        if domains:
+            findings.add(f'evacuated at {name}', domains, 'none')
+
+
 def _was_disturbed(ledger, targets, begin_ms, end_ms):
     """Whether one of ``targets`` was disturbed between two times."""
     return any(
--- a/packages/testbed/src/paddle_testbed/soak/_faults.py
+++ b/packages/testbed/src/paddle_testbed/soak/_faults.py
@@ -12,6 +12,7 @@
 import paddle_kernel
 from paddle_testbed import endless_peer
 from paddle_testbed import fakes
+from paddle_testbed import fleet as fleets
 from paddle_testbed.soak import _callers
 from paddle_testbed.soak import _ledger
 from paddle_testbed.soak import _proxy
@@ -29,6 +30,8 @@
 # Longer than the time in which gateways must learn of a limit, and a window.
 LIMIT_DURATION_S = (7.5, 10.0)
 LIMITS_PER_S = (0.5, 6.0)
+# Longer than the time in which gateways must apply an evacuation.
+EVACUATION_DURATION_S = (6.5, 9.0)
 # Time until gateways use a server that the platform has just listed.
 LISTING_DELAY_S = 1.5
 # Longer than the time in which other requests have to be answered.
@@ -399,6 +402,40 @@
     )
 
 
+@faults.register('evacuate')
+def evacuate(system, rng):
+    """Evacuate a domain for some time and use it again.
+
+    The servers of the other domain may all be at their limits meanwhile, so
+    it is recorded as a disturbance.
+    """
+    with contextlib.ExitStack() as stack:
+        if not stack.enter_context(system.locks.lock_domains()):
+            return
+        domain = rng.choice(sorted({item.domain for item in system.servers}))
+        stack.enter_context(recorded_disturbance(system, 'evacuation', domain))
+        servers = [item for item in system.servers if item.domain == domain]
+        names = {item.name for item in servers}
+        try:
+            system.fleet.order_evacuation('POST', domain)
+            begin_ms = _ledger.now_ms()
+            sleep_random(rng, EVACUATION_DURATION_S)
+            names.update(item.name for item in servers)
+            end_ms = _ledger.now_ms()
+            system.fleet.order_evacuation('DELETE', domain)
+        except fleets.WaitError as exc:
+            system.ledger.overdue.append(('evacuate', str(exc)))
+            return
+    system.ledger.evacuations.append(
+        _ledger.EvacuationPeriod(
+            domain=domain,
+            servers=frozenset(names),
+            begin_ms=begin_ms,
+            end_ms=end_ms,
+        )
+    )
+
+
 @faults.register('signal_series')
 def signal_series(system, rng):
     """Send signals in quick succession to one process around its stop."""
--- a/packages/testbed/src/paddle_testbed/soak/_ledger.py
+++ b/packages/testbed/src/paddle_testbed/soak/_ledger.py
@@ -76,6 +76,19 @@
     end_ms: int
 
 
+@attrs.frozen(kw_only=True)
+class EvacuationPeriod:
+    """A time between an acknowledged evacuation and its withdrawal.
+
+    ``servers`` are the names that servers of the domain had in it.
+    """
+
+    domain: str
+    servers: frozenset
+    begin_ms: int
+    end_ms: int
+
+
 @attrs.frozen(kw_only=True)
 class Signal:
     """A signal that was sent to a process or that a process logged."""
@@ -103,6 +116,9 @@
     runs: list = attrs.field(factory=list)
     notices: list = attrs.field(factory=list)
     limit_periods: list = attrs.field(factory=list)
+    evacuations: list = attrs.field(factory=list)
+    # Evacuated domains that controllers returned at the end, by controller.
+    evacuated_after: dict = attrs.field(factory=dict)
     # Signals sent and logged.
     signals: list = attrs.field(factory=list)
     reported: list = attrs.field(factory=list)
--- a/packages/testbed/src/paddle_testbed/soak/_locks.py
+++ b/packages/testbed/src/paddle_testbed/soak/_locks.py
@@ -10,6 +10,7 @@
         self._fleet = fleet
         self._locked = set()
         self._is_disk_locked = False
+        self._are_domains_locked = False
 
     def is_locked(self, name):
         """Whether a fault holds the lock of machine ``name``."""
@@ -67,3 +68,15 @@
             yield True
         finally:
             self._is_disk_locked = False
+
+    @contextlib.contextmanager
+    def lock_domains(self):
+        """Lock the right to evacuate a domain; yield whether it was free."""
+        if self._are_domains_locked:
+            yield False
+            return
+        self._are_domains_locked = True
+        try:
+            yield True
+        finally:
+            self._are_domains_locked = False
--- a/packages/testbed/src/paddle_testbed/soak/_run.py
+++ b/packages/testbed/src/paddle_testbed/soak/_run.py
@@ -111,6 +111,7 @@
             self.platform_proxy,
             controllers=options.controllers,
             gateways=options.gateways,
+            bounds={'evacuationMs': _checks.EVACUATION_MS},
         )
         self.locks = _locks.Locks(self.fleet)
         self._version = FIRST_VERSION
@@ -295,6 +296,7 @@
             self.ledger.read_back[name] = self._read_configuration(
                 name, newest
             )
+            self.ledger.evacuated_after[name] = self.fleet.evacuated(name)
         for caller in self._callers:
             caller.stop()
         # After this time the newest version is in force everywhere.
--- a/packages/testbed/tests/test_platform_processes.py
+++ b/packages/testbed/tests/test_platform_processes.py
@@ -540,25 +540,6 @@
     )
 
 
-def order_evacuation(fleet, method, domain, names=None):
-    """Send an order to the controllers in turn until one acknowledges it."""
-    names = names or fleet.names('controller')
-
-    def send_once():
-        return any(
-            fleet.call(name, method, f'/api/evacuation/{domain}')[0] == 200
-            for name in names
-        )
-
-    fleets.wait_for(send_once, 'no controller acknowledged the order')
-
-
-def read_evacuated(fleet, name):
-    """Return the evacuated domains, ``None`` if they are not confirmed."""
-    status, body = fleet.call(name, 'GET', '/api/evacuation')
-    return json.loads(body)['domains'] if status == 200 else None
-
-
 def wait_evacuated(fleet, *domains):
     """Wait until all gateways have applied ``domains``, within the bound."""
     for name in fleet.names('gateway'):
@@ -588,7 +569,7 @@
     # against one of two orders at the same time that is lost.
     fleet = evacuable_fleet
     operators = [
-        gevent.spawn(order_evacuation, fleet, 'POST', domain, [name])
+        gevent.spawn(fleet.order_evacuation, 'POST', domain, [name])
         for domain, name in (('z1', 'core-0'), ('z9', 'core-1'))
     ]
     gevent.joinall(operators, raise_error=True)
@@ -603,10 +584,10 @@
     assert send_to_all(fleet) == {200}
     assert len(origin.requests) == before and far_origin.requests
     fleets.wait_for(
-        lambda: read_evacuated(fleet, 'core-2') == ['z1', 'z9'],
+        lambda: fleet.evacuated('core-2') == ['z1', 'z9'],
         'an acknowledged order is lost',
     )
-    order_evacuation(fleet, 'DELETE', 'z1')
+    fleet.order_evacuation('DELETE', 'z1')
     wait_evacuated(fleet, 'z9')
     assert send_to_all(fleet) == {200}
     assert len(origin.requests) > before
@@ -624,7 +605,7 @@
     )
     assert status is None
     others = ['core-0', 'core-2']
-    order_evacuation(fleet, 'POST', 'z1', others)
+    fleet.order_evacuation('POST', 'z1', others)
     wait_evacuated(fleet, 'z1')
     before = len(origin.requests)
     # A gateway that starts meanwhile.
@@ -633,12 +614,12 @@
     fleet.wait_ready('front-0')
     assert send_to_all(fleet) == {200}
     assert len(origin.requests) == before
-    order_evacuation(fleet, 'DELETE', 'z1', others)
+    fleet.order_evacuation('DELETE', 'z1', others)
     fleet.signal('core-1', signal.SIGCONT)
     gevent.sleep(CONTACT_S)
     for name in fleet.names('controller'):
         fleets.wait_for(
-            lambda name=name: read_evacuated(fleet, name) == [],
+            lambda name=name: fleet.evacuated(name) == [],
             f'{name} carried out the late order, or answers no read',
             wait_s=CONTACT_S,
         )
--- a/packages/testbed/tests/test_soak.py
+++ b/packages/testbed/tests/test_soak.py
@@ -211,7 +211,26 @@
         ledger.runs.append(run(name, _ledger.SAFE, at_ms=at_ms + 10))
 
 
+def request_in_an_evacuated_domain(ledger, calls):
+    ledger.evacuations.append(
+        _ledger.EvacuationPeriod(
+            domain='z0',
+            servers=frozenset({'i-1'}),
+            begin_ms=10_000,
+            end_ms=18_000,
+        )
+    )
+    ledger.attempts.append(attempt('e1', _ledger.SAFE, sent_ms=15_100))
+    ledger.runs.append(run('e1', _ledger.SAFE, at_ms=15_110))
+
+
+def withdrawal_lost(ledger, calls):
+    ledger.evacuated_after['core-0'] = ['z0']
+
+
 DEFECTS = (
+    request_in_an_evacuated_domain,
+    withdrawal_lost,
     booking_run_twice,
     false_refusal,
     body_of_another_request,
