--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -37,6 +37,9 @@
 from paddle_router.policy._limits import LimitExceeded
 from paddle_router.policy._limits import Limits
 from paddle_router.policy._limits import LimitSettings
+from paddle_router.policy._load_admission import LoadAdmission
+from paddle_router.policy._load_admission import LoadRequest
+from paddle_router.policy._load_admission import RankDemand
 from paddle_router.policy._observed import ObservedBalancer
 from paddle_router.policy._plain_balancers import LeastReportedLoadBalancer
 from paddle_router.policy._plain_balancers import RoundRobinBalancer
@@ -133,7 +136,9 @@
     'LimitSettings',
     'LIVE',
     'Load',
+    'LoadAdmission',
     'LoadReport',
+    'LoadRequest',
     'MAX_QUIET_MS',
     'NextAvailability',
     'ObservedBalancer',
@@ -149,6 +154,7 @@
     'PolicySet',
     'Prediction',
     'priority_pair',
+    'RankDemand',
     'Refusal',
     'RefusedTrait',
     'request_trait',
--- a/packages/router/src/paddle_router/policy/_meter.py
+++ b/packages/router/src/paddle_router/policy/_meter.py
@@ -14,7 +14,8 @@
 class ArrivalRate:
     """Amount per ms that arrived during the last few seconds."""
 
-    def __init__(self):
+    def __init__(self, decay_ms=ARRIVAL_DECAY_MS):
+        self._decay_ms = decay_ms
         self._amount = 0.0
         self._updated_ms = 0
 
@@ -25,11 +26,11 @@
 
     def rate(self, now_ms):
         """Return the amount per ms."""
-        return self._decayed(now_ms) / ARRIVAL_DECAY_MS
+        return self._decayed(now_ms) / self._decay_ms
 
     def _decayed(self, now_ms):
         passed_ms = max(0, now_ms - self._updated_ms)
-        return self._amount * math.exp(-passed_ms / ARRIVAL_DECAY_MS)
+        return self._amount * math.exp(-passed_ms / self._decay_ms)
 
 
 class ServiceRate:
--- a/packages/router/src/paddle_router/policy/_tiered_fair.py
+++ b/packages/router/src/paddle_router/policy/_tiered_fair.py
@@ -131,6 +131,10 @@
     without the lower tier.
 
     The caller must end each started ticket with ``served(ticket, tokens)``.
+
+    Without ``is_only_user`` other processes use the same slots. Waits are then
+    not forecast from the requests of this process and no slots are reserved;
+    the caller does both.
     """
 
     def __init__(
@@ -140,8 +144,10 @@
         classes=None,
         customer_weights=None,
         generated_weight=DEFAULT_GENERATED_WEIGHT,
+        is_only_user=True,
     ):
         self._capacity = capacity
+        self._is_only_user = is_only_user
         self._generated_weight = generated_weight
         self._tiers = {}
         self._class_queues = []
@@ -207,6 +213,23 @@
 
     # Queue
 
+    @property
+    def queued(self):
+        """The number of waiting tickets."""
+        return len(self._latest_start)
+
+    def tiers(self):
+        """Return the numbers of all tiers that had tickets, highest first."""
+        return tuple(self._tiers)
+
+    def queued_by_tier(self):
+        """Return ``{tier number: waiting tickets}``, without empty tiers."""
+        return {
+            tier.number: tier.queued
+            for tier in self._tiers.values()
+            if tier.queued
+        }
+
     def offer(self, ticket, now_ms):
         self._now_ms = max(self._now_ms, now_ms)
         tier, class_queue = self._tier_and_class(ticket)
@@ -288,12 +311,19 @@
 
     # Service
 
-    def next(self, free_slots, now_ms):
+    def next(self, free_slots, now_ms, tiers=None):
+        """See :meth:`Scheduler.next`; start only tickets of ``tiers``.
+
+        ``None`` stands for all tiers.
+        """
         self._now_ms = max(self._now_ms, now_ms)
         refused = self._remove_expired(now_ms)
         started = []
-        while len(started) < free_slots and self._latest_start:
-            tier, class_queue, is_guaranteed = self._select_class()
+        while len(started) < free_slots:
+            selected = self._select_class(tiers)
+            if selected is None:
+                break
+            tier, class_queue, is_guaranteed = selected
             left = free_slots - len(started)
             if not is_guaranteed and left <= self._reserved_slots(tier, left):
                 break
@@ -308,7 +338,7 @@
         """
         slots = len(self._running) + free_slots
         rate = self._service_rate()
-        if not rate:
+        if not rate or not self._is_only_user:
             return 0
         # By cost, so that long responses count from their start.
         interval_ms = self._running_cost / rate / slots
@@ -348,8 +378,14 @@
         )
         return ticket
 
-    def _select_class(self):
-        for tier in self._tiers.values():
+    def _select_class(self, numbers):
+        """Return the tier and class to serve next, ``None`` without any."""
+        tiers = [
+            tier
+            for tier in self._tiers.values()
+            if tier.queued and (numbers is None or tier.number in numbers)
+        ]
+        for tier in tiers:
             below_share = [
                 class_queue
                 for class_queue in tier.classes.values()
@@ -358,13 +394,10 @@
             if below_share:
                 class_queue = max(below_share, key=lambda item: item.credit)
                 return tier, class_queue, True
-        for tier in self._tiers.values():
-            if tier.queued:
-                waiting = (
-                    item for item in tier.classes.values() if item.queued
-                )
-                return tier, min(waiting, key=_class_sort_key), False
-        raise AssertionError('no ticket is queued')
+        for tier in tiers:
+            waiting = (item for item in tier.classes.values() if item.queued)
+            return tier, min(waiting, key=_class_sort_key), False
+        return None
 
     def _charge(self, ticket, tier, class_queue, cost):
         """Charge the customer and update the credits of all classes."""
@@ -447,7 +480,7 @@
     def _wait_ms(self, tier, class_queue, ticket):
         """Return the expected wait of a new ticket; 0 if unknown."""
         rate = self._service_rate()
-        if not rate or not self._latest_start:
+        if not rate or not self._latest_start or not self._is_only_user:
             return 0
         higher = [
             item for item in self._tiers.values() if item.number < tier.number
--- /dev/null
+++ b/packages/router/tests/test_load_admission.py
@@ -0,0 +1,304 @@
+"""Replays of load above capacity, without a network.
+
+Two servers of four places that work 100 ms on each request, and gateways that
+know each other's load as sums of the last exchange.
+"""
+
+import hashlib
+import heapq
+import itertools
+import random
+import statistics
+
+import attrs
+import pytest
+
+from paddle_router import policy
+
+WORK_MS = 100
+TARGET_MS = 500
+TIMEOUT_MS = 3_000
+SERVERS = 2
+SLOTS = 4
+SERVER_QUEUE = 4
+CAPACITY_PER_S = SERVERS * SLOTS * 1_000 / WORK_MS
+EXCHANGE_MS = 250
+CHECK_MS = 20
+DURATION_MS = 20_000
+# Demand is known after two exchanges and a response.
+WARM_UP_MS = 2_000
+URGENT, NORMAL = (0, 0), (1, 1)
+
+
+@attrs.define(eq=False)
+class Caller:
+    """A request and what its caller does when it is refused."""
+
+    rank: tuple
+    customer: str
+    digest: str
+    sent_ms: int
+    retries: int = 0
+    is_patient: bool = True
+    tries: int = 1
+    attempts: int = 0
+    done_ms: int | None = None
+    refused_ms: int | None = None
+    placed_ms: int | None = None
+
+    @property
+    def is_in_time(self):
+        return (
+            self.done_ms is not None
+            and self.done_ms - self.sent_ms <= TARGET_MS
+        )
+
+
+class Server:
+    def __init__(self, replay):
+        self.replay = replay
+        self.running = 0
+        self.queue = []
+
+    def accept(self, on_done):
+        if self.running == SLOTS:
+            if len(self.queue) == SERVER_QUEUE:
+                return False
+            self.queue.append(on_done)
+        else:
+            self._run(on_done)
+        return True
+
+    def _run(self, on_done):
+        self.running += 1
+        work_ms = int(WORK_MS * self.replay.rng.uniform(0.8, 1.2))
+        self.replay.at(work_ms, lambda: self._finish(on_done))
+
+    def _finish(self, on_done):
+        self.running -= 1
+        if self.queue:
+            self._run(self.queue.pop(0))
+        on_done()
+
+
+class Gateway:
+    def __init__(self, replay):
+        self.replay = replay
+        self.admission = policy.LoadAdmission()
+        self.balancer = policy.SharedLoadBalancer(rng=replay.rng)
+        self.balancer.sync(
+            [
+                policy.Engine(id=server_id, slots=SLOTS)
+                for server_id in replay.servers
+            ],
+            replay.now_ms,
+        )
+        self.waiting = 0
+
+    def views(self):
+        return self.balancer.views(self.replay.now_ms)
+
+    def receive(self, caller):
+        now_ms = self.replay.now_ms
+        req = policy.LoadRequest(
+            rank=caller.rank,
+            customer=caller.customer,
+            class_name=str(caller.rank),
+            fingerprint=caller.digest,
+            arrived_ms=now_ms,
+            target_ms=TARGET_MS,
+            timeout_ms=TIMEOUT_MS,
+            end_ms=caller.sent_ms + TIMEOUT_MS,
+            payload=caller,
+        )
+        self.add(req)
+
+    def add(self, req, **fields):
+        now_ms = self.replay.now_ms
+        self.admission.add(req, self.views(), now_ms, now_ms, **fields)
+        self.decide()
+
+    def decide(self):
+        now_ms = self.replay.now_ms
+        for req in self.admission.decide(self.views(), now_ms):
+            if isinstance(req.decision, policy.Send):
+                req.payload.placed_ms = now_ms
+                self.send(req)
+            else:
+                self.refuse(req, req.decision.retry_after_ms)
+
+    def send(self, req):
+        """Send to a server with probably free places; twice at most."""
+        now_ms = self.replay.now_ms
+        views = self.views()
+        weights = [max(0.5, 2 * SLOTS - view.running) for view in views]
+        view = self.replay.rng.choices(views, weights)[0]
+        work = policy.EngineWork(target_ms=TARGET_MS)
+        flight = self.balancer.place(view.server.id, work, now_ms)
+        server = self.replay.servers[view.server.id]
+        if server.accept(lambda: self.finish(req, flight)):
+            return
+        self.balancer.finish(flight, now_ms, False)
+        self.admission.served(req, now_ms)
+        req.payload.attempts += 1
+        if req.payload.attempts % 2:
+            pause_ms = self.admission.retry_pause_ms(views, now_ms)
+            self.replay.at(pause_ms, lambda: self.add(req, is_retry=True))
+        else:
+            self.refuse(req, TARGET_MS)
+
+    def finish(self, req, flight):
+        now_ms = self.replay.now_ms
+        self.balancer.finish(flight, now_ms, True)
+        self.admission.served(req, now_ms)
+        req.payload.done_ms = now_ms
+        self.replay.served_ms.append(now_ms)
+        if self in self.replay.gateways:
+            self.decide()
+
+    def refuse(self, req, retry_after_ms):
+        caller = req.payload
+        caller.refused_ms = caller.refused_ms or self.replay.now_ms
+        if caller.tries <= caller.retries:
+            caller.tries += 1
+            after_ms = retry_after_ms if caller.is_patient else 1
+            self.replay.at(after_ms, lambda: self.replay.arrive(caller))
+
+
+class Replay:
+    """Callers, gateways and servers, driven by a queue of events."""
+
+    def __init__(self, gateway_count, seed=1):
+        self.now_ms = 10_000
+        self.rng = random.Random(seed)
+        self.events = []
+        self.numbers = itertools.count()
+        self.servers = {f's{index}': Server(self) for index in range(SERVERS)}
+        self.gateways = [Gateway(self) for _ in range(gateway_count)]
+        self.reports = {}
+        self.callers = []
+        self.served_ms = []
+        self.are_controllers_reachable = True
+        for item in self.gateways:
+            self.start(item)
+
+    def start(self, item):
+        self.at(self.rng.randrange(EXCHANGE_MS), lambda: self.exchange(item))
+        self.at(self.rng.randrange(CHECK_MS), lambda: self.check(item))
+
+    def at(self, after_ms, action):
+        heapq.heappush(
+            self.events,
+            (self.now_ms + after_ms, next(self.numbers), action),
+        )
+
+    def arrive(self, caller):
+        self.rng.choice(self.gateways).receive(caller)
+
+    def check(self, item):
+        if item in self.gateways:
+            item.decide()
+            self.at(CHECK_MS, lambda: self.check(item))
+
+    def exchange(self, item):
+        if item not in self.gateways:
+            self.reports.pop(item, None)
+            return
+        self.at(EXCHANGE_MS, lambda: self.exchange(item))
+        if not self.are_controllers_reachable:
+            return
+        self.reports[item] = (
+            item.balancer.own_loads(self.now_ms),
+            item.admission.own_demands(self.now_ms),
+        )
+        running = dict.fromkeys(self.servers, 0)
+        answers = dict.fromkeys(self.servers, 0)
+        pace_ms = dict.fromkeys(self.servers, 0)
+        per_ms = {}
+        for other, (loads, demands) in self.reports.items():
+            if other is item:
+                continue
+            for server_id, load in loads.items():
+                running[server_id] += load.running
+                answers[server_id] += load.answers
+                pace_ms[server_id] += load.answers * load.pace_ms
+            for demand in demands:
+                per_ms[demand.rank] = (
+                    per_ms.get(demand.rank, 0) + demand.per_ms
+                )
+        item.balancer.set_other_loads(
+            {
+                server_id: policy.SharedLoad(
+                    running=running[server_id],
+                    answers=answers[server_id],
+                    pace_ms=pace_ms[server_id] // max(1, answers[server_id]),
+                )
+                for server_id in self.servers
+            },
+            self.now_ms,
+        )
+        item.admission.set_others(
+            [
+                policy.RankDemand(rank=rank, per_ms=rate)
+                for rank, rate in per_ms.items()
+            ],
+            len(self.gateways),
+            self.now_ms,
+        )
+
+    def add_callers(
+        self, load, rank=NORMAL, customers=10, name='c', **fields
+    ):
+        """Add callers that ask for ``load`` times the capacity."""
+        at_ms = 0.0
+        while at_ms < DURATION_MS:
+            at_ms += self.rng.expovariate(load * CAPACITY_PER_S / 1_000)
+            caller = Caller(
+                rank=rank,
+                customer=f'{name}{self.rng.randrange(customers)}',
+                digest=hashlib.blake2b(
+                    self.rng.randbytes(8), digest_size=12
+                ).hexdigest(),
+                sent_ms=self.now_ms + int(at_ms),
+                **fields,
+            )
+            self.callers.append(caller)
+            self.at(int(at_ms), lambda caller=caller: self.arrive(caller))
+
+    def run(self):
+        end_ms = self.now_ms + DURATION_MS
+        while self.events and self.events[0][0] < end_ms:
+            self.now_ms, _number, action = heapq.heappop(self.events)
+            action()
+        return self
+
+    def in_time_ratio(self, select=lambda caller: True, after_ms=WARM_UP_MS):
+        chosen = [
+            caller.is_in_time
+            for caller in self._settled(after_ms)
+            if select(caller)
+        ]
+        return statistics.mean(chosen)
+
+    def served_in_time_of_capacity(self, after_ms=WARM_UP_MS):
+        in_time = sum(item.is_in_time for item in self._settled(after_ms))
+        span_s = (DURATION_MS - TARGET_MS - after_ms) / 1_000
+        return in_time / span_s / CAPACITY_PER_S
+
+    def _settled(self, after_ms):
+        begin_ms = 10_000 + after_ms
+        end_ms = 10_000 + DURATION_MS - TARGET_MS
+        return [
+            item for item in self.callers if begin_ms <= item.sent_ms < end_ms
+        ]
+
+
+def overloaded(gateways, load, seed=1, **fields):
+    replay = Replay(gateways, seed)
+    replay.add_callers(load / 4, URGENT, **fields)
+    replay.add_callers(load * 3 / 4, NORMAL, **fields)
+    return replay
+
+
+def is_urgent(caller):
+    return caller.rank == URGENT
