--- a/packages/router/src/paddle_router/controller/_fleet.py
+++ b/packages/router/src/paddle_router/controller/_fleet.py
@@ -51,6 +51,7 @@
     server_rate: int
     usage: dict
     loads: tuple = ()
+    demands: tuple = ()
     is_attached: bool = False
 
 
@@ -82,6 +83,7 @@
         self._retained = _expiring_map.ExpiringMap()
         self._reporting = _expiring_map.ExpiringMap()
         self._sums = _load_sums.LoadSums()
+        self._demand_sums = _load_sums.DemandSums()
         self._counted_names = collections.Counter()
         # Positions of the counted names in alphabetical order; ``None`` after
         # a change.
@@ -151,6 +153,7 @@
                     server_rate=report.server_rate,
                     usage=_merged_usage(state, report.usage),
                     loads=report.flights,
+                    demands=report.demands,
                     is_attached=attached,
                 )
             )
@@ -257,6 +260,11 @@
         self._expire_live()
         return self._sums.loads()
 
+    def demands(self):
+        """Return the demand summed over all live gateways."""
+        self._expire_live()
+        return self._demand_sums.demands()
+
     def server_rate(self):
         """Return the median prefill rate that gateways measured, or 0."""
         self._expire_live()
@@ -389,10 +397,12 @@
             self._remove_load(previous)
         self._attached_count += state.is_attached
         self._sums.add(state.loads)
+        self._demand_sums.add(state.demands)
 
     def _remove_load(self, state):
         self._attached_count -= state.is_attached
         self._sums.remove(state.loads)
+        self._demand_sums.remove(state.demands)
 
     def _record_report_time(self, now_ms):
         if not self.has_gateways:
--- a/packages/router/src/paddle_router/controller/_gateway_sums.py
+++ b/packages/router/src/paddle_router/controller/_gateway_sums.py
@@ -36,6 +36,7 @@
 class _PeerReport:
     location: gateway.ControllerLocation
     loads: tuple
+    demands: tuple
 
 
 @attrs.frozen(kw_only=True)
@@ -44,6 +45,7 @@
 
     loads: bytes
     extra_loads: bytes
+    demands: tuple
     sequences: dict
 
 
@@ -61,9 +63,11 @@
         # Reports of other controllers, received while holding the lease.
         self._peer_reports = _expiring_map.ExpiringMap()
         self._sums = _load_sums.LoadSums()
+        self._demand_sums = _load_sums.DemandSums()
         # Last reply of the lease holder and the time of its request.
         self._reply = None
         self._remote_loads = ()
+        self._remote_demands = ()
         self._reply_requested_ms = None
         self._gateway_count = 0
         self._gateway_count_ms = None
@@ -83,6 +87,7 @@
         peer_report = _PeerReport(
             report.place,
             gateway.unpack_loads(report.loads, report.extra_loads),
+            report.demands,
         )
         now_ms = self._clock.now_ms()
         previous = self._peer_reports.put(
@@ -90,7 +95,9 @@
         )
         if previous is not None:
             self._sums.remove(previous.loads)
+            self._demand_sums.remove(previous.demands)
         self._sums.add(peer_report.loads)
+        self._demand_sums.add(peer_report.demands)
         self._fleet.add_relayed_reports(report.fronts)
         self._fleet.list.mark_leaving(report.leaving, report.place.address)
 
@@ -104,6 +111,16 @@
         sums.add(self._fleet.loads().values())
         return tuple(sums.loads().values())
 
+    def demands_excluding(self, address):
+        """Return the demand sums without the controller at ``address``."""
+        self._expire_peers()
+        sums = self._demand_sums.copy()
+        peer_report = self._peer_reports.get(address)
+        if peer_report is not None:
+            sums.remove(peer_report.demands)
+        sums.add(self._fleet.demands())
+        return sums.demands()
+
     # While another controller holds the lease
 
     def report(self, holder, version):
@@ -118,6 +135,7 @@
             fronts=self._fleet.reports_to_relay(self._confirmed_usage),
             loads=gateway.pack_loads(loads),
             extra_loads=gateway.pack_extra_loads(loads),
+            demands=self._fleet.demands(),
             version=version,
             listing=self._fleet.listing,
             leaving=self._fleet.list.leaving_by_notice(),
@@ -129,6 +147,7 @@
         self._remote_loads = gateway.unpack_loads(
             reply.loads, reply.extra_loads
         )
+        self._remote_demands = reply.demands
         self._reply_requested_ms = requested_ms
         self._gateway_count = reply.fronts
         self._gateway_count_ms = requested_ms
@@ -220,6 +239,19 @@
         """Return the further columns of the last :meth:`totals`, encoded."""
         return b'' if self._snapshot is None else self._snapshot.extra_loads
 
+    def total_demands(self):
+        """Return the demands of the last :meth:`totals`."""
+        return () if self._snapshot is None else self._snapshot.demands
+
+    def all_demands(self):
+        """Return the demand summed over all gateways."""
+        self._expire_peers()
+        sums = self._demand_sums.copy()
+        sums.add(self._fleet.demands())
+        if self._has_reply():
+            sums.add(self._remote_demands)
+        return sums.demands()
+
     def all_loads(self):
         """Return the load summed over all gateways, by server id."""
         self._expire_peers()
@@ -241,6 +273,7 @@
         return _Snapshot(
             loads=gateway.pack_loads(loads),
             extra_loads=gateway.pack_extra_loads(loads),
+            demands=self.all_demands(),
             sequences=self._fleet.sequences(),
         )
 
@@ -254,3 +287,4 @@
     def _expire_peers_before(self, limit_ms):
         for peer_report in self._peer_reports.expire_before(limit_ms):
             self._sums.remove(peer_report.loads)
+            self._demand_sums.remove(peer_report.demands)
--- a/packages/router/src/paddle_router/controller/_load_sums.py
+++ b/packages/router/src/paddle_router/controller/_load_sums.py
@@ -5,6 +5,10 @@
 from paddle_router import gateway
 
 
+# The largest count that a message can hold.
+MAX_COUNT = 2**32 - 1
+
+
 @attrs.define
 class _Sum:
     reports: int = 0
@@ -64,6 +68,53 @@
         }
 
 
+class DemandSums:
+    """Running sums of the demand that gateways report, by service and rank."""
+
+    def __init__(self):
+        self._sums = {}
+
+    def copy(self):
+        """Return an independent copy."""
+        copied = DemandSums()
+        copied._sums = {key: list(item) for key, item in self._sums.items()}
+        return copied
+
+    def add(self, demands, sign=1):
+        """Add the :class:`ServiceDemand` of one or several gateways."""
+        for item in demands:
+            key = item.service, item.rank
+            total = self._sums.setdefault(key, [0, 0, 0, 0])
+            for index, value in enumerate(
+                (1, item.waiting, item.arrivals, item.weight)
+            ):
+                total[index] += sign * value
+            if not total[0]:
+                del self._sums[key]
+
+    def remove(self, demands):
+        """Subtract demands that were added before."""
+        self.add(demands, -1)
+
+    def demands(self):
+        """Return the sums as a tuple of :class:`ServiceDemand`."""
+        return tuple(
+            gateway.ServiceDemand(
+                service=service,
+                rank=rank,
+                waiting=min(waiting, MAX_COUNT),
+                arrivals=min(arrivals, MAX_COUNT),
+                weight=min(weight, MAX_COUNT),
+            )
+            for (service, rank), (
+                _reports,
+                waiting,
+                arrivals,
+                weight,
+            ) in self._sums.items()
+        )
+
+
 def _add_signed(total, item, sign):
     total.reports += sign
     total.running += sign * item.running
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -40,6 +40,7 @@
         servers=(),
         totals=b'',
         extra_totals=b'',
+        demands=(),
         counted=0,
         suspects=(),
         refused=(),
@@ -233,6 +234,7 @@
             fronts=self.sums.gateway_count(len(members)),
             totals=totals,
             extra_totals=self.sums.extra_totals() if totals else b'',
+            demands=self.sums.total_demands() if totals else (),
             counted=counted,
             period_ms=self._controller.fleet.period_ms(),
             true_ms=self._controller.wall.now_ms(),
@@ -272,6 +274,9 @@
             fronts=self.sums.gateway_count(len(self._controller.members())),
             loads=gateway.pack_loads(loads) if holds_lease else b'',
             extra_loads=gateway.pack_extra_loads(loads),
+            demands=self.sums.demands_excluding(report.place.address)
+            if holds_lease
+            else (),
             version=self._version(),
             confirmed_age_ms=-1
             if confirmed_age_ms is None
