--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -71,7 +71,8 @@
     stream has if its first event comes from this attempt; the event
     ``origin_recorded`` is set once a controller knows it. ``continuation`` is
     the :class:`Continuation` of a stopped run.
-    ``rank`` is the sort key for waiting requests, lowest first; ``urgency`` is
+    ``load_request`` is what the admission by load decides on, ``None`` without
+    it. ``rank`` is the sort key for waiting requests, lowest first; ``urgency`` is
     the rank sent to engines, ``None`` for a plain service.
     """
 
@@ -107,6 +108,7 @@
     continuation: object = None
     rank: tuple[int, int] = (0, 0)
     urgency: int | None = None
+    load_request: policy.LoadRequest | None = None
 
     @functools.cached_property
     def fingerprint(self):
@@ -140,6 +142,15 @@
         """The ids of the servers that the request must not be sent to."""
         return self.unsuitable.union(self.tried)
 
+    @property
+    def turned_away_reason(self):
+        """Why the request is refused because of load, ``None`` if it is not."""
+        if self.load_request is None or not isinstance(
+            self.load_request.decision, policy.TurnAway
+        ):
+            return None
+        return self.load_request.decision.reason
+
     @property
     def can_resume(self):
         """Whether the stream can go on where the caller's part ends.
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -86,6 +86,9 @@
 LIMIT_IGNORED = paddle_kernel.declare_event(
     3338, 'WARNING', 'a server named a limit that is not a number'
 )
+REQUEST_TURNED_AWAY = paddle_kernel.declare_event(
+    3341, 'INFO', 'a request was refused because of the load of the servers'
+)
 STREAM_TAKEN_UP = paddle_kernel.declare_event(
     3339, 'INFO', 'a caller takes a stream up again'
 )
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -82,6 +82,7 @@
         notices,
         limits,
         request_crashes,
+        waiting,
         incarnation,
     ):
         self._settings = settings
@@ -94,6 +95,7 @@
         self._notices = notices
         self._limits = limits
         self._request_crashes = request_crashes
+        self._waiting = waiting
         self._incarnation = incarnation
         self._sequence = itertools.count(1)
         self._selector = _controllers.ControllerSelector(
@@ -111,6 +113,7 @@
         self._holder_unreachable_since_ms = None
         # Own loads by the sequence number of the report that contained them.
         self._reported_loads = collections.OrderedDict()
+        self._reported_demands = {}
         self._start_retry_ms = START_RETRY_MS
         self._listing = ''
         self._has_position = False
@@ -252,9 +255,12 @@
         for balancer in self._balancers.values():
             loads.update(balancer.own_loads(now_ms))
         sequence = next(self._sequence)
+        demands = self._waiting.demands()
         self._reported_loads[sequence] = loads
+        self._reported_demands[sequence] = demands
         while len(self._reported_loads) > MAX_KEPT_REPORTS:
-            self._reported_loads.popitem(last=False)
+            oldest, _loads = self._reported_loads.popitem(last=False)
+            del self._reported_demands[oldest]
         report = _messages.GatewayReport(
             name=self._settings.name,
             incarnation=self._incarnation,
@@ -286,6 +292,7 @@
                 self._notices, self.servers
             ),
             limits=self._limits.reports(self._wall.now_ms()),
+            demands=demands,
             **self._request_crashes.report_fields(),
         )
         return _messages.SyncRequest(
@@ -315,6 +322,11 @@
             self._apply_listing(reply)
         if reply.totals:
             self._apply_totals(reply, now_ms)
+            self._waiting.apply_demands(
+                reply.demands,
+                self._reported_demands.get(reply.counted, ()),
+                self.gateway_count,
+            )
         self._apply_limits(reply, now_ms)
         self._request_crashes.apply_reply(reply)
         for listener in self._reply_listeners:
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -66,6 +66,7 @@
                 self._refuse(conn, 502, call.reason, call)
         finally:
             timeout.close()
+            self._components.waiting.finish(call)
             self._log_done(call)
 
     def _run(self, conn, call, table):
@@ -149,6 +150,8 @@
             if not self._can_retry(call, outcome, budget):
                 self._fail_call(conn, call, outcome)
                 return
+            if outcome is _call.AttemptOutcome.NOT_RUN:
+                self._components.waiting.pause_after_rejection(call)
 
     def _can_retry(self, call, outcome, budget):
         if outcome is _call.AttemptOutcome.REFUSED:
@@ -249,7 +252,7 @@
             )
             self._components.log_last_resort(call.service)
         if flight is None:
-            call.reason = 'no server'
+            call.reason = call.turned_away_reason or 'no server'
             if call.continuation is not None:
                 return _call.AttemptOutcome.NOT_SENT
             call.tried.update(self._components.server_ids(call.service))
@@ -318,6 +321,8 @@
         refused = self._components.request_crashes.refused_trait(call)
         if refused is not None:
             return self._components.request_crashes.retry_after_ms(refused)
+        if call.turned_away_reason is not None:
+            return call.load_request.decision.retry_after_ms
         free_ms = self._components.waiting.retry_after_ms(call)
         if free_ms is not None:
             return free_ms
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -127,6 +127,7 @@
             notices=self.notices,
             limits=self.limits,
             request_crashes=self.request_crashes,
+            waiting=self.waiting,
             incarnation=incarnation,
         )
         self.origins = _stream_origins.StreamOrigins(self, transport)
@@ -307,6 +308,7 @@
             lambda: self.components.notices.dump(self.clock.now_ms()),
         )
         self.dump.register('limits', self.components.limits.dump)
+        self.dump.register('waiting', self.components.waiting.dump)
         if isinstance(self.transport, paddle_kernel.TcpTransport):
             self.dump.register('traffic', self.transport.traffic.dump)
         self.metrics.add_state_gauges(self)
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -126,14 +126,16 @@
     """Demand for a service at one or several gateways.
 
     ``waiting`` is the number of requests that wait at the gateways,
-    ``arrivals`` the number of requests per second, and ``weight`` the
-    capacity of the gateways in thousandths of a core.
+    ``arrivals`` the number of requests per 1,000 s, and ``weight`` the
+    capacity of the gateways in thousandths of a core. ``rank`` is the sort key
+    of the requests, lowest first.
     """
 
     service: str
     waiting: int = 0
     arrivals: int = 0
     weight: int = 0
+    rank: tuple[int, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/router/src/paddle_router/gateway/_metrics.py
+++ b/packages/router/src/paddle_router/gateway/_metrics.py
@@ -57,6 +57,18 @@
             'Requests refused for a prompt part that crashes servers.',
             registry=self.registry,
         )
+        self.turned_away = prometheus_client.Counter(
+            'paddle_gateway_turned_away',
+            'Requests refused because of the load of the servers.',
+            ['kind'],
+            registry=self.registry,
+        )
+        self.load_waited = prometheus_client.Histogram(
+            'paddle_gateway_load_waited_seconds',
+            'Time that requests waited because of the load of the servers.',
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
         self.waited = prometheus_client.Histogram(
             'paddle_gateway_waited_seconds',
             'Time that requests waited for a server to accept requests.',
--- a/packages/router/src/paddle_router/gateway/_waiting.py
+++ b/packages/router/src/paddle_router/gateway/_waiting.py
@@ -1,10 +1,13 @@
 """Queues of requests that wait for a server to accept requests again."""
 
+import collections
+
 import gevent.event
 
 import paddle_kernel
 from paddle_kernel import MS_PER_S
 from paddle_router.gateway import _events
+from paddle_router.gateway import _messages
 from paddle_router.gateway import _model
 from paddle_router import policy
 
@@ -16,9 +19,17 @@
 MIN_RECHECK_INTERVAL_MS = 50
 
 
+# Arrivals are reported per 1,000 s, so that a gateway with less than one
+# request a second counts.
+ARRIVALS_SPAN_MS = 1_000_000
+
+
 class WaitingRequests:
     """Queues of waiting requests of all services.
 
+    Services with load control also have a :class:`policy.LoadAdmission`, which
+    decides first.
+
     A request is queued only if every server that it could use is in its quiet
     time or at its limit, and only if it can be served before its deadline.
     Requests that may use the same servers share a queue.
@@ -30,6 +41,9 @@
         # By service, then by the set of excluded servers.
         self._queues = {}
         self._refused_callers = {}
+        # Admissions by service, and when each of them decided last.
+        self._admissions = {}
+        self._decided_ms = {}
 
     @property
     def count(self):
@@ -48,6 +62,14 @@
         balancer = self._components.balancers.get(call.service)
         if balancer is None:
             return None
+        if not self._is_admitted(call, balancer):
+            return None
+        flight = self._place_admitted(call, work, balancer)
+        if call.load_request is not None:
+            self._admissions[call.service].placed(call.load_request)
+        return flight
+
+    def _place_admitted(self, call, work, balancer):
         if not self._has_due_waiter(call.service):
             flight = balancer.choose(work, self._clock.now_ms())
             if flight is not None:
@@ -90,8 +112,146 @@
         )
         return available.at_ms + wait_ms - now_ms
 
+    # Admission by load
+
+    def demands(self):
+        """Return the :class:`ServiceDemand` of this gateway's callers."""
+        now_ms = self._clock.now_ms()
+        weight = int(MS_PER_S * self._components.settings.cpu_share)
+        return tuple(
+            _messages.ServiceDemand(
+                service=service,
+                rank=demand.rank,
+                waiting=demand.waiting,
+                arrivals=int(ARRIVALS_SPAN_MS * demand.per_ms),
+                weight=weight,
+            )
+            for service, admission in self._admissions.items()
+            for demand in admission.own_demands(now_ms)
+        )
+
+    def apply_demands(self, totals, counted, gateway_count):
+        """Pass the demand of all gateways to the admissions.
+
+        ``counted`` is the demand of this gateway that ``totals`` contain.
+        """
+        own = {(item.service, item.rank): item for item in counted}
+        others = collections.defaultdict(list)
+        for item in totals:
+            mine = own.get((item.service, item.rank))
+            arrivals = item.arrivals - (mine.arrivals if mine else 0)
+            waiting = item.waiting - (mine.waiting if mine else 0)
+            others[item.service].append(
+                policy.RankDemand(
+                    rank=item.rank,
+                    waiting=max(0, waiting),
+                    per_ms=max(0, arrivals) / ARRIVALS_SPAN_MS,
+                )
+            )
+        now_ms = self._clock.now_ms()
+        for service, admission in self._admissions.items():
+            admission.set_others(others[service], gateway_count, now_ms)
+
+    def pause_after_rejection(self, call):
+        """Wait until a server that has rejected ``call`` may have room."""
+        if call.load_request is None:
+            return
+        balancer = self._components.balancers[call.service]
+        now_ms = self._clock.now_ms()
+        pause_ms = self._admissions[call.service].retry_pause_ms(
+            balancer.views(now_ms), now_ms
+        )
+        self._clock.sleep_ms(min(pause_ms, max(0, call.end_ms - now_ms)))
+
+    def finish(self, call):
+        """Record the end of ``call``, whatever it was."""
+        if call.load_request is not None:
+            admission = self._admissions[call.service]
+            admission.served(call.load_request, self._clock.now_ms())
+            admission.remove(call.load_request)
+
+    def dump(self):
+        """Return plain data for the state dump."""
+        now_ms = self._clock.now_ms()
+        return {
+            service: admission.dump(now_ms)
+            for service, admission in self._admissions.items()
+        }
+
+    def _is_admitted(self, call, balancer):
+        """Wait for the decision on ``call``; return whether it is sent."""
+        if (
+            call.response_started
+            or call.last_event_id is not None
+            or not self._components.has_load_control(call.service)
+        ):
+            # A stream that goes on has been admitted before.
+            return True
+        admission = self._admission(call.service)
+        now_ms = self._clock.now_ms()
+        is_retry = call.load_request is not None
+        if is_retry:
+            admission.served(call.load_request, now_ms)
+        else:
+            call.load_request = _load_request(call)
+        req = call.load_request
+        req.payload = gevent.event.Event()
+        admission.add(
+            req,
+            balancer.views(now_ms),
+            now_ms,
+            self._components.wall.now_ms(),
+            is_retry=is_retry,
+        )
+        self._decide(call.service)
+        while req.decision is None:
+            req.payload.wait(admission.check_ms / MS_PER_S)
+            if req.decision is None:
+                self._decide(call.service, admission.check_ms)
+        waited_ms = self._clock.now_ms() - now_ms
+        self._components.metrics.load_waited.observe(waited_ms / MS_PER_S)
+        if isinstance(req.decision, policy.Send):
+            return True
+        self._components.metrics.turned_away.labels(
+            call.route.kind.value
+        ).inc()
+        paddle_kernel.emit(
+            _events.REQUEST_TURNED_AWAY,
+            request=call.metadata.request_id,
+            service=call.service,
+            rank=call.rank,
+            waited_ms=waited_ms,
+            retry_after_ms=req.decision.retry_after_ms,
+        )
+        return False
+
+    def _decide(self, service, interval_ms=0):
+        """Decide on the waiting requests of ``service`` and wake them.
+
+        Not if this was done within ``interval_ms``.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms - self._decided_ms.get(service, 0) < interval_ms:
+            return
+        self._decided_ms[service] = now_ms
+        views = self._components.balancers[service].views(now_ms)
+        for req in self._admissions[service].decide(views, now_ms):
+            req.payload.set()
+
+    def _admission(self, service):
+        admission = self._admissions.get(service)
+        if admission is None:
+            admission = self._admissions[service] = policy.LoadAdmission(
+                is_engine=self._components.engine_traits(service) is not None
+            )
+        return admission
+
+    # Servers that accept no requests for a time
+
     def wake_next(self, service):
         """Wake the first request that a server accepts now."""
+        if service in self._admissions and len(self._admissions[service]):
+            self._decide(service)
         first = self._first_due_waiter(service)
         if first is not None:
             first.event.set()
@@ -196,6 +356,20 @@
             waiter.event.clear()
 
 
+def _load_request(call):
+    return policy.LoadRequest(
+        rank=call.rank,
+        customer=call.customer.name if call.customer else '',
+        class_name=call.route.name,
+        fingerprint=call.fingerprint,
+        arrived_ms=call.req.received_ms,
+        target_ms=call.route.target_ms or call.route.timeout_ms,
+        timeout_ms=call.route.timeout_ms,
+        end_ms=call.end_ms,
+        tokens=max(1, call.metadata.prompt_tokens),
+    )
+
+
 class _Waiter:
     """A waiting request; ``event`` is set when it should check again."""
 
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -96,6 +96,7 @@
   waiting @1 :UInt32;
   arrivals @2 :UInt32;
   weight @3 :UInt32;
+  rank @4 :List(Int64);
 }
 
 struct Evacuation {
--- a/packages/router/src/paddle_router/policy/_load_admission.py
+++ b/packages/router/src/paddle_router/policy/_load_admission.py
@@ -140,18 +140,26 @@
 class _Capacity:
     """Places of the usable servers, and what is known of their use.
 
-    ``per_ms`` is the number of requests that they complete in a ms.
+    ``per_ms`` is the number of requests that they complete in a ms. ``running``
+    contains the mean load by other gateways, ``latest_running`` the last one.
     """
 
     places: float
     running: float
     own: int
     per_ms: float
+    latest_running: float = 0.0
 
     @property
     def occupancy(self):
         return self.running / self.places if self.places else 0.0
 
+    @property
+    def is_half_free(self):
+        """Whether under half of the places are taken, now and on average."""
+        running = max(self.running, self.latest_running)
+        return running < SPARE_OCCUPANCY * self.places
+
     @property
     def service_ms(self):
         return self.places / self.per_ms if self.per_ms else 0.0
@@ -197,6 +205,8 @@
             is_only_user=False
         )
         self._tickets = {}
+        # Requests that are sent and not in the views yet.
+        self._unplaced = set()
         # Requests with a decision that decide() has not returned yet.
         self._decided = []
         self._own = {}
@@ -274,8 +284,13 @@
                 self._turn_away(refusal.ticket.payload, now_ms)
             )
 
+    def placed(self, req):
+        """Record that ``req`` counts in the views from now on."""
+        self._unplaced.discard(req)
+
     def remove(self, req):
-        """Remove a request whose caller left."""
+        """Remove a request whose caller left, at any time."""
+        self._unplaced.discard(req)
         ticket = self._tickets.pop(req, None)
         if ticket is not None and not self._scheduler.remove(ticket):
             self._scheduler.served(ticket, 0)
@@ -297,12 +312,11 @@
         if not capacity.places:
             # The caller knows when a server will accept requests.
             return decided + self._send_all(now_ms)
-        sent = 0
         while True:
             ranks = {
                 rank
                 for rank in self._scheduler.queued_by_tier()
-                if self._may_send(rank, capacity, sent)
+                if self._may_send(rank, capacity)
             }
             choice = self._scheduler.next(1 if ranks else 0, now_ms, ranks)
             for refusal in choice.refused:
@@ -311,7 +325,7 @@
             if not choice.started:
                 return decided
             decided.append(self._send(choice.started[0]))
-            sent += 1
+            capacity = attrs.evolve(capacity, running=capacity.running + 1)
 
     def retry_pause_ms(self, views, now_ms):
         """Return how long a request waits after a server has rejected it.
@@ -354,6 +368,11 @@
         The requests of others at one moment say little about the next.
         """
         capacity = _Capacity.from_views(views)
+        capacity = attrs.evolve(
+            capacity,
+            own=capacity.own + len(self._unplaced),
+            running=capacity.running + len(self._unplaced),
+        )
         others = capacity.running - capacity.own
         if not self._has_others(now_ms):
             # Others are taken to use as many places as this gateway.
@@ -363,7 +382,9 @@
         gain = 1 - math.exp(-passed_s / MEAN_TIME_S)
         self._mean_others += gain * (others - self._mean_others)
         capacity = attrs.evolve(
-            capacity, running=capacity.own + self._mean_others
+            capacity,
+            running=capacity.own + self._mean_others,
+            latest_running=capacity.own + others,
         )
         self._occupancy += gain * (capacity.occupancy - self._occupancy)
         self._update_correction(min(passed_s, MEAN_TIME_S))
@@ -392,7 +413,7 @@
 
     def _is_served(self, req, capacity, now_ms, wall_ms):
         """Whether ``req`` is among the requests that are served now."""
-        if self._is_engine or capacity.occupancy < SPARE_OCCUPANCY:
+        if self._is_engine or capacity.is_half_free:
             self._demand(req.rank).record(req.customer, now_ms)
             return True
         due_ms = self._refused.get(req.fingerprint)
@@ -458,7 +479,7 @@
 
     # Places
 
-    def _may_send(self, rank, capacity, sent):
+    def _may_send(self, rank, capacity):
         if self._is_engine:
             limit = 1.0 + ENGINE_QUEUE_RATIO * self._precedence(rank)
         else:
@@ -468,7 +489,7 @@
             limit = LOWEST_RANK_OCCUPANCY + part * (
                 MAX_OCCUPANCY - LOWEST_RANK_OCCUPANCY
             )
-        return capacity.running + sent < limit * capacity.places
+        return capacity.running < limit * capacity.places
 
     def _precedence(self, rank):
         """Return 1.0 for the highest waiting or recent rank, down to 0.0."""
@@ -487,6 +508,7 @@
 
     def _send(self, ticket):
         ticket.payload.decision = _server_view.Send()
+        self._unplaced.add(ticket.payload)
         return ticket.payload
 
     def _turn_away(self, req, now_ms):
--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -223,6 +223,13 @@
         def apply_reply(self, reply):
             pass
 
+    class Waiting:
+        def demands(self):
+            return ()
+
+        def apply_demands(self, totals, counted, gateway_count):
+            pass
+
     return _follower.Follower(
         settings,
         VersionDialect(),
@@ -234,6 +241,7 @@
         notices=policy.ServerNotices(),
         limits=limits,
         request_crashes=RequestCrashes(),
+        waiting=Waiting(),
         incarnation=incarnation,
     )
 
--- a/packages/router/tests/test_load_admission.py
+++ b/packages/router/tests/test_load_admission.py
@@ -135,6 +135,7 @@
         view = self.replay.rng.choices(views, weights)[0]
         work = policy.EngineWork(target_ms=TARGET_MS)
         flight = self.balancer.place(view.server.id, work, now_ms)
+        self.admission.placed(req)
         server = self.replay.servers[view.server.id]
         if server.accept(lambda: self.finish(req, flight)):
             return
--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -98,6 +98,8 @@
         self.suspects = ()
         self.refused = ()
         self.limits = ()
+        self.loads = ()
+        self.demands = ()
         self.requests = []
 
     def call(self, address, message, timeout_ms):
@@ -113,7 +115,8 @@
                 listing=str(hash(self.servers)),
                 servers=self.servers,
                 fronts=1,
-                totals=b'',
+                totals=gateway.pack_loads(self.loads) if self.loads else b'',
+                demands=self.demands,
                 counted=0,
                 period_ms=250,
                 true_ms=0,
@@ -144,9 +147,12 @@
 
 
 class GatewayHarness:
-    """A gateway with fake controllers and backend servers."""
+    """A gateway with fake controllers and backend servers.
 
-    def __init__(self):
+    ``options`` are further settings of the gateway.
+    """
+
+    def __init__(self, **options):
         self.controllers = FakeControllers()
         self.origins = []
         host = '127.0.0.1:0'
@@ -161,6 +167,7 @@
             retry_slack=56,
             retry_window_ms=10_000,
             usage_window_ms=5_000,
+            **options,
         )
         self.gateway = gateway.Gateway(
             settings,
