--- a/packages/router/src/paddle_router/gateway/_waiting.py
+++ b/packages/router/src/paddle_router/gateway/_waiting.py
@@ -166,9 +166,9 @@
     def finish(self, call):
         """Record the end of ``call``, whatever it was."""
         if call.load_request is not None:
-            admission = self._admissions[call.service]
-            admission.served(call.load_request, self._clock.now_ms())
-            admission.remove(call.load_request)
+            self._admissions[call.service].finish(
+                call.load_request, self._clock.now_ms()
+            )
 
     def dump(self):
         """Return plain data for the state dump."""
@@ -191,23 +191,24 @@
         now_ms = self._clock.now_ms()
         is_retry = call.load_request is not None
         if is_retry:
-            admission.served(call.load_request, now_ms)
+            admission.finish(call.load_request, now_ms)
         else:
             call.load_request = _load_request(call)
         req = call.load_request
         req.payload = gevent.event.Event()
+        views = balancer.views(now_ms)
         admission.add(
             req,
-            balancer.views(now_ms),
+            views,
             now_ms,
             self._components.wall.now_ms(),
             is_retry=is_retry,
         )
-        self._decide(call.service)
+        self._decide(call.service, views)
         while req.decision is None:
             req.payload.wait(admission.check_ms / MS_PER_S)
             if req.decision is None:
-                self._decide(call.service, admission.check_ms)
+                self._decide_again(call.service, admission.check_ms)
         waited_ms = self._clock.now_ms() - now_ms
         self._components.metrics.load_waited.observe(waited_ms / MS_PER_S)
         if isinstance(req.decision, policy.Send):
@@ -225,16 +226,17 @@
         )
         return False
 
-    def _decide(self, service, interval_ms=0):
-        """Decide on the waiting requests of ``service`` and wake them.
+    def _decide_again(self, service, interval_ms=0):
+        """Decide unless this was done within ``interval_ms``."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._decided_ms.get(service, 0) >= interval_ms:
+            views = self._components.balancers[service].views(now_ms)
+            self._decide(service, views)
 
-        Not if this was done within ``interval_ms``.
-        """
+    def _decide(self, service, views):
+        """Decide on the waiting requests of ``service`` and wake them."""
         now_ms = self._clock.now_ms()
-        if now_ms - self._decided_ms.get(service, 0) < interval_ms:
-            return
         self._decided_ms[service] = now_ms
-        views = self._components.balancers[service].views(now_ms)
         for req in self._admissions[service].decide(views, now_ms):
             req.payload.set()
 
@@ -251,7 +253,7 @@
     def wake_next(self, service):
         """Wake the first request that a server accepts now."""
         if service in self._admissions and len(self._admissions[service]):
-            self._decide(service)
+            self._decide_again(service)
         first = self._first_due_waiter(service)
         if first is not None:
             first.event.set()
--- a/packages/router/src/paddle_router/policy/_load_admission.py
+++ b/packages/router/src/paddle_router/policy/_load_admission.py
@@ -197,7 +197,7 @@
 
     With ``is_engine`` the servers queue by rank. Each request is passed to
     :meth:`add`; :meth:`decide` then returns those with a decision, at once or
-    after a wait. A request that was sent ends with :meth:`served`.
+    after a wait. Every request that was added ends with :meth:`finish`.
 
     Load: a burst above the capacity, the flood of one customer, and callers
     that repeat at once.
@@ -290,17 +290,11 @@
         """Record that ``req`` counts in the views from now on."""
         self._unplaced.discard(req)
 
-    def remove(self, req):
-        """Remove a request whose caller left, at any time."""
+    def finish(self, req, now_ms):
+        """Record that ``req`` has ended, was given up or was rejected."""
         self._unplaced.discard(req)
         ticket = self._tickets.pop(req, None)
         if ticket is not None and not self._scheduler.remove(ticket):
-            self._scheduler.served(ticket, 0)
-
-    def served(self, req, now_ms):
-        """Record the end of a request that was sent."""
-        ticket = self._tickets.pop(req, None)
-        if ticket is not None:
             self._scheduler.served(ticket, 0, now_ms=now_ms)
 
     def decide(self, views, now_ms):
--- a/packages/router/tests/test_load_admission.py
+++ b/packages/router/tests/test_load_admission.py
@@ -144,7 +144,7 @@
         if server.accept(lambda: self.finish(req, flight)):
             return
         self.balancer.finish(flight, now_ms, False)
-        self.admission.served(req, now_ms)
+        self.admission.finish(req, now_ms)
         req.payload.attempts += 1
         if req.payload.attempts % 2:
             pause_ms = self.admission.retry_pause_ms(views, now_ms)
@@ -155,7 +155,7 @@
     def finish(self, req, flight):
         now_ms = self.replay.now_ms
         self.balancer.finish(flight, now_ms, True)
-        self.admission.served(req, now_ms)
+        self.admission.finish(req, now_ms)
         server = self.replay.servers[flight.server_id]
         self.balancer.report(flight.server_id, server.load(), now_ms)
         req.payload.done_ms = now_ms
@@ -445,6 +445,19 @@
     return [type(req.decision) for req in requests]
 
 
+def test_a_caller_that_leaves_does_not_wait_on():
+    # Guards against places that are kept for callers who have gone.
+    replay = Replay(1)
+    item = replay.gateways[0]
+    for number in range(2 * SERVERS * SLOTS + 1):
+        caller = Caller(URGENT, 'c', f'{number:012x}', replay.now_ms)
+        item.receive(caller)
+    waiting = [req for req in item.admission._tickets if req.decision is None]
+    assert len(item.admission) == len(waiting) == 1
+    item.admission.finish(waiting[0], replay.now_ms)
+    assert len(item.admission) == 0
+
+
 def test_engines_get_every_request_while_a_slot_is_free():
     # Guards against engines, which queue by rank themselves, that are idle.
     assert engine_decisions(12, [NORMAL, URGENT]) == [policy.Send] * 2
