--- a/packages/router/src/paddle_router/policy/_load_admission.py
+++ b/packages/router/src/paddle_router/policy/_load_admission.py
@@ -34,8 +34,10 @@
 # Assumed time of a response until a service's own time is known; the slower
 # services of the users take 80 ms.
 DEFAULT_SERVICE_TIME_MS = 80
-# Sums of other gateways that are older are not used.
+# A gateway whose sums of other gateways are older is cut off.
 DEMAND_LIFETIME_MS = 2_000
+# By how much the demand of others may have changed meanwhile, as the own has.
+MAX_CHANGE = 4.0
 # Time constant of the demand of one customer at one gateway. A gateway sees
 # few requests of each customer, so that a shorter one makes all look unequal.
 CUSTOMER_DECAY_MS = 10_000
@@ -69,6 +71,8 @@
 # Time constant of the mean of other gateways' requests at the servers, whose
 # sums come every 250 ms.
 MEAN_TIME_S = 1.0
+# Gateways among which one sees enough requests of its own for that mean.
+CUT_OFF_GATEWAYS = 3
 # The same for the occupancy that the measured response times reflect; servers'
 # paces are means over 2.5 to 5 s.
 PACE_TIME_S = 3.0
@@ -214,6 +218,7 @@
         self._own = {}
         self._others = {}
         self._others_ms = None
+        self._own_per_ms_then = 0.0
         self._gateway_count = 1
         # Times when refused requests may return, by fingerprint.
         self._refused = collections.OrderedDict()
@@ -232,12 +237,13 @@
     def set_others(self, demands, gateway_count, now_ms):
         """Set the demand at the other gateways, by :class:`RankDemand`.
 
-        It is used for ``DEMAND_LIFETIME_MS``. Without it, the other gateways
-        are taken to have as much demand as this one.
+        After ``DEMAND_LIFETIME_MS`` without newer sums, the demand of the
+        other gateways is taken to change as that of this one.
         """
         self._gateway_count = max(1, gateway_count)
         self._others = {item.rank: item for item in demands}
         self._others_ms = now_ms
+        self._own_per_ms_then = self._own_per_ms(now_ms)
 
     def own_demands(self, now_ms):
         """Return the :class:`RankDemand` of this gateway."""
@@ -345,7 +351,7 @@
             'occupancy': self._occupancy,
             'correction': self._correction,
             'gateways': self._gateway_count,
-            'has_shared_demand': self._has_others(now_ms),
+            'is_cut_off': self._is_cut_off(now_ms),
             'ranks': [
                 {
                     'rank': list(rank),
@@ -372,18 +378,27 @@
             running=capacity.running + len(self._unplaced),
         )
         others = capacity.running - capacity.own
-        if not self._has_others(now_ms):
-            # Others are taken to use as many places as this gateway.
-            others = max(others, capacity.own * (self._gateway_count - 1))
+        is_cut_off = self._is_cut_off(now_ms)
+        mean_time_s = MEAN_TIME_S
+        if is_cut_off:
+            # The own requests tell those of others, over a time that grows
+            # with the number of gateways.
+            others = capacity.own * (self._gateway_count - 1)
+            mean_time_s *= self._gateway_count / CUT_OFF_GATEWAYS
+        latest_running = capacity.own + others
+        if is_cut_off and self._gateway_count > CUT_OFF_GATEWAYS:
+            # The own requests alone do not show that places are free.
+            latest_running = math.inf
         passed_s = max(0, now_ms - self._updated_ms) / MS_PER_S
         self._updated_ms = now_ms
-        gain = 1 - math.exp(-passed_s / MEAN_TIME_S)
+        gain = 1 - math.exp(-passed_s / mean_time_s)
         self._mean_others += gain * (others - self._mean_others)
         capacity = attrs.evolve(
             capacity,
             running=capacity.own + self._mean_others,
-            latest_running=capacity.own + others,
+            latest_running=latest_running,
         )
+        gain = 1 - math.exp(-passed_s / MEAN_TIME_S)
         self._occupancy += gain * (capacity.occupancy - self._occupancy)
         self._update_correction(min(passed_s, MEAN_TIME_S))
         gain = 1 - math.exp(-passed_s / PACE_TIME_S)
@@ -464,15 +479,28 @@
         """Return the demand of a rank at all gateways, per ms."""
         demand = self._own.get(rank)
         own = demand.total.rate(now_ms) if demand else 0.0
-        if not self._has_others(now_ms):
-            return own * self._gateway_count
         others = self._others.get(rank)
-        return own + (others.per_ms if others else 0.0)
+        others_per_ms = others.per_ms if others else 0.0
+        if self._is_cut_off(now_ms):
+            # The demand of others is taken to have changed as the own has.
+            then = self._own_per_ms_then
+            change = self._own_per_ms(now_ms) / then if then else 1.0
+            others_per_ms *= min(MAX_CHANGE, max(1 / MAX_CHANGE, change))
+        return own + others_per_ms
+
+    def _own_per_ms(self, now_ms):
+        """Return this gateway's demand of all ranks over some seconds."""
+        return sum(
+            meter.rate(now_ms)
+            for demand in self._own.values()
+            for meter in demand.customers.values()
+        )
 
-    def _has_others(self, now_ms):
+    def _is_cut_off(self, now_ms):
+        """Whether there are other gateways whose sums have become too old."""
         return (
-            self._others_ms is not None
-            and now_ms - self._others_ms <= DEMAND_LIFETIME_MS
+            self._gateway_count > 1
+            and now_ms - self._others_ms > DEMAND_LIFETIME_MS
         )
 
     # Places
