--- a/packages/router/src/paddle_router/policy/_load_admission.py
+++ b/packages/router/src/paddle_router/policy/_load_admission.py
@@ -482,6 +482,8 @@
         others = self._others.get(rank)
         others_per_ms = others.per_ms if others else 0.0
         if self._is_cut_off(now_ms):
+            if self._gateway_count <= CUT_OFF_GATEWAYS:
+                return own * self._gateway_count
             # The demand of others is taken to have changed as the own has.
             then = self._own_per_ms_then
             change = self._own_per_ms(now_ms) / then if then else 1.0
