--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -75,6 +75,8 @@
     stream has if its first event comes from this attempt; the event
     ``origin_recorded`` is set once a controller knows it. ``continuation`` is
     the :class:`Continuation` of a stopped run.
+    ``load_request`` is what the admission by load decides on, ``None``
+    without it.
     ``rank`` is the sort key for waiting requests, lowest first; ``urgency`` is
     the rank sent to engines, ``None`` for a plain service. ``copy_rate`` is
     how many cached prompt tokens per ms the servers copy, 0 if they don't.
@@ -113,6 +115,7 @@
     rank: tuple[int, int] = (0, 0)
     urgency: int | None = None
     copy_rate: float = 0.0
+    load_request: policy.LoadRequest | None = None
 
     @functools.cached_property
     def fingerprint(self):
@@ -161,6 +164,15 @@
             body_bytes=len(self.req.body),
         )
 
+    @property
+    def turned_away_reason(self):
+        """Why the load of the servers does not allow it, or ``None``."""
+        if self.load_request is None or not isinstance(
+            self.load_request.decision, policy.TurnAway
+        ):
+            return None
+        return self.load_request.decision.reason
+
     @property
     def can_resume(self):
         """Whether the stream can go on where the caller's part ends.
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -83,6 +83,7 @@
         notices,
         limits,
         request_crashes,
+        waiting,
         incarnation,
         placements=None,
     ):
@@ -97,6 +98,7 @@
         self._limits = limits
         self._request_crashes = request_crashes
         self._placements = placements or policy.PartPlacements()
+        self._waiting = waiting
         self._incarnation = incarnation
         self._sequence = itertools.count(1)
         self._selector = _controllers.ControllerSelector(
@@ -114,6 +116,7 @@
         self._holder_unreachable_since_ms = None
         # Own loads by the sequence number of the report that contained them.
         self._reported_loads = collections.OrderedDict()
+        self._reported_demands = {}
         self._start_retry_ms = START_RETRY_MS
         self._listing = ''
         self._has_position = False
@@ -257,9 +260,12 @@
         for balancer in self._balancers.values():
             loads.update(balancer.own_loads(now_ms))
         sequence = next(self._sequence)
+        demands = self._waiting.demands()
         self._reported_loads[sequence] = loads
+        self._reported_demands[sequence] = demands
         while len(self._reported_loads) > MAX_KEPT_REPORTS:
-            self._reported_loads.popitem(last=False)
+            oldest, _loads = self._reported_loads.popitem(last=False)
+            del self._reported_demands[oldest]
         report = _messages.GatewayReport(
             name=self._settings.name,
             incarnation=self._incarnation,
@@ -292,6 +298,7 @@
             ),
             limits=self._limits.reports(self._wall.now_ms()),
             placements=self._placements.recent(self._wall.now_ms()),
+            demands=demands,
             **self._request_crashes.report_fields(),
         )
         return _messages.SyncRequest(
@@ -324,6 +331,11 @@
             self._apply_listing(reply)
         if reply.totals:
             self._apply_totals(reply, now_ms)
+            self._waiting.apply_demands(
+                reply.demands,
+                self._reported_demands.get(reply.counted, ()),
+                self.gateway_count,
+            )
         self._apply_limits(reply, now_ms)
         self._request_crashes.apply_reply(reply)
         self._placements.add(reply.placements, self._wall.now_ms())
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -134,6 +134,7 @@
             limits=self.limits,
             request_crashes=self.request_crashes,
             placements=self.placements,
+            waiting=self.waiting,
             incarnation=incarnation,
         )
         self.origins = _stream_origins.StreamOrigins(self, transport)
@@ -373,6 +374,7 @@
         )
         self.dump.register('limits', self.components.limits.dump)
         self.dump.register('placements', self.components.placements.dump)
+        self.dump.register('waiting', self.components.waiting.dump)
         if isinstance(self.transport, paddle_kernel.TcpTransport):
             self.dump.register('traffic', self.transport.traffic.dump)
         self.metrics.add_state_gauges(self)
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -42,6 +42,9 @@
 from paddle_router.policy._limits import LimitExceeded
 from paddle_router.policy._limits import Limits
 from paddle_router.policy._limits import LimitSettings
+from paddle_router.policy._load_admission import LoadAdmission
+from paddle_router.policy._load_admission import LoadRequest
+from paddle_router.policy._load_admission import RankDemand
 from paddle_router.policy._observed import ObservedBalancer
 from paddle_router.policy._pace import PaceForecast
 from paddle_router.policy._plain_balancers import LeastReportedLoadBalancer
@@ -145,7 +148,9 @@
     'LimitSettings',
     'LIVE',
     'Load',
+    'LoadAdmission',
     'LoadReport',
+    'LoadRequest',
     'MAX_QUIET_MS',
     'NextAvailability',
     'ObservedBalancer',
@@ -165,6 +170,7 @@
     'Prediction',
     'priority_pair',
     'PROGRESS_SHARE',
+    'RankDemand',
     'Refusal',
     'RefusedTrait',
     'request_trait',
--- a/packages/testbed/src/paddle_testbed/gateway_harness.py
+++ b/packages/testbed/src/paddle_testbed/gateway_harness.py
@@ -102,6 +102,8 @@
         self.refused = ()
         self.limits = ()
         self.evacuation = None
+        self.loads = ()
+        self.demands = ()
         self.requests = []
 
     def call(self, address, message, timeout_ms):
@@ -117,7 +119,8 @@
                 listing=str(hash(self.servers)),
                 servers=self.servers,
                 fronts=1,
-                totals=b'',
+                totals=gateway.pack_loads(self.loads) if self.loads else b'',
+                demands=self.demands,
                 counted=0,
                 period_ms=250,
                 true_ms=0,
