--- a/packages/router/src/paddle_router/controller/_fleet.py
+++ b/packages/router/src/paddle_router/controller/_fleet.py
@@ -11,6 +11,7 @@
 from paddle_router.controller import _load_sums
 from paddle_router.controller import _server_list
 from paddle_router import gateway
+from paddle_router import policy
 
 # Time between two reports of a gateway; longer at a controller with many, so
 # that it answers 250 exchanges a second at most.
@@ -28,6 +29,12 @@
 # Gateways are counted for the retry budget longer than their load, because the
 # requests they sent stay in the window of the budget.
 GATEWAY_EXPIRY_MS = 5_000
+# How long a position is exclusive. A gateway renews it with each exchange, and
+# one that has lost its controller follows another one within 0.9 s.
+POSITION_LEASE_MS = 2_000
+# Time after a change of the positions in which none is exclusive: those of
+# before expire, by clocks that differ.
+POSITION_HOLD_MS = POSITION_LEASE_MS + 2 * policy.CLOCK_ERROR_MS
 # A gateway that was frozen or partitioned may still report usage counts for
 # this long.
 REPORTING_EXPIRY_MS = 15_000
@@ -86,6 +93,7 @@
         # Positions of the counted names in alphabetical order; ``None`` after
         # a change.
         self._positions = None
+        self._names_changed_ms = clock.now_ms()
         self._last_exchange_ms = None
         self._last_report_ms = None
         self._collecting_since_ms = None
@@ -252,6 +260,23 @@
             }
         return self._positions.get(name, 0)
 
+    def turn(self):
+        """Return the number of positions and until when they are exclusive.
+
+        The time is by the synchronized clock, 0 while gateways may still know
+        positions from before a change, or from the lease holder before.
+        """
+        if not self.has_collected_reports:
+            return 0, 0
+        self._expire_counted()
+        now_ms = self._clock.now_ms()
+        changed_ms = max(self._collecting_since_ms, self._names_changed_ms)
+        if now_ms - changed_ms < POSITION_HOLD_MS:
+            return len(self._counted_names), 0
+        return len(
+            self._counted_names
+        ), self._wall.now_ms() + POSITION_LEASE_MS
+
     def loads(self):
         """Return the load summed over all live gateways, by server id."""
         self._expire_live()
@@ -383,7 +408,8 @@
         self._reporting.put(state.name, reported_at_ms, reported_at_ms)
         if self._counted.put(key, state, reported_at_ms) is None:
             self._counted_names[state.name] += 1
-            self._positions = None
+            if self._counted_names[state.name] == 1:
+                self._record_names_changed()
         previous = self._live.put(key, state, reported_at_ms)
         if previous is not None:
             self._remove_load(previous)
@@ -416,7 +442,11 @@
             self._counted_names[name] -= 1
             if not self._counted_names[name]:
                 del self._counted_names[name]
-                self._positions = None
+                self._record_names_changed()
+
+    def _record_names_changed(self):
+        self._positions = None
+        self._names_changed_ms = self._clock.now_ms()
 
     def _load_expiry_ms(self):
         return LOAD_EXPIRY_PERIODS * self.period_ms()
--- a/packages/router/src/paddle_router/controller/_gateway_sums.py
+++ b/packages/router/src/paddle_router/controller/_gateway_sums.py
@@ -199,6 +199,14 @@
             return self._fleet.position(report.name)
         return self._positions.get(report.incarnation, 0)
 
+    def turn(self, holds_lease):
+        """Return the number of positions and until when they are exclusive."""
+        if holds_lease:
+            return self._fleet.turn()
+        if self._reply is None:
+            return 0, 0
+        return self._reply.turn_count, self._reply.turn_until_ms
+
     def totals(self, incarnation):
         """Return the encoded totals and the gateway's sequence in them.
 
--- a/packages/router/src/paddle_router/controller/_server_list.py
+++ b/packages/router/src/paddle_router/controller/_server_list.py
@@ -19,6 +19,10 @@
 # the same id is recognized.
 MISSING_SERVER_RETENTION_MS = 60_000
 
+# Reads of one cold start differ by less, and a server that is cold again by
+# more: the lag of the list and of its reads varies by some hundred ms.
+COLD_TOLERANCE_MS = 500
+
 # Above the number of servers and of their states in a few reads.
 ENCODING_CACHE_SIZE = 4_096
 
@@ -142,14 +146,25 @@
         sent to every gateway.
         """
         previous = self._listed.get(server.id)
+        read_ms = self._wall.now_ms() - age_ms
         leaves_at_ms = server.leaves_at_ms
         if previous is not None and previous.leaves_at_ms:
             leaves_at_ms = previous.leaves_at_ms
         elif server.leaves_ms >= 0:
-            leaves_at_ms = self._wall.now_ms() - age_ms + server.leaves_ms
+            leaves_at_ms = read_ms + server.leaves_ms
+        cold_until_ms = server.cold_until_ms
+        if server.cold_ms > 0:
+            cold_until_ms = read_ms + server.cold_ms
+        if (
+            previous is not None
+            and previous.born_ms == server.born_ms
+            and cold_until_ms <= previous.cold_until_ms + COLD_TOLERANCE_MS
+        ):
+            cold_until_ms = previous.cold_until_ms
         return attrs.evolve(
             server,
             cold_ms=0,
+            cold_until_ms=cold_until_ms,
             leaves_ms=-1,
             leaves_at_ms=leaves_at_ms,
         )
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -216,10 +216,14 @@
                 request.listing
             )
         totals, counted, position = b'', 0, 0
+        turn_count, turn_until_ms = 0, 0
         if request.reports:
             position = self.sums.position(
                 request.reports[0], self._controller.holds_lease
             )
+            turn_count, turn_until_ms = self.sums.turn(
+                self._controller.holds_lease
+            )
             totals, counted = self.sums.totals(request.reports[0].incarnation)
         members = self._controller.members()
         return gateway.SyncReply(
@@ -239,6 +243,8 @@
             unheard_holder=self._silent_holder(),
             limits=self._reported_limits(),
             position=position,
+            turn_count=turn_count,
+            turn_until_ms=turn_until_ms,
             unlisted_versions=self.origins.unlisted_versions(),
             **self.request_crashes.reply_fields(),
         )
@@ -255,6 +261,7 @@
                 self.log_list()
             if report.version > self._version():
                 gevent.spawn(self._controller.document.refresh)
+        turn_count, turn_until_ms = self._controller.fleet.turn()
         confirmed_age_ms = self._controller.document.age_ms()
         list_age_ms = self._controller.fleet.list_age_ms()
         listing, servers = (
@@ -285,6 +292,8 @@
                 self._controller.fleet.position(item.name)
                 for item in report.fronts
             ),
+            turn_count=turn_count,
+            turn_until_ms=turn_until_ms,
             **self.request_crashes.reply_fields(),
         )
 
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -86,6 +86,15 @@
 LIMIT_IGNORED = paddle_kernel.declare_event(
     3338, 'WARNING', 'a server named a limit that is not a number'
 )
+SERVER_COLD = paddle_kernel.declare_event(
+    3350, 'INFO', 'a server may be cold; it gets requests by permits'
+)
+SERVER_STARTING = paddle_kernel.declare_event(
+    3351, 'INFO', 'the load of a server grows with its answers'
+)
+SERVER_WARM = paddle_kernel.declare_event(
+    3352, 'INFO', 'a server gets as many requests as the others again'
+)
 STREAM_TAKEN_UP = paddle_kernel.declare_event(
     3339, 'INFO', 'a caller takes a stream up again'
 )
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -58,6 +58,8 @@
         self._is_response_skipped = False
         # Whether the server was asked to stop the run for a move.
         self._is_run_moving = False
+        # Whether nothing was sent, since the server is cold.
+        self._is_held = False
         self._silence_timeout = None
 
     def run(self, caller, balancer):
@@ -113,6 +115,9 @@
 
     def _release_place(self, balancer):
         """Release the flight and report to the balancer whether it failed."""
+        if self._is_held:
+            balancer.cancel(self._flight)
+            return
         if not self._response_metadata.has_run and (
             (self._response_metadata.quiet_ms or 0) >= MIN_QUIET_MS
         ):
@@ -125,6 +130,9 @@
 
     def _release_connection(self):
         conn = self._conn
+        if self._is_held:
+            self._components.pool.release(conn, idle_ms=conn.idle_limit_ms)
+            return
         if (
             self._is_response_complete
             and conn.finish()
@@ -158,6 +166,10 @@
             self._components.count_usage(self._call)
 
     def _send_and_forward(self, caller):
+        if not self._may_send():
+            return self._fail(
+                _call.AttemptOutcome.NOT_SENT, 'no permit for a cold server'
+            )
         head = self._send_and_read_head()
         if not self._response_metadata.has_run:
             # A server that rejects requests immediately looks idle. If this
@@ -166,6 +178,10 @@
                 self._components.balancers[self._call.service].mark_replaced(
                     self._flight, self._clock.now_ms()
                 )
+            else:
+                self._components.balancers[
+                    self._call.service
+                ].record_rejection(self._flight, self._clock.now_ms())
             return self._fail(
                 _call.AttemptOutcome.NOT_RUN, f'status {head.status_code}'
             )
@@ -228,6 +244,21 @@
             )
         return silence_limit_ms / MS_PER_S
 
+    def _may_send(self):
+        """Return whether the request may be sent; log it if not.
+
+        The right to send to a cold server is short, so it is checked right
+        before the request is written.
+        """
+        balancer = self._components.balancers[self._call.service]
+        if balancer.may_send(self._flight, self._clock.now_ms()):
+            return True
+        self._is_held = True
+        self._components.metrics.held_requests.inc()
+        # A permit may come later.
+        self._call.tried.discard(self._server.id)
+        return False
+
     def _send_and_read_head(self):
         call = self._call
         left_ms = call.end_ms - self._clock.now_ms()
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -81,6 +81,7 @@
         usage,
         notices,
         limits,
+        turns,
         request_crashes,
         incarnation,
     ):
@@ -93,6 +94,7 @@
         self._usage = usage
         self._notices = notices
         self._limits = limits
+        self._turns = turns
         self._request_crashes = request_crashes
         self._incarnation = incarnation
         self._sequence = itertools.count(1)
@@ -309,6 +311,7 @@
         self._is_trying_others = False
         if reply.true_ms:
             self._wall.agree(reply.true_ms, CLOCK_TOLERANCE_MS)
+        self._apply_turn(reply, now_ms)
         if reply.document is not None:
             self._apply_configuration(reply)
         if reply.listing != self._listing:
@@ -356,6 +359,25 @@
         )
         self._notify_listeners()
 
+    def _apply_turn(self, reply, now_ms):
+        self._turns.wall_offset_ms = self._wall.now_ms() - now_ms
+        self._turns.record_contact(now_ms)
+        if reply.position and reply.turn_count:
+            self._turns.set_position(
+                (reply.position - 1) % reply.turn_count,
+                reply.turn_count,
+                reply.turn_until_ms,
+                now_ms,
+            )
+        else:
+            # Several gateways may choose the same one, but not all of them.
+            self._turns.set_position(
+                zlib.crc32(self._incarnation.encode()) % self.gateway_count,
+                self.gateway_count,
+                0,
+                now_ms,
+            )
+
     def _apply_limits(self, reply, now_ms):
         self._limits.wall_offset_ms = self._wall.now_ms() - now_ms
         if reply.position:
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -18,6 +18,7 @@
 from paddle_router.gateway import _moves
 from paddle_router.gateway import _request_crashes
 from paddle_router.gateway import _server_notices
+from paddle_router.gateway import _server_starts
 from paddle_router.gateway import _stream_origins
 from paddle_router.gateway import _usage_counts
 from paddle_router.gateway import _waiting
@@ -97,6 +98,8 @@
         self.metrics = _metrics.GatewayMetrics()
         self.notices = policy.ServerNotices(drain_ms=settings.drain_ms)
         self.limits = policy.ServerLimits()
+        self.turns = policy.GatewayTurns()
+        self.starts = _server_starts.ServerStarts(self.balancers, clock)
         self.waiting = _waiting.WaitingRequests(self)
         self.notice_recorder = _server_notices.ServerNoticeRecorder(
             self.notices,
@@ -126,6 +129,7 @@
             usage=self.usage,
             notices=self.notices,
             limits=self.limits,
+            turns=self.turns,
             request_crashes=self.request_crashes,
             incarnation=incarnation,
         )
@@ -142,6 +146,7 @@
         self._servers = {}
         self._rng = random.Random()
         self.follower.on_change(self.apply_servers)
+        self.follower.on_reply(lambda _reply: self.starts.log_changes())
 
     def apply_servers(self):
         """Apply the current server list and the servers' own announcements."""
@@ -155,6 +160,7 @@
                     id=item.id,
                     born_ms=item.born_ms,
                     failure_domain=item.domain,
+                    cold_until_ms=item.cold_until_ms,
                     slots=item.slots,
                     cheap=item.spot,
                     leaving=item.leaving,
@@ -168,7 +174,11 @@
                     failure_domain=self.settings.failure_domain,
                     notices=self.notices,
                     limits=self.limits,
+                    turns=self.turns,
+                    cold_overage=self.settings.cold_overage,
+                    cold_slack=self.settings.cold_slack,
                 )
+            self._configure_starts(service)
             self.balancers[service].sync(groups[service], now_ms)
             self.waiting.wake_all(service)
         self.notices.retain((item.incarnation for item in servers), now_ms)
@@ -178,6 +188,16 @@
             _server_notices.mark_known_leaving(self.notices, servers)
         )
 
+    def _configure_starts(self, service):
+        """Set how servers of ``service`` that start or are cold are used."""
+        table = self.follower.table
+        config = table and table.configuration.services.get(service)
+        self.balancers[service].configure_starts(
+            has_pace=self.has_load_control(service),
+            cold_rate_per_s=config.cold_rate_per_s if config else 0.0,
+            cold_start_ms=config.cold_start_ms if config else 0,
+        )
+
     def log_last_resort(self, service):
         """Log once when only leaving servers of ``service`` remain."""
         if not self.balancers[service].is_last_resort:
@@ -255,8 +275,12 @@
 
     def record_load(self, service, server_id, load):
         """Pass the load reported in a response to the balancer."""
-        if load.pace_percent is not None:
+        if (
+            load.pace_percent is not None
+            and service not in self._paced_services
+        ):
             self._paced_services.add(service)
+            self._configure_starts(service)
         self.balancers[service].report(
             server_id,
             policy.LoadReport(
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -224,7 +224,9 @@
     and have left the list. ``extra_totals`` contains the columns that
     :func:`pack_extra_loads` encodes, and ``demands`` the sums over all
     gateways, this one included. ``evacuation`` is ``None`` if the controller
-    does not know it.
+    does not know it. Until ``turn_until_ms``, by the synchronized clock, no
+    other of ``turn_count`` gateways has the same position; 0 while positions
+    change.
     """
 
     controllers: tuple[ControllerLocation, ...]
@@ -248,6 +250,8 @@
     extra_totals: bytes = b''
     demands: tuple[ServiceDemand, ...] = ()
     evacuation: Evacuation | None = None
+    turn_count: int = 0
+    turn_until_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -307,7 +311,8 @@
     ``refused`` and ``limits`` are as in :class:`SyncReply`. ``positions`` are
     those of the gateways in the report's ``fronts``. ``extra_loads`` and
     ``demands`` are those of all other controllers' gateways, ``evacuation``
-    is ``None`` if it is not newer than that of the report.
+    is ``None`` if it is not newer than that of the report. ``turn_count`` and
+    ``turn_until_ms`` are as in :class:`SyncReply`, for ``positions``.
     """
 
     in_charge: bool
@@ -327,6 +332,8 @@
     extra_loads: bytes = b''
     demands: tuple[ServiceDemand, ...] = ()
     evacuation: Evacuation | None = None
+    turn_count: int = 0
+    turn_until_ms: int = 0
 
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('gateway.capnp')))
--- a/packages/router/src/paddle_router/gateway/_metrics.py
+++ b/packages/router/src/paddle_router/gateway/_metrics.py
@@ -5,6 +5,8 @@
 
 import prometheus_client
 
+from paddle_router.gateway import _server_starts
+
 S_PER_MS = 0.001
 LATENCY_BUCKETS = (
     *(0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 1.5, 2.5),
@@ -64,10 +66,27 @@
             registry=self.registry,
         )
 
+        self.held_requests = prometheus_client.Counter(
+            'paddle_gateway_held_requests',
+            'Requests not sent because the server had become cold.',
+            registry=self.registry,
+        )
+
     def add_state_gauges(self, gateway):
         """Add gauges that read the state of ``gateway`` when collected."""
         follower = gateway.components.follower
+        starts = gateway.components.starts
         for name, text, function in (
+            (
+                'servers_cold',
+                'Servers that may be cold and get requests by permits.',
+                lambda: starts.count(_server_starts.COLD),
+            ),
+            (
+                'servers_starting',
+                'Servers whose load grows with their answers.',
+                lambda: starts.count(_server_starts.STARTING),
+            ),
             ('busy', 'Requests in progress.', lambda: gateway.entry.busy),
             (
                 'ready',
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -268,6 +268,17 @@
             raise _MoveError('all other servers are leaving')
         return self._components.server(flight.server_id)
 
+    def _check_permit(self, stream):
+        """Use a permit if the source may be cold.
+
+        :raises _MoveError: if there is none.
+        """
+        balancer = self._components.balancers[stream.call.service]
+        if not balancer.take_cold_permit(
+            stream.server.id, self._components.clock.now_ms()
+        ):
+            raise _MoveError('no permit for a cold server')
+
     def _post(self, stream, target):
         if self._components.notices.is_quiet(
             stream.server.incarnation, self._components.clock.now_ms()
@@ -282,6 +293,7 @@
         )
         is_whole = False
         try:
+            self._check_permit(stream)
             conn.send(
                 *self._components.dialect.build_move_request(
                     stream.call.metadata.request_id, stream.server, target
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -158,6 +158,8 @@
   extraTotals @18 :Data;
   demands @19 :List(ServiceDemand);
   evacuation @20 :Evacuation;
+  turnCount @21 :UInt32;
+  turnUntilMs @22 :UInt64;
 }
 
 struct FrontNews {
@@ -203,4 +205,6 @@
   extraLoads @14 :Data;
   demands @15 :List(ServiceDemand);
   evacuation @16 :Evacuation;
+  turnCount @17 :UInt32;
+  turnUntilMs @18 :UInt64;
 }
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -9,6 +9,7 @@
 from paddle_router.policy._admission import INTER_TOKEN
 from paddle_router.policy._admission import Prediction
 from paddle_router.policy._availability import NextAvailability
+from paddle_router.policy._cold_rate import ColdRate
 from paddle_router.policy._engine_state import Ejection
 from paddle_router.policy._fifo import FifoScheduler
 from paddle_router.policy._fleet_size import Bounds as FleetBounds
@@ -91,18 +92,25 @@
 from paddle_router.policy._software_versions import ServiceVersion
 from paddle_router.policy._software_versions import STREAM_RETENTION_MS
 from paddle_router.policy._software_versions import VersionHistory
+from paddle_router.policy._start_pace import Answers
+from paddle_router.policy._start_pace import StartPace
 from paddle_router.policy._tiered_fair import TieredFairScheduler
+from paddle_router.policy._turns import CLOCK_ERROR_MS
+from paddle_router.policy._turns import GatewayTurns
 from paddle_router.policy._waiting_queue import WaitingQueue
 
 __all__ = [
     'Action',
     'Admission',
+    'Answers',
     'Attempt',
     'Balancer',
     'balancers',
     'BoundedCheapPlanner',
     'cheapest_mix',
     'ClassPolicy',
+    'CLOCK_ERROR_MS',
+    'ColdRate',
     'CrashReport',
     'DEADLINE',
     'decide_retry',
@@ -120,6 +128,7 @@
     'FleetBounds',
     'FleetSize',
     'Flight',
+    'GatewayTurns',
     'Incarnation',
     'INTER_TOKEN',
     'is_request_trait',
@@ -173,6 +182,7 @@
     'SharedLoadBalancer',
     'SlowStart',
     'STARTING',
+    'StartPace',
     'StartUpTime',
     'StaticPeakPlanner',
     'STREAM_RETENTION_MS',
--- a/packages/router/src/paddle_router/policy/_availability.py
+++ b/packages/router/src/paddle_router/policy/_availability.py
@@ -3,6 +3,8 @@
 Servers that are leaving or in a quiet period are excluded; see
 :mod:`paddle_router.policy._server_notices`. A server with a limit is used with
 the permits of this gateway; see :mod:`paddle_router.policy._server_limits`.
+So is one that may be cold (:mod:`paddle_router.policy._cold_rate`) or that has
+just started or recovered (:mod:`paddle_router.policy._start_pace`).
 If all servers of a service are leaving, those that still accept work are used
 until they stop.
 """
@@ -62,9 +64,11 @@
 class Availability:
     """Classifies servers by their list entries and notices."""
 
-    def __init__(self, notices, limits):
+    def __init__(self, notices, limits, cold, pace):
         self.notices = notices
         self.limits = limits
+        self.cold = cold
+        self.pace = pace
 
     def is_leaving(self, state):
         """Whether the server is leaving by its list entry or a notice."""
@@ -90,17 +94,25 @@
                 state
                 for state in accepting
                 if (state.slow_start is None or state.slow_start.is_open)
-                and self.limits.is_open(state.incarnation, now_ms)
+                and self.has_permit(state.incarnation, now_ms)
             ], False
         leaving = [
             state
             for state in present
             if self._accepts_work_while_leaving(state, now_ms)
             and not self.is_quiet(state, now_ms)
-            and self.limits.is_open(state.incarnation, now_ms)
+            and self.has_permit(state.incarnation, now_ms)
         ]
         return leaving, bool(leaving) and not not_leaving
 
+    def has_permit(self, server, now_ms):
+        """Whether limit, cold rate and start pace allow a request now."""
+        return (
+            self.limits.is_open(server, now_ms)
+            and self.pace.is_open(server, now_ms)
+            and self.cold.is_open(server, now_ms)
+        )
+
     def next_availability(self, states, now_ms):
         """Return the :class:`NextAvailability` of ``states``.
 
@@ -114,10 +126,13 @@
             until_ms = self.notices.quiet_until_ms(state.incarnation)
             at_ms = now_ms if until_ms is None else max(now_ms, until_ms)
             at_ms = max(
-                at_ms, self.limits.next_permit_ms(state.incarnation, now_ms)
+                at_ms,
+                self.limits.next_permit_ms(state.incarnation, now_ms),
+                self.pace.next_permit_ms(state.incarnation, now_ms),
+                self.cold.next_permit_ms(state.incarnation, now_ms),
             )
             times.append((at_ms, state.engine.slots))
-            intervals_ms.append(self.limits.interval_ms(state.incarnation))
+            intervals_ms.append(self._interval_ms(state.incarnation, now_ms))
         if not times:
             return None
         first_ms = min(at_ms for at_ms, _slots in times)
@@ -133,6 +148,19 @@
             first_ms, len(simultaneous), min(simultaneous), interval_ms
         )
 
+    def _interval_ms(self, server, now_ms):
+        """Return the mean time between two permits, ``None`` if unlimited."""
+        intervals_ms = [
+            interval_ms
+            for interval_ms in (
+                self.limits.interval_ms(server),
+                self.pace.interval_ms(server),
+                self.cold.interval_ms(server, now_ms),
+            )
+            if interval_ms is not None
+        ]
+        return max(intervals_ms, default=None)
+
     def is_quiet(self, state, now_ms):
         """Whether the server is in a quiet period.
 
--- a/packages/router/src/paddle_router/policy/_hooks.py
+++ b/packages/router/src/paddle_router/policy/_hooks.py
@@ -124,12 +124,14 @@
     """A backend server that a balancer can choose.
 
     ``born_ms`` is its start in ms since the Unix epoch, 0 if unknown. A
-    different value means a different incarnation with the same id.
+    different value means a different incarnation with the same id. It is cold
+    until ``cold_until_ms``, by the same clock; 0 if it is not.
     """
 
     id: str
     born_ms: int = 0
     failure_domain: str = ''
+    cold_until_ms: int = 0
     slots: int = 8
     cheap: bool = False
     leaving: bool = False
--- a/packages/router/src/paddle_router/policy/_server_view.py
+++ b/packages/router/src/paddle_router/policy/_server_view.py
@@ -5,6 +5,8 @@
 waiting, placing, slow starts and explanations see the same figures.
 """
 
+import typing
+
 import attrs
 
 from paddle_router.policy import _hooks
@@ -39,6 +41,10 @@
     is_excluded: bool = False
     reason: str = ''
 
+    # Reasons of a limited allowance.
+    COLD: typing.ClassVar[str] = 'cold'
+    STARTING: typing.ClassVar[str] = 'starting'
+
     @property
     def free(self):
         """The number of requests that the server can take now."""
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -21,12 +21,15 @@
 import attrs
 
 from paddle_router.policy import _availability
+from paddle_router.policy import _cold_rate
 from paddle_router.policy import _hooks
 from paddle_router.policy import _prompt_parts
 from paddle_router.policy import _server_limits
 from paddle_router.policy import _server_notices
 from paddle_router.policy import _server_view
 from paddle_router.policy import _shared_server
+from paddle_router.policy import _start_pace
+from paddle_router.policy import _turns
 
 # Prefill rate assumed until responses allow an estimate; the lower of the
 # rates specified for the two sites.
@@ -85,6 +88,8 @@
 # The cost of a server whose pace is more than this many times the median is
 # multiplied by its ratio to the median.
 SLOW_RATIO = 3.0
+# Share of failures from which a server is started again when it recovers.
+RECOVERY_FAILURE_RATIO = 0.5
 
 
 @_hooks.balancers.register('shared_load')
@@ -92,25 +97,53 @@
     """Choose servers by the expected wait and the delay of running requests.
 
     One object serves one service. ``notices`` holds the leaving and quiet
-    notices of the servers and ``limits`` the limits that they name; all
-    services of a gateway share them. ``is_last_resort`` is true while all
-    servers are leaving.
+    notices of the servers, ``limits`` the limits that they name and ``turns``
+    the turns of this gateway; all services of a gateway share them.
+    ``is_last_resort`` is true while all servers are leaving.
     """
 
-    def __init__(self, *, rng, failure_domain='', notices=None, limits=None):
+    def __init__(
+        self,
+        *,
+        rng,
+        failure_domain='',
+        notices=None,
+        limits=None,
+        turns=None,
+        cold_overage=1.0,
+        cold_slack=0.0,
+    ):
         self._rng = rng
         self._failure_domain = failure_domain
         self._notices = notices or _server_notices.ServerNotices()
         self._limits = limits or _server_limits.ServerLimits()
+        self._turns = turns or _turns.GatewayTurns()
+        self._cold = _cold_rate.ColdRate(
+            self._turns, overage=cold_overage, slack=cold_slack
+        )
+        self._pace = _start_pace.StartPace(self._turns)
         self._availability = _availability.Availability(
-            self._notices, self._limits
+            self._notices, self._limits, self._cold, self._pace
         )
+        self._has_list = False
         self._states = {}
         self.is_last_resort = False
         self._prefill_rate = DEFAULT_PREFILL_RATE_TOKENS_PER_MS
         self._is_prefill_rate_measured = False
         self._gaps_ms = set()
 
+    def configure_starts(
+        self, *, has_pace, cold_rate_per_s=0.0, cold_start_ms=0
+    ):
+        """Set how servers that start, recover or are cold are used.
+
+        With ``has_pace`` their load grows with their answers. All gateways
+        together keep to ``cold_rate_per_s`` at a server that is cold, for
+        ``cold_start_ms`` after its start; 0 for no bound.
+        """
+        self._pace.is_enabled = has_pace
+        self._cold.configure(cold_rate_per_s, cold_start_ms)
+
     def sync(self, engines, now_ms):
         """Replace the list of servers; drop the state of unlisted ones."""
         listed = {engine.id: engine for engine in engines}
@@ -121,17 +154,39 @@
             if state is None or state.engine.born_ms != engine.born_ms:
                 state = _shared_server.ServerState(engine)
                 self._states[server_id] = state
+                # A gateway that has just started does not know how long the
+                # servers of its first list have been running.
+                has_started = self._has_list
+            else:
+                has_started = False
+            if has_started or self._turns_cold(state, engine, now_ms):
+                self._begin_pace(engine, now_ms)
             state.engine = engine
             if not engine.leaving:
                 state.listed_leaving_since_ms = None
             elif state.listed_leaving_since_ms is None:
                 state.listed_leaving_since_ms = now_ms
+        self._has_list = True
+        self._pace.retain(state.incarnation for state in self._states.values())
+        self._cold.set_servers(
+            {
+                state.incarnation: state.engine.cold_until_ms
+                for state in self._states.values()
+            },
+            now_ms,
+        )
 
     def set_other_loads(self, loads, now_ms):
         """Set the load by other gateways, ``{server id: SharedLoad}``."""
         for server_id, state in self._states.items():
+            known = state.others
             state.others = loads.get(server_id, _shared_server.SharedLoad())
             state.others_received_ms = now_ms
+            if state.others.failures - known.failures > max(
+                0, state.others.rejections - known.rejections
+            ):
+                self._record_failure(state, now_ms)
+        self._update_paces(now_ms)
 
     def report(self, engine_id, report, now_ms):
         """Record a load report of a server."""
@@ -169,7 +224,13 @@
         near_lowest = [
             state for cost, state in costs if cost <= lowest_cost + TIE_MARGIN
         ]
-        chosen = self._rng.choice(near_lowest)
+        # A permit of a server that starts is lost if it is not used soon.
+        starting = [
+            state
+            for state in near_lowest
+            if self._pace.is_limited(state.incarnation)
+        ]
+        chosen = self._rng.choice(starting or near_lowest)
         return self._occupy(chosen, work, now_ms, ranks.get(chosen.engine.id))
 
     def place(self, server_id, work, now_ms):
@@ -181,6 +242,8 @@
         state = self._states.get(server_id)
         if state is None or self._availability.is_quiet(state, now_ms):
             return None
+        if not self._cold.is_open(state.incarnation, now_ms):
+            return None
         return self._occupy(
             state, attrs.evolve(work, prompt_tokens=0), now_ms, None
         )
@@ -209,10 +272,28 @@
             if report is None
             else now_ms - state.reported_ms,
             pace_ms=state.pace_ms(now_ms),
+            allowance=self._allowance(state, now_ms),
             is_excluded=not is_usable,
-            reason='' if is_usable else 'not available',
+            reason=self._reason(state, is_usable, now_ms),
         )
 
+    def _allowance(self, state, now_ms):
+        server = state.incarnation
+        if self._start_phase(state, now_ms):
+            return int(self._availability.has_permit(server, now_ms))
+        return None
+
+    def _reason(self, state, is_usable, now_ms):
+        phase = self._start_phase(state, now_ms)
+        return phase or ('' if is_usable else 'not available')
+
+    def _start_phase(self, state, now_ms):
+        if self._cold.is_cold(state.incarnation, now_ms):
+            return _server_view.ServerView.COLD
+        if self._pace.is_limited(state.incarnation):
+            return _server_view.ServerView.STARTING
+        return ''
+
     def can_place(self, avoid, now_ms):
         """Return whether a server not in ``avoid`` accepts requests now."""
         states, _last = self._availability.usable(
@@ -241,6 +322,7 @@
         state = self._state_of(flight)
         if not flight.started:
             flight.started = True
+            self._record_begun(flight, state, now_ms)
             self._update_prefill_rate(flight, now_ms)
             _end_slow_start(flight, is_accepted=True)
         elif state is not None:
@@ -257,9 +339,13 @@
         state.flights.discard(flight)
         if not ok:
             state.window.add(now_ms, failures=1)
+            if not flight.is_rejected:
+                self._record_failure(state, now_ms)
             return
         state.backoff_ms = _shared_server.BACKOFF_MIN_MS
         state.window.add(now_ms, answers=1)
+        if not flight.started:
+            self._record_begun(flight, state, now_ms)
         if not flight.work.gap_ms:
             state.window.add(now_ms, paced=1, pace_ms=now_ms - flight.sent_ms)
 
@@ -269,8 +355,55 @@
         if state is not None:
             state.excluded_until_ms = now_ms + REPLACED_EXCLUSION_MS
 
+    def may_send(self, flight, now_ms):
+        """Return whether the request of ``flight`` may be written now.
+
+        The answer holds for this moment only. A server that has become cold
+        since the request was placed needs a permit now.
+        """
+        state = self._state_of(flight)
+        if self._cold.is_bounded:
+            if state is None:
+                # It may have been replaced by another incarnation.
+                return False
+            if self._cold.is_cold(state.incarnation, now_ms):
+                if flight.permit is None:
+                    flight.permit = self._cold.take(state.incarnation, now_ms)
+                if flight.permit is None or flight.permit.until_ms < now_ms:
+                    return False
+        flight.is_sent = True
+        return True
+
+    def take_cold_permit(self, server_id, now_ms):
+        """Return whether a call that is no request may be sent to a server.
+
+        If the server may be cold, this uses a permit.
+        """
+        state = self._states.get(server_id)
+        return (
+            state is None
+            or not self._cold.is_cold(state.incarnation, now_ms)
+            or self._cold.take(state.incarnation, now_ms) is not None
+        )
+
+    def record_rejection(self, flight, now_ms):
+        """Record an answer that did not run the request of ``flight``."""
+        flight.is_rejected = True
+        state = self._state_of(flight)
+        if state is not None:
+            state.window.add(now_ms, rejections=1)
+
+    def start_phases(self, now_ms):
+        """Return ``{server id: reason}`` of servers that are cold or start."""
+        return {
+            server_id: phase
+            for server_id, state in self._states.items()
+            if (phase := self._start_phase(state, now_ms))
+        }
+
     def cancel(self, flight):
         """Drop a placed request that was not sent."""
+        self._give_back_permit(flight)
         _end_slow_start(flight, is_accepted=False)
         state = self._state_of(flight)
         if state is not None:
@@ -282,9 +415,14 @@
         Called if the server could not be reached.
         """
         _end_slow_start(flight, is_accepted=False)
+        self._give_back_permit(flight)
         state = self._state_of(flight)
         if state is None:
             return
+        if self._cold.is_bounded:
+            # The others hear of it by the sums.
+            state.window.add(now_ms, failures=1)
+        self._record_failure(state, now_ms)
         state.flights.discard(flight)
         state.hold_until_ms = now_ms + state.backoff_ms
         state.backoff_ms = min(
@@ -322,6 +460,8 @@
                     * 1_000
                     / (1.5 * _shared_server.WINDOW_MS)
                 ),
+                rejections=window.get(now_ms, 'rejections'),
+                in_time=window.get(now_ms, 'in_time'),
             )
             if load != _shared_server.SharedLoad():
                 loads[server_id] = load
@@ -334,6 +474,8 @@
                 'flights': len(state.flights),
                 'others': attrs.asdict(state.others),
                 'hold_until_ms': state.hold_until_ms,
+                'cold_until_ms': self._cold.until_ms(state.incarnation),
+                'start_per_s': self._pace.rate_per_s(state.incarnation),
             }
             for server_id, state in self._states.items()
         }
@@ -455,6 +597,9 @@
             affinity_rank,
         )
         self._limits.use_permit(state.incarnation, now_ms)
+        self._pace.use_permit(state.incarnation, now_ms)
+        if self._cold.is_cold(state.incarnation, now_ms):
+            flight.permit = self._cold.take(state.incarnation, now_ms)
         state.record_parts(work.parts, now_ms)
         state.window.add(now_ms, tokens=flight.uncached)
         state.flights.add(flight)
@@ -463,6 +608,62 @@
             state.slow_start.record_sent()
         return flight
 
+    def _turns_cold(self, state, engine, now_ms):
+        """Whether the list shows now that a server is cold or cold again."""
+        wall_ms = self._turns.wall_ms(now_ms)
+        return engine.cold_until_ms > wall_ms and (
+            not self._has_list
+            or state.engine.cold_until_ms != engine.cold_until_ms
+        )
+
+    def _begin_pace(self, engine, now_ms):
+        server = _server_notices.Incarnation(engine.id, engine.born_ms)
+        state = self._states[engine.id]
+        answers = self._answers(state, now_ms, None)
+        self._pace.begin(server, now_ms, answers)
+
+    def _record_failure(self, state, now_ms):
+        """Record that a server failed a request here or elsewhere."""
+        self._cold.mark_failed(state.incarnation, now_ms)
+        if state.failure_ratio(now_ms) >= RECOVERY_FAILURE_RATIO:
+            self._begin_pace(state.engine, now_ms)
+
+    def _record_begun(self, flight, state, now_ms):
+        """Record that the answer to ``flight`` has begun."""
+        if state is None:
+            return
+        self._cold.record_answer(state.incarnation, now_ms)
+        if now_ms - flight.sent_ms <= flight.work.target_ms:
+            state.window.add(now_ms, in_time=1)
+
+    def _update_paces(self, now_ms):
+        if not self._pace.limited_count():
+            return
+        median_ms = self._median_pace_ms(now_ms)
+        for state in self._states.values():
+            server = state.incarnation
+            if self._pace.is_limited(server):
+                self._pace.update(
+                    server, self._answers(state, now_ms, median_ms), now_ms
+                )
+
+    def _answers(self, state, now_ms, median_ms):
+        """Return the :class:`Answers` of a server to all gateways."""
+        others = state.fresh_others(now_ms)
+        pace_ms = state.pace_ms(now_ms)
+        return _start_pace.Answers(
+            answers=state.window.get(now_ms, 'answers') + others.answers,
+            in_time=state.window.get(now_ms, 'in_time') + others.in_time,
+            rejections=state.window.get(now_ms, 'rejections')
+            + others.rejections,
+            pace_ratio=pace_ms / median_ms if pace_ms and median_ms else None,
+        )
+
+    def _give_back_permit(self, flight):
+        if flight.permit is not None and not flight.is_sent:
+            self._cold.give_back(flight.permit)
+            flight.permit = None
+
     def _update_prefill_rate(self, flight, now_ms):
         tokens = flight.uncached + flight.backlog_tokens
         passed_ms = now_ms - flight.sent_ms
--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from paddle_router.policy import _cold_rate
 from paddle_router.policy import _hooks
 from paddle_router.policy import _server_notices
 
@@ -82,7 +83,9 @@
     ``affinity_rank`` is the rank of the server in the affinity order of the
     prompt's shared part, ``None`` without such a part. ``uncached`` is the
     number of prompt tokens that are not expected in the prefix cache.
-    ``slow_start`` is set if the request was sent during a slow start.
+    ``slow_start`` is set if the request was sent during a slow start, and
+    ``permit`` if the server may be cold. ``is_sent`` is set right before the
+    request is written, ``is_rejected`` after an answer that did not run it.
     """
 
     server_id: str
@@ -96,6 +99,9 @@
     started: bool = False
     events: int = 0
     slow_start: _server_notices.SlowStart | None = None
+    permit: _cold_rate.Permit | None = None
+    is_sent: bool = False
+    is_rejected: bool = False
 
 
 class _SlidingWindow:
