--- a/packages/router/src/paddle_router/policy/_availability.py
+++ b/packages/router/src/paddle_router/policy/_availability.py
@@ -106,12 +106,19 @@
         return leaving, bool(leaving) and not not_leaving
 
     def has_permit(self, server, now_ms):
-        """Whether limit, cold rate and start pace allow a request now."""
-        return (
-            self.limits.is_open(server, now_ms)
-            and self.pace.is_open(server, now_ms)
-            and self.cold.is_open(server, now_ms)
-        )
+        """Whether the limit and the rate of the start allow a request now."""
+        if not self.limits.is_open(server, now_ms):
+            return False
+        # Permits of both are rarely valid at the same time, so a server that
+        # may be cold has only those that bound its rate.
+        if self.cold.is_cold(server, now_ms):
+            return self.cold.is_open(server, now_ms)
+        return self.pace.is_open(server, now_ms)
+
+    def _next_start_permit_ms(self, server, now_ms):
+        if self.cold.is_cold(server, now_ms):
+            return self.cold.next_permit_ms(server, now_ms)
+        return self.pace.next_permit_ms(server, now_ms)
 
     def next_availability(self, states, now_ms):
         """Return the :class:`NextAvailability` of ``states``.
@@ -128,8 +135,7 @@
             at_ms = max(
                 at_ms,
                 self.limits.next_permit_ms(state.incarnation, now_ms),
-                self.pace.next_permit_ms(state.incarnation, now_ms),
-                self.cold.next_permit_ms(state.incarnation, now_ms),
+                self._next_start_permit_ms(state.incarnation, now_ms),
             )
             times.append((at_ms, state.engine.slots))
             intervals_ms.append(self._interval_ms(state.incarnation, now_ms))
@@ -150,16 +156,11 @@
 
     def _interval_ms(self, server, now_ms):
         """Return the mean time between two permits, ``None`` if unlimited."""
-        intervals_ms = [
-            interval_ms
-            for interval_ms in (
-                self.limits.interval_ms(server),
-                self.pace.interval_ms(server),
-                self.cold.interval_ms(server, now_ms),
-            )
-            if interval_ms is not None
-        ]
-        return max(intervals_ms, default=None)
+        start_ms = self.cold.interval_ms(server, now_ms)
+        if start_ms is None:
+            start_ms = self.pace.interval_ms(server)
+        limit_ms = self.limits.interval_ms(server)
+        return max((start_ms, limit_ms), key=lambda item: item or 0)
 
     def is_quiet(self, state, now_ms):
         """Whether the server is in a quiet period.
--- a/packages/router/src/paddle_router/policy/_cold_rate.py
+++ b/packages/router/src/paddle_router/policy/_cold_rate.py
@@ -28,9 +28,9 @@
 # Failures that other gateways saw are known this much later: two exchanges
 # and the relay between controllers.
 FAILURE_LAG_MS = 1_000
-# A server that has answered within this time has not restarted since: it
-# takes longer to start.
-ANSWER_PROOF_MS = 1_000
+# A server that has answered within this time has not restarted since; the
+# fastest restart that users specify takes this long.
+ANSWER_PROOF_MS = 2_000
 # Fraction of the bound for gateways without an exclusive position.
 RESERVE_RATIO = 0.125
 # A shorter validity leaves most permits unused at a few requests per second
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -88,6 +88,9 @@
 # The cost of a server whose pace is more than this many times the median is
 # multiplied by its ratio to the median.
 SLOW_RATIO = 3.0
+# Time without failures after which a server that starts gets a request even if
+# others look better: the others have heard of the last failure by then.
+PROBE_PAUSE_MS = 1_000
 # Share of failures from which a server is started again when it recovers.
 RECOVERY_FAILURE_RATIO = 0.5
 
@@ -208,6 +211,9 @@
         states = ready or states
         if not states:
             return None
+        # A slow pace or idle slots say little about a server that starts; its
+        # permits bound what a wrong choice costs.
+        states = self._starting(states, now_ms) or states
         self._has_shortest_gap(work)
         reserved_ids = self._reserved_ids(states)
         ranks = _prompt_parts.server_ranks(states, work, reserved_ids)
@@ -224,13 +230,7 @@
         near_lowest = [
             state for cost, state in costs if cost <= lowest_cost + TIE_MARGIN
         ]
-        # A permit of a server that starts is lost if it is not used soon.
-        starting = [
-            state
-            for state in near_lowest
-            if self._pace.is_limited(state.incarnation)
-        ]
-        chosen = self._rng.choice(starting or near_lowest)
+        chosen = self._rng.choice(near_lowest)
         return self._occupy(chosen, work, now_ms, ranks.get(chosen.engine.id))
 
     def place(self, server_id, work, now_ms):
@@ -327,6 +327,7 @@
             _end_slow_start(flight, is_accepted=True)
         elif state is not None:
             state.window.add(now_ms, paced=1, pace_ms=now_ms - flight.last_ms)
+            self._cold.record_answer(state.incarnation, now_ms)
         flight.last_ms = now_ms
         flight.events = tokens
 
@@ -616,6 +617,28 @@
             or state.engine.cold_until_ms != engine.cold_until_ms
         )
 
+    def _starting(self, states, now_ms):
+        """Return the servers that start and are due to get a request.
+
+        Those are less loaded than most of ``states`` and did not just fail.
+        """
+        if not self._pace.limited_count():
+            return []
+        median = statistics.median_low(
+            state.running(now_ms) / max(1, state.engine.slots)
+            for state in states
+        )
+        return [
+            state
+            for state in states
+            if self._pace.is_limited(state.incarnation)
+            and state.running(now_ms) / max(1, state.engine.slots) <= median
+            and (
+                state.last_failure_ms is None
+                or now_ms - state.last_failure_ms >= PROBE_PAUSE_MS
+            )
+        ]
+
     def _begin_pace(self, engine, now_ms):
         server = _server_notices.Incarnation(engine.id, engine.born_ms)
         state = self._states[engine.id]
@@ -624,6 +647,7 @@
 
     def _record_failure(self, state, now_ms):
         """Record that a server failed a request here or elsewhere."""
+        state.last_failure_ms = now_ms
         self._cold.mark_failed(state.incarnation, now_ms)
         if state.failure_ratio(now_ms) >= RECOVERY_FAILURE_RATIO:
             self._begin_pace(state.engine, now_ms)
--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -145,6 +145,7 @@
     backoff_ms: int = BACKOFF_MIN_MS
     excluded_until_ms: int | None = None
     listed_leaving_since_ms: int | None = None
+    last_failure_ms: int | None = None
     last_quiet_end_ms: int | None = None
     slow_start: _server_notices.SlowStart | None = None
 
--- a/packages/router/src/paddle_router/policy/_start_pace.py
+++ b/packages/router/src/paddle_router/policy/_start_pace.py
@@ -2,9 +2,9 @@
 
 Such a server may be slow and refuse requests that others would take, and its
 idle slots attract all gateways at once. So it gets requests at a low rate
-first, which doubles with the requests that it answers in time. Refusals, late
-answers and a pace far above that of the other servers stop the growth. When
-the server has answered as well as its slots allow, the limit ends.
+first, which doubles with the requests that it answers in time. A refusal or
+late answer halves it, and a pace far above that of the other servers slows
+the growth. The limit ends when the rate exceeds what any server gets.
 
 All gateways derive the rate from the shared sums, so it is about the same at
 each, and share it by turns (see :mod:`paddle_router.policy._turns`). Unlike
@@ -24,14 +24,16 @@
 # Steps after which the rate does not limit any more: 32 times the first one
 # is more than a server with a hundred slots gets from all gateways.
 MAX_STEPS = 5
-# Share of requests that a server may refuse, or answer late, before the rate
-# falls back: callers repeat a refused request in time if few others are.
-MAX_BAD_RATIO = 0.1
-# A server this much slower than the median gets no higher rate.
+# A server this many times slower than the median needs more answers for each
+# step. It may still be slow by the sums for seconds after it has become warm.
 SLOW_RATIO = 2.0
-# How long a permit can be used: most gateways have several requests a second,
-# and a longer time lets permits of several gateways be used at once.
-VALIDITY_MS = 200
+SLOW_FACTOR = 2
+# How long a permit can be used at the lowest rate: until the next one, since
+# permits of several gateways that are used at once make a slow server refuse.
+VALIDITY_MS = 250
+# At higher rates the server has answered well, and unused permits cost more:
+# gateways have a few requests a second.
+MAX_VALIDITY_MS = 1_000
 # The limit ends after this time without refusals, also if there were too few
 # requests to double the rate.
 MAX_RAMP_MS = 10_000
@@ -52,27 +54,30 @@
     pace_ratio: float | None = None
 
     @property
-    def is_bad(self):
-        """Whether too many requests were refused or answered late."""
-        late = max(0, self.answers - self.in_time)
-        bad = self.rejections + late
-        return bad > MAX_BAD_RATIO * (bad + self.in_time)
-
-    @property
-    def is_slow(self):
-        """Whether the server is much slower than the others."""
-        return self.pace_ratio is not None and self.pace_ratio > SLOW_RATIO
+    def late(self):
+        """The number of answers that began late."""
+        return max(0, self.answers - self.in_time)
 
 
 @attrs.define
 class _Ramp:
     begin_ms: int
-    # In-time answers before the begin, which the sums still contain.
-    earlier: int
+    # Sums at the last update.
+    last: Answers
     steps: int = 0
+    # Answers in time since the last step.
+    in_time: int = 0
     # Synchronized time of the last permit used.
     used_ms: float = 0.0
 
+    def permits_ms(self):
+        """Return the time between two permits, and how long one is valid."""
+        factor = 2**self.steps
+        return (
+            MS_PER_S / (START_PER_S * factor),
+            min(VALIDITY_MS * factor, MAX_VALIDITY_MS),
+        )
+
 
 class StartPace:
     """Rates of the servers of one service that start or recover."""
@@ -82,40 +87,37 @@
         self._ramps = {}
         self.is_enabled = False
 
-    def begin(self, server, now_ms, answers=None):
+    def begin(self, server, now_ms, answers):
         """Limit ``server``, which has started or recovered, from now on.
 
-        Return whether it was not limited before.
+        ``answers`` are the :class:`Answers` that the sums contain already.
         """
         if not self.is_enabled:
-            return False
-        is_new = server not in self._ramps
-        earlier = 0 if answers is None else answers.in_time
-        ramp = _Ramp(now_ms, earlier)
-        if not is_new:
-            ramp.used_ms = self._ramps[server].used_ms
-        self._ramps[server] = ramp
-        return is_new
+            return
+        known = self._ramps.get(server)
+        used_ms = 0.0 if known is None else known.used_ms
+        self._ramps[server] = _Ramp(now_ms, answers, used_ms=used_ms)
 
     def update(self, server, answers, now_ms):
-        """Adapt the rate to :class:`Answers`; return whether it ended."""
-        ramp = self._ramps.get(server)
-        if ramp is None:
-            return False
-        ramp.earlier = min(ramp.earlier, answers.in_time)
-        if answers.is_bad or answers.is_slow:
-            ramp.steps = 0
-            is_over = False
-        else:
-            good = answers.in_time - ramp.earlier
-            ramp.steps = max(ramp.steps, good // ANSWERS_PER_STEP)
-            is_over = (
-                ramp.steps >= MAX_STEPS
-                or now_ms - ramp.begin_ms >= MAX_RAMP_MS
-            )
-        if is_over:
+        """Adapt the rate of a limited server to its :class:`Answers`.
+
+        The sums slide, so they may also decrease.
+        """
+        ramp = self._ramps[server]
+        last, ramp.last = ramp.last, answers
+        if answers.rejections > last.rejections or answers.late > last.late:
+            ramp.steps = max(0, ramp.steps - 1)
+            ramp.in_time = 0
+            ramp.begin_ms = now_ms
+            return
+        ramp.in_time += max(0, answers.in_time - last.in_time)
+        is_slow = (answers.pace_ratio or 0) > SLOW_RATIO
+        needed = ANSWERS_PER_STEP * (SLOW_FACTOR if is_slow else 1)
+        if ramp.in_time >= needed:
+            ramp.in_time = 0
+            ramp.steps += 1
+        if ramp.steps > MAX_STEPS or now_ms - ramp.begin_ms >= MAX_RAMP_MS:
             del self._ramps[server]
-        return is_over
 
     def retain(self, listed):
         """Drop servers that are not ``listed``."""
@@ -146,7 +148,7 @@
         ramp = self._ramps.get(server)
         if ramp is None:
             return None
-        return self._turns.count * _interval_ms(ramp)
+        return self._turns.count * ramp.permits_ms()[0]
 
     def use_permit(self, server, now_ms):
         """Record that a request is sent to ``server`` now."""
@@ -164,14 +166,11 @@
     def rate_per_s(self, server):
         """Return the rate of all gateways, ``None`` if it is not limited."""
         ramp = self._ramps.get(server)
-        return None if ramp is None else MS_PER_S / _interval_ms(ramp)
+        return None if ramp is None else MS_PER_S / ramp.permits_ms()[0]
 
     def _permit_ms(self, server, ramp, now_ms):
+        interval_ms, validity_ms = ramp.permits_ms()
         oldest_ms = max(
-            self._turns.wall_ms(now_ms) - VALIDITY_MS, ramp.used_ms + 1
+            self._turns.wall_ms(now_ms) - validity_ms, ramp.used_ms + 1
         )
-        return self._turns.permit_ms(server.id, _interval_ms(ramp), oldest_ms)
-
-
-def _interval_ms(ramp):
-    return MS_PER_S / (START_PER_S * 2**ramp.steps)
+        return self._turns.permit_ms(server.id, interval_ms, oldest_ms)
--- a/packages/router/tests/test_controller_fleet.py
+++ b/packages/router/tests/test_controller_fleet.py
@@ -121,6 +121,52 @@
     assert positions == [1, 2, 3, 0]
 
 
+def test_positions_are_exclusive_only_while_none_changes(fleet, clock):
+    # Guards against two gateways that use the same permits of a cold server:
+    # one with its position from before a gateway joined, one with the new one.
+    fleet.set_servers((SERVER,))
+    fleet.set_lease_held(True)
+    turns = []
+    for sequence in range(2, 30):
+        clock.advance(250)
+        for name in ('g1', 'g2', 'g0')[: 2 if sequence < 16 else 3]:
+            report = build_load_report(name, sequence=sequence)
+            fleet.add_reports((report,), True)
+        turns.append(fleet.turn())
+    joined = 14
+    first = next(index for index, turn in enumerate(turns) if turn[1])
+    lease_ms, hold_ms = _fleet.POSITION_LEASE_MS, _fleet.POSITION_HOLD_MS
+    assert first * 250 >= hold_ms - 250
+    assert all(count == 2 and end for count, end in turns[first:joined])
+    begin = next(
+        index
+        for index, turn in enumerate(turns)
+        if index >= joined and turn[1]
+    )
+    assert (begin - joined) * 250 >= hold_ms
+    assert turns[begin][0] == 3
+    assert turns[-1][1] - clock.wall_ms() == lease_ms
+
+
+def test_the_end_of_a_cold_start_does_not_change_with_each_read(fleet, clock):
+    # Guards against a list that is sent to every gateway at each read.
+    fleet.set_servers((attrs.evolve(SERVER, cold_ms=3_000),), 100)
+    (first,) = fleet.servers
+    assert first.cold_until_ms == clock.wall_ms() + 2_900
+    assert first.cold_ms == 0
+    clock.advance(500)
+    for cold_ms in (2_400, 2_900, 0):
+        assert not fleet.set_servers((attrs.evolve(SERVER, cold_ms=cold_ms),))
+
+
+def test_a_server_that_is_cold_again_is_listed_so(fleet, clock):
+    # Guards against the end of the first cold start that is kept.
+    fleet.set_servers((attrs.evolve(SERVER, cold_ms=3_000),))
+    clock.advance(10_000)
+    assert fleet.set_servers((attrs.evolve(SERVER, cold_ms=3_000),))
+    assert fleet.servers[0].cold_until_ms == clock.wall_ms() + 3_000
+
+
 def test_a_sealed_window_keeps_its_counts():
     data = _duties.seal(None, 7, {'a': 1})
     resealed = _duties.seal(data, 7, {'a': 2})
--- a/packages/router/tests/test_gateway_controllers.py
+++ b/packages/router/tests/test_gateway_controllers.py
@@ -233,6 +233,7 @@
         usage=Usage(),
         notices=policy.ServerNotices(),
         limits=limits,
+        turns=policy.GatewayTurns(),
         request_crashes=RequestCrashes(),
         incarnation=incarnation,
     )
