--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -88,9 +88,6 @@
 # The cost of a server whose pace is more than this many times the median is
 # multiplied by its ratio to the median.
 SLOW_RATIO = 3.0
-# Time without failures after which a server that starts gets a request even if
-# others look better: the others have heard of the last failure by then.
-PROBE_PAUSE_MS = 1_000
 # Share of failures from which a server is started again when it recovers.
 RECOVERY_FAILURE_RATIO = 0.5
 
@@ -633,10 +630,7 @@
             for state in states
             if self._pace.is_limited(state.incarnation)
             and state.running(now_ms) / max(1, state.engine.slots) <= median
-            and (
-                state.last_failure_ms is None
-                or now_ms - state.last_failure_ms >= PROBE_PAUSE_MS
-            )
+            and state.is_probe_due(now_ms)
         ]
 
     def _begin_pace(self, engine, now_ms):
@@ -647,7 +641,7 @@
 
     def _record_failure(self, state, now_ms):
         """Record that a server failed a request here or elsewhere."""
-        state.last_failure_ms = now_ms
+        state.record_failure(now_ms)
         self._cold.mark_failed(state.incarnation, now_ms)
         if state.failure_ratio(now_ms) >= RECOVERY_FAILURE_RATIO:
             self._begin_pace(state.engine, now_ms)
@@ -666,7 +660,7 @@
         median_ms = self._median_pace_ms(now_ms)
         for state in self._states.values():
             server = state.incarnation
-            if self._pace.is_limited(server):
+            if self._pace.has_begun(server):
                 self._pace.update(
                     server, self._answers(state, now_ms, median_ms), now_ms
                 )
--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -18,6 +18,11 @@
 # Backoff after a failed connection; doubles with each further failure.
 BACKOFF_MIN_MS = 300
 BACKOFF_MAX_MS = 2_000
+# Time without failures after which a server that starts gets a request even if
+# others look better: all gateways have heard of the last failure by then. It
+# doubles with each failure after such a time, since callers pay for them.
+PROBE_PAUSE_MS = 1_000
+PROBE_PAUSE_MAX_MS = 16_000
 # Older sums of other gateways are ignored.
 OTHERS_LIFETIME_MS = 2_000
 # A load report describes the time of the response that carried it. It gets
@@ -146,6 +151,7 @@
     excluded_until_ms: int | None = None
     listed_leaving_since_ms: int | None = None
     last_failure_ms: int | None = None
+    probe_pause_ms: int = PROBE_PAUSE_MS
     last_quiet_end_ms: int | None = None
     slow_start: _server_notices.SlowStart | None = None
 
@@ -153,6 +159,24 @@
     def incarnation(self):
         return _server_notices.Incarnation(self.engine.id, self.engine.born_ms)
 
+    def record_failure(self, now_ms):
+        """Record a failure that this or another gateway saw."""
+        if self.is_probe_due(now_ms) and self.last_failure_ms is not None:
+            passed_ms = now_ms - self.last_failure_ms
+            self.probe_pause_ms = (
+                PROBE_PAUSE_MS
+                if passed_ms > 2 * PROBE_PAUSE_MAX_MS
+                else min(2 * self.probe_pause_ms, PROBE_PAUSE_MAX_MS)
+            )
+        self.last_failure_ms = now_ms
+
+    def is_probe_due(self, now_ms):
+        """Whether the server has not failed for its probe pause."""
+        return (
+            self.last_failure_ms is None
+            or now_ms - self.last_failure_ms >= self.probe_pause_ms
+        )
+
     def is_replaced(self, now_ms):
         return (
             self.excluded_until_ms is not None
--- a/packages/router/src/paddle_router/policy/_start_pace.py
+++ b/packages/router/src/paddle_router/policy/_start_pace.py
@@ -85,6 +85,7 @@
     def __init__(self, turns):
         self._turns = turns
         self._ramps = {}
+        self._listed_count = 0
         self.is_enabled = False
 
     def begin(self, server, now_ms, answers):
@@ -121,11 +122,20 @@
 
     def retain(self, listed):
         """Drop servers that are not ``listed``."""
-        for server in set(self._ramps) - set(listed):
+        listed = set(listed)
+        self._listed_count = len(listed)
+        for server in set(self._ramps) - listed:
             del self._ramps[server]
 
     def is_limited(self, server):
-        """Whether the rate of ``server`` is limited."""
+        """Whether the rate of ``server`` is limited.
+
+        None is if most servers start: the others could not take the load.
+        """
+        return self._limit_of(server) is not None
+
+    def has_begun(self, server):
+        """Whether ``server`` starts, limited or not."""
         return server in self._ramps
 
     def is_open(self, server, now_ms):
@@ -134,7 +144,7 @@
 
     def next_permit_ms(self, server, now_ms):
         """Return when the next request may be sent to ``server``."""
-        ramp = self._ramps.get(server)
+        ramp = self._limit_of(server)
         if ramp is None:
             return now_ms
         permit_ms = self._permit_ms(server, ramp, now_ms)
@@ -145,7 +155,7 @@
 
         ``None`` if the rate of ``server`` is not limited.
         """
-        ramp = self._ramps.get(server)
+        ramp = self._limit_of(server)
         if ramp is None:
             return None
         return self._turns.count * ramp.permits_ms()[0]
@@ -165,9 +175,14 @@
 
     def rate_per_s(self, server):
         """Return the rate of all gateways, ``None`` if it is not limited."""
-        ramp = self._ramps.get(server)
+        ramp = self._limit_of(server)
         return None if ramp is None else MS_PER_S / ramp.permits_ms()[0]
 
+    def _limit_of(self, server):
+        if 2 * len(self._ramps) > self._listed_count:
+            return None
+        return self._ramps.get(server)
+
     def _permit_ms(self, server, ramp, now_ms):
         interval_ms, validity_ms = ramp.permits_ms()
         oldest_ms = max(
--- a/packages/router/tests/test_policy_start_pace.py
+++ b/packages/router/tests/test_policy_start_pace.py
@@ -246,11 +246,42 @@
     assert all(item.allowance is None for item in balancer.views(1_000))
 
 
+def test_a_service_whose_servers_mostly_start_is_not_limited():
+    # Guards against callers that are refused after all servers of a service
+    # have restarted, though none is left to take the load.
+    balancer = policy.SharedLoadBalancer(rng=random.Random(1))
+    balancer.configure_starts(has_pace=True)
+    balancer.sync([policy.Engine(id=item, born_ms=1) for item in 'abc'], 0)
+    balancer.sync(
+        [policy.Engine(id=item, born_ms=2) for item in 'ab']
+        + [policy.Engine(id='c', born_ms=1)],
+        1_000,
+    )
+    assert balancer.start_phases(1_000) == {}
+
+
+def test_a_server_that_fails_again_is_probed_less_often():
+    # Guards against callers whose requests a failing server gets because it
+    # counts as recovering.
+    balancer = policy.SharedLoadBalancer(rng=random.Random(1))
+    balancer.configure_starts(has_pace=True)
+    balancer.sync([policy.Engine(id=item) for item in 'abc'], 0)
+    work = policy.EngineWork(target_ms=385)
+    failed = 0
+    for now_ms in range(1_000, 31_000, 50):
+        flight = balancer.choose(work, now_ms)
+        if flight.server_id == 'a':
+            failed += 1
+        balancer.finish(flight, now_ms + 1, flight.server_id != 'a')
+    assert 3 <= failed <= 12
+
+
 def test_an_idle_server_is_not_limited_for_long():
     # Guards against a limit that only answers end, where none are sent.
     pace = policy.StartPace(policy.GatewayTurns())
     pace.is_enabled = True
     server = policy.Incarnation('a')
+    pace.retain([server, policy.Incarnation('b')])
     pace.begin(server, 0, policy.Answers())
     pace.update(server, policy.Answers(), 9_000)
     assert pace.is_limited(server)
@@ -263,6 +294,7 @@
     pace = policy.StartPace(policy.GatewayTurns())
     pace.is_enabled = True
     server = policy.Incarnation('a')
+    pace.retain([server, policy.Incarnation('b')])
     pace.begin(server, 0, policy.Answers())
     rates = []
     for answers in (
