--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -341,9 +341,10 @@
                 self._record_failure(state, now_ms)
             return
         state.backoff_ms = _shared_server.BACKOFF_MIN_MS
-        state.window.add(now_ms, answers=1)
         if not flight.started:
             self._record_begun(flight, state, now_ms)
+        # Counted together, so that the sums contain both or none of them.
+        state.window.add(now_ms, answers=1, in_time=int(flight.is_in_time))
         if not flight.work.gap_ms:
             state.window.add(now_ms, paced=1, pace_ms=now_ms - flight.sent_ms)
 
@@ -651,8 +652,7 @@
         if state is None:
             return
         self._cold.record_answer(state.incarnation, now_ms)
-        if now_ms - flight.sent_ms <= flight.work.target_ms:
-            state.window.add(now_ms, in_time=1)
+        flight.is_in_time = now_ms - flight.sent_ms <= flight.work.target_ms
 
     def _update_paces(self, now_ms):
         if not self._pace.limited_count():
--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -90,7 +90,8 @@
     number of prompt tokens that are not expected in the prefix cache.
     ``slow_start`` is set if the request was sent during a slow start, and
     ``permit`` if the server may be cold. ``is_sent`` is set right before the
-    request is written, ``is_rejected`` after an answer that did not run it.
+    request is written, ``is_in_time`` if its answer began within the target,
+    and ``is_rejected`` after an answer that did not run it.
     """
 
     server_id: str
@@ -106,6 +107,7 @@
     slow_start: _server_notices.SlowStart | None = None
     permit: _cold_rate.Permit | None = None
     is_sent: bool = False
+    is_in_time: bool = False
     is_rejected: bool = False
 
 
--- a/packages/router/tests/test_policy_start_pace.py
+++ b/packages/router/tests/test_policy_start_pace.py
@@ -289,6 +289,26 @@
     assert not pace.is_limited(server)
 
 
+def test_streams_that_begin_in_time_are_not_late_when_sums_slide():
+    # Guards against streams whose begin leaves the sums before their end does,
+    # which looks like late answers and would keep the rate low.
+    balancer = policy.SharedLoadBalancer(rng=random.Random(1))
+    balancer.configure_starts(has_pace=True)
+    balancer.sync([policy.Engine(id='a')], 0)
+    work = policy.EngineWork(target_ms=600, gap_ms=400)
+    flights = []
+    for now_ms in range(0, 20_000, 100):
+        for flight in [
+            item for item in flights if item.sent_ms < now_ms - 900
+        ]:
+            flights.remove(flight)
+            balancer.finish(flight, now_ms, True)
+        flights.append(balancer.choose(work, now_ms))
+        balancer.observe(flights[-1], now_ms + 50, 1)
+        load = balancer.own_loads(now_ms + 50)['a']
+        assert load.answers == load.in_time
+
+
 def test_refusals_halve_the_rate_that_answers_have_raised():
     # Guards against a rate that only grows.
     pace = policy.StartPace(policy.GatewayTurns())
