--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -231,10 +231,14 @@
                 request.listing
             )
         totals, counted, position = b'', 0, 0
+        turn_count, turn_until_ms = 0, 0
         if request.reports:
             position = self.sums.position(
                 request.reports[0], self._controller.holds_lease
             )
+            turn_count, turn_until_ms = self.sums.turn(
+                self._controller.holds_lease
+            )
             totals, counted = self.sums.totals(request.reports[0].incarnation)
         members = self._controller.members()
         return gateway.SyncReply(
@@ -256,6 +260,8 @@
             limits=self._reported_limits(),
             placements=self.placements.recent(self._controller.wall.now_ms()),
             position=position,
+            turn_count=turn_count,
+            turn_until_ms=turn_until_ms,
             unlisted_versions=self.origins.unlisted_versions(),
             evacuation=self._controller.evacuations.message(),
             **self.request_crashes.reply_fields(),
@@ -278,6 +284,7 @@
                 > self._controller.evacuations.version
             ):
                 gevent.spawn(self._controller.evacuations.refresh)
+        turn_count, turn_until_ms = self._controller.fleet.turn()
         confirmed_age_ms = self._controller.document.age_ms()
         list_age_ms = self._controller.fleet.list_age_ms()
         listing, servers = (
@@ -315,6 +322,8 @@
                 self._controller.fleet.position(item.name)
                 for item in report.fronts
             ),
+            turn_count=turn_count,
+            turn_until_ms=turn_until_ms,
             **self.request_crashes.reply_fields(),
         )
 
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -89,6 +89,15 @@
 REQUEST_TURNED_AWAY = paddle_kernel.declare_event(
     3341, 'INFO', 'a request was refused because of the load of the servers'
 )
+SERVER_COLD = paddle_kernel.declare_event(
+    3355, 'INFO', 'a server may be cold; it gets requests by permits'
+)
+SERVER_STARTING = paddle_kernel.declare_event(
+    3356, 'INFO', 'the load of a server grows with its answers'
+)
+SERVER_WARM = paddle_kernel.declare_event(
+    3357, 'INFO', 'a server gets as many requests as the others again'
+)
 STREAM_TAKEN_UP = paddle_kernel.declare_event(
     3339, 'INFO', 'a caller takes a stream up again'
 )
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -82,6 +82,7 @@
         usage,
         notices,
         limits,
+        turns,
         request_crashes,
         waiting,
         incarnation,
@@ -96,6 +97,7 @@
         self._usage = usage
         self._notices = notices
         self._limits = limits
+        self._turns = turns
         self._request_crashes = request_crashes
         self._placements = placements or policy.PartPlacements()
         self._waiting = waiting
@@ -325,6 +327,7 @@
         # First, since the gateway may be ready with the next two.
         if reply.evacuation is not None:
             self._apply_evacuation(reply.evacuation)
+        self._apply_turn(reply, now_ms)
         if reply.document is not None:
             self._apply_configuration(reply)
         if reply.listing != self._listing:
@@ -389,6 +392,25 @@
         )
         self._notify_listeners()
 
+    def _apply_turn(self, reply, now_ms):
+        self._turns.wall_offset_ms = self._wall.now_ms() - now_ms
+        self._turns.record_contact(now_ms)
+        if reply.position and reply.turn_count:
+            self._turns.set_position(
+                (reply.position - 1) % reply.turn_count,
+                reply.turn_count,
+                reply.turn_until_ms,
+                now_ms,
+            )
+        else:
+            # Several gateways may choose the same one, but not all of them.
+            self._turns.set_position(
+                zlib.crc32(self._incarnation.encode()) % self.gateway_count,
+                self.gateway_count,
+                0,
+                now_ms,
+            )
+
     def _apply_limits(self, reply, now_ms):
         self._limits.wall_offset_ms = self._wall.now_ms() - now_ms
         if reply.position:
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -20,6 +20,7 @@
 from paddle_router.gateway import _moves
 from paddle_router.gateway import _request_crashes
 from paddle_router.gateway import _server_notices
+from paddle_router.gateway import _server_starts
 from paddle_router.gateway import _stream_origins
 from paddle_router.gateway import _usage_counts
 from paddle_router.gateway import _waiting
@@ -103,6 +104,8 @@
         self.notices = policy.ServerNotices(drain_ms=settings.drain_ms)
         self.limits = policy.ServerLimits()
         self.placements = policy.PartPlacements()
+        self.turns = policy.GatewayTurns()
+        self.starts = _server_starts.ServerStarts(self.balancers, clock)
         self.waiting = _waiting.WaitingRequests(self)
         self.notice_recorder = _server_notices.ServerNoticeRecorder(
             self.notices,
@@ -132,6 +135,7 @@
             usage=self.usage,
             notices=self.notices,
             limits=self.limits,
+            turns=self.turns,
             request_crashes=self.request_crashes,
             placements=self.placements,
             waiting=self.waiting,
@@ -153,6 +157,7 @@
         self._servers = {}
         self._rng = random.Random()
         self.follower.on_change(self.apply_servers)
+        self.follower.on_reply(lambda _reply: self.starts.log_changes())
 
     def apply_servers(self):
         """Apply server list, evacuations and the servers' announcements."""
@@ -170,6 +175,7 @@
                     id=item.id,
                     born_ms=item.born_ms,
                     failure_domain=item.domain,
+                    cold_until_ms=item.cold_until_ms,
                     slots=item.slots,
                     cheap=item.spot,
                     leaving=item.leaving,
@@ -187,9 +193,13 @@
                     limits=self.limits,
                     placements=self.placements,
                     load_control=self.has_load_control(service),
+                    turns=self.turns,
+                    cold_overage=self.settings.cold_overage,
+                    cold_slack=self.settings.cold_slack,
                 )
             held_work = self.balancers[service].held_work
             held_work.is_enabled = self.buffers.is_enabled
+            self._configure_starts(service)
             self.balancers[service].sync(groups[service], now_ms)
             self.waiting.wake_all(service)
         self._log_evacuated(groups)
@@ -220,6 +230,16 @@
             balancer.held_work.gateway_count = gateway_count
             balancer.held_work.index = self.limits.index
 
+    def _configure_starts(self, service):
+        """Set how servers of ``service`` that start or are cold are used."""
+        table = self.follower.table
+        config = table and table.configuration.services.get(service)
+        self.balancers[service].configure_starts(
+            has_pace=self.has_load_control(service),
+            cold_rate_per_s=config.cold_rate_per_s if config else 0.0,
+            cold_start_ms=config.cold_start_ms if config else 0,
+        )
+
     def log_last_resort(self, service):
         """Log once when only leaving servers of ``service`` remain."""
         if not self.balancers[service].is_last_resort:
@@ -318,9 +338,13 @@
 
     def record_load(self, service, server_id, load):
         """Pass the load reported in a response to the balancer."""
-        if load.pace_percent is not None:
+        if (
+            load.pace_percent is not None
+            and service not in self._paced_services
+        ):
             self._paced_services.add(service)
             self.balancers[service].load_control = True
+            self._configure_starts(service)
         self.balancers[service].report(
             server_id,
             policy.LoadReport(
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -167,6 +167,8 @@
   demands @19 :List(ServiceDemand);
   evacuation @20 :Evacuation;
   placements @21 :List(PartPlacement);
+  turnCount @22 :UInt32;
+  turnUntilMs @23 :UInt64;
 }
 
 struct FrontNews {
@@ -214,4 +216,6 @@
   demands @15 :List(ServiceDemand);
   evacuation @16 :Evacuation;
   placements @17 :List(PartPlacement);
+  turnCount @18 :UInt32;
+  turnUntilMs @19 :UInt64;
 }
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -13,6 +13,7 @@
 from paddle_router.policy._buffer_budget import PROGRESS_SHARE
 from paddle_router.policy._buffer_budget import STALL_MS
 from paddle_router.policy._buffer_budget import Verdict
+from paddle_router.policy._cold_rate import ColdRate
 from paddle_router.policy._engine_state import Ejection
 from paddle_router.policy._fifo import FifoScheduler
 from paddle_router.policy._fleet_size import Bounds as FleetBounds
@@ -103,12 +104,17 @@
 from paddle_router.policy._software_versions import ServiceVersion
 from paddle_router.policy._software_versions import STREAM_RETENTION_MS
 from paddle_router.policy._software_versions import VersionHistory
+from paddle_router.policy._start_pace import Answers
+from paddle_router.policy._start_pace import StartPace
 from paddle_router.policy._tiered_fair import TieredFairScheduler
+from paddle_router.policy._turns import CLOCK_ERROR_MS
+from paddle_router.policy._turns import GatewayTurns
 from paddle_router.policy._waiting_queue import WaitingQueue
 
 __all__ = [
     'Action',
     'Admission',
+    'Answers',
     'Attempt',
     'Balancer',
     'balancers',
@@ -116,6 +122,8 @@
     'BufferBudget',
     'cheapest_mix',
     'ClassPolicy',
+    'CLOCK_ERROR_MS',
+    'ColdRate',
     'CrashReport',
     'DEADLINE',
     'decide_retry',
@@ -135,6 +143,7 @@
     'FleetSize',
     'Flight',
     'HeldWork',
+    'GatewayTurns',
     'Incarnation',
     'INTER_TOKEN',
     'is_request_trait',
@@ -196,6 +205,7 @@
     'SlowStart',
     'STALL_MS',
     'STARTING',
+    'StartPace',
     'StartUpTime',
     'StaticPeakPlanner',
     'STREAM_RETENTION_MS',
--- a/packages/router/src/paddle_router/policy/_hooks.py
+++ b/packages/router/src/paddle_router/policy/_hooks.py
@@ -127,11 +127,13 @@
     different value means a different incarnation with the same id. An
     ``evacuated`` one gets no requests until its domain is used again.
     ``kv_tokens`` is its memory for tokens, 0 if unknown.
+    It is cold until ``cold_until_ms``, by the same clock; 0 if it is not.
     """
 
     id: str
     born_ms: int = 0
     failure_domain: str = ''
+    cold_until_ms: int = 0
     slots: int = 8
     cheap: bool = False
     leaving: bool = False
--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from paddle_router.policy import _cold_rate
 from paddle_router.policy import _hooks
 from paddle_router.policy import _pace
 from paddle_router.policy import _server_notices
@@ -18,6 +19,11 @@
 # Backoff after a failed connection; doubles with each further failure.
 BACKOFF_MIN_MS = 300
 BACKOFF_MAX_MS = 2_000
+# Time without failures after which a server that starts gets a request even if
+# others look better: all gateways have heard of the last failure by then. It
+# doubles with each failure after such a time, since callers pay for them.
+PROBE_PAUSE_MS = 1_000
+PROBE_PAUSE_MAX_MS = 16_000
 # Older sums of other gateways are ignored.
 OTHERS_LIFETIME_MS = 2_000
 # Time constant of the lasting speed: several times as long as the measured
@@ -96,7 +102,10 @@
     ``affinity_rank`` is the rank of the server in the affinity order of the
     prompt's shared part, ``None`` without such a part. ``uncached`` is the
     number of prompt tokens that are not expected in the prefix cache.
-    ``slow_start`` is set if the request was sent during a slow start.
+    ``slow_start`` is set if the request was sent during a slow start, and
+    ``permit`` if the server may be cold. ``is_sent`` is set right before the
+    request is written, ``is_in_time`` if its answer began within the target,
+    and ``is_rejected`` after an answer that did not run it.
     ``copy_from_id`` is the server from which it copies prompt parts.
     """
 
@@ -112,6 +121,10 @@
     events: int = 0
     slow_start: _server_notices.SlowStart | None = None
     copy_from_id: str | None = None
+    permit: _cold_rate.Permit | None = None
+    is_sent: bool = False
+    is_in_time: bool = False
+    is_rejected: bool = False
 
 
 class _SlidingWindow:
@@ -165,6 +178,8 @@
     backoff_ms: int = BACKOFF_MIN_MS
     excluded_until_ms: int | None = None
     listed_leaving_since_ms: int | None = None
+    last_failure_ms: int | None = None
+    probe_pause_ms: int = PROBE_PAUSE_MS
     last_quiet_end_ms: int | None = None
     slow_start: _server_notices.SlowStart | None = None
 
@@ -172,6 +187,24 @@
     def incarnation(self):
         return _server_notices.Incarnation(self.engine.id, self.engine.born_ms)
 
+    def record_failure(self, now_ms):
+        """Record a failure that this or another gateway saw."""
+        if self.is_probe_due(now_ms) and self.last_failure_ms is not None:
+            passed_ms = now_ms - self.last_failure_ms
+            self.probe_pause_ms = (
+                PROBE_PAUSE_MS
+                if passed_ms > 2 * PROBE_PAUSE_MAX_MS
+                else min(2 * self.probe_pause_ms, PROBE_PAUSE_MAX_MS)
+            )
+        self.last_failure_ms = now_ms
+
+    def is_probe_due(self, now_ms):
+        """Whether the server has not failed for its probe pause."""
+        return (
+            self.last_failure_ms is None
+            or now_ms - self.last_failure_ms >= self.probe_pause_ms
+        )
+
     def is_replaced(self, now_ms):
         return (
             self.excluded_until_ms is not None
