--- a/packages/router/src/paddle_router/policy/_held_work.py
+++ b/packages/router/src/paddle_router/policy/_held_work.py
@@ -18,7 +18,8 @@
 # the tokens that it generates.
 TOKEN_SHARE = 0.8
 # Above this part of that, gateways send only what all of them can send. Below
-# it one request of each gateway in ``UNSEEN_MS`` fits on the users' sites.
+# it the requests that the sums don't show yet fit, and a bound would spread
+# streams over servers that other streams were kept away from.
 PRESSED_SHARE = 0.25
 # Age of the others' sums at most, while exchanges work: twice their period of
 # 250 ms and the time of the messages.
@@ -136,11 +137,11 @@
             return True
         if held + work.prompt_tokens > limit:
             return False
+        if held <= PRESSED_SHARE * limit:
+            return True
         recent = sum(
             now_ms - item.sent_ms < UNSEEN_MS for item in state.flights
         )
-        if not recent and held <= PRESSED_SHARE * limit:
-            return True
         size = max(1, work.prompt_tokens, self._mean_tokens)
         quota = int(ROOM_SHARE * (limit - held) / size)
         each, rest = divmod(quota, self.gateway_count)
