--- a/packages/router/src/paddle_router/policy/_shared_server.py
+++ b/packages/router/src/paddle_router/policy/_shared_server.py
@@ -235,7 +235,11 @@
         A load report shows it at one moment, and the sums of other gateways
         a moment that lies ``SUMS_AGE_MS`` before they arrived.
         """
-        sums_age_ms = now_ms - self.others_received_ms + SUMS_AGE_MS
+        # Neither counts once it is outdated.
+        sums_age_ms = min(
+            now_ms - self.others_received_ms + SUMS_AGE_MS,
+            OTHERS_LIFETIME_MS,
+        )
         age_ms = now_ms - self.reported_ms
         if self.reported is None or age_ms > sums_age_ms:
             return len(self.flights) + self.fresh_others(now_ms).running
--- a/packages/router/tests/test_policy_pace.py
+++ b/packages/router/tests/test_policy_pace.py
@@ -171,3 +171,14 @@
     built = segments(5, 10)
     assert built.kind_of(220) == 200
     assert built.kind_of(300) == 300
+
+
+def test_an_old_report_counts_for_nothing_without_the_exchange():
+    # Guards against a server that a gateway avoids for ever, because the last
+    # report was of much load and no sums arrive any more.
+    built = balancer(count=1)
+    state = built._states['s0']
+    built.report('s0', policy.LoadReport(running=8, waiting=30, slots=8), NOW)
+    assert state.latest_running(NOW) == 38
+    lifetime_ms = _shared_server.OTHERS_LIFETIME_MS
+    assert state.latest_running(NOW + lifetime_ms + 1) == 0
