--- a/packages/router/src/paddle_router/gateway/_buffers.py
+++ b/packages/router/src/paddle_router/gateway/_buffers.py
@@ -27,6 +27,10 @@
 # kernel doubles the value, and a link of 12.5 Mbit/s with a round trip of
 # 10 ms needs 16 kB.
 RECEIVE_BUFFER_BYTES = 32_768
+# Bytes that the kernel takes for a caller, which doubles the value. By default
+# it takes some MB, and then more only after a third of them has been read, so
+# that a steady reader makes no progress for seconds.
+SEND_BUFFER_BYTES = 65_536
 # Bytes read at a time. Each connection may have one such part beyond its room.
 RECEIVE_BYTES = 16_384
 
@@ -287,6 +291,15 @@
                 RECEIVE_BUFFER_BYTES,
             )
 
+    def limit_send_buffer(self, sock):
+        """Bound what the kernel takes for a caller that does not read."""
+        if self.is_enabled:
+            sock.setsockopt(
+                plain_socket.SOL_SOCKET,
+                plain_socket.SO_SNDBUF,
+                SEND_BUFFER_BYTES,
+            )
+
     def add_for_callers(self, size):
         """Count ``size`` more bytes that wait for callers."""
         self.held_for_callers += size
--- a/packages/router/src/paddle_router/gateway/_entry.py
+++ b/packages/router/src/paddle_router/gateway/_entry.py
@@ -105,8 +105,9 @@
         listener.setsockopt(
             gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1
         )
-        # Accepted connections inherit it.
+        # Accepted connections inherit them.
         buffers.limit_receive_buffer(listener)
+        buffers.limit_send_buffer(listener)
         listener.bind(paddle_kernel.split_address(address))
         listener.listen(BACKLOG)
         self._server = gevent.server.StreamServer(listener, self._serve)
@@ -198,18 +199,21 @@
             _refuse(conn, exc.status, b'bad request')
             return None
         except _buffers.BodyRefusedError as exc:
-            retry_after = b'%.3f' % (BODY_RETRY_AFTER_MS / MS_PER_S)
-            _refuse(
-                conn,
-                503,
-                str(exc).encode(),
-                headers=[(b'Retry-After', retry_after)],
-                # The caller may read the refusal only after its body is sent.
-                linger_ms=self._limits().header_ms,
-            )
-            return None
+            reason = str(exc).encode()
         finally:
             self._idle.pop(key, None)
+        # The traceback, which held the part that was read, is gone by now.
+        room.release()
+        retry_after = b'%.3f' % (BODY_RETRY_AFTER_MS / MS_PER_S)
+        _refuse(
+            conn,
+            503,
+            reason,
+            headers=[(b'Retry-After', retry_after)],
+            # The caller may read the refusal only after its body is sent.
+            linger_ms=self._limits().header_ms,
+        )
+        return None
 
     def _serve_one(self, conn, req):
         """Serve one request; return whether the connection is still usable."""
