--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -208,7 +208,7 @@
         self._components.exclude_other_versions(call)
         balancer = self._components.balancers.get(call.service)
         return balancer is not None and balancer.can_place(
-            call.excluded, self._clock.now_ms()
+            call.excluded, self._clock.now_ms(), call.engine_work
         )
 
     def _has_candidate_server(self, call):
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -229,6 +229,7 @@
         for balancer in self.balancers.values():
             balancer.held_work.gateway_count = gateway_count
             balancer.held_work.index = self.limits.index
+            balancer.held_work.wall_offset_ms = self.limits.wall_offset_ms
 
     def _configure_starts(self, service):
         """Set how servers of ``service`` that start or are cold are used."""
--- a/packages/router/src/paddle_router/gateway/_waiting.py
+++ b/packages/router/src/paddle_router/gateway/_waiting.py
@@ -32,13 +32,14 @@
 
     A request is queued only if every server that it could use is in its quiet
     time or at its limit, and only if it can be served before its deadline.
-    Requests that may use the same servers share a queue.
+    Requests that may use the same servers and need similar room there share a
+    queue, so that small ones do not wait for the room that large ones need.
     """
 
     def __init__(self, components):
         self._components = components
         self._clock = components.clock
-        # By service, then by the set of excluded servers.
+        # By service, then by the set of excluded servers and the size.
         self._queues = {}
         self._refused_callers = {}
         # Admissions by service, and when each of them decided last.
@@ -276,7 +277,7 @@
         now_ms = self._clock.now_ms()
         for queue in sorted(queues, key=policy.WaitingQueue.first_position):
             waiter = queue.first()
-            if balancer.can_place(waiter.call.excluded, now_ms):
+            if balancer.can_place(waiter.call.excluded, now_ms, waiter.work):
                 return waiter
         return None
 
@@ -306,9 +307,9 @@
 
     def _wait(self, call, work, balancer):
         queues = self._queues.setdefault(call.service, {})
-        key = call.excluded
+        key = call.excluded, balancer.held_work.size_class(work)
         queue = queues.setdefault(key, policy.WaitingQueue())
-        waiter = _Waiter(call)
+        waiter = _Waiter(call, work)
         position = queue.join(call.rank, call.req.received_ms, waiter)
         wait_start_ms = self._clock.now_ms()
         paddle_kernel.emit(
@@ -375,6 +376,7 @@
 class _Waiter:
     """A waiting request; ``event`` is set when it should check again."""
 
-    def __init__(self, call):
+    def __init__(self, call, work):
         self.call = call
+        self.work = work
         self.event = gevent.event.Event()
--- a/packages/router/src/paddle_router/policy/_held_work.py
+++ b/packages/router/src/paddle_router/policy/_held_work.py
@@ -35,6 +35,9 @@
 CRASH_RATIO = 0.5
 # After this time without a crash the lowered limit is doubled.
 RECOVERY_MS = 30_000
+# The limit is not lowered further: with less held no crash is suspected, and a
+# limit of 0 could not be doubled.
+MIN_LIMIT_BYTES = int(CRASH_RATIO * MIN_SUSPECT_BYTES)
 
 
 @attrs.define(eq=False)
@@ -43,12 +46,14 @@
 
     ``gateway_count`` gateways share the limits; this one is number ``index``
     from 0. ``is_enabled`` is false without a memory limit; every server has
-    room then.
+    room then. ``wall_offset_ms`` is added to monotonic times to get the
+    synchronized time, by which gateways take their turns.
     """
 
     is_enabled: bool = False
     gateway_count: int = 1
     index: int = 0
+    wall_offset_ms: int = 0
     _lowered_bytes: int | None = None
     _lowered_ms: int = 0
     # Mean prompt of this gateway's requests, as last seen.
@@ -73,6 +78,12 @@
             and self._has_bytes(state, work, now_ms)
         ]
 
+    def size_class(self, work):
+        """Return a value that is equal for work that needs similar room."""
+        if not self.is_enabled:
+            return None
+        return work.prompt_tokens.bit_length(), work.body_bytes.bit_length()
+
     def held_bytes(self, state):
         """Return the bytes of bodies that this gateway has at a server."""
         return sum(item.work.body_bytes for item in state.flights)
@@ -104,7 +115,10 @@
         """
         if not self.is_enabled or held_bytes < MIN_SUSPECT_BYTES:
             return None
-        limit = int(CRASH_RATIO * min(held_bytes, self.limit_bytes(now_ms)))
+        limit = max(
+            MIN_LIMIT_BYTES,
+            int(CRASH_RATIO * min(held_bytes, self.limit_bytes(now_ms))),
+        )
         self._lowered_bytes = limit
         self._lowered_ms = now_ms
         return limit
@@ -137,7 +151,7 @@
             return True
         if held + work.prompt_tokens > limit:
             return False
-        if held <= PRESSED_SHARE * limit:
+        if self.gateway_count == 1 or held <= PRESSED_SHARE * limit:
             return True
         recent = sum(
             now_ms - item.sent_ms < UNSEEN_MS for item in state.flights
@@ -146,7 +160,9 @@
         quota = int(ROOM_SHARE * (limit - held) / size)
         each, rest = divmod(quota, self.gateway_count)
         turn = (
-            self.index + now_ms // UNSEEN_MS + _offset(state.engine.id)
+            self.index
+            + (now_ms + self.wall_offset_ms) // UNSEEN_MS
+            + _offset(state.engine.id)
         ) % self.gateway_count
         return recent < each + (turn < rest)
 
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -448,12 +448,12 @@
             state.is_slow = state.lasting_speed > limit
         return forecasts
 
-    def can_place(self, avoid, now_ms):
-        """Return whether a server not in ``avoid`` accepts requests now."""
+    def can_place(self, avoid, now_ms, work=NO_WORK):
+        """Return whether a server not in ``avoid`` accepts ``work`` now."""
         states, _last = self._availability.usable(
             self._states_except(avoid), now_ms
         )
-        return bool(self.held_work.with_room(states, NO_WORK, now_ms))
+        return bool(self.held_work.with_room(states, work, now_ms))
 
     def record_crash(self, held_bytes, now_ms):
         """Record that a server crashed; see :meth:`HeldWork.record_crash`."""
--- a/packages/router/tests/test_policy_held_work.py
+++ b/packages/router/tests/test_policy_held_work.py
@@ -185,3 +185,41 @@
     states = [object()]
     work = policy.EngineWork(prompt_tokens=10**9, body_bytes=10**9)
     assert policy.HeldWork().with_room(states, work, 0) is states
+
+
+def test_repeated_crashes_leave_a_limit_that_recovers(held_work):
+    # Guards against a limit of 0, which no doubling raises again.
+    full = held_work.limit_bytes(0)
+    for second in range(40):
+        held_work.record_crash(70_000, second * 1_000)
+    assert held_work.limit_bytes(600_000) == full
+
+
+def test_gateways_take_turns_by_the_synchronized_time():
+    # Guards against two gateways that use the same room in the same turn,
+    # because the clocks of their machines started at different times.
+    engine = policy.Engine(id='s0', slots=200, kv_tokens=100_000)
+    work = policy.EngineWork(prompt_tokens=10_000)
+    wall_ms = 1_000_000
+    placed = 0
+    for index, now_ms in enumerate((4_800, 4_200, 3_600, 3_000)):
+        built = policy.balancers.create('shared_load', rng=random.Random(1))
+        built.sync([engine], 0)
+        built.held_work.is_enabled = True
+        built.held_work.gateway_count = 4
+        built.held_work.index = index
+        built.held_work.wall_offset_ms = wall_ms - now_ms
+        held = {'s0': policy.SharedLoad(running=5)}
+        built.set_other_loads(held, now_ms)
+        placed += built.choose(work, now_ms) is not None
+    assert placed == 1
+
+
+def test_a_lone_gateway_uses_all_of_the_room():
+    # Guards against a prompt that fits and is never placed.
+    built = policy.balancers.create('shared_load', rng=random.Random(1))
+    built.sync([policy.Engine(id='s0', slots=200, kv_tokens=100_000)], 0)
+    built.held_work.is_enabled = True
+    assert built.choose(policy.EngineWork(prompt_tokens=26_000), 0)
+    assert built.choose(policy.EngineWork(prompt_tokens=30_000), 10_000)
+    assert not built.choose(policy.EngineWork(prompt_tokens=30_000), 20_000)
