--- a/packages/router/src/paddle_router/gateway/_waiting.py
+++ b/packages/router/src/paddle_router/gateway/_waiting.py
@@ -1,7 +1,9 @@
 """Queues of requests that wait for a server to accept requests again."""
 
 import collections
+import hashlib
 
+import gevent
 import gevent.event
 
 import paddle_kernel
@@ -19,6 +21,7 @@
 MIN_RECHECK_INTERVAL_MS = 50
 
 
+FINGERPRINT_BYTES = 12
 # Arrivals are reported per 1,000 s, so that a gateway with less than one
 # request a second counts.
 ARRIVALS_SPAN_MS = 1_000_000
@@ -45,6 +48,8 @@
         # Admissions by service, and when each of them decided last.
         self._admissions = {}
         self._decided_ms = {}
+        # Greenlets that decide at intervals, by service.
+        self._checks = {}
 
     @property
     def count(self):
@@ -206,10 +211,9 @@
             is_retry=is_retry,
         )
         self._decide(call.service, views)
-        while req.decision is None:
-            req.payload.wait(admission.check_ms / MS_PER_S)
-            if req.decision is None:
-                self._decide_again(call.service, admission.check_ms)
+        if req.decision is None:
+            self._start_checks(call.service, admission)
+            req.payload.wait()
         waited_ms = self._clock.now_ms() - now_ms
         self._components.metrics.load_waited.observe(waited_ms / MS_PER_S)
         if isinstance(req.decision, policy.Send):
@@ -227,6 +231,22 @@
         )
         return False
 
+    def _start_checks(self, service, admission):
+        """Decide at intervals while requests of ``service`` wait.
+
+        One timer for all of them: with a timer each, 1,000 waiting requests
+        take a whole core.
+        """
+        if not self._checks.get(service):
+            self._checks[service] = gevent.spawn(
+                self._check_waiting, service, admission
+            )
+
+    def _check_waiting(self, service, admission):
+        while len(admission):
+            self._clock.sleep_ms(admission.check_ms)
+            self._decide_again(service, admission.check_ms)
+
     def _decide_again(self, service, interval_ms=0):
         """Decide unless this was done within ``interval_ms``."""
         now_ms = self._clock.now_ms()
@@ -364,7 +384,7 @@
         rank=call.rank,
         customer=call.customer.name if call.customer else '',
         class_name=call.route.name,
-        fingerprint=call.fingerprint,
+        fingerprint=_load_fingerprint(call),
         arrived_ms=call.req.received_ms,
         target_ms=call.route.target_ms or call.route.timeout_ms,
         timeout_ms=call.route.timeout_ms,
@@ -373,6 +393,21 @@
     )
 
 
+def _load_fingerprint(call):
+    """Return a digest that decides when it is the turn of ``call``.
+
+    Requests without a body have the same fingerprint whenever they ask for the
+    same key, so that a popular key would be served and refused in blocks of
+    some seconds. They are told apart by their id.
+    """
+    if call.req.body or call.metadata.request_id is None:
+        return call.fingerprint
+    digest = hashlib.blake2b(
+        call.metadata.request_id.encode(), digest_size=FINGERPRINT_BYTES
+    )
+    return digest.hexdigest()
+
+
 class _Waiter:
     """A waiting request; ``event`` is set when it should check again."""
 
--- a/packages/router/src/paddle_router/policy/_load_admission.py
+++ b/packages/router/src/paddle_router/policy/_load_admission.py
@@ -53,6 +53,10 @@
 # Engines keep requests of the highest rank waiting beyond their slots; the
 # lowest rank gets the slots only.
 ENGINE_QUEUE_RATIO = 0.25
+# A higher rank is not refused at engines for this time after a lower one could
+# last be sent: requests of the lower one still wait and start there, and the
+# engines run the higher one first.
+LOWER_RANK_MEMORY_MS = 15_000
 # The mean occupancy that is wanted while requests are turned away. The ratios
 # are lower above it and higher below it.
 WANTED_OCCUPANCY = 1.1
@@ -68,6 +72,10 @@
 CORRECTION_RANGE = (0.9, 3.0)
 # Below this occupancy every request is sent.
 SPARE_OCCUPANCY = 0.5
+# For how long a rank counts as partly served after the last such decision.
+RATIO_LIFETIME_MS = 2_000
+# A rank with less demand at all gateways has ended; one request in 20 s.
+MIN_RANK_PER_MS = 1 / 20_000
 # Time constant of the mean of other gateways' requests at the servers, whose
 # sums come every 250 ms.
 MEAN_TIME_S = 1.0
@@ -213,6 +221,8 @@
         self._tickets = {}
         # Requests that are sent and not in the views yet.
         self._unplaced = set()
+        # When requests of each rank could last be sent.
+        self._open_ms = {}
         # Requests with a decision that decide() has not returned yet.
         self._decided = []
         self._own = {}
@@ -314,11 +324,14 @@
         if not capacity.places:
             # The caller knows when a server will accept requests.
             return decided + self._send_all(now_ms)
+        live_ranks = self._live_ranks(now_ms)
+        if self._is_engine:
+            self._record_open_ranks(capacity, live_ranks, now_ms)
         while True:
             ranks = {
                 rank
                 for rank in self._scheduler.queued_by_tier()
-                if self._may_send(rank, capacity)
+                if self._may_send(rank, capacity, live_ranks, now_ms)
             }
             choice = self._scheduler.next(1 if ranks else 0, now_ms, ranks)
             for refusal in choice.refused:
@@ -400,7 +413,7 @@
         )
         gain = 1 - math.exp(-passed_s / MEAN_TIME_S)
         self._occupancy += gain * (capacity.occupancy - self._occupancy)
-        self._update_correction(min(passed_s, MEAN_TIME_S))
+        self._update_correction(min(passed_s, MEAN_TIME_S), now_ms)
         gain = 1 - math.exp(-passed_s / PACE_TIME_S)
         self._pace_occupancy += gain * (
             capacity.occupancy - self._pace_occupancy
@@ -413,9 +426,9 @@
             * max(1.0, self._pace_occupancy + UNEVEN_OCCUPANCY),
         )
 
-    def _update_correction(self, passed_s):
+    def _update_correction(self, passed_s, now_ms):
         change = CORRECTION_PER_S * passed_s
-        if any(own.ratio < 1 for own in self._own.values()):
+        if any(own.is_limited(now_ms) for own in self._own.values()):
             self._correction *= math.exp(
                 change * (WANTED_OCCUPANCY - self._occupancy)
             )
@@ -427,7 +440,9 @@
     def _is_served(self, req, capacity, now_ms, wall_ms):
         """Whether ``req`` is among the requests that are served now."""
         if self._is_engine or capacity.is_half_free:
-            self._demand(req.rank).record(req.customer, now_ms)
+            demand = self._demand(req.rank)
+            demand.ratio = 1.0
+            demand.record(req.customer, now_ms)
             return True
         due_ms = self._refused.get(req.fingerprint)
         if due_ms is not None and now_ms < due_ms:
@@ -460,9 +475,9 @@
         if not total or not capacity.per_ms:
             return 1.0
         ranks = set(self._own) | set(self._others)
-        wanted = WANTED_OCCUPANCY + self._precedence(rank) * (
-            HIGHEST_WANTED_OCCUPANCY - WANTED_OCCUPANCY
-        )
+        wanted = WANTED_OCCUPANCY + _precedence(
+            rank, self._live_ranks(now_ms)
+        ) * (HIGHEST_WANTED_OCCUPANCY - WANTED_OCCUPANCY)
         excess = self._occupancy - wanted
         per_ms = (
             capacity.per_ms
@@ -507,24 +522,42 @@
 
     # Places
 
-    def _may_send(self, rank, capacity):
+    def _may_send(self, rank, capacity, ranks, now_ms):
+        if self._is_engine and any(
+            now_ms - self._open_ms[other] < LOWER_RANK_MEMORY_MS
+            for other in ranks
+            if other > rank
+        ):
+            return True
+        return self._is_below_limit(rank, capacity, ranks)
+
+    def _record_open_ranks(self, capacity, ranks, now_ms):
+        for rank in ranks:
+            if rank not in self._open_ms or self._is_below_limit(
+                rank, capacity, ranks
+            ):
+                self._open_ms[rank] = now_ms
+
+    def _is_below_limit(self, rank, capacity, ranks):
         if self._is_engine:
-            limit = 1.0 + ENGINE_QUEUE_RATIO * self._precedence(rank)
+            limit = 1.0 + ENGINE_QUEUE_RATIO * _precedence(rank, ranks)
         else:
             # Of servers that others use, too little is known at one moment
             # to keep places for higher ranks; the ratios do this.
-            part = max(self._precedence(rank), 1 - 1 / self._gateway_count)
+            part = max(_precedence(rank, ranks), 1 - 1 / self._gateway_count)
             limit = LOWEST_RANK_OCCUPANCY + part * (
                 MAX_OCCUPANCY - LOWEST_RANK_OCCUPANCY
             )
         return capacity.running < limit * capacity.places
 
-    def _precedence(self, rank):
-        """Return 1.0 for the highest waiting or recent rank, down to 0.0."""
-        ranks = sorted(set(self._own) | set(self._others))
-        if len(ranks) < 2:
-            return 1.0
-        return 1 - ranks.index(rank) / (len(ranks) - 1)
+    def _live_ranks(self, now_ms):
+        """Return the ranks with waiting or recent requests, highest first."""
+        queued = self._scheduler.queued_by_tier()
+        return sorted(
+            rank
+            for rank in set(self._own) | set(self._others)
+            if rank in queued or self._total(rank, now_ms) > MIN_RANK_PER_MS
+        )
 
     def _send_all(self, now_ms):
         choice = self._scheduler.next(len(self), now_ms)
@@ -564,6 +597,7 @@
         self.total = _meter.ArrivalRate()
         self.customers = {}
         self.ratio = 1.0
+        self._ratio_ms = 0
         # Requests that the ratio allows and customers have not used.
         self._carry = 0.0
 
@@ -571,12 +605,17 @@
         self.total.add(1, now_ms)
         self._meter(customer).add(1, now_ms)
 
+    def is_limited(self, now_ms):
+        """Whether some requests were turned away a short time ago."""
+        return self.ratio < 1 and now_ms - self._ratio_ms < RATIO_LIFETIME_MS
+
     def customer_ratio(self, customer, ratio, now_ms):
         """Return the ratio for ``customer`` if ``ratio`` holds for the rank.
 
         Customers with little demand get all of it, others an equal amount.
         """
         self.ratio = ratio
+        self._ratio_ms = now_ms
         if ratio >= 1:
             self._carry = 0.0
             return 1.0
@@ -607,6 +646,13 @@
         return meter
 
 
+def _precedence(rank, ranks):
+    """Return 1.0 for the highest of the sorted ``ranks``, down to 0.0."""
+    if len(ranks) < 2 or rank not in ranks:
+        return 1.0
+    return 1 - ranks.index(rank) / (len(ranks) - 1)
+
+
 def _fair_level(rates, amount):
     """Return the level at which rates are cut so that ``amount`` is left."""
     rates = sorted(rates)
--- a/packages/router/tests/test_load_admission.py
+++ b/packages/router/tests/test_load_admission.py
@@ -9,6 +9,7 @@
 import itertools
 import random
 import statistics
+import sys
 
 import attrs
 import pytest
@@ -506,3 +507,150 @@
     monkeypatch.setattr(policy.LoadAdmission, '_may_send', lambda *_args: True)
     replay = overloaded(3, 4).run()
     assert replay.in_time_ratio(is_urgent) < 0.5
+
+
+ENGINE_SLOTS = 32
+RUN_MS = 2_000
+WINDOW_MS = 5_000
+
+
+def views(running, **fields):
+    return (
+        policy.ServerView(
+            server=policy.Incarnation('s'),
+            slots=16,
+            running=running,
+            **fields,
+        ),
+    )
+
+
+def load_request(rank, number, now_ms):
+    return policy.LoadRequest(
+        rank=rank,
+        customer='c',
+        class_name=str(rank),
+        fingerprint=f'{number:012x}',
+        arrived_ms=now_ms,
+        target_ms=500,
+        timeout_ms=3_000,
+        end_ms=now_ms + 3_000,
+    )
+
+
+class EngineServer(Server):
+    """An engine: a queue by rank without a bound."""
+
+    def accept(self, on_done, rank):
+        if self.running == ENGINE_SLOTS:
+            self.queue.append((rank, on_done))
+            self.queue.sort(key=lambda item: item[0])
+        else:
+            self._start(rank, on_done)
+
+    def _start(self, rank, on_done):
+        if rank == NORMAL:
+            self.replay.normal_begun_ms.append(self.replay.now_ms)
+        self.running += 1
+        run_ms = int(RUN_MS * self.replay.rng.uniform(0.75, 1.5))
+        self.replay.at(run_ms, lambda: self._finish(on_done))
+
+    def _finish(self, on_done):
+        self.running -= 1
+        if self.queue:
+            self._start(*self.queue.pop(0))
+        on_done()
+
+
+class EngineGateway(Gateway):
+    def __init__(self, replay):
+        super().__init__(replay)
+        self.admission = policy.LoadAdmission(is_engine=True)
+
+    def send(self, req):
+        server_id = self.choose(self.views())
+        work = policy.EngineWork(target_ms=500, gap_ms=200)
+        flight = self.balancer.place(server_id, work, self.replay.now_ms)
+        self.admission.placed(req)
+        self.replay.servers[server_id].accept(
+            lambda: self.finish(req, flight), req.rank
+        )
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('gateways', [3, 60])
+def test_urgent_work_is_not_refused_while_other_work_begins(
+    monkeypatch, gateways, seed
+):
+    # Load: a burst of four times the capacity of the engines beside urgent
+    # work for two fifths of it. Guards against urgent work that is refused
+    # because less urgent work waits at the engines, and begins there.
+    replays = sys.modules[__name__]
+    monkeypatch.setattr(replays, 'SLOTS', ENGINE_SLOTS)
+    monkeypatch.setattr(replays, 'Server', EngineServer)
+    monkeypatch.setattr(replays, 'Gateway', EngineGateway)
+    capacity_per_s = SERVERS * ENGINE_SLOTS * 1_000 / RUN_MS
+    monkeypatch.setattr(replays, 'CAPACITY_PER_S', capacity_per_s)
+    replay = Replay(gateways, seed=seed)
+    replay.normal_begun_ms = []
+    replay.add_callers(0.4, URGENT)
+    at_ms = 5_000.0
+    while at_ms < 12_000:
+        at_ms += replay.rng.expovariate(4 * capacity_per_s / 1_000)
+        caller = Caller(
+            NORMAL,
+            f'c{replay.rng.randrange(10)}',
+            hashlib.blake2b(replay.rng.randbytes(8)).hexdigest()[:24],
+            replay.now_ms + int(at_ms),
+        )
+        replay.callers.append(caller)
+        replay.at(int(at_ms), lambda caller=caller: replay.arrive(caller))
+    replay.run()
+    for begin_ms in range(10_000, 26_000, 500):
+        end_ms = begin_ms + WINDOW_MS
+        urgent = [
+            item
+            for item in replay.callers
+            if item.rank == URGENT and begin_ms <= item.sent_ms < end_ms
+        ]
+        refused = sum(item.refused_ms is not None for item in urgent)
+        begun = sum(begin_ms <= x < end_ms for x in replay.normal_begun_ms)
+        assert refused < 10 or refused <= len(urgent) / 12 or not begun
+
+
+@pytest.mark.parametrize('running', [20, 24, 32])
+def test_a_gateway_that_starts_sends_urgent_work_to_full_engines(running):
+    decisions = engine_decisions(running, [NORMAL, URGENT])
+    assert decisions[1] is policy.Send
+
+
+def test_a_rank_that_has_ended_lowers_no_other():
+    # Guards against a limit that stays low since urgent work came once.
+    admission = policy.LoadAdmission(is_engine=True)
+    req = load_request(URGENT, 1, 0)
+    admission.add(req, views(1), 0, 0)
+    admission.decide(views(1), 0)
+    admission.finish(req, 100)
+    req = load_request(NORMAL, 2, 60_000)
+    admission.add(req, views(17), 60_000, 0)
+    admission.decide(views(17), 60_000)
+    assert isinstance(req.decision, policy.Send)
+
+
+def test_the_correction_ends_with_the_overload():
+    # Load: an overload of 2 s and 30 s of calm. Guards against a correction
+    # that grows in the calm, so that the next burst gets three times too much.
+    admission = policy.LoadAdmission()
+    demands = [policy.RankDemand(rank=NORMAL, per_ms=4.0)]
+    for number in range(80):
+        is_calm = number >= 20
+        now_ms = 500 * number if is_calm else 100 * number
+        admission.set_others(() if is_calm else demands, 3, now_ms)
+        rank, running = (URGENT, 1) if is_calm else (NORMAL, 20)
+        req = load_request(rank, number, now_ms)
+        admission.add(req, views(running, pace_ms=100), now_ms, now_ms)
+        admission.decide(views(running, pace_ms=100), now_ms)
+        admission.finish(req, now_ms)
+    state = admission.dump(now_ms)
+    assert state['turned_away']
+    assert state['correction'] < 1.2
--- a/packages/testbed/tests/test_gateway_load_control.py
+++ b/packages/testbed/tests/test_gateway_load_control.py
@@ -2,9 +2,12 @@
 
 import re
 
+import gevent
+import gevent.event
 import pytest
 
 from paddle_router import gateway
+from paddle_router.gateway import _waiting
 from paddle_testbed import gateway_harness
 
 request = gateway_harness.request
@@ -92,3 +95,63 @@
     overload(harness)
     assert {response[0] for response in send_many(harness)} == {200}
     harness.close()
+
+
+def test_requests_for_one_key_are_told_apart(loaded):
+    # Load: many callers ask for one key. Guards against all of them being
+    # taken for one caller who repeats: not counted, and refused together.
+    for _ in range(12):
+        gateway_harness.exchange(loaded, request('/safe/hot'))
+    loaded.follower.step()
+    demands = loaded.controllers.requests[-1].reports[0].demands
+    assert demands[0].arrivals > 12 * 0.5 * 1_000_000 / 2_000
+
+
+def hold(harness):
+    """Report 20 requests at four places and no further demand."""
+    harness.controllers.loads = (
+        gateway.ServerFlights(id='i-0', running=20, answers=100, pace_ms=50),
+    )
+    harness.follower.step()
+    # The load by other gateways is averaged over a second.
+    gevent.sleep(1.5)
+
+
+def test_waiting_requests_share_a_timer(monkeypatch):
+    # Load: a flood of requests that all wait. Guards against a timer for each
+    # of them: 1,000 of them took a whole core.
+    checks = []
+    check = _waiting.WaitingRequests._decide_again
+    monkeypatch.setattr(
+        _waiting.WaitingRequests,
+        '_decide_again',
+        lambda *args: (checks.append(1), check(*args)),
+    )
+    harness = serve(load_control=True)
+    hold(harness)
+    tasks = [
+        gevent.spawn(
+            gateway_harness.exchange,
+            harness,
+            request('/book/x', method='POST', body=b'%d' % number),
+        )
+        for number in range(20)
+    ]
+    gevent.joinall(tasks, timeout=5)
+    assert {task.value[0] for task in tasks} == {503}
+    assert len(checks) <= 15
+    harness.close()
+
+
+def test_a_waiting_caller_that_leaves_is_forgotten():
+    harness = serve(load_control=True)
+    hold(harness)
+    sock = harness.connect()
+    sock.sendall(request('/book/x', method='POST', body=b'1'))
+    gevent.sleep(0.02)
+    admission = harness.gateway.components.waiting._admissions['plain']
+    assert len(admission) == 1
+    sock.close()
+    gevent.sleep(0.03)
+    assert len(admission) == 0
+    harness.close()
