--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -235,10 +235,15 @@
         """Set how servers of ``service`` that start or are cold are used."""
         table = self.follower.table
         config = table and table.configuration.services.get(service)
+        if not config:
+            return
         self.balancers[service].configure_starts(
-            has_pace=self.has_load_control(service),
-            cold_rate_per_s=config.cold_rate_per_s if config else 0.0,
-            cold_start_ms=config.cold_start_ms if config else 0,
+            # Servers that are fast from their start need no pace, and the
+            # others can't take their load in a burst.
+            has_pace=self.has_load_control(service)
+            and config.cold_start_ms > 0,
+            cold_rate_per_s=config.cold_rate_per_s,
+            cold_start_ms=config.cold_start_ms,
         )
 
     def log_last_resort(self, service):
@@ -265,7 +270,10 @@
         return traits.copy_rate
 
     def _kv_tokens(self, service):
-        if self.follower.table is None:
+        if (
+            not self.settings.bounds_engine_tokens
+            or self.follower.table is None
+        ):
             return 0
         engine = self.engine_traits(service)
         return 0 if engine is None else engine.kv_tokens
--- a/packages/router/src/paddle_router/gateway/_settings.py
+++ b/packages/router/src/paddle_router/gateway/_settings.py
@@ -22,9 +22,11 @@
     load of servers that have started or recovered grows with their answers.
     Without it, this applies to the services whose servers tell the pace of
     their machines. ``memory_mb`` is the memory limit of the process, 0 if it
-    is not to bound its buffers by it. ``cpu_share`` is the part of a core and
-    ``link_mbps`` the bandwidth that the process has, 0 if unknown. All
-    gateways together send a cold server at most its rate times
+    is not to bound its buffers by it. With ``bounds_engine_tokens`` too, model
+    engines get no more prompt tokens than they have memory for; engines that
+    preempt requests instead of ending don't need it. ``cpu_share`` is the part
+    of a core and ``link_mbps`` the bandwidth that the process has, 0 if
+    unknown. All gateways together send a cold server at most its rate times
     ``cold_overage`` plus ``cold_slack`` requests in any second.
     """
 
@@ -41,6 +43,7 @@
     drain_ms: int = policy.DRAIN_MS
     load_control: bool = False
     memory_mb: int = 0
+    bounds_engine_tokens: bool = False
     cpu_share: float = 0.0
     link_mbps: float = 0.0
     cold_overage: float = 1.0
--- a/packages/testbed/tests/test_gateway_held_work.py
+++ b/packages/testbed/tests/test_gateway_held_work.py
@@ -22,7 +22,9 @@
 @pytest.fixture
 def bounded():
     """A harness whose gateway has a memory limit."""
-    built = gateway_harness.GatewayHarness(memory_mb=MEMORY_MB)
+    built = gateway_harness.GatewayHarness(
+        memory_mb=MEMORY_MB, bounds_engine_tokens=True
+    )
     config = copy.deepcopy(gateway_harness.CONFIG)
     config['limits'] = {'headerTimeoutMs': HEADER_MS}
     config['services'][0]['engine'] = {'slots': 16, 'kvCacheTokens': 1_000}
--- a/packages/testbed/tests/test_gateway_slow_readers.py
+++ b/packages/testbed/tests/test_gateway_slow_readers.py
@@ -170,7 +170,9 @@
 @pytest.fixture
 def bounded():
     """A harness whose gateway has a memory limit."""
-    built = gateway_harness.GatewayHarness(memory_mb=MEMORY_MB)
+    built = gateway_harness.GatewayHarness(
+        memory_mb=MEMORY_MB, bounds_engine_tokens=True
+    )
     built.controllers.config = build_config()
     yield built
     built.close()
