--- a/packages/router/src/paddle_router/policy/_cold_rate.py
+++ b/packages/router/src/paddle_router/policy/_cold_rate.py
@@ -137,8 +137,12 @@
             for server in set(values) - self._listed:
                 del values[server]
 
-    def mark_failed(self, server, now_ms):
-        """Record that ``server`` failed here or at another gateway."""
+    def mark_suspected(self, server, now_ms):
+        """Record that ``server`` may have become cold without notice.
+
+        It failed here or at another gateway, or its domain is used again after
+        an evacuation.
+        """
         if not self.is_bounded:
             return
         self._answered_ms.pop(server, None)
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -227,6 +227,9 @@
                 has_started = False
             if has_started or self._turns_cold(state, engine, now_ms):
                 self._begin_pace(engine, now_ms)
+            if state.engine.evacuated and not engine.evacuated:
+                # It may have become cold, which the list shows later.
+                self._cold.mark_suspected(state.incarnation, now_ms)
             state.engine = engine
             if not engine.leaving:
                 state.listed_leaving_since_ms = None
@@ -937,7 +940,7 @@
     def _record_failure(self, state, now_ms):
         """Record that a server failed a request here or elsewhere."""
         state.record_failure(now_ms)
-        self._cold.mark_failed(state.incarnation, now_ms)
+        self._cold.mark_suspected(state.incarnation, now_ms)
         if state.failure_ratio(now_ms) >= RECOVERY_FAILURE_RATIO:
             self._begin_pace(state.engine, now_ms)
 
--- a/packages/router/tests/test_policy_cold_rate.py
+++ b/packages/router/tests/test_policy_cold_rate.py
@@ -242,7 +242,7 @@
 def test_a_server_that_failed_may_return_cold(cold):
     # Guards against a crashed server that the list shows as warm for seconds.
     cold.set_servers({SERVER: 0}, 0)
-    cold.mark_failed(SERVER, 5_000)
+    cold.mark_suspected(SERVER, 5_000)
     assert cold.is_cold(SERVER, 5_000 + COLD_START_MS)
     assert not cold.is_cold(SERVER, 10_000 + COLD_START_MS)
 
--- a/packages/router/tests/test_policy_cold_return.py
+++ b/packages/router/tests/test_policy_cold_return.py
@@ -203,3 +203,33 @@
         item.balancer.configure_starts(has_pace=False)
     load.run()
     assert load.most_in_second(RETURN_MS, WARM_MS) > BOUND
+
+
+def test_servers_of_a_domain_that_is_used_again_may_be_cold():
+    # Guards against all gateways that return to a domain at once: its servers
+    # may have become cold meanwhile, and the list shows it late.
+    turns = policy.GatewayTurns()
+    turns.wall_offset_ms = WALL_MS
+    turns.set_position(0, GATEWAYS, 2**50, -10_000)
+    balancer = policy.SharedLoadBalancer(
+        rng=random.Random(1),
+        turns=turns,
+        cold_overage=OVERAGE,
+        cold_slack=SLACK,
+    )
+    balancer.configure_starts(
+        has_pace=False, cold_rate_per_s=RATE_PER_S, cold_start_ms=COLD_START_MS
+    )
+    evacuated = policy.Engine(id='s0', slots=16, evacuated=True)
+    balancer.sync([evacuated], 0)
+    balancer.sync([policy.Engine(id='s0', slots=16)], 10_000)
+    sent = [
+        balancer.choose(WORK, now_ms)
+        for now_ms in range(10_000, 11_000, 10)
+        for _ in range(2)
+    ]
+    # Its turn comes for less than one in 87 of the requests.
+    assert sum(flight is not None for flight in sent) <= 1
+    warm_ms = 10_000 + COLD_START_MS + 2_000
+    turns.record_contact(warm_ms)
+    assert balancer.choose(WORK, warm_ms) is not None
