Log how a moved stream ended and whether its move was sent

Three streams were passed on as complete after their servers had stopped the runs for a move. No decision changes.

Ruled out: a new event for the end of the connection, since 3310 has one line for each stream already.

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -67,10 +67,12 @@
     ``reason`` describe the final response, ``first_ms`` and ``longest_gap_ms``
     its events, ``forwarded_events`` counts those of ended attempts.
     ``stream_format`` is the :func:`_stream.stream_format` of a stream that was
-    started; ``has_event_id`` and ``has_data`` tell whether events with an id
-    and with content were forwarded. ``software_version`` is that of the
-    servers whose events the caller has, ``None`` before the first; servers of
-    other versions cannot continue the stream, and ``unsuitable`` holds the
+    started; ``move_state`` is the :attr:`RunningStream.move_state` at the end
+    of its last attempt, whose response ended with its connection if
+    ``is_end_unframed``. ``has_event_id`` and ``has_data`` tell whether events
+    with an id and with content were forwarded. ``software_version`` is that of
+    the servers whose events the caller has, ``None`` before the first; servers
+    of other versions cannot continue the stream, and ``unsuitable`` holds the
     ids of those listed. ``origin`` is the :class:`StreamOrigin` that the
     stream has if its first event comes from this attempt; the event
     ``origin_recorded`` is set once a controller knows it. ``continuation`` is
@@ -104,6 +106,8 @@
     last_event_ms: int = 0
     forwarded_events: int = 0
     stream_format: tuple = ()
+    move_state: str = ''
+    is_end_unframed: bool = False
     has_event_id: bool = False
     has_data: bool = False
     software_version: str | None = None
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -345,6 +345,8 @@
             server=call.server_id,
             first_ms=call.first_ms,
             longest_gap_ms=call.longest_gap_ms,
+            move=call.move_state,
+            unframed=call.is_end_unframed,
             took_ms=self._clock.now_ms() - call.req.received_ms,
             version=self._version(),
         )
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -75,7 +75,8 @@
     ``events`` counts the events of this response, ``earlier_events`` those
     that the caller got before from an earlier attempt. ``move_result`` is set
     once a move is requested; its value becomes a :class:`Continuation`, or
-    ``None`` if the move failed.
+    ``None`` if the move failed. ``is_move_sent`` tells whether the server may
+    have received the request.
     """
 
     call: object
@@ -85,6 +86,16 @@
     events: int = 0
     earlier_events: int = 0
     move_result: gevent.event.AsyncResult | None = None
+    is_move_sent: bool = False
+
+    @property
+    def move_state(self):
+        """The move as a word for the log, empty without one."""
+        if self.move_result is None:
+            return ''
+        if not self.move_result.ready():
+            return 'requested'
+        return 'copied' if self.move_result.value is not None else 'failed'
 
     def record_events(self, events, passed_ms):
         """Record ``events`` new events that arrived after ``passed_ms``."""
@@ -195,6 +206,8 @@
                 _events.MOVE_FAILED,
                 request=stream.call.metadata.request_id,
                 server=stream.server.id,
+                sent=stream.is_move_sent,
+                status=getattr(exc, 'status', None),
                 detail=str(exc)[:200],
             )
         finally:
@@ -210,7 +223,7 @@
         status, body = self._post(stream, target)
         handle = self._components.dialect.parse_move_response(body)
         if handle is None:
-            raise _MoveError(f'status {status}')
+            raise _MoveError(f'status {status}', status)
         # If the target has no room, the run is stopped nevertheless and can
         # only continue at the source, which holds its KV cache.
         destination = target if status == 200 else stream.server
@@ -295,6 +308,7 @@
         is_whole = False
         try:
             self._check_permit(stream)
+            stream.is_move_sent = True
             conn.send(
                 *self._components.dialect.build_move_request(
                     stream.call.metadata.request_id, stream.server, target
@@ -326,7 +340,14 @@
 
 
 class _MoveError(Exception):
-    """A run could not be moved; the text gives the reason."""
+    """A run could not be moved; the text gives the reason.
+
+    ``status`` is that of the server's response, ``None`` without one.
+    """
+
+    def __init__(self, text, status=None):
+        super().__init__(text)
+        self.status = status
 
 
 def _move_order(stream):
