Show that a stream stopped by a move ends as complete

Callers got a part of a stream as a complete response. Servers of the gateway harness send streams with neither a length nor chunks, stop the run when a move asks for it and close the connection between two events. 27 of 37 cases fail: the stream ends as complete after 4 of 12 events for every response to the move (200 and 503 with a handle, 500, 200 and 503 without a handle, no JSON, cut, none, 2 s late), on routes that can be resumed and others. The ten cases in which the server refuses the move and stops nothing pass; a fix must keep them.

--- a/packages/testbed/tests/test_gateway_unframed_moves.py
+++ b/packages/testbed/tests/test_gateway_unframed_moves.py
@@ -192,6 +192,54 @@
     ]
 
 
+@pytest.mark.parametrize('path', ['/report/x', '/chat/x'])
+@pytest.mark.parametrize('name', COPY_RESPONSES)
+def test_a_stream_closed_for_its_move_goes_on(serve_unframed, name, path):
+    harness, engines = serve_unframed(COPY_RESPONSES[name])
+    body = run_moved_stream(harness, engines, path)
+    assert event_ids(body) == ALL_EVENTS
+    assert body.endswith(fakes.STREAM_END)
+
+
+@pytest.mark.parametrize('closes_first', [True, False])
+@pytest.mark.parametrize('name', NO_COPY_RESPONSES)
+def test_a_stream_closed_for_a_failed_move_is_incomplete(
+    serve_unframed, name, closes_first
+):
+    harness, engines = serve_unframed(
+        NO_COPY_RESPONSES[name], closes_first=closes_first
+    )
+    body = run_moved_stream(harness, engines, '/report/x')
+    events = event_ids(body)
+    assert events == ALL_EVENTS[: len(events)] and len(events) < LAST_EVENT
+    assert not body.endswith(fakes.STREAM_END)
+    assert sum(len(engine.runs) for engine in engines) == 1
+
+
+@pytest.mark.parametrize('name', NO_COPY_RESPONSES)
+def test_a_resumable_stream_closed_for_a_failed_move_is_resumed(
+    serve_unframed, name
+):
+    harness, engines = serve_unframed(NO_COPY_RESPONSES[name])
+    body = run_moved_stream(harness, engines, '/chat/x')
+    assert event_ids(body) == ALL_EVENTS
+    assert body.endswith(fakes.STREAM_END)
+
+
+@pytest.mark.parametrize('path', ['/report/x', '/chat/x'])
+@pytest.mark.parametrize('name', REFUSALS)
+def test_a_stream_whose_move_was_refused_ends_complete(
+    serve_unframed, name, path
+):
+    # Guards against sound streams that are cut: the server has stopped
+    # nothing, so the end of the connection is that of the stream.
+    harness, engines = serve_unframed(REFUSALS[name], stops=False)
+    body = run_moved_stream(harness, engines, path)
+    assert event_ids(body) == ALL_EVENTS
+    assert body.endswith(fakes.STREAM_END)
+    assert sum(len(engine.runs) for engine in engines) == 1
+
+
 @pytest.mark.parametrize(
     'steps, move, status',
     [
