Keep the last move of a stream in its log line

The field 'move' of event 3310 was that of the last attempt, so a stream that went on elsewhere after its move showed none, and it could not be told from one that was never moved.

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -67,9 +67,9 @@
     ``reason`` describe the final response, ``first_ms`` and ``longest_gap_ms``
     its events, ``forwarded_events`` counts those of ended attempts.
     ``stream_format`` is the :func:`_stream.stream_format` of a stream that was
-    started; ``move_state`` is the :attr:`RunningStream.move_state` at the end
-    of its last attempt, whose response ended with its connection if
-    ``is_end_unframed``. ``has_event_id`` and ``has_data`` tell whether events
+    started; ``move_state`` is the last :attr:`RunningStream.move_state`, and
+    ``is_end_unframed`` tells whether the last response ended with its
+    connection. ``has_event_id`` and ``has_data`` tell whether events
     with an id and with content were forwarded. ``software_version`` is that of
     the servers whose events the caller has, ``None`` before the first; servers
     of other versions cannot continue the stream, and ``unsuitable`` holds the
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -476,7 +476,7 @@
             return None
         finally:
             self._call.forwarded_events += stream.events
-            self._call.move_state = stream.move_state
+            self._call.move_state = stream.move_state or self._call.move_state
             self._call.is_end_unframed = self._conn.is_unframed
             self._components.moves.remove(stream)
         if stream.move_result is None:
