Take a stream closed after a move as incomplete

A server that carries out the last move stops the run and closes the stream without its end. Without a length and chunks that close was taken for the end of the response, although the gateway itself had asked for it. With a response of 200 the run had a copy and could go on.

The end of the connection is now the end of the stream only if no move was sent, or the server states that it stopped no run (404, 409, or a response that says the request was not run). A move without a response counts as possibly carried out, now or later.

Ruled out: taking every close of such a stream as incomplete once its server leaves, which cuts streams that end in time; and counting events, whose number only the server knows.

The model of moves gets the defect, which it refutes. A log test now lets the server stop what it says it copied.

--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -53,6 +53,10 @@
 # shortest drain time in the users' data sheets less the age of the list.
 MIN_DRAIN_MS = 1_500
 
+# Responses to a move that state that no run was stopped: the server runs no
+# such request, or another move of it is in progress.
+REFUSED_MOVE_STATUS_CODES = frozenset({404, 409})
+
 
 @attrs.frozen(kw_only=True)
 class Continuation:
@@ -76,7 +80,8 @@
     that the caller got before from an earlier attempt. ``move_result`` is set
     once a move is requested; its value becomes a :class:`Continuation`, or
     ``None`` if the move failed. ``is_move_sent`` tells whether the server may
-    have received the request.
+    have received the request, ``is_move_refused`` whether it has stated that
+    it stopped no run.
     """
 
     call: object
@@ -87,6 +92,18 @@
     earlier_events: int = 0
     move_result: gevent.event.AsyncResult | None = None
     is_move_sent: bool = False
+    is_move_refused: bool = False
+
+    def may_have_stopped(self):
+        """Return whether the server may have stopped the run for a move.
+
+        Waits for the result of a move that was requested. Without a response
+        the server may have stopped the run, or may still do so.
+        """
+        if self.move_result is None:
+            return False
+        self.move_result.wait()
+        return self.is_move_sent and not self.is_move_refused
 
     @property
     def move_state(self):
@@ -220,7 +237,10 @@
         """
         call = stream.call
         target = self._choose_target(stream)
-        status, body = self._post(stream, target)
+        status, is_run, body = self._post(stream, target)
+        if status in REFUSED_MOVE_STATUS_CODES or not is_run:
+            stream.is_move_refused = True
+            raise _MoveError(f'status {status}', status)
         handle = self._components.dialect.parse_move_response(body)
         if handle is None:
             raise _MoveError(f'status {status}', status)
@@ -294,6 +314,7 @@
             raise _MoveError('no permit for a cold server')
 
     def _post(self, stream, target):
+        """Return status, whether the server took the request, and body."""
         if self._components.notices.is_quiet(
             stream.server.incarnation, self._components.clock.now_ms()
         ):
@@ -315,11 +336,12 @@
                 )
             )
             head = conn.read_head()
+            metadata = self._components.dialect.parse_response_headers(
+                head.status_code, head.headers
+            )
             self._components.notice_recorder.record(
                 stream.server,
-                self._components.dialect.parse_response_headers(
-                    head.status_code, head.headers
-                ),
+                metadata,
                 # Only responses to requests of callers name the limit.
                 lifts_limit=False,
             )
@@ -331,7 +353,7 @@
                 if size > MAX_MOVE_RESPONSE_BYTES:
                     raise _MoveError('response too long')
             is_whole = True
-            return head.status_code, b''.join(parts)
+            return head.status_code, metadata.has_run, b''.join(parts)
         finally:
             if is_whole and conn.finish():
                 self._components.pool.release(conn, idle_ms=None)
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -78,14 +78,18 @@
     def _check_unframed_end(self, remainder):
         """Check that a body without a length or chunks is complete.
 
-        The end of the connection is also what a crash of the server leaves.
+        The end of the connection is also what a crash of the server leaves,
+        or a run that was stopped for a move.
 
-        :raises BrokenResponseError: if it ends inside an event or has none.
+        :raises BrokenResponseError: if it ends inside an event, has none, or
+            the server may have stopped the run.
         """
         if remainder.strip():
             raise _http1.BrokenResponseError('closed inside an event')
         if not self._flight.started:
             raise _http1.BrokenResponseError('closed before an event')
+        if self._stream.may_have_stopped():
+            raise _http1.BrokenResponseError('closed after a move')
 
     def _read_with_timeout(self):
         """Return the next bytes, ``None`` at the end of the response.
--- a/packages/testbed/src/paddle_testbed/specs/moves.py
+++ b/packages/testbed/src/paddle_testbed/specs/moves.py
@@ -71,6 +71,7 @@
     waits_for_end: bool = True
     continues_after_forwarded: bool = True
     gives_up_without_copy: bool = True
+    checks_move_at_end: bool = True
 
 
 def _produce_event(state):
@@ -89,8 +90,12 @@
         yield 'the target makes an event', (source, new, move, caller)
 
 
-def _forward(state):
-    """The gateway forwards the next event or the end of the stream."""
+def _forward(state, rules):
+    """The gateway forwards the next event or the end of the stream.
+
+    The stream may end with its connection, so that a run that was stopped
+    looks like one that has ended.
+    """
     source, target, move, caller = state
     run = source if caller.reads_from == 'source' else target
     if caller.status != 'open' or run.run_state is RunState.DEAD:
@@ -98,6 +103,9 @@
     if caller.forwarded < run.newest_event:
         new = attrs.evolve(caller, forwarded=caller.forwarded + 1)
         yield 'an event is passed on', (source, target, move, new)
+    elif run.run_state is RunState.STOPPED and not rules.checks_move_at_end:
+        ended_caller = attrs.evolve(caller, status='whole')
+        yield 'the closed stream ends', (source, target, move, ended_caller)
     elif run.run_state is RunState.RUNNING and run.newest_event == EVENT_COUNT:
         done = attrs.evolve(run, run_state=RunState.NONE)
         ended_caller = attrs.evolve(caller, status='whole')
@@ -215,7 +223,7 @@
 def _transitions(state, rules):
     return [
         *_produce_event(state),
-        *_forward(state),
+        *_forward(state, rules),
         *_request_move(state),
         *_answer(state),
         *_continue(state, rules),
@@ -270,4 +278,8 @@
         'moves/starts elsewhere while the answer is late',
         gives_up_without_copy=False,
     ),
+    _spec_of(
+        'moves/ends with the connection that the move closed',
+        checks_move_at_end=False,
+    ),
 )
--- a/packages/testbed/tests/test_gateway_unframed_moves.py
+++ b/packages/testbed/tests/test_gateway_unframed_moves.py
@@ -254,7 +254,7 @@
 ):
     # Guards against a log that cannot tell a stream that was stopped for its
     # move from a complete one.
-    harness, engines = serve_unframed(steps, stops=False)
+    harness, engines = serve_unframed(steps, stops=move == 'copied')
     run_moved_stream(harness, engines, '/report/x')
     (done,) = logged(3310)
     assert (done['unframed'], done['move']) == (True, move)
