Use the handle of a moved run whatever its response says

A response of 503 with a handle that also states that the request was not run counted as a refusal of the move, although a handle belongs to a run that was stopped: with chunks a stream on a route that cannot be resumed was cut, without chunks the part ended as complete.

The handle is read first; a response counts as a refusal only without one. Ruled out: ignoring the statement of not having run altogether, since a server that rejects the move for want of room has stopped nothing.

test_a_handle_is_used_whatever_the_response_says: 3 of 4 cases failed before, none after.

--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -238,12 +238,18 @@
         call = stream.call
         target = self._choose_target(stream)
         status, is_run, body = self._post(stream, target)
-        if status in REFUSED_MOVE_STATUS_CODES or not is_run:
-            stream.is_move_refused = True
-            raise _MoveError(f'status {status}', status)
-        handle = self._components.dialect.parse_move_response(body)
+        try:
+            handle = self._components.dialect.parse_move_response(body)
+        except ValueError as exc:
+            handle, detail = None, f'status {status}: {exc}'
+        else:
+            detail = f'status {status}'
         if handle is None:
-            raise _MoveError(f'status {status}', status)
+            # A handle shows that the run was stopped, whatever the status.
+            stream.is_move_refused = (
+                status in REFUSED_MOVE_STATUS_CODES or not is_run
+            )
+            raise _MoveError(detail, status)
         # If the target has no room, the run is stopped nevertheless and can
         # only continue at the source, which holds its KV cache.
         destination = target if status == 200 else stream.server
--- /dev/null
+++ b/packages/testbed/tests/test_gateway_unframed_ends.py
@@ -0,0 +1,222 @@
+"""Tests of responses without a length or chunks that their server cuts.
+
+Guards against a part that is passed on as complete although the reason why
+the server closes the connection is known to the gateway.
+"""
+
+import json
+
+import attrs
+import gevent
+import gevent.event
+import pytest
+
+from paddle_testbed import fakes
+from paddle_testbed import gateway_harness
+
+request = gateway_harness.request
+exchange = gateway_harness.exchange
+
+LAST_EVENT = 12
+ALL_EVENTS = list(range(1, LAST_EVENT + 1))
+EVENTS_BEFORE_MOVE = 4
+PAUSE_S = 0.1
+TICK_S = 0.02
+HOLD_TIMEOUT_S = 5
+STREAM_TIMEOUT_MS = 10_000
+NOT_RUN = b'Rosemarypaddle-Not-Run: 1\r\n'
+
+
+def move_response(status, document, *, extra=b''):
+    body = json.dumps(document).encode()
+    return b'HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s' % (
+        status,
+        extra,
+        len(body),
+        body,
+    )
+
+
+def head(req, *, is_chunked=False):
+    lines = [
+        b'HTTP/1.1 200 OK',
+        b'Rosemarypaddle-Request-Id: ' + req.id,
+        fakes.STAMP,
+        b'Content-Type: text/event-stream',
+    ]
+    if is_chunked:
+        lines.append(b'Transfer-Encoding: chunked')
+    return b'\r\n'.join([*lines, b'', b''])
+
+
+def event_ids(body):
+    return [
+        int(part.split(b'\n')[0])
+        for part in body.replace(b'id: ', b'|').split(b'|')[1:]
+    ]
+
+
+def is_cut(body):
+    return not body.endswith(fakes.STREAM_END)
+
+
+class Engine:
+    """Script of an engine that stops its run when a move asks for it."""
+
+    def __init__(self, move_steps, *, is_chunked=False, stops_after_s=0):
+        self.move_steps = move_steps
+        self.is_chunked = is_chunked
+        self.stops_after_s = stops_after_s
+        self.pause_s = PAUSE_S
+        self.runs = []
+        self.stopped = set()
+        self.released = gevent.event.Event()
+        self.ends_at = None
+
+    def __call__(self, req, _sock):
+        if req.line.startswith(b'POST /api/kv-move'):
+            return self._move(req)
+        return self._run(req)
+
+    def _move(self, req):
+        yield self.stops_after_s
+        self.stopped.add(json.loads(req.body)['identifier'].encode())
+        yield 2 * PAUSE_S
+        yield from self.move_steps
+
+    def _run(self, req):
+        self.runs.append(req)
+        self.stopped.discard(req.id)
+        yield head(req, is_chunked=self.is_chunked)
+        first = int(req.headers.get(b'last-event-id', b'0')) + 1
+        for number in range(first, LAST_EVENT + 1):
+            if req.id in self.stopped or number == self.ends_at:
+                yield None
+            text = b'id: %d\ndata: x\n\n' % number
+            if self.is_chunked:
+                text = b'%x\r\n%s\r\n' % (len(text), text)
+            yield text
+            if number == EVENTS_BEFORE_MOVE:
+                self.released.wait(timeout=HOLD_TIMEOUT_S)
+            yield self.pause_s
+        if self.is_chunked:
+            yield fakes.STREAM_END
+        yield None
+
+
+@pytest.fixture
+def serve(harness):
+    """Return a function that starts a gateway with two engines."""
+    ticks = gevent.spawn(_tick)
+
+    def start(*engines, moves=True, timeout_ms=STREAM_TIMEOUT_MS):
+        config = gateway_harness.build_engine_config()
+        config['services'][0]['engine']['moves'] = moves
+        for route in config['routes']:
+            if route['name'] in ('chat', 'report', 'book'):
+                route['timeoutMs'] = timeout_ms
+        harness.controllers.config = config
+        harness.serve(*engines)
+        return harness
+
+    yield start
+    ticks.kill()
+
+
+def _tick():
+    while True:
+        gevent.sleep(TICK_S)
+
+
+def stream_request(path):
+    return request(
+        path,
+        method='POST',
+        body=b'p',
+        extra=(f'Rosemarypaddle-Token-Counts: 10,{LAST_EVENT}',),
+        deadline_ms=STREAM_TIMEOUT_MS,
+    )
+
+
+def run_until_leaving(harness, engines, path, *, in_ms=0):
+    """Return the body of a stream whose server leaves in the meantime."""
+    caller = gevent.spawn(exchange, harness, stream_request(path))
+    with gevent.Timeout(HOLD_TIMEOUT_S):
+        while not any(
+            stream.events >= EVENTS_BEFORE_MOVE
+            for streams in harness.gateway.components.moves._streams.values()
+            for stream in streams
+        ):
+            gevent.sleep(0.005)
+    number = next(i for i, engine in enumerate(engines) if engine.runs)
+    servers = list(harness.controllers.servers)
+    at_ms = harness.gateway.components.wall.now_ms() + in_ms if in_ms else 0
+    servers[number] = attrs.evolve(
+        servers[number], leaving=True, spot=True, leaves_at_ms=at_ms
+    )
+    harness.controllers.servers = tuple(servers)
+    harness.follower.step()
+    for engine in engines:
+        engine.released.set()
+    status, _text, body = caller.get(timeout=HOLD_TIMEOUT_S)
+    assert status == 200
+    return body, number
+
+
+@pytest.mark.parametrize('is_chunked', [False, True])
+@pytest.mark.parametrize('path', ['/report/x', '/chat/x'])
+def test_a_handle_is_used_whatever_the_response_says(serve, path, is_chunked):
+    # Guards against a stopped run that is lost or passed on as complete: a
+    # handle is that of a stopped run, also if the server marks its refusal to
+    # copy it as not run.
+    steps = [move_response(503, {'handle': 'h7'}, extra=NOT_RUN)]
+    engines = [Engine(steps, is_chunked=is_chunked) for _ in range(2)]
+    harness = serve(*engines)
+    body, _number = run_until_leaving(harness, engines, path)
+    assert event_ids(body) == ALL_EVENTS and not is_cut(body)
+
+
+def test_a_move_that_is_carried_out_late_leaves_the_stream_incomplete(serve):
+    # Guards against a part that is passed on as complete when the server
+    # stops the run only after the gateway has given up the move.
+    steps = [move_response(200, {'handle': 'h7'})]
+    engines = [Engine(steps, stops_after_s=2.0) for _ in range(2)]
+    for engine in engines:
+        engine.pause_s = 4 * PAUSE_S
+    harness = serve(*engines)
+    body, _number = run_until_leaving(harness, engines, '/report/x')
+    assert EVENTS_BEFORE_MOVE < len(event_ids(body)) < LAST_EVENT
+    assert is_cut(body)
+
+
+def test_a_stream_whose_time_ends_during_its_move_is_incomplete(serve):
+    # Guards against a part that is passed on as complete when the deadline is
+    # reached while the response to the move is awaited.
+    engines = [Engine([HOLD_TIMEOUT_S]) for _ in range(2)]
+    harness = serve(*engines, timeout_ms=1_000)
+    body, _number = run_until_leaving(harness, engines, '/report/x')
+    assert len(event_ids(body)) < LAST_EVENT and is_cut(body)
+
+
+def test_an_http_1_0_caller_sees_that_a_moved_stream_is_cut(serve):
+    # Guards against an end of the connection that looks like the end of the
+    # response: without chunks only a reset tells them apart.
+    engines = [Engine([move_response(500, {})]) for _ in range(2)]
+    harness = serve(*engines)
+    outcomes = []
+
+    def call():
+        raw = stream_request('/report/x').replace(b'HTTP/1.1', b'HTTP/1.0', 1)
+        sock = harness.connect()
+        sock.sendall(raw)
+        try:
+            while sock.recv(65_536):
+                pass
+            outcomes.append('end')
+        except ConnectionResetError:
+            outcomes.append('reset')
+
+    caller = gevent.spawn(call)
+    run_until_leaving(harness, engines, '/report/x')
+    caller.join(timeout=HOLD_TIMEOUT_S)
+    assert outcomes == ['reset']
