Take a stream as incomplete if another server answers its move

What callers saw: a part of a stream as a complete response. A 421 to a move says that another server has the address, so the one that ran the stream has ended, and a close of the stream after it is not its end. Since a 421 counted as a statement that no run was stopped. Found by a review.

404 and 409 still count as that statement: a 404 of a new incarnation cannot be told from one for a run that has just ended, and the protocol says that a 409 stops nothing.

The cases '421' of test_gateway_unframed_moves.py expected a complete stream from a server that goes on; no server that answers 421 has the run.

--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -359,7 +359,9 @@
                 if size > MAX_MOVE_RESPONSE_BYTES:
                     raise _MoveError('response too long')
             is_whole = True
-            return head.status_code, metadata.has_run, b''.join(parts)
+            # Another server at the address says nothing about the run.
+            is_run = metadata.has_run or metadata.is_misdirected
+            return head.status_code, is_run, b''.join(parts)
         finally:
             if is_whole and conn.finish():
                 self._components.pool.release(conn, idle_ms=None)
--- a/packages/testbed/tests/test_gateway_unframed_moves.py
+++ b/packages/testbed/tests/test_gateway_unframed_moves.py
@@ -54,6 +54,8 @@
     '200 without a handle': [move_response(200, {})],
     '200 without JSON': [b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{x'],
     '503 without a handle': [move_response(503, {})],
+    # Another server responds, so the one with the run has ended.
+    '421': [move_response(421, {})],
     'cut': [b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{', None],
     'none': [None],
     'too late': [LATE_S, COPIED],
@@ -64,7 +66,6 @@
     '404 without JSON': [b'HTTP/1.1 404 X\r\nContent-Length: 4\r\n\r\ngone'],
     '409': [move_response(409, {})],
     '503 not run': [move_response(503, {}, extra=NOT_RUN)],
-    '421': [move_response(421, {})],
 }
 
 
