Take a moved stream as incomplete if made events are missing

The response to the move tells how many events the run had made. They are at least what the caller must get, so an end before is a broken attempt. The number is not used where the caller itself takes a stream up, since it does not say whether earlier events count.

--- a/packages/router/src/paddle_router/gateway/__init__.py
+++ b/packages/router/src/paddle_router/gateway/__init__.py
@@ -40,6 +40,7 @@
 from paddle_router.gateway._model import RequestMetadata
 from paddle_router.gateway._model import ResponseMetadata
 from paddle_router.gateway._model import Route
+from paddle_router.gateway._model import RunCopy
 from paddle_router.gateway._model import Scaling
 from paddle_router.gateway._model import Service
 from paddle_router.gateway._model import Weight
@@ -77,6 +78,7 @@
     'ResponseMetadata',
     'Route',
     'RouteTable',
+    'RunCopy',
     'Scaling',
     'ServerFlights',
     'Service',
--- a/packages/router/src/paddle_router/gateway/_dialect.py
+++ b/packages/router/src/paddle_router/gateway/_dialect.py
@@ -45,10 +45,10 @@
         ``target``; both are :class:`ListedServer`.
         """
 
-    def parse_move_response(self, body) -> str | None:
-        """Return the handle of the copy from the response to a move request.
+    def parse_move_response(self, body) -> _model.RunCopy | None:
+        """Return the copy that the response to a move request names.
 
-        ``None`` if the response contains none.
+        ``None`` if the response has no handle.
 
         :raises ValueError: if the response is malformed.
         """
--- a/packages/router/src/paddle_router/gateway/_model.py
+++ b/packages/router/src/paddle_router/gateway/_model.py
@@ -253,6 +253,17 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class RunCopy:
+    """A copy of a stopped run at another server.
+
+    ``events`` is how many the run had made, 0 if the server does not say.
+    """
+
+    handle: str
+    events: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class ForwardingContext:
     """Information that the gateway adds to a request for a backend server.
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -63,13 +63,15 @@
     """Where a stopped run continues.
 
     The server ``target_id`` finds the copy of the run by the address
-    ``source`` and by ``handle``.
+    ``source`` and by ``handle``. The run had made ``events`` by then, those
+    that the caller got from earlier attempts included, 0 if that is unknown.
     """
 
     source: str
     source_id: str
     handle: str
     target_id: str
+    events: int = 0
 
 
 @attrs.define(eq=False)
@@ -239,12 +241,12 @@
         target = self._choose_target(stream)
         status, is_run, body = self._post(stream, target)
         try:
-            handle = self._components.dialect.parse_move_response(body)
+            copy = self._components.dialect.parse_move_response(body)
         except ValueError as exc:
-            handle, detail = None, f'status {status}: {exc}'
+            copy, detail = None, f'status {status}: {exc}'
         else:
             detail = f'status {status}'
-        if handle is None:
+        if copy is None:
             # A handle shows that the run was stopped, whatever the status.
             stream.is_move_refused = (
                 status in REFUSED_MOVE_STATUS_CODES or not is_run
@@ -269,8 +271,9 @@
         return Continuation(
             source=stream.server.address,
             source_id=stream.server.id,
-            handle=handle,
+            handle=copy.handle,
             target_id=destination.id,
+            events=copy.events,
         )
 
     def _choose_target(self, stream):
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -69,12 +69,31 @@
                 raise _http1.BrokenResponseError('event too long')
         if self._is_resumed and splitter.remainder.strip():
             raise _http1.BrokenResponseError('resumed stream ends in an event')
+        self._check_copied_events()
         if self._conn.is_unframed:
             self._check_unframed_end(splitter.remainder)
         if splitter.remainder or not self._call.response_started:
             self._forward_events([splitter.remainder])
         self._caller.end()
 
+    def _check_copied_events(self):
+        """Check that a run that was moved has brought what it had made.
+
+        Where the caller takes a stream up, the count may include events that
+        it has from an earlier response.
+
+        :raises BrokenResponseError: if events are missing at the end.
+        """
+        call = self._call
+        if call.continuation is None or call.metadata.last_event_id:
+            return
+        events = call.forwarded_events + self._stream.events
+        if events < call.continuation.events:
+            raise _http1.BrokenResponseError(
+                f'ends after {events} of at least'
+                f' {call.continuation.events} events'
+            )
+
     def _check_unframed_end(self, remainder):
         """Check that a body without a length or chunks is complete.
 
--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -483,6 +483,17 @@
         dialect.FleetDialect().parse_move_response(body)
 
 
+@pytest.mark.parametrize(
+    'made, events',
+    [(9, 9), (None, 0), (-1, 0), (True, 0), ('9', 0), (2**40, 0)],
+)
+def test_an_unusable_count_of_events_is_unknown(made, events):
+    # Guards against sound streams that are cut for a count that is none.
+    body = json.dumps({'handle': 'h7', 'made': made}).encode()
+    copy = dialect.FleetDialect().parse_move_response(body)
+    assert (copy.handle, copy.events) == ('h7', events)
+
+
 def test_a_deeply_nested_response_to_a_move_is_malformed():
     with pytest.raises(ValueError):
         dialect.FleetDialect().parse_move_response(b'[' * 100_000)
--- a/packages/testbed/tests/test_gateway_unframed_ends.py
+++ b/packages/testbed/tests/test_gateway_unframed_ends.py
@@ -220,3 +220,34 @@
     run_until_leaving(harness, engines, '/report/x')
     caller.join(timeout=HOLD_TIMEOUT_S)
     assert outcomes == ['reset']
+
+
+@pytest.mark.parametrize('is_chunked', [False, True])
+def test_a_copy_that_ends_before_the_made_events_is_incomplete(
+    serve, is_chunked
+):
+    # Guards against a continuation that ends early: the response to the move
+    # tells how many events the run had made.
+    engines = [
+        Engine([move_response(200, {'handle': 'h7', 'made': 9})])
+        for _ in range(2)
+    ]
+    harness = serve(*engines)
+
+    def end_copy():
+        while not any(engine.runs for engine in engines):
+            gevent.sleep(0.005)
+        target = next(engine for engine in engines if not engine.runs)
+        target.ends_at = EVENTS_BEFORE_MOVE + 3
+        if is_chunked:
+            # A whole response without the rest of the events.
+            target._run = whole_part
+
+    def whole_part(req):
+        yield head(req, is_chunked=True)
+        yield fakes.STREAM_END
+        yield None
+
+    gevent.spawn(end_copy)
+    body, _number = run_until_leaving(harness, engines, '/report/x')
+    assert len(event_ids(body)) < 9 and is_cut(body)
