Take an end at the time limit as no end of a response

What callers saw: a part of a response as a complete one, if it had neither a length nor chunks. The deadline is passed on to the server, which stops work at it, and its close races with the gateway's own timer for the same time. Found by a review: the same cause as for streams that are closed by a move, an end that this system has caused itself.

An end of such a response in the last 10 ms before the deadline is a broken attempt now. Ruled out: passing on a shorter deadline, which takes time from each request; a longer margin, since servers get whole ms and stop after the gateway's own timer.

--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -381,6 +381,9 @@
                 if size > _buffer_limit(caller, head):
                     return self._forward_incrementally(caller, head, parts)
             self._silence_timeout.close()
+            _stream.check_unframed_end(
+                self._conn, self._call, self._clock.now_ms()
+            )
             return self._forward_complete(caller, head, parts)
         finally:
             caller.hold(0)
@@ -407,6 +410,9 @@
             data = None
             caller.wait_for_room()
             data = self._conn.read_data()
+        _stream.check_unframed_end(
+            self._conn, self._call, self._clock.now_ms()
+        )
         self._is_response_complete = True
         self._is_server_at_fault = False
         self._record_served()
--- a/packages/router/src/paddle_router/gateway/_response_limits.py
+++ b/packages/router/src/paddle_router/gateway/_response_limits.py
@@ -39,6 +39,10 @@
 # A stream that can be resumed on another server is aborted a little earlier.
 MIN_RESUME_PAUSE_MS = 1_000
 RESUME_PAUSE_TARGETS = 2
+# A server stops work at the deadline that it is given, which is that of the
+# call. The end of a response without a length this shortly before it may be
+# that stop; clocks count whole ms, and a link delays the end by some.
+DEADLINE_MARGIN_MS = 10
 
 
 def pause_limit_ms(route: _model.Route) -> int:
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -29,6 +29,17 @@
     return call.stream_format == stream_format(head)
 
 
+def check_unframed_end(conn, call, now_ms):
+    """Check that the end of ``conn`` can be that of the response to ``call``.
+
+    :raises BrokenResponseError: if a response without a length or chunks ends
+        where its server stops work for ``call``.
+    """
+    margin_ms = _response_limits.DEADLINE_MARGIN_MS
+    if conn.is_unframed and now_ms >= call.end_ms - margin_ms:
+        raise _http1.BrokenResponseError('closed at the time limit')
+
+
 class StreamRelay:
     """Forwards the events of one response, each as soon as it is complete.
 
@@ -109,6 +120,7 @@
             raise _http1.BrokenResponseError('closed before an event')
         if self._stream.may_have_stopped():
             raise _http1.BrokenResponseError('closed after a move')
+        check_unframed_end(self._conn, self._call, self._clock.now_ms())
 
     def _read_with_timeout(self):
         """Return the next bytes, ``None`` at the end of the response.
--- a/packages/testbed/tests/test_gateway_unframed_ends.py
+++ b/packages/testbed/tests/test_gateway_unframed_ends.py
@@ -4,7 +4,10 @@
 the server closes the connection is known to the gateway.
 """
 
+import contextlib
 import json
+import socket as plain_socket
+import threading
 
 import attrs
 import gevent
@@ -24,6 +27,10 @@
 TICK_S = 0.02
 HOLD_TIMEOUT_S = 5
 STREAM_TIMEOUT_MS = 10_000
+LIMITED_STREAMS = 40
+LIMIT_MS = 600
+DEADLINE = b'rosemarypaddle-deadline-milliseconds'
+MS_PER_S = 1_000
 NOT_RUN = b'Rosemarypaddle-Not-Run: 1\r\n'
 
 
@@ -251,3 +258,57 @@
     gevent.spawn(end_copy)
     body, _number = run_until_leaving(harness, engines, '/report/x')
     assert len(event_ids(body)) < 9 and is_cut(body)
+
+
+def limited(answer):
+    """Return a script that stops at the deadline that it is given.
+
+    The time is kept by a thread, as another process would keep it.
+    """
+
+    def script(req, sock):
+        left_s = int(req.headers[DEADLINE]) / MS_PER_S
+        threading.Timer(left_s, _end_writing, (sock._sock,)).start()
+        yield answer(req)
+        yield 2 * left_s
+        yield None
+
+    return script
+
+
+def _end_writing(sock):
+    with contextlib.suppress(OSError):
+        sock.shutdown(plain_socket.SHUT_WR)
+
+
+def run_limited(harness, path):
+    """Return the bodies of requests that reach their time limit."""
+    callers = []
+    for number in range(LIMITED_STREAMS):
+        callers.append(gevent.spawn(exchange, harness, stream_request(path)))
+        gevent.sleep(0.003 + number / 40_000)
+    gevent.joinall(callers, timeout=HOLD_TIMEOUT_S)
+    return [caller.value for caller in callers]
+
+
+def test_a_stream_cut_at_the_time_limit_is_incomplete(serve):
+    # Guards against a part that is passed on as complete: the server stops
+    # work at the deadline that the gateway itself has passed on.
+    script = limited(lambda req: head(req) + b'id: 1\ndata: x\n\n')
+    harness = serve(*[script] * 12, timeout_ms=LIMIT_MS)
+    results = run_limited(harness, '/report/x')
+    streams = [body for status, _text, body in results if status == 200]
+    assert len(streams) >= LIMITED_STREAMS / 2
+    assert [body for body in streams if not is_cut(body)] == []
+
+
+def test_a_plain_response_cut_at_the_time_limit_is_incomplete(serve):
+    # The same for a plain response, which is buffered until its end.
+    script = limited(
+        lambda req: (
+            head(req).replace(b'text/event-stream', b'text/plain') + b'part'
+        )
+    )
+    harness = serve(*[script] * 12, timeout_ms=LIMIT_MS)
+    results = run_limited(harness, '/book/x')
+    assert [status for status, _text, _body in results if status == 200] == []
