Take an end at the stop time of a server as no end of a response

What callers saw: a part of a response as a complete one, if it had neither a length nor chunks and its server was reclaimed. A run that is not moved (no target, no moves at this service, no event ids, a plain route) is closed when the server's time is up, which the list has told. Found by a review: the same cause as for streams that are closed by a move.

Ruled out: each end at a leaving server, which cuts streams that end in time. A server that drains without a stop time cannot be covered.

test_a_close_at_the_stop_time_of_a_server_is_no_end and the test of plain responses: 4 of 4 cases failed before, none after.

--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -382,7 +382,7 @@
                     return self._forward_incrementally(caller, head, parts)
             self._silence_timeout.close()
             _stream.check_unframed_end(
-                self._conn, self._call, self._clock.now_ms()
+                self._components, self._conn, self._call
             )
             return self._forward_complete(caller, head, parts)
         finally:
@@ -410,9 +410,7 @@
             data = None
             caller.wait_for_room()
             data = self._conn.read_data()
-        _stream.check_unframed_end(
-            self._conn, self._call, self._clock.now_ms()
-        )
+        _stream.check_unframed_end(self._components, self._conn, self._call)
         self._is_response_complete = True
         self._is_server_at_fault = False
         self._record_served()
--- a/packages/router/src/paddle_router/gateway/_moves.py
+++ b/packages/router/src/paddle_router/gateway/_moves.py
@@ -162,6 +162,16 @@
             if not streams:
                 del self._streams[stream.server.id]
 
+    def has_stopped(self, server_id):
+        """Return whether the time of a leaving server may be up."""
+        server = self._leaving.get(server_id)
+        return (
+            server is not None
+            and server.leaves_at_ms > 0
+            and self._components.wall.now_ms()
+            >= server.leaves_at_ms - LEAVE_TIME_ERROR_MS
+        )
+
     def update_leaving(self, servers):
         """Take the leaving ones of ``servers`` and move streams off them."""
         self._leaving = {item.id: item for item in servers if item.leaving}
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -29,15 +29,19 @@
     return call.stream_format == stream_format(head)
 
 
-def check_unframed_end(conn, call, now_ms):
+def check_unframed_end(components, conn, call):
     """Check that the end of ``conn`` can be that of the response to ``call``.
 
     :raises BrokenResponseError: if a response without a length or chunks ends
-        where its server stops work for ``call``.
+        where its server stops work for ``call``, or stops altogether.
     """
+    if not conn.is_unframed:
+        return
     margin_ms = _response_limits.DEADLINE_MARGIN_MS
-    if conn.is_unframed and now_ms >= call.end_ms - margin_ms:
+    if components.clock.now_ms() >= call.end_ms - margin_ms:
         raise _http1.BrokenResponseError('closed at the time limit')
+    if components.moves.has_stopped(call.server_id):
+        raise _http1.BrokenResponseError('closed as the server stops')
 
 
 class StreamRelay:
@@ -120,7 +124,7 @@
             raise _http1.BrokenResponseError('closed before an event')
         if self._stream.may_have_stopped():
             raise _http1.BrokenResponseError('closed after a move')
-        check_unframed_end(self._conn, self._call, self._clock.now_ms())
+        check_unframed_end(self._components, self._conn, self._call)
 
     def _read_with_timeout(self):
         """Return the next bytes, ``None`` at the end of the response.
--- a/packages/testbed/tests/test_gateway_unframed_ends.py
+++ b/packages/testbed/tests/test_gateway_unframed_ends.py
@@ -29,6 +29,7 @@
 STREAM_TIMEOUT_MS = 10_000
 LIMITED_STREAMS = 40
 LIMIT_MS = 600
+STOP_IN_MS = 700
 DEADLINE = b'rosemarypaddle-deadline-milliseconds'
 MS_PER_S = 1_000
 NOT_RUN = b'Rosemarypaddle-Not-Run: 1\r\n'
@@ -312,3 +313,40 @@
     harness = serve(*[script] * 12, timeout_ms=LIMIT_MS)
     results = run_limited(harness, '/book/x')
     assert [status for status, _text, _body in results if status == 200] == []
+
+
+@pytest.mark.parametrize('moves', [False, True])
+def test_a_close_at_the_stop_time_of_a_server_is_no_end(serve, moves):
+    # Guards against a part that is passed on as complete: the server closes
+    # its streams when its time is up, and the run was not moved, since the
+    # service has no moves or there is no target.
+    engine = Engine([])
+    engine.ends_at = (
+        EVENTS_BEFORE_MOVE + 1 + int(STOP_IN_MS / (PAUSE_S * MS_PER_S))
+    )
+    harness = serve(engine, moves=moves)
+    body, _number = run_until_leaving(
+        harness, [engine], '/report/x', in_ms=STOP_IN_MS
+    )
+    assert len(event_ids(body)) < LAST_EVENT and is_cut(body)
+
+
+@pytest.mark.parametrize('path', ['/book/x', '/safe/x'])
+def test_a_plain_response_cut_at_the_stop_time_is_incomplete(serve, path):
+    # The same as for a stream at the stop time of its server.
+    stop_s = STOP_IN_MS / MS_PER_S
+
+    def script(req, sock):
+        del sock
+        text = head(req).replace(b'text/event-stream', b'text/plain')
+        return [text + b'part', stop_s, None]
+
+    harness = serve(script)
+    caller = gevent.spawn(exchange, harness, request(path, key='key1'))
+    with gevent.Timeout(HOLD_TIMEOUT_S):
+        while not harness.requests:
+            gevent.sleep(0.005)
+    at_ms = harness.gateway.components.wall.now_ms() + STOP_IN_MS
+    harness.set_servers(leaving=True, spot=True, leaves_at_ms=at_ms)
+    status, _text, body = caller.get(timeout=HOLD_TIMEOUT_S)
+    assert status in (502, 504), body
