Raise an error for chat responses that the daemon cancels

The daemon shuts a connection down when its caller's key is revoked or the engine is silent. A reader that waits gets an error, but one that reads next finds the end of the connection, which ends a body without a length: a part could be passed on as complete. Found by a review of the streams that are closed by a move, whose cause it shares; not reproduced end to end.

A cancelled response now raises an error at its next read. Ruled out: closing the socket instead, whose number another connection may get while a greenlet still uses it.

test_read_after_a_cancel_is_an_error failed before and passes now; three checks of the usual cases pass before and after.

--- a/packages/router/src/paddle_router/_http_out.py
+++ b/packages/router/src/paddle_router/_http_out.py
@@ -35,6 +35,7 @@
     def __init__(self, sock, method):
         super().__init__(method)
         self._sock = sock
+        self.is_cancelled = False
         self._received_bytes = 0
         self._body_bytes = 0
 
@@ -94,6 +95,9 @@
     def _receive(self):
         paddle_kernel.yield_if_due()
         data = self._sock.recv(RECEIVE_BYTES)
+        if self.is_cancelled:
+            # The shutdown looks like the end of a body without a length.
+            raise BrokenResponseError('cancelled within the response')
         self._received_bytes += len(data)
         try:
             self.feed(data)
@@ -153,7 +157,12 @@
         return False
 
     def cancel(self):
-        """Shut down the connection; a greenlet blocked on it gets an error."""
+        """Shut down the connection; a greenlet blocked on it gets an error.
+
+        So does one that reads from it afterwards.
+        """
+        if self._response is not None:
+            self._response.is_cancelled = True
         try:
             self._sock.shutdown(plain_socket.SHUT_RDWR)
         except OSError:
