--- a/packages/testbed/src/paddle_testbed/fleet.py
+++ b/packages/testbed/src/paddle_testbed/fleet.py
@@ -55,6 +55,8 @@
     process: subprocess.Popen | None = None
     # Whether it was removed for good; its folder and log remain.
     is_removed: bool = False
+    # Arguments of Python that run its program, by default main.py.
+    command: list[str] | None = None
 
 
 class Fleet:
@@ -95,7 +97,7 @@
         path.write_text(json.dumps(self._settings(machine, first_start)))
         log = open(machine.folder / 'log', 'ab')
         machine.process = subprocess.Popen(
-            [sys.executable, str(MAIN), machine.role],
+            [sys.executable, *(machine.command or [str(MAIN), machine.role])],
             env={**os.environ, 'ROSEMARYPADDLE_CONFIG': str(path)},
             stdout=log if output is None else output,
             stderr=log,
--- a/packages/testbed/src/paddle_testbed/fleet_load.py
+++ b/packages/testbed/src/paddle_testbed/fleet_load.py
@@ -55,12 +55,17 @@
 
 
 @contextlib.contextmanager
-def running_fleet(folder, entries, config, *, gateways):
-    """Run three controllers and ``gateways`` gateways that are ready."""
+def running_fleet(folder, entries, config, *, gateways, prepare=None):
+    """Run three controllers and ``gateways`` gateways that are ready.
+
+    ``prepare`` is called with the fleet before its processes start.
+    """
     cloud = fakes.FakeCloud()
     cloud.entries = entries
     fleet = fleets.Fleet(folder, cloud, controllers=3, gateways=gateways)
     try:
+        if prepare is not None:
+            prepare(fleet)
         fleet.start_all()
         fleet.put_configuration(config)
         for name in fleet.names('gateway'):
