Notice that a gateway has lost the way to all servers

Each request learned by itself that the links were cut, and nothing told it from servers that are down. No request is served differently yet; the gateway logs 3370 and 3371 and shows the state in its metrics and its state dump.

A refused, reset or timed-out connection, or 600 ms without a byte from any server while a request is in progress, makes a gateway suspicious. New connections to up to four servers of different domains and services, 50 ms apart and only until one accepts, decide. While the way is lost, two servers in turn are probed every 250 ms; two connections end that.

Ruled out: responses on kept connections as proof, since these may live on while new ones are refused; counting failed requests, which servers that are down, slow or restarted cause as well; probes without suspicion, because new connections are priced. Rounds of more than 800 ms and local errors such as a lack of descriptors prove nothing.

The pool needs the new component, so its test builds one.

--- a/packages/router/src/paddle_router/gateway/_connections.py
+++ b/packages/router/src/paddle_router/gateway/_connections.py
@@ -42,12 +42,15 @@
 class ConnectionPool:
     """Opens connections and keeps idle ones for the next request.
 
-    ``buffers`` is the :class:`BufferAccount` that bounds what is received.
+    ``buffers`` is the :class:`BufferAccount` that bounds what is received, and
+    ``reach`` the :class:`ServerReachability` that learns what servers accept
+    and send.
     """
 
-    def __init__(self, clock, buffers):
+    def __init__(self, clock, buffers, reach):
         self._clock = clock
         self._buffers = buffers
+        self._reach = reach
         self._addresses = collections.defaultdict(_AddressState)
         self.opened_count = 0
 
@@ -126,15 +129,20 @@
         except (OSError, OverflowError, ValueError) as exc:
             # The address may be no valid one.
             state.open -= 1
+            self._reach.suspect(address)
             raise NoConnectionError(f'{address}: {exc}') from exc
         except BaseException:
             state.open -= 1
             raise
         self.opened_count += 1
+        self._reach.record_connected()
         _set_options(sock)
         self._buffers.limit_receive_buffer(sock)
         return _http1.ServerConnection(
-            sock, address, receive_bytes=self._buffers.receive_bytes
+            sock,
+            address,
+            receive_bytes=self._buffers.receive_bytes,
+            on_receive=self._reach.record_response,
         )
 
 
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -126,3 +126,9 @@
     'WARNING',
     'all servers of a service are in evacuated domains; it gets no requests',
 )
+SERVERS_UNREACHABLE = paddle_kernel.declare_event(
+    3370, 'WARNING', 'the gateway has lost the connections to all servers'
+)
+SERVERS_REACHABLE = paddle_kernel.declare_event(
+    3371, 'INFO', 'the gateway reaches servers again'
+)
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -83,6 +83,7 @@
             balancer.finish(self._flight, self._clock.now_ms(), True)
             raise
         had_run_before = call.may_have_run
+        self._components.reach.begin_exchange()
         try:
             outcome = self._exchange_with_timeout(caller)
             if outcome is _call.AttemptOutcome.NOT_RUN:
@@ -95,6 +96,7 @@
             self._is_server_at_fault = False
             raise
         finally:
+            self._components.reach.end_exchange()
             self._release_place(balancer)
             self._components.waiting.wake_next(call.service)
             self._release_connection()
@@ -502,6 +504,7 @@
             and not self._is_run_moving
         )
         if self._call.is_response_lost:
+            self._components.reach.suspect(self._server.address)
             self._components.request_crashes.check_server(
                 self._call, self._server, self._flight
             )
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -18,6 +18,7 @@
 from paddle_router.gateway import _forward
 from paddle_router.gateway import _metrics
 from paddle_router.gateway import _moves
+from paddle_router.gateway import _reach
 from paddle_router.gateway import _request_crashes
 from paddle_router.gateway import _server_notices
 from paddle_router.gateway import _server_starts
@@ -99,7 +100,12 @@
         self.buffers = _buffers.BufferAccount(
             settings.memory_mb, clock, self.metrics
         )
-        self.pool = _connections.ConnectionPool(clock, self.buffers)
+        self.reach = _reach.ServerReachability(
+            clock, lambda: self.follower.servers or ()
+        )
+        self.pool = _connections.ConnectionPool(
+            clock, self.buffers, self.reach
+        )
         self.balancers = {}
         self.notices = policy.ServerNotices(drain_ms=settings.drain_ms)
         self.limits = policy.ServerLimits()
@@ -394,6 +400,7 @@
         for name, part in (
             ('follower', self.components.follower),
             ('connections', self.components.pool),
+            ('reach', self.components.reach),
             ('request_crashes', self.components.request_crashes),
             ('stream_origins', self.components.origins),
             ('entry', self.entry),
@@ -429,6 +436,7 @@
         self._greenlets = [
             gevent.spawn(self._follow),
             gevent.spawn(self._prune_connections),
+            gevent.spawn(self._watch_reach),
         ]
         self._admin_server.start()
         self.entry.start()
@@ -492,6 +500,14 @@
             except Exception as exc:
                 _log_failure(exc)
 
+    def _watch_reach(self):
+        while True:
+            self.components.reach.wait()
+            try:
+                self.components.reach.step()
+            except Exception as exc:
+                _log_failure(exc)
+
     def _application(self, ready_path):
         app = falcon.App()
         app.add_route(ready_path, _Readiness(self))
--- a/packages/router/src/paddle_router/gateway/_http1.py
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -309,7 +309,8 @@
 
     A reused connection may deliver bytes of an earlier response, so the user
     of this class compares the request id of a head and skips responses to
-    other requests with :meth:`skip_response`.
+    other requests with :meth:`skip_response`. ``on_receive()`` is called
+    whenever bytes have arrived.
     """
 
     def __init__(
@@ -319,6 +320,7 @@
         *,
         max_head_bytes=65_536,
         receive_bytes=RECEIVE_BYTES,
+        on_receive=lambda: None,
     ):
         self.sock = sock
         self.address = address
@@ -332,6 +334,7 @@
         self.is_unframed = False
         self._max_head_bytes = max_head_bytes
         self._receive_bytes = receive_bytes
+        self._on_receive = on_receive
         self._h11 = None
         self._unread = b''
         self._method = b'GET'
@@ -472,6 +475,8 @@
                 if event is not h11.NEED_DATA:
                     return event
                 data = self.sock.recv(self._receive_bytes)
+                if data:
+                    self._on_receive()
                 self._received += len(data)
                 framing = self._received - self._delivered
                 if (
--- a/packages/router/src/paddle_router/gateway/_metrics.py
+++ b/packages/router/src/paddle_router/gateway/_metrics.py
@@ -144,6 +144,16 @@
                 'Connections opened to backend servers.',
                 lambda: gateway.components.pool.opened_count,
             ),
+            (
+                'servers_unreachable',
+                'Whether no server accepts connections from this gateway.',
+                lambda: gateway.components.reach.is_cut,
+            ),
+            (
+                'reach_probes',
+                'Connections opened to learn whether servers are reachable.',
+                lambda: gateway.components.reach.probe_count,
+            ),
             (
                 'servers_evacuated',
                 'Listed servers in evacuated failure domains.',
--- a/packages/router/src/paddle_router/policy/__init__.py
+++ b/packages/router/src/paddle_router/policy/__init__.py
@@ -90,6 +90,10 @@
 from paddle_router.policy._server_notices import MAX_QUIET_MS
 from paddle_router.policy._server_notices import ServerNotices
 from paddle_router.policy._server_notices import SlowStart
+from paddle_router.policy._server_reach import MIN_CONNECTED
+from paddle_router.policy._server_reach import ProbeResult
+from paddle_router.policy._server_reach import ProbeTarget
+from paddle_router.policy._server_reach import ServerReach
 from paddle_router.policy._server_view import Send
 from paddle_router.policy._server_view import ServerView
 from paddle_router.policy._server_view import TurnAway
@@ -161,6 +165,7 @@
     'LoadReport',
     'LoadRequest',
     'MAX_QUIET_MS',
+    'MIN_CONNECTED',
     'NextAvailability',
     'ObservedBalancer',
     'Offer',
@@ -178,6 +183,8 @@
     'PolicySet',
     'Prediction',
     'priority_pair',
+    'ProbeResult',
+    'ProbeTarget',
     'PROGRESS_SHARE',
     'RankDemand',
     'Refusal',
@@ -195,6 +202,7 @@
     'ServerLimit',
     'ServerLimits',
     'ServerNotices',
+    'ServerReach',
     'servers_needed',
     'ServerView',
     'ServiceVersion',
--- a/packages/router/tests/test_gateway_connections.py
+++ b/packages/router/tests/test_gateway_connections.py
@@ -3,6 +3,7 @@
 import paddle_kernel
 from paddle_router.gateway import _buffers
 from paddle_router.gateway import _connections
+from paddle_router.gateway import _reach
 import pytest
 
 
@@ -14,7 +15,9 @@
     # sent to another server.
     clock = paddle_kernel.FakeClock()
     pool = _connections.ConnectionPool(
-        clock, _buffers.BufferAccount(0, clock, metrics=None)
+        clock,
+        _buffers.BufferAccount(0, clock, metrics=None),
+        _reach.ServerReachability(clock, lambda: ()),
     )
     for _ in range(2):
         with pytest.raises(_connections.NoConnectionError):
