Tell gateways through which others they can reach servers

A gateway knows no other gateway. Now it has up to eight, each with an address and the key that its process made up at its start; nothing is sent there yet.

A gateway repeats its entry each second and asks for peers only if it has none, if they are 10 s old, or if it is cut off and one has failed. It is not named while it reports that it reaches no server. Controllers exchange samples of at most 12 gateways with the lease holder once a second.

Ruled out: peers in each reply, which would make replies several times as large; all gateways in the controllers' exchange, 300 of them to the busiest process; peers from one controller's gateways only, as one of five may know two gateways.

--- a/packages/router/src/paddle_router/controller/_controller.py
+++ b/packages/router/src/paddle_router/controller/_controller.py
@@ -147,6 +147,7 @@
         self.dump.register(
             'request_crashes', self.exchange.request_crashes.dump
         )
+        self.dump.register('peers', self.exchange.peers.dump)
         self.dump.register('limits', self.exchange.limits.dump)
         self.dump.register('stream_origins', self.exchange.origins.dump)
         self.dump.register('traffic', self.transport.traffic.dump)
--- a/packages/router/src/paddle_router/controller/_state_exchange.py
+++ b/packages/router/src/paddle_router/controller/_state_exchange.py
@@ -9,6 +9,7 @@
 import paddle_kernel
 from paddle_router.controller import _events
 from paddle_router.controller import _gateway_sums
+from paddle_router.controller import _peer_gateways
 from paddle_router.controller import _request_crashes
 from paddle_router.controller import _stream_origins
 from paddle_router import gateway
@@ -46,6 +47,7 @@
         refused=(),
         limits=(),
         placements=(),
+        peers=(),
     )
 
 
@@ -60,6 +62,7 @@
         refused=(),
         limits=(),
         placements=(),
+        peers=(),
     )
 
 
@@ -74,6 +77,7 @@
         refused=(),
         limits=(),
         placements=(),
+        peers=(),
     )
 
 
@@ -89,6 +93,7 @@
         self.sums = _gateway_sums.GatewaySums(
             location, controller.fleet, controller.clock
         )
+        self.peers = _peer_gateways.PeerGateways(location, controller.clock)
         self.request_crashes = _request_crashes.RequestCrashCollection(
             controller.wall, controller.fleet
         )
@@ -110,6 +115,7 @@
             evacuation_version=self._controller.evacuations.version,
             limits=self._reported_limits(),
             placements=self.placements.recent(self._controller.wall.now_ms()),
+            **self.peers.report_fields(),
             **self.request_crashes.report_fields(holder),
         )
         requested_ms = self._controller.clock.now_ms()
@@ -157,6 +163,7 @@
 
     def _apply_reply(self, report, reply, requested_ms):
         self.sums.apply_reply(report, reply, requested_ms)
+        self.peers.apply_reply(report, reply)
         self.request_crashes.apply_reply(report, reply)
         self._add_observations(reply)
         if reply.confirmed_age_ms >= 0:
@@ -214,6 +221,7 @@
         if self._controller.fleet.listing != listing:
             self.log_list()
         for item in request.reports:
+            self.peers.add(item)
             self.request_crashes.add(item)
             self._add_observations(item)
         current = self._controller.document.current
@@ -240,6 +248,9 @@
                 self._controller.holds_lease
             )
             totals, counted = self.sums.totals(request.reports[0].incarnation)
+        peers = ()
+        if request.reports:
+            peers = self.peers.choose(request.reports[0])
         members = self._controller.members()
         return gateway.SyncReply(
             controllers=self.sums.controllers(),
@@ -264,6 +275,7 @@
             turn_until_ms=turn_until_ms,
             unlisted_versions=self.origins.unlisted_versions(),
             evacuation=self._controller.evacuations.message(),
+            peers=peers,
             **self.request_crashes.reply_fields(),
         )
 
@@ -273,6 +285,7 @@
         if holds_lease:
             listing = self._controller.fleet.listing
             self.sums.add_report(report)
+            self.peers.add_report(report)
             self.request_crashes.add(report)
             self._add_observations(report)
             if self._controller.fleet.listing != listing:
@@ -324,6 +337,7 @@
             ),
             turn_count=turn_count,
             turn_until_ms=turn_until_ms,
+            **(self.peers.reply_fields(report) if holds_lease else {}),
             **self.request_crashes.reply_fields(),
         )
 
--- a/packages/router/src/paddle_router/gateway/__init__.py
+++ b/packages/router/src/paddle_router/gateway/__init__.py
@@ -18,6 +18,7 @@
 from paddle_router.gateway._messages import FindStream
 from paddle_router.gateway._messages import GatewayReport
 from paddle_router.gateway._messages import ListedServer
+from paddle_router.gateway._messages import PeerGateway
 from paddle_router.gateway._messages import RecordStreams
 from paddle_router.gateway._messages import RelayedReport
 from paddle_router.gateway._messages import ServerFlights
@@ -71,6 +72,7 @@
     'ListedServer',
     'Load',
     'NoConnectionError',
+    'PeerGateway',
     'PromptPart',
     'RecordStreams',
     'RelayedReport',
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -132,3 +132,9 @@
 SERVERS_REACHABLE = paddle_kernel.declare_event(
     3371, 'INFO', 'the gateway reaches servers again'
 )
+PEERS_RECEIVED = paddle_kernel.declare_event(
+    3372, 'INFO', 'the gateway received other gateways as peers'
+)
+PEER_FAILED = paddle_kernel.declare_event(
+    3373, 'WARNING', 'a peer could not help and is not used for a second'
+)
--- a/packages/router/src/paddle_router/gateway/_follower.py
+++ b/packages/router/src/paddle_router/gateway/_follower.py
@@ -87,6 +87,7 @@
         waiting,
         incarnation,
         placements=None,
+        peers=None,
     ):
         self._settings = settings
         self._dialect = dialect
@@ -100,6 +101,7 @@
         self._turns = turns
         self._request_crashes = request_crashes
         self._placements = placements or policy.PartPlacements()
+        self._peers = peers
         self._waiting = waiting
         self._incarnation = incarnation
         self._sequence = itertools.count(1)
@@ -302,6 +304,7 @@
             placements=self._placements.recent(self._wall.now_ms()),
             demands=demands,
             **self._request_crashes.report_fields(),
+            **(self._peers.report_fields() if self._peers else {}),
         )
         return _messages.SyncRequest(
             reports=(report,),
@@ -342,6 +345,8 @@
         self._apply_limits(reply, now_ms)
         self._request_crashes.apply_reply(reply)
         self._placements.add(reply.placements, self._wall.now_ms())
+        if self._peers:
+            self._peers.apply(reply)
         for listener in self._reply_listeners:
             listener(reply)
         self._check_controller(address, reply, now_ms)
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -18,6 +18,7 @@
 from paddle_router.gateway import _forward
 from paddle_router.gateway import _metrics
 from paddle_router.gateway import _moves
+from paddle_router.gateway import _peers
 from paddle_router.gateway import _reach
 from paddle_router.gateway import _request_crashes
 from paddle_router.gateway import _server_notices
@@ -128,6 +129,11 @@
             self.wall, settings.usage_window_ms
         )
         incarnation = secrets.token_hex(8)
+        # Other gateways that present it may send requests to this one.
+        self.peer_key = secrets.token_hex(16)
+        self.peers = _peers.Peers(
+            settings, clock, self.reach, incarnation, self.peer_key
+        )
         self.request_crashes = _request_crashes.RequestCrashRecorder(
             self, incarnation
         )
@@ -146,6 +152,7 @@
             placements=self.placements,
             waiting=self.waiting,
             incarnation=incarnation,
+            peers=self.peers,
         )
         self.origins = _stream_origins.StreamOrigins(self, transport)
         self.follower.on_reply(
@@ -401,6 +408,7 @@
             ('follower', self.components.follower),
             ('connections', self.components.pool),
             ('reach', self.components.reach),
+            ('peers', self.components.peers),
             ('request_crashes', self.components.request_crashes),
             ('stream_origins', self.components.origins),
             ('entry', self.entry),
--- a/packages/router/src/paddle_router/gateway/_messages.py
+++ b/packages/router/src/paddle_router/gateway/_messages.py
@@ -149,6 +149,21 @@
     domains: tuple[str, ...] = ()
 
 
+@attrs.frozen(kw_only=True)
+class PeerGateway:
+    """A gateway that can pass on requests of other gateways to servers.
+
+    ``address`` is where it accepts them from those that present ``key``, which
+    it makes up at its start.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    domain: str
+    key: str = attrs.field(repr=False)
+
+
 @attrs.frozen(kw_only=True)
 class UsageCount:
     """Cumulative count of a customer's requests started in a window."""
@@ -169,6 +184,9 @@
     ``refused`` the parts that are refused here. ``limits`` contains the known
     limits of servers and ``demands`` the demand for each service.
     ``placements`` are the recently learned placements of prompt parts.
+    ``peer`` is the gateway's entry for other gateways; it is repeated from
+    time to time. ``is_cut`` is set while the gateway reaches no server, and
+    ``wants_peers`` if the reply is to contain peers.
     """
 
     name: str
@@ -184,6 +202,9 @@
     limits: tuple[policy.ServerLimit, ...] = ()
     demands: tuple[ServiceDemand, ...] = ()
     placements: tuple[policy.PartPlacement, ...] = ()
+    peer: PeerGateway | None = None
+    is_cut: bool = False
+    wants_peers: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -230,7 +251,8 @@
     gateways, this one included. ``evacuation`` is ``None`` if the controller
     does not know it. Until ``turn_until_ms``, by the synchronized clock, no
     other of ``turn_count`` gateways has the same position; 0 while positions
-    change.
+    change. ``peers`` are other gateways that reached servers recently, if the
+    report asks for them.
     """
 
     controllers: tuple[ControllerLocation, ...]
@@ -257,6 +279,7 @@
     placements: tuple[policy.PartPlacement, ...] = ()
     turn_count: int = 0
     turn_until_ms: int = 0
+    peers: tuple[PeerGateway, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -285,7 +308,8 @@
     ``served``, ``refused`` and ``limits`` are as in :class:`GatewayReport`.
     ``extra_loads`` contains further columns of ``loads`` (see
     :func:`pack_extra_loads`), ``demands`` the sums over these gateways, and
-    ``evacuation_version`` identifies the known :class:`Evacuation`.
+    ``evacuation_version`` identifies the known :class:`Evacuation`. With
+    ``wants_peers``, ``peers`` is a sample of these gateways.
     """
 
     place: ControllerLocation
@@ -302,6 +326,8 @@
     demands: tuple[ServiceDemand, ...] = ()
     evacuation_version: int = 0
     placements: tuple[policy.PartPlacement, ...] = ()
+    peers: tuple[PeerGateway, ...] = ()
+    wants_peers: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -319,6 +345,7 @@
     ``demands`` are those of all other controllers' gateways, ``evacuation``
     is ``None`` if it is not newer than that of the report. ``turn_count`` and
     ``turn_until_ms`` are as in :class:`SyncReply`, for ``positions``.
+    ``peers`` is a sample of other controllers' gateways, if asked for.
     """
 
     in_charge: bool
@@ -341,6 +368,7 @@
     placements: tuple[policy.PartPlacement, ...] = ()
     turn_count: int = 0
     turn_until_ms: int = 0
+    peers: tuple[PeerGateway, ...] = ()
 
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('gateway.capnp')))
@@ -357,6 +385,7 @@
         Evacuation,
         FindStream,
         ListedServer,
+        PeerGateway,
         RecordStreams,
         ServerFlights,
         ServiceDemand,
--- a/packages/router/src/paddle_router/gateway/_metrics.py
+++ b/packages/router/src/paddle_router/gateway/_metrics.py
@@ -154,6 +154,11 @@
                 'Connections opened to learn whether servers are reachable.',
                 lambda: gateway.components.reach.probe_count,
             ),
+            (
+                'peers',
+                'Other gateways that requests can be sent through.',
+                lambda: gateway.components.peers.count,
+            ),
             (
                 'servers_evacuated',
                 'Listed servers in evacuated failure domains.',
--- a/packages/router/src/paddle_router/gateway/_settings.py
+++ b/packages/router/src/paddle_router/gateway/_settings.py
@@ -28,6 +28,8 @@
     of a core and ``link_mbps`` the bandwidth that the process has, 0 if
     unknown. All gateways together send a cold server at most its rate times
     ``cold_overage`` plus ``cold_slack`` requests in any second.
+    ``peer_listen`` is the address for requests of other gateways, empty if
+    the gateway neither accepts nor sends any.
     """
 
     name: str
@@ -48,3 +50,4 @@
     link_mbps: float = 0.0
     cold_overage: float = 1.0
     cold_slack: float = 0.0
+    peer_listen: str = ''
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -105,6 +105,14 @@
   rank @4 :List(Int64);
 }
 
+struct PeerGateway {
+  name @0 :Text;
+  incarnation @1 :Text;
+  address @2 :Text;
+  domain @3 :Text;
+  key @4 :Text;
+}
+
 struct Evacuation {
   version @0 :UInt64;
   domains @1 :List(Text);
@@ -130,6 +138,9 @@
   limits @10 :List(ServerLimit);
   demands @11 :List(ServiceDemand);
   placements @12 :List(PartPlacement);
+  peer @13 :PeerGateway;
+  isCut @14 :Bool;
+  wantsPeers @15 :Bool;
 }
 
 struct SyncRequest {
@@ -169,6 +180,7 @@
   placements @21 :List(PartPlacement);
   turnCount @22 :UInt32;
   turnUntilMs @23 :UInt64;
+  peers @24 :List(PeerGateway);
 }
 
 struct FrontNews {
@@ -195,6 +207,8 @@
   demands @11 :List(ServiceDemand);
   evacuationVersion @12 :UInt64;
   placements @13 :List(PartPlacement);
+  peers @14 :List(PeerGateway);
+  wantsPeers @15 :Bool;
 }
 
 struct HubReply {
@@ -218,4 +232,5 @@
   placements @17 :List(PartPlacement);
   turnCount @18 :UInt32;
   turnUntilMs @19 :UInt64;
+  peers @20 :List(PeerGateway);
 }
--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -14,6 +14,7 @@
 from fleet_adapter import configuration
 from fleet_adapter import controller_role
 from fleet_adapter import dialect
+from fleet_adapter import gateway_role
 from fleet_adapter import settings
 import paddle_kernel
 from paddle_router.controller import _fleet
@@ -734,6 +735,36 @@
 }
 
 
+@pytest.mark.parametrize(
+    'ports, gateway_port',
+    [([7340, 7355], 7341), ([7340, 7340], 7340), ([7340], 7340)],
+)
+def test_gateways_and_controllers_use_different_ports(ports, gateway_port):
+    # Guards against two processes of one machine that listen on one port.
+    loaded = settings.PlatformSettings.from_document(
+        {
+            **SETTINGS,
+            'internalPorts': ports,
+            'listen': {'front': '127.0.0.1:0', 'ready': '127.0.0.1:0'},
+            'bounds': {
+                **SETTINGS['bounds'],
+                'gracePeriodS': 8,
+                'retryBudgetRatio': 0.2,
+                'retryBudgetSlack': 56,
+                'retryWindowS': 10,
+            },
+        }
+    )
+    built = gateway_role.build(loaded)
+    assert built.settings.peer_listen == f'127.0.0.1:{gateway_port}'
+    assert loaded.peer_port == 7340
+    # Who has the key may send requests, so each process makes up its own.
+    assert (
+        built.components.peer_key
+        != gateway_role.build(loaded).components.peer_key
+    )
+
+
 @pytest.mark.parametrize('bounds', [{}, {'evacuationMs': 5_000}])
 def test_evacuations_are_served_where_the_platform_has_a_bound_for_them(
     bounds,
