Send requests through another gateway while no server is reachable

Cause: a gateway had no way to a server but its own links. Shorter time-outs were ruled out, since no number of attempts over dead links helps, and so was "not ready", which the load balancer ignores when most of a zone is cut off.

While reach.is_cut, a request goes straight to a peer, which listens at peer_listen and lets in only those who present its key. The peer admits it as one of its own callers' (route, customer, priority, waiting, load) and counts its usage. The sender keeps the retry budget, passes on the attempts used, the time left, the service and the version of the stream, and resumes broken streams itself, so that attempts count once. Unsafe calls are relayed only if no server may have them, and go to a second peer only if the first states that nothing ran. After a lost response without a head nothing is repeated, since the peer may have used all attempts. A peer with an older configuration is not used, and a gateway does not fall back behind the version that a peer used. If no peer can help, requests take the local path as before.

The stream relay and the exchange got methods for what they record about a server, which the relay through a peer replaces. A server's response headers named Paddle-Peer-* no longer reach callers, nor a caller's such headers servers.

--- a/packages/router/src/paddle_router/gateway/_call.py
+++ b/packages/router/src/paddle_router/gateway/_call.py
@@ -9,6 +9,7 @@
 
 from paddle_router.gateway import _http1
 from paddle_router.gateway import _model
+from paddle_router.gateway import _peer_headers
 from paddle_router import policy
 
 
@@ -77,6 +78,9 @@
     stream has if its first event comes from this attempt; the event
     ``origin_recorded`` is set once a controller knows it. ``continuation`` is
     the :class:`Continuation` of a stopped run.
+    ``relayed`` is the :class:`RelayedRequest` of a request that a peer has
+    sent, ``peer`` the name of the gateway that it came from or was sent
+    through, and ``is_relay_exhausted`` tells whether no peer could help.
     ``load_request`` is what the admission by load decides on, ``None``
     without it.
     ``rank`` is the sort key for waiting requests, lowest first; ``urgency`` is
@@ -116,6 +120,9 @@
     origin_recorded: object = None
     last_event_id: bytes | None = None
     continuation: object = None
+    relayed: _peer_headers.RelayedRequest | None = None
+    peer: str | None = None
+    is_relay_exhausted: bool = False
     rank: tuple[int, int] = (0, 0)
     urgency: int | None = None
     copy_rate: float = 0.0
--- a/packages/router/src/paddle_router/gateway/_connections.py
+++ b/packages/router/src/paddle_router/gateway/_connections.py
@@ -39,6 +39,19 @@
     open: int = 0
 
 
+class UnwatchedReach:
+    """Stands for the reachability of peers, which is not watched."""
+
+    def suspect(self, _address):
+        """Do nothing: the user of the pool marks the peer as failed."""
+
+    def record_connected(self):
+        """Do nothing."""
+
+    def record_response(self):
+        """Do nothing."""
+
+
 class ConnectionPool:
     """Opens connections and keeps idle ones for the next request.
 
--- a/packages/router/src/paddle_router/gateway/_dialect.py
+++ b/packages/router/src/paddle_router/gateway/_dialect.py
@@ -29,6 +29,14 @@
     ) -> list:
         """Return the headers for a backend server, without framing headers."""
 
+    def relayed_headers(self, headers, left_ms, last_event_id) -> list:
+        """Return the headers for another gateway, without framing headers.
+
+        ``headers`` are the caller's, whose key stays. ``left_ms`` replaces the
+        caller's deadline and ``last_event_id``, if not ``None``, the id of the
+        last event that the caller has.
+        """
+
     def parse_response_headers(
         self, status, headers
     ) -> _model.ResponseMetadata:
--- a/packages/router/src/paddle_router/gateway/_entry.py
+++ b/packages/router/src/paddle_router/gateway/_entry.py
@@ -11,6 +11,7 @@
 from paddle_router.gateway import _events
 from paddle_router.gateway import _http1
 from paddle_router.gateway import _model
+from paddle_router.gateway import _peer_headers
 
 BACKLOG = 1_024
 # Closing a socket with unread bytes resets the connection, which can destroy a
@@ -24,12 +25,20 @@
 class CallerChannel:
     """Writes the response to one request on a caller connection."""
 
+    # The :class:`RelayedRequest` if a peer has sent the request.
+    relayed = None
+
     def __init__(self, conn, entry):
         self._conn = conn
         self._entry = entry
         self._response_started = False
         self._response_ended = False
 
+    @property
+    def has_responded(self):
+        """Whether a response was started."""
+        return self._response_started
+
     @property
     def is_response_incomplete(self):
         """Whether a response was started and not written to its end."""
@@ -39,6 +48,9 @@
 
     def answer(self, status, headers, body):
         """Write a complete response unless one has been started."""
+        self._respond(status, self._server_headers(headers), body)
+
+    def _respond(self, status, headers, body):
         if self._response_started:
             return
         self._response_started = True
@@ -47,11 +59,17 @@
         )
         self._response_ended = True
 
+    def refuse(self, status, headers, body):
+        """Write a complete response of the gateway itself."""
+        self._respond(status, headers, body)
+
     def begin(self, status, headers):
         """Write the head of a streamed response."""
         self._response_started = True
         framing = [(b'Connection', b'close')] if self._entry.closing else []
-        self._conn.send_head(status, headers, framing=framing)
+        self._conn.send_head(
+            status, self._server_headers(headers), framing=framing
+        )
 
     def data(self, data):
         """Write a part of a streamed response."""
@@ -78,9 +96,18 @@
         """Wait until the caller has been sent all."""
         self._conn.writer.flush()
 
+    def _server_headers(self, headers):
+        """Return what the caller gets of a server's ``headers``."""
+        return _peer_headers.without_own(headers)
+
 
 class Entry:
-    """Accepts callers; ``closing`` ends each connection after its response."""
+    """Accepts callers; ``closing`` ends each connection after its response.
+
+    ``refusal_headers`` are added where a request cannot be read.
+    """
+
+    refusal_headers = ()
 
     def __init__(
         self,
@@ -196,7 +223,9 @@
             paddle_kernel.emit(
                 _events.BAD_REQUEST, status=exc.status, error=str(exc)
             )
-            _refuse(conn, exc.status, b'bad request')
+            refuse(
+                conn, exc.status, b'bad request', headers=self.refusal_headers
+            )
             return None
         except _buffers.BodyRefusedError as exc:
             reason = str(exc).encode()
@@ -205,11 +234,11 @@
         # The traceback, which held the part that was read, is gone by now.
         room.release()
         retry_after = b'%.3f' % (BODY_RETRY_AFTER_MS / MS_PER_S)
-        _refuse(
+        refuse(
             conn,
             503,
             reason,
-            headers=[(b'Retry-After', retry_after)],
+            headers=[(b'Retry-After', retry_after), *self.refusal_headers],
             # The caller may read the refusal only after its body is sent.
             linger_ms=self._limits().header_ms,
         )
@@ -217,7 +246,9 @@
 
     def _serve_one(self, conn, req):
         """Serve one request; return whether the connection is still usable."""
-        channel = CallerChannel(conn, self)
+        channel = self._channel(conn, req)
+        if channel is None:
+            return False
         worker = gevent.getcurrent()
         conn.writer.start_request(
             lambda writer: self._end_slow(writer, worker, req)
@@ -225,7 +256,8 @@
         watcher = gevent.spawn(_watch_disconnect, conn, worker)
         self.busy += 1
         try:
-            self._forwarder.serve(channel, req)
+            if not channel.has_responded:
+                self._forwarder.serve(channel, req)
             _flush(conn)
         except (_call.CallerDisconnected, OSError):
             # A write fails if the caller has disconnected.
@@ -246,6 +278,13 @@
                 _end_incomplete(conn.sock, req.http_version)
         return not channel.is_response_incomplete
 
+    def _channel(self, conn, _req):
+        """Return the channel for the response to a request.
+
+        ``None`` if the request was refused and the connection is to be closed.
+        """
+        return CallerChannel(conn, self)
+
     def _end_slow(self, writer, worker, req):
         paddle_kernel.emit(
             _events.CALLER_ENDED,
@@ -257,8 +296,8 @@
         worker.kill(_call.CallerTooSlow, block=False)
 
 
-def _refuse(conn, status, reason, *, headers=(), linger_ms=LINGER_MS):
-    """Refuse a request that was not read completely."""
+def refuse(conn, status, reason, *, headers=(), linger_ms=LINGER_MS):
+    """Refuse a request that is not handled, and end its connection."""
     conn.send_response(
         status,
         [(b'Content-Type', b'application/json'), *headers],
--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -138,3 +138,24 @@
 PEER_FAILED = paddle_kernel.declare_event(
     3373, 'WARNING', 'a peer could not help and is not used for a second'
 )
+RELAY_SENT = paddle_kernel.declare_event(
+    3380, 'INFO', 'a request was sent through another gateway'
+)
+RELAY_ACCEPTED = paddle_kernel.declare_event(
+    3381, 'INFO', 'a request of another gateway was accepted'
+)
+RELAY_REFUSED = paddle_kernel.declare_event(
+    3382, 'WARNING', 'a request of another gateway cannot be handled here'
+)
+RELAY_FAILED = paddle_kernel.declare_event(
+    3383, 'WARNING', 'another gateway did not complete a request'
+)
+RELAYS_PAUSED = paddle_kernel.declare_event(
+    3384, 'WARNING', 'no other gateway can help; none is asked for a while'
+)
+RELAY_STRANGER = paddle_kernel.declare_event(
+    3385, 'WARNING', 'a request without the key of this gateway was refused'
+)
+PEER_ENTRY_FAILED = paddle_kernel.declare_event(
+    3386, 'ERROR', 'the listener for other gateways cannot be opened'
+)
--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -10,6 +10,7 @@
 from paddle_router.gateway import _http1
 from paddle_router.gateway import _model
 from paddle_router.gateway import _moves
+from paddle_router.gateway import _peer_headers
 from paddle_router.gateway import _response_limits
 from paddle_router.gateway import _stream
 
@@ -275,7 +276,9 @@
                 self._flight.copy_from_id
             ),
         )
-        headers = self._dialect.forwarded_headers(call.req.headers, context)
+        headers = self._dialect.forwarded_headers(
+            _peer_headers.without_own(call.req.headers), context
+        )
         if call.continuation is None:
             # Continuing a moved run does not count as another attempt.
             call.attempts += 1
@@ -397,7 +400,7 @@
                 _call.AttemptOutcome.BROKEN, 'error response too long'
             )
         self._silence_timeout.close()
-        self._components.record_response(self._call)
+        self._record_response()
         self._call.mark_response_started(head.status_code)
         caller.begin(
             head.status_code,
@@ -423,7 +426,7 @@
         call = self._call
         self._is_response_complete = True
         self._is_server_at_fault = head.status_code >= 500
-        self._components.record_response(self._call)
+        self._record_response()
         if _is_success(head):
             self._record_served()
         response = _call.Response(
@@ -494,6 +497,9 @@
         self._is_server_at_fault = False
         return _call.AttemptOutcome.MOVED
 
+    def _record_response(self):
+        self._components.record_response(self._call)
+
     def _record_served(self):
         self._components.request_crashes.record_served(self._call)
 
--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -10,6 +10,8 @@
 from paddle_router.gateway import _call
 from paddle_router.gateway import _events
 from paddle_router.gateway import _exchange
+from paddle_router.gateway import _peer_exchange
+from paddle_router.gateway import _peer_headers
 from paddle_router.gateway import _routes
 
 # When all processes start at the same time, a gateway gets its configuration
@@ -33,14 +35,25 @@
 
     def serve(self, conn, req):
         """Handle ``req`` and write the response to ``conn``."""
-        self._await_configuration()
+        if conn.relayed is not None:
+            reason = self._relay_refusal(conn.relayed)
+            if reason is not None:
+                self._refuse_relay(conn, reason)
+                return
+        else:
+            self._await_configuration()
         table = self._follower.table
+        if conn.relayed is not None:
+            conn.version = table.configuration.version
         try:
-            call = self._admit(req, table)
+            call = self._admit(req, table, conn.relayed)
         except _call.RefusedError as exc:
             self._refuse(conn, exc.status, exc.reason)
             self._log_refused(req, exc)
             return
+        if conn.relayed is not None:
+            conn.call = call
+            self._log_relayed(call)
         timeout = gevent.Timeout(
             max(1, call.end_ms - self._clock.now_ms()) / MS_PER_S
         )
@@ -71,14 +84,18 @@
 
     def _run(self, conn, call, table):
         """Serve an admitted request."""
-        if not self._components.origins.resolve(call):
+        if (
+            call.software_version is None
+            and not self._components.origins.resolve(call)
+        ):
             call.reason = 'the version of the stream is unknown'
             self._refuse(conn, 503, call.reason, call)
             return
         call.urgency = table.urgency(call.route, call.customer, call.service)
         call.copy_rate = self._components.copy_rate(call.service)
         budget = self._components.budgets.of(call.service)
-        budget.record_request(self._clock.now_ms())
+        if call.relayed is None:
+            budget.record_request(self._clock.now_ms())
         self._run_attempts(conn, call, budget)
 
     def _version(self):
@@ -94,16 +111,61 @@
         second, so the request is served late instead of rejected.
         """
         end_ms = self._clock.now_ms() + CONFIGURATION_WAIT_MS
-        while not self._follower.is_ready and self._clock.now_ms() < end_ms:
+        while (
+            not self._has_current_configuration()
+            and self._clock.now_ms() < end_ms
+        ):
             self._clock.sleep_ms(CONFIGURATION_POLL_MS)
 
-    def _admit(self, req, table):
+    def _has_current_configuration(self):
+        """Whether no caller was served by a newer configuration.
+
+        One may have been, through another gateway.
+        """
+        return self._follower.is_ready and self._components.relays.is_current(
+            self._follower.table
+        )
+
+    def _relay_refusal(self, relayed):
+        """Return why the request of a peer cannot be handled, or ``None``."""
+        if (
+            not self._has_current_configuration()
+            or self._follower.table.configuration.version < relayed.version
+        ):
+            return _peer_headers.REFUSED_CONFIGURATION
+        if self._components.reach.is_cut:
+            return _peer_headers.REFUSED_CUT
+        return None
+
+    def _refuse_relay(self, conn, reason, call=None):
+        """Tell a peer that its request has not run and will not run here."""
+        paddle_kernel.emit(
+            _events.RELAY_REFUSED,
+            request=call.metadata.request_id if call else None,
+            peer=conn.relayed.sender,
+            reason=reason,
+        )
+        conn.refuse_relay(reason)
+
+    def _log_relayed(self, call):
+        self._components.metrics.relayed.labels('received').inc()
+        paddle_kernel.emit(
+            _events.RELAY_ACCEPTED,
+            request=call.metadata.request_id,
+            peer=call.peer,
+            route=call.route.name,
+            attempts=call.attempts,
+        )
+
+    def _admit(self, req, table, relayed):
         """Return the :class:`Call` for a request.
 
         :raises RefusedError: if the request must not be sent to a server.
         """
         if not self._follower.is_ready:
             raise _call.RefusedError(503, 'no configuration yet')
+        if not self._components.relays.is_current(table):
+            raise _call.RefusedError(503, 'the configuration is old')
         try:
             metadata = self._dialect.parse_request_headers(req.headers)
         except ValueError as exc:
@@ -125,6 +187,17 @@
             # Its sender was slow. The stop could cut it without an answer.
             raise _call.RefusedError(503, 'stopping', metadata.request_id)
         service = _routes.choose_service(route, self._rng)
+        fields = {}
+        if relayed is not None:
+            if relayed.service in {item.service for item in route.services}:
+                service = relayed.service
+            fields = {
+                'relayed': relayed,
+                'peer': relayed.sender,
+                'attempts': relayed.attempts,
+                'run_started': relayed.is_counted,
+                'software_version': relayed.software_version,
+            }
         return _call.Call(
             req=req,
             metadata=metadata,
@@ -134,6 +207,7 @@
             end_ms=end_ms,
             last_event_id=metadata.last_event_id,
             rank=_routes.priority_key(route, customer),
+            **fields,
         )
 
     # Attempts
@@ -163,6 +237,9 @@
         ):
             # It may crash the next server too.
             return False
+        if call.response_started and call.relayed is not None:
+            # The sender resumes the stream, so that attempts count once.
+            return False
         if call.response_started and not call.can_resume:
             # Part of the response may have reached the caller, and the stream
             # cannot be resumed.
@@ -204,7 +281,12 @@
         return True
 
     def has_untried_server(self, call):
-        """Return whether an untried server accepts ``call`` now."""
+        """Return whether an untried server accepts ``call`` now.
+
+        It may be one that only another gateway reaches.
+        """
+        if self._components.relays.is_available(call):
+            return True
         self._components.exclude_other_versions(call)
         balancer = self._components.balancers.get(call.service)
         return balancer is not None and balancer.can_place(
@@ -224,6 +306,14 @@
         if call.response_started:
             # The response stays without its end.
             return
+        if (
+            call.relayed is not None
+            and not call.may_have_run
+            and self._components.reach.is_cut
+        ):
+            self._refuse_relay(conn, _peer_headers.REFUSED_CUT, call)
+            call.status = 503
+            return
         status = 502 if call.may_have_run else 503
         self._refuse(conn, status, call.reason, call)
 
@@ -238,10 +328,15 @@
     def _attempt(self, conn, call):
         """Try one server; return ``None`` if the caller got its response."""
         balancer = self._components.balancers.get(call.service)
-        now_ms = self._clock.now_ms()
         flight = None
         if self._has_refused_trait(call):
             return _call.AttemptOutcome.REFUSED
+        relays = self._components.relays
+        if relays.is_available(call):
+            outcome = relays.run(conn, call)
+            if outcome is not _peer_exchange.NOT_HANDLED:
+                return outcome
+        now_ms = self._clock.now_ms()
         self._components.exclude_other_versions(call)
         if call.continuation is not None:
             flight = balancer.place(
@@ -250,6 +345,12 @@
         elif balancer is not None:
             flight = self._components.waiting.place(call, call.engine_work)
             self._components.log_last_resort(call.service)
+        if relays.is_available(call):
+            # The way to the servers was lost while the request waited.
+            if flight is not None:
+                balancer.cancel(flight)
+            call.reason = 'no server can be reached'
+            return _call.AttemptOutcome.NOT_SENT
         if flight is None:
             call.reason = call.turned_away_reason or 'no server'
             if call.continuation is not None:
@@ -303,7 +404,7 @@
         if call is not None:
             call.status = status
             call.response_started = True
-        conn.answer(status, headers, body)
+        conn.refuse(status, headers, body)
 
     def _retry_after_ms(self, call):
         """Return the Retry-After time for the caller of ``call``."""
@@ -343,6 +444,7 @@
             reason=call.reason,
             attempts=call.attempts,
             server=call.server_id,
+            peer=call.peer,
             first_ms=call.first_ms,
             longest_gap_ms=call.longest_gap_ms,
             move=call.move_state,
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -18,6 +18,8 @@
 from paddle_router.gateway import _forward
 from paddle_router.gateway import _metrics
 from paddle_router.gateway import _moves
+from paddle_router.gateway import _peer_entry
+from paddle_router.gateway import _peer_exchange
 from paddle_router.gateway import _peers
 from paddle_router.gateway import _reach
 from paddle_router.gateway import _request_crashes
@@ -154,6 +156,7 @@
             incarnation=incarnation,
             peers=self.peers,
         )
+        self.relays = _peer_exchange.PeerRelays(self)
         self.origins = _stream_origins.StreamOrigins(self, transport)
         self.follower.on_reply(
             lambda reply: self.origins.apply_versions(
@@ -334,13 +337,17 @@
 
     def record_response(self, call):
         """Record once that a server has started to respond to ``call``."""
+        self.observe_response(call)
+        self.count_usage(call)
+
+    def observe_response(self, call):
+        """Measure once how long ``call`` took until its response."""
         if not call.response_seen:
             call.response_seen = True
             self.metrics.observe_latency(
                 call.route.kind.value,
                 self.clock.now_ms() - call.req.received_ms,
             )
-        self.count_usage(call)
 
     def count_usage(self, call):
         """Count ``call`` as usage, once."""
@@ -395,14 +402,16 @@
             settings, dialect, self.clock, self.transport
         )
         self.metrics = self.components.metrics
+        self._forwarder = _forward.Forwarder(self.components)
         self.entry = _entry.Entry(
             settings.listen,
             self.components.follower,
-            _forward.Forwarder(self.components),
+            self._forwarder,
             self.clock,
             self.components.buffers,
             max_connections=DEFAULT_DESCRIPTORS - OTHER_DESCRIPTORS,
         )
+        self.peer_entry = None
         self.dump = paddle_kernel.StateDump()
         for name, part in (
             ('follower', self.components.follower),
@@ -412,6 +421,7 @@
             ('request_crashes', self.components.request_crashes),
             ('stream_origins', self.components.origins),
             ('entry', self.entry),
+            ('relays', self.components.relays),
             ('buffers', self.components.buffers),
         ):
             self.dump.register(name, part.dump)
@@ -425,6 +435,10 @@
         self.dump.register('waiting', self.components.waiting.dump)
         if isinstance(self.transport, paddle_kernel.TcpTransport):
             self.dump.register('traffic', self.transport.traffic.dump)
+        self.dump.register(
+            'peer_entry',
+            lambda: self.peer_entry.dump() if self.peer_entry else None,
+        )
         self.metrics.add_state_gauges(self)
         self._stopping = False
         self._greenlets = []
@@ -448,6 +462,7 @@
         ]
         self._admin_server.start()
         self.entry.start()
+        self.open_peer_entry()
         paddle_kernel.emit(
             _events.STARTED,
             name=self.settings.name,
@@ -457,26 +472,56 @@
         )
         return self
 
+    def open_peer_entry(self):
+        """Accept requests of other gateways if the settings ask for it.
+
+        Without the listener, this gateway still serves its own callers.
+        """
+        address = self.settings.peer_listen
+        if not address:
+            return
+        try:
+            self.peer_entry = _peer_entry.PeerEntry(
+                address, self.components, self._forwarder
+            )
+        except OSError as exc:
+            paddle_kernel.emit(
+                _events.PEER_ENTRY_FAILED, address=address, error=str(exc)
+            )
+            return
+        self.peer_entry.start()
+
     def stop(self):
         """Stop gracefully; return whether all requests finished."""
         stop_start_ms = self.clock.now_ms()
         self._stopping = True
         self.entry.closing = True
-        paddle_kernel.emit(_events.STOPPING, busy=self.entry.busy)
+        if self.peer_entry is not None:
+            # Other gateways can help at once.
+            self.peer_entry.close_idle()
+        paddle_kernel.emit(_events.STOPPING, busy=self._busy)
         self.clock.sleep_ms(READINESS_NOTICE_MS)
         self.entry.close_idle()
         self.clock.sleep_ms(STOP_ACCEPT_MS - READINESS_NOTICE_MS)
         abort_at_ms = stop_start_ms + self.settings.stop_ms - ABORT_MARGIN_MS
         self.components.cut_at_ms = abort_at_ms
         self.entry.stop_listening()
-        while self.entry.busy and self.clock.now_ms() < abort_at_ms:
+        if self.peer_entry is not None:
+            self.peer_entry.stop_listening()
+        while self._busy and self.clock.now_ms() < abort_at_ms:
             self.clock.sleep_ms(STOP_POLL_MS)
         self.components.follower.step()
-        unfinished = self.entry.busy
+        unfinished = self._busy
         paddle_kernel.emit(_events.STOPPED, left=unfinished)
         self.close()
         return not unfinished
 
+    @property
+    def _busy(self):
+        """The number of requests in progress, those of peers included."""
+        busy = self.entry.busy
+        return busy + (self.peer_entry.busy if self.peer_entry else 0)
+
     def reload(self, controllers):
         """Add the controller addresses of changed settings."""
         self.components.follower.add_controllers(controllers)
@@ -505,6 +550,7 @@
             self.clock.sleep_ms(PRUNE_INTERVAL_MS)
             try:
                 self.components.pool.prune()
+                self.components.relays.pool.prune()
             except Exception as exc:
                 _log_failure(exc)
 
--- a/packages/router/src/paddle_router/gateway/_metrics.py
+++ b/packages/router/src/paddle_router/gateway/_metrics.py
@@ -98,6 +98,13 @@
             registry=self.registry,
         )
 
+        self.relayed = prometheus_client.Counter(
+            'paddle_gateway_relayed',
+            'Requests sent through, or received from, another gateway.',
+            ['direction'],
+            registry=self.registry,
+        )
+
     def add_state_gauges(self, gateway):
         """Add gauges that read the state of ``gateway`` when collected."""
         follower = gateway.components.follower
--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -188,24 +188,18 @@
         if self._is_resumed:
             self._check_resumed(events)
         now_ms = self._clock.now_ms()
-        self._components.record_response(call)
+        self._record_response()
         if any(_has_content(event) for event in events):
             self._last_event_ms = now_ms
             self._idle_bytes = 0
             call.has_data = True
             if not self._has_begun:
                 self._has_begun = True
-                self._components.request_crashes.record_begun(call)
+                self._record_first_content()
         call.record_events(now_ms)
-        self._stream.record_events(len(events), now_ms - self._flight.last_ms)
-        self._components.moves.move_if_needed(self._stream)
-        self._components.balancers[call.service].observe(
-            self._flight, now_ms, self._stream.events
-        )
-        self._components.waiting.wake_next(call.service)
-        call.software_version = self._stream.server.software_version
+        self._record_progress(len(events), now_ms)
         if not call.response_started:
-            self._components.origins.record_begun(call)
+            self._record_begun()
             call.mark_response_started(self._head.status_code)
             call.stream_format = stream_format(self._head)
             self._caller.begin(
@@ -220,6 +214,26 @@
             call.last_event_id = last_event_id
             call.has_event_id = True
 
+    def _record_response(self):
+        self._components.record_response(self._call)
+
+    def _record_first_content(self):
+        self._components.request_crashes.record_begun(self._call)
+
+    def _record_progress(self, count, now_ms):
+        """Record ``count`` more events of the server."""
+        call = self._call
+        self._stream.record_events(count, now_ms - self._flight.last_ms)
+        self._components.moves.move_if_needed(self._stream)
+        self._components.balancers[call.service].observe(
+            self._flight, now_ms, self._stream.events
+        )
+        self._components.waiting.wake_next(call.service)
+        call.software_version = self._stream.server.software_version
+
+    def _record_begun(self):
+        self._components.origins.record_begun(self._call)
+
 
 def _has_content(event):
     """Return whether an event is more than a keep-alive comment."""
--- a/packages/router/src/paddle_router/gateway/_stream_origins.py
+++ b/packages/router/src/paddle_router/gateway/_stream_origins.py
@@ -79,6 +79,18 @@
             call.origin_recorded.wait(RECORD_TIMEOUT_MS / MS_PER_S)
         self._add(call.origin)
 
+    def record_relayed(self, call):
+        """Remember the origin of ``call``, whose first event a peer sent."""
+        if self._may_be_taken_up(call):
+            self._add(
+                _messages.StreamOrigin(
+                    id=call.metadata.request_id,
+                    service=call.service,
+                    version=call.software_version,
+                    sent_ms=self._wall.now_ms(),
+                )
+            )
+
     def apply_versions(self, servers, unlisted):
         """Apply the current list of servers and recent unlisted versions.
 
--- a/packages/router/src/paddle_router/gateway/_waiting.py
+++ b/packages/router/src/paddle_router/gateway/_waiting.py
@@ -359,6 +359,9 @@
         call = waiter.call
         while True:
             pause_ms = None
+            if self._components.relays.is_available(call):
+                # Only another gateway reaches the servers.
+                return None
             if queue.is_first(position):
                 now_ms = self._clock.now_ms()
                 if self._first_due_waiter(call.service) is waiter:
--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -318,6 +318,23 @@
         assert name not in found
 
 
+def test_another_gateway_receives_the_access_key_and_the_time_left():
+    # Guards against relayed requests that are refused or run too long.
+    adapter = dialect.FleetDialect()
+    headers = [*HEADERS, (b'Last-Event-Id', b'3')]
+    sent = adapter.relayed_headers(headers, 700, b'5')
+    metadata = adapter.parse_request_headers(sent)
+    assert metadata.key == adapter.parse_request_headers(HEADERS).key
+    assert metadata.deadline_ms == 700
+    assert metadata.last_event_id == b'5'
+    names = [name.lower() for name, _value in sent]
+    assert names.count(b'rosemarypaddle-deadline-milliseconds') == 1
+    assert names.count(b'last-event-id') == 1
+    assert b'connection' not in names
+    kept = adapter.relayed_headers(headers, 700, None)
+    assert adapter.parse_request_headers(kept).last_event_id == b'3'
+
+
 @pytest.mark.parametrize(
     ('status', 'headers', 'has_run'),
     [
