--- a/packages/router/tests/test_policy_server_reach.py
+++ b/packages/router/tests/test_policy_server_reach.py
@@ -102,6 +102,34 @@
         assert not gateway.reach.is_cut
 
 
+@pytest.mark.parametrize('seed', range(20))
+def test_a_large_domain_or_service_that_is_down_is_no_lost_way(seed):
+    # Guards against probes of servers of one domain or service only, where
+    # most servers are.
+    for crowd in (
+        targets('d1', services='stuvwx') + targets('d2'),
+        targets('d1', 'd2', 'd3', 'd4', 'd5') + targets('d1', services=('t',)),
+    ):
+        gateway = Gateway(crowd)
+        gateway.rng = random.Random(seed)
+        gateway.down = {item.address for item in crowd[:-1]}
+        gateway.play(2_000, suspects=sorted(gateway.down))
+        assert not gateway.reach.is_cut
+
+
+def test_all_servers_are_probed_in_turn_while_the_way_is_lost():
+    # Guards against a gateway that goes on probing servers that are down.
+    gateway = Gateway(targets('d1', services=[f's{i}' for i in range(20)]))
+    gateway.cut()
+    gateway.reach.suspect('', gateway.now_ms)
+    gateway.play(100)
+    gateway.probed.clear()
+    gateway.play(20 // _server_reach.CUT_MAX_PROBED * 300)
+    assert {item for probed in gateway.probed for item in probed} == (
+        gateway.down
+    )
+
+
 def test_a_single_server_that_is_down_causes_few_connections(gateway):
     # Guards against a probe for each refused connection.
     gateway.down = {'d1s'}
