Notice hanging connections that callers leave early

A gateway with one request a second over hanging kept connections noticed nothing for as long as it had such connections: plain callers leave after 490 ms, the silence counted anew with each request, and so it never lasted 600 ms. The silence now lasts until a server responds or accepts a connection, also after the request. A single caller that leaves causes one probe at most.

The new test fails before and passes now. The test of an idle gateway ended its request without a response, which is such a silence now; it ends with a response instead, and another test bounds the probes of the other case.

--- a/packages/router/src/paddle_router/policy/_server_reach.py
+++ b/packages/router/src/paddle_router/policy/_server_reach.py
@@ -71,7 +71,10 @@
         self.suspected_address = None
         self.rounds = 0
         self._outstanding = 0
-        self._heard_ms = 0
+        # Since when no server has responded although one should, and whether a
+        # request was sent since the last response.
+        self._silent_since_ms = None
+        self._is_unanswered = False
         self._round_ms = None
         self._connected_count = 0
         # Addresses that accepted in the last round while the way is lost.
@@ -79,11 +82,6 @@
         # Addresses by the time of their last probe.
         self._probed_ms = {}
 
-    @property
-    def has_outstanding(self):
-        """Whether any request is in progress at a server."""
-        return self._outstanding > 0
-
     def suspect(self, address, now_ms):
         """Record that a connection to ``address`` was refused or lost."""
         if self.suspected_ms is None:
@@ -92,29 +90,40 @@
 
     def record_connected(self, now_ms):
         """Record that a server has accepted a new connection."""
-        self._heard_ms = now_ms
+        self.record_response(now_ms)
         self._clear_suspicion()
 
     def record_response(self, now_ms):
         """Record that bytes of a response have arrived."""
-        self._heard_ms = now_ms
+        self._silent_since_ms = now_ms if self._outstanding else None
+        self._is_unanswered = False
 
     def begin_exchange(self, now_ms):
         """Record that a request is sent to a server."""
-        if not self._outstanding:
-            self._heard_ms = now_ms
+        if self._silent_since_ms is None:
+            self._silent_since_ms = now_ms
         self._outstanding += 1
+        self._is_unanswered = True
 
     def end_exchange(self):
-        """Record that an exchange with a server has ended."""
+        """Record that an exchange with a server has ended.
+
+        If it ended without a response, the silence lasts: callers may leave
+        sooner than it is noticed.
+        """
         self._outstanding -= 1
+        if not self._outstanding and not self._is_unanswered:
+            self._silent_since_ms = None
 
     def is_round_due(self, now_ms):
         """Whether servers have to be probed now."""
         period_ms = CUT_ROUND_PERIOD_MS if self.is_cut else ROUND_PERIOD_MS
         if self._round_ms is not None and now_ms - self._round_ms < period_ms:
             return False
-        if self._outstanding and now_ms - self._heard_ms >= SILENCE_MS:
+        if (
+            self._silent_since_ms is not None
+            and now_ms - self._silent_since_ms >= SILENCE_MS
+        ):
             self.suspect('', now_ms)
         return self.is_cut or self.suspected_ms is not None
 
@@ -167,8 +176,7 @@
             return False
         connected = sum(item.is_connected is True for item in results)
         if connected:
-            self._heard_ms = now_ms
-            self._clear_suspicion()
+            self.record_connected(now_ms)
         if self.is_cut:
             self._connected_count = (
                 self._connected_count + connected if connected else 0
--- a/packages/router/tests/test_policy_server_reach.py
+++ b/packages/router/tests/test_policy_server_reach.py
@@ -172,6 +172,31 @@
     assert gateway.reach.is_cut
 
 
+def test_silence_that_outlasts_the_requests_is_noticed(gateway):
+    # Guards against kept connections that hang one after the other while each
+    # caller leaves before the silence is long enough, as plain callers do.
+    gateway.cut()
+    for _ in range(2):
+        gateway.reach.begin_exchange(gateway.now_ms)
+        gateway.play(450)
+        gateway.reach.end_exchange()
+        gateway.play(550)
+    assert gateway.reach.is_cut
+
+
+def test_a_caller_that_leaves_causes_one_probe_at_most(gateway):
+    # Guards against probes of an idle gateway.
+    gateway.reach.begin_exchange(gateway.now_ms)
+    gateway.play(100)
+    gateway.reach.end_exchange()
+    assert gateway.play(10_000) <= 1
+    # A request that is answered leaves no silence behind.
+    gateway.reach.begin_exchange(gateway.now_ms)
+    gateway.reach.record_response(gateway.now_ms)
+    gateway.reach.end_exchange()
+    assert gateway.play(10_000) == 0
+
+
 def test_one_silent_server_among_others_is_not_probed(gateway):
     # Guards against connections because of a request that takes long.
     gateway.reach.begin_exchange(gateway.now_ms)
@@ -187,6 +212,7 @@
     gateway.play(60_000)
     gateway.reach.begin_exchange(gateway.now_ms)
     assert gateway.play(200) == 0
+    gateway.reach.record_response(gateway.now_ms)
     gateway.reach.end_exchange()
     assert gateway.play(2_000) == 0
 
