Read and share which servers are brittle

Server-Brittle was read nowhere and was passed on to callers.

All servers of a service are brittle at once, so the newest answer of any of them counts, also one without the header. It is forgotten after 30 s without an answer. An invalid number is logged (3391) and leaves the known one in force, as does an invalid limit, whose answer now also confirms the known limit; 3390 shows changes. Nothing is bounded by it yet.

Ruled out: a message of its own by service. It would need merging in the controllers, which limits already have.

--- a/packages/router/src/paddle_router/gateway/_events.py
+++ b/packages/router/src/paddle_router/gateway/_events.py
@@ -159,3 +159,9 @@
 PEER_ENTRY_FAILED = paddle_kernel.declare_event(
     3386, 'ERROR', 'the listener for other gateways cannot be opened'
 )
+SERVER_BRITTLE_CHANGED = paddle_kernel.declare_event(
+    3390, 'WARNING', 'what a server says about being brittle changed'
+)
+BRITTLE_IGNORED = paddle_kernel.declare_event(
+    3391, 'WARNING', 'a server named a number of rejections that is not one'
+)
--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -124,6 +124,7 @@
             self.metrics,
             on_leaving=self.apply_servers,
             on_quiet=self.waiting.wake_all,
+            on_brittle=self.waiting.wake_all,
         )
         self.budgets = _Budgets(settings, clock)
         self.moves = _moves.StreamMover(self)
--- a/packages/router/src/paddle_router/gateway/_model.py
+++ b/packages/router/src/paddle_router/gateway/_model.py
@@ -224,6 +224,9 @@
     a quiet time that cannot be used. ``limit_per_s`` is the number of requests
     per second that the server takes from all instances together, ``None`` if
     it names none, and ``invalid_limit`` the text of one that cannot be used.
+    ``brittle_per_s`` is set if the server is brittle: one that turns away more
+    requests a second for want of room falls over. ``invalid_brittle`` is the
+    text of such a number that cannot be used.
     """
 
     request_id: str | None = None
@@ -238,9 +241,11 @@
     invalid_quiet: str | None = None
     limit_per_s: float | None = None
     invalid_limit: str | None = None
+    brittle_per_s: float | None = None
+    invalid_brittle: str | None = None
 
     def without_figures(self):
-        """Return a copy without quiet time and limit.
+        """Return a copy without quiet time, limit and brittleness.
 
         These were only valid when the response was first sent.
         """
@@ -250,6 +255,8 @@
             invalid_quiet=None,
             limit_per_s=None,
             invalid_limit=None,
+            brittle_per_s=None,
+            invalid_brittle=None,
         )
 
 
--- a/packages/router/src/paddle_router/gateway/_server_notices.py
+++ b/packages/router/src/paddle_router/gateway/_server_notices.py
@@ -7,14 +7,24 @@
 
 
 class ServerNoticeRecorder:
-    """Records announced quiet times, shutdowns and limits of servers.
+    """Records quiet times, shutdowns, limits and brittleness of servers.
 
     ``on_leaving()`` is called after a server first announces its shutdown,
-    ``on_quiet(service)`` after a server asks for a quiet time.
+    ``on_quiet(service)`` after a server asks for a quiet time, and
+    ``on_brittle(service)`` when a server begins or ceases to be brittle.
     """
 
     def __init__(
-        self, notices, limits, clock, wall, metrics, *, on_leaving, on_quiet
+        self,
+        notices,
+        limits,
+        clock,
+        wall,
+        metrics,
+        *,
+        on_leaving,
+        on_quiet,
+        on_brittle,
     ):
         self._notices = notices
         self._limits = limits
@@ -23,6 +33,7 @@
         self._metrics = metrics
         self._on_leaving = on_leaving
         self._on_quiet = on_quiet
+        self._on_brittle = on_brittle
 
     def record(self, server, metadata, *, lifts_limit=True):
         """Record :class:`ResponseMetadata` received from ``server``.
@@ -44,26 +55,56 @@
             self._mark_quiet(server, metadata.quiet_ms)
         if metadata.is_leaving:
             self._mark_leaving(server)
-        if lifts_limit or metadata.limit_per_s is not None:
+        if (
+            lifts_limit
+            or metadata.limit_per_s is not None
+            or metadata.brittle_per_s is not None
+        ):
             self._record_limit(server, metadata)
 
     def _record_limit(self, server, metadata):
+        for value, event in (
+            (metadata.invalid_limit, _events.LIMIT_IGNORED),
+            (metadata.invalid_brittle, _events.BRITTLE_IGNORED),
+        ):
+            if value is not None:
+                paddle_kernel.emit(event, server=server.id, value=value[:100])
+        known = self._limits.known(server.incarnation)
+        # A figure that cannot be used leaves the known one in force.
+        limit_per_s, brittle_per_s = (
+            metadata.limit_per_s,
+            metadata.brittle_per_s,
+        )
         if metadata.invalid_limit is not None:
+            limit_per_s = known.limit_per_s
+        if metadata.invalid_brittle is not None:
+            brittle_per_s = known.brittle_per_s
+        has_changed = self._limits.record(
+            server.incarnation,
+            limit_per_s,
+            self._wall.now_ms(),
+            brittle_per_s,
+        )
+        self._log_brittle(server, known.brittle_per_s)
+        if has_changed:
             paddle_kernel.emit(
-                _events.LIMIT_IGNORED,
+                _events.SERVER_LIMIT_CHANGED,
                 server=server.id,
-                value=metadata.invalid_limit[:100],
+                address=server.address,
+                limit_per_s=limit_per_s,
             )
-            return
-        if self._limits.record(
-            server.incarnation, metadata.limit_per_s, self._wall.now_ms()
-        ):
+
+    def _log_brittle(self, server, known_per_s):
+        brittle_per_s = self._limits.known(server.incarnation).brittle_per_s
+        if brittle_per_s != known_per_s:
             paddle_kernel.emit(
-                _events.SERVER_LIMIT_CHANGED,
+                _events.SERVER_BRITTLE_CHANGED,
                 server=server.id,
                 address=server.address,
-                limit_per_s=metadata.limit_per_s,
+                service=server.service,
+                rejections_per_s=brittle_per_s,
             )
+            self._on_brittle(server.service)
 
     def _mark_quiet(self, server, quiet_ms):
         now_ms = self._clock.now_ms()
--- a/packages/router/src/paddle_router/gateway/gateway.capnp
+++ b/packages/router/src/paddle_router/gateway/gateway.capnp
@@ -44,6 +44,7 @@
   server @0 :Incarnation;
   milliPerS @1 :UInt32;
   seenMs @2 :UInt64;
+  brittleMilliPerS @3 :UInt32;
 }
 
 struct ServiceVersion {
--- a/packages/router/src/paddle_router/policy/_server_limits.py
+++ b/packages/router/src/paddle_router/policy/_server_limits.py
@@ -35,6 +35,9 @@
 LIFTED_REPORT_MS = 30_000
 # A limit that no answer has repeated for this long is forgotten.
 LIMIT_RETENTION_MS = 600_000
+# A brittle service says so in all answers. If all of its servers fall, they
+# answer again after some seconds; this is several times as long.
+BRITTLE_RETENTION_MS = 30_000
 # A higher limit is none: no server takes as many requests.
 MAX_LIMIT_PER_S = 100_000
 
@@ -45,12 +48,25 @@
 
     ``milli_per_s`` is the limit in thousandths of a request per second, 0 if
     the answer named none. ``seen_ms`` is in ms since the Unix epoch by the
-    synchronized clock of the instances.
+    synchronized clock of the instances. ``brittle_milli_per_s`` is how many
+    requests the server can turn away in 1,000 s, 0 if the answer did not say
+    that it is brittle.
     """
 
     server: _server_notices.Incarnation
     milli_per_s: int
     seen_ms: int
+    brittle_milli_per_s: int = 0
+
+    @property
+    def limit_per_s(self):
+        """The limit in requests per second, ``None`` without one."""
+        return self.milli_per_s / MILLI or None
+
+    @property
+    def brittle_per_s(self):
+        """The rejections per second that it bears, ``None`` if any number."""
+        return self.brittle_milli_per_s / MILLI or None
 
 
 @functools.lru_cache(maxsize=4_096)
@@ -59,6 +75,12 @@
     return int.from_bytes(digest)
 
 
+def _milli(per_s):
+    """Return thousandths, at least 1, since 0 stands for none."""
+    # A number made from thousandths gives the same thousandths again.
+    return max(1, int(per_s * MILLI + 1e-6))
+
+
 class ServerLimits:
     """The newest limit of each server, and this gateway's permits.
 
@@ -75,23 +97,39 @@
         self._gateway_count = 1
         self.wall_offset_ms = 0
 
-    def record(self, server, limit_per_s, seen_ms):
+    def record(self, server, limit_per_s, seen_ms, brittle_per_s=None):
         """Record an answer of ``server``; return whether its limit changed.
 
-        ``limit_per_s`` is ``None`` if the answer named no limit.
+        ``limit_per_s`` is ``None`` if the answer named no limit, and
+        ``brittle_per_s`` if it did not say that the server is brittle.
         """
-        milli_per_s = 0
+        milli_per_s = brittle_milli_per_s = 0
         if limit_per_s is not None and limit_per_s < MAX_LIMIT_PER_S:
-            # The least limit is not 0, which stands for none.
-            milli_per_s = max(1, int(limit_per_s * MILLI))
-        if not milli_per_s and server not in self._limits:
+            milli_per_s = _milli(limit_per_s)
+        if brittle_per_s is not None and brittle_per_s < MAX_LIMIT_PER_S:
+            brittle_milli_per_s = _milli(brittle_per_s)
+        if (
+            not milli_per_s
+            and not brittle_milli_per_s
+            and server not in self._limits
+        ):
             return False
         return self.add(
             ServerLimit(
-                server=server, milli_per_s=milli_per_s, seen_ms=seen_ms
+                server=server,
+                milli_per_s=milli_per_s,
+                seen_ms=seen_ms,
+                brittle_milli_per_s=brittle_milli_per_s,
             )
         )
 
+    def known(self, server):
+        """Return the :class:`ServerLimit` of ``server``; it may be none."""
+        limit = self._limits.get(server)
+        if limit is None:
+            return ServerLimit(server=server, milli_per_s=0, seen_ms=0)
+        return limit
+
     def add(self, limit):
         """Add a :class:`ServerLimit`; return whether it changes the limit."""
         known = self._limits.get(limit.server)
@@ -111,6 +149,32 @@
         """Which of the gateways this one is, from 0."""
         return self._index
 
+    @property
+    def gateway_count(self):
+        """The number of gateways that share the limits."""
+        return self._gateway_count
+
+    def brittle_milli_per_s(self, servers, now_ms):
+        """Return how many requests a server can turn away in 1,000 s.
+
+        ``None`` if the service of ``servers`` is not brittle. All servers of
+        a service are brittle at once, so the newest answer of any counts.
+        """
+        if not self._limits:
+            return None
+        limits = [
+            self._limits[server]
+            for server in servers
+            if server in self._limits
+        ]
+        newest = max(limits, key=lambda item: item.seen_ms, default=None)
+        if newest is None or not newest.brittle_milli_per_s:
+            return None
+        age_ms = now_ms + self.wall_offset_ms - newest.seen_ms
+        if age_ms > BRITTLE_RETENTION_MS:
+            return None
+        return newest.brittle_milli_per_s
+
     def is_open(self, server, now_ms):
         """Return whether a request may be sent to ``server`` now."""
         return (
@@ -192,6 +256,7 @@
         return {
             f'{server.id}/{server.born_ms}': {
                 'limit_per_s': limit.milli_per_s / MILLI,
+                'brittle_per_s': limit.brittle_per_s,
                 'seen_ms': limit.seen_ms,
             }
             for server, limit in self._limits.items()
--- a/packages/router/tests/test_policy_server_limits.py
+++ b/packages/router/tests/test_policy_server_limits.py
@@ -44,6 +44,50 @@
     assert limits.dump() == {}
 
 
+# Brittle servers
+
+
+OTHER = policy.Incarnation('s1')
+SERVICE = (SERVER, OTHER)
+
+
+@pytest.fixture
+def brittle(limits):
+    limits.wall_offset_ms = START_MS
+    limits.record(SERVER, None, START_MS, 2.0)
+    return limits
+
+
+def test_the_newest_answer_says_whether_a_service_is_brittle(brittle):
+    # Guards against places that stay bounded after a service has recovered.
+    assert brittle.brittle_milli_per_s(SERVICE, 1) == 2_000
+    brittle.record(OTHER, None, START_MS + 1, 5.0)
+    assert brittle.brittle_milli_per_s(SERVICE, 1) == 5_000
+    brittle.record(SERVER, None, START_MS + 2)
+    assert brittle.brittle_milli_per_s(SERVICE, 2) is None
+
+
+def test_other_services_are_not_brittle(brittle):
+    assert brittle.brittle_milli_per_s([OTHER], 1) is None
+
+
+def test_a_brittle_service_that_no_answer_confirms_is_forgotten(brittle):
+    # Guards against knowledge that outlasts the servers' trouble because no
+    # gateway sends them requests any more.
+    assert brittle.brittle_milli_per_s(SERVICE, 20_000) == 2_000
+    assert brittle.brittle_milli_per_s(SERVICE, 30_001) is None
+
+
+def test_a_server_that_bears_no_rejection_is_brittle(limits):
+    limits.record(SERVER, None, 0, 0.0)
+    assert limits.brittle_milli_per_s(SERVICE, 0) == 1
+
+
+def test_a_brittle_server_without_a_limit_gets_requests(brittle):
+    assert brittle.is_open(SERVER, 1)
+    assert brittle.interval_ms(SERVER) is None
+
+
 # Permits
 
 
--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -434,6 +434,28 @@
     assert dialect.FleetDialect().response_headers(headers) == headers[1:]
 
 
+@pytest.mark.parametrize(
+    ('value', 'brittle_per_s'), [(b'2', 2.0), (b' 0.5 ', 0.5), (b'0', 0.0)]
+)
+def test_any_response_may_say_that_a_server_is_brittle(value, brittle_per_s):
+    for status in (200, 404, 500, 503):
+        metadata = read_response(status, (b'server-brittle', value))
+        assert metadata.brittle_per_s == brittle_per_s
+    assert read_response(200).brittle_per_s is None
+
+
+@pytest.mark.parametrize('value', [b'', b'-1', b'nan', b'1e3', b'two', b'1,1'])
+def test_a_number_of_rejections_that_is_no_decimal_is_invalid(value):
+    metadata = read_response(200, (b'server-brittle', value))
+    assert metadata.brittle_per_s is None
+    assert metadata.invalid_brittle == value.decode()
+
+
+def test_brittleness_is_not_passed_on_to_callers():
+    headers = [(b'Server-Brittle', b'1'), (b'X-Other', b'1')]
+    assert dialect.FleetDialect().response_headers(headers) == headers[1:]
+
+
 @pytest.mark.parametrize(
     ('values', 'quiet_ms'),
     [
