Send brittle servers no more requests than they have slots

Callers lost what brittle servers held when they fell: placing uses sums of requests that are older than a response, so servers without room get requests from all gateways and reject more than they bear.

Each slot of a brittle service now belongs to one gateway at a time, and requests without a place wait at the gateway. With fewer than two places a gateway, the places move by the synchronized clock. Places gained by a change of gateways or servers are used 1 s later.

Price: places of others stay unused.

Ruled out: slices of two responses.

--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -427,6 +427,7 @@
         ):
             self.dump.register(name, part.dump)
         self.dump.register('balancers', self._dump_balancers)
+        self.dump.register('brittle', self._dump_brittle)
         self.dump.register(
             'notices',
             lambda: self.components.notices.dump(self.clock.now_ms()),
@@ -582,6 +583,12 @@
             for name, item in self.components.balancers.items()
         }
 
+    def _dump_brittle(self):
+        return {
+            name: item.brittle_state(self.components.clock.now_ms())
+            for name, item in self.components.balancers.items()
+        }
+
 
 class _Readiness:
     def __init__(self, gateway):
--- a/packages/router/src/paddle_router/policy/_availability.py
+++ b/packages/router/src/paddle_router/policy/_availability.py
@@ -28,7 +28,8 @@
 
     ``servers`` is the number of servers that become available at ``at_ms``
     and ``slots`` the smallest number of slots of any of them. ``interval_ms``
-    is the mean time between two requests if all servers have a limit.
+    is the mean time between two requests if all servers have a limit or are
+    brittle.
     """
 
     at_ms: int
@@ -65,11 +66,12 @@
 class Availability:
     """Classifies servers by their list entries and notices."""
 
-    def __init__(self, notices, limits, cold, pace):
+    def __init__(self, notices, limits, cold, pace, brittle):
         self.notices = notices
         self.limits = limits
         self.cold = cold
         self.pace = pace
+        self.brittle = brittle
 
     def is_leaving(self, state):
         """Whether the server is leaving by its list entry or a notice."""
@@ -137,15 +139,19 @@
                 continue
             if state.engine.evacuated:
                 continue
+            place_ms = self.brittle.next_place_ms(state, now_ms)
+            if place_ms is None:
+                continue
             until_ms = self.notices.quiet_until_ms(state.incarnation)
             at_ms = now_ms if until_ms is None else max(now_ms, until_ms)
             at_ms = max(
                 at_ms,
+                place_ms,
                 self.limits.next_permit_ms(state.incarnation, now_ms),
                 self._next_start_permit_ms(state.incarnation, now_ms),
             )
             times.append((at_ms, state.engine.slots))
-            intervals_ms.append(self._interval_ms(state.incarnation, now_ms))
+            intervals_ms.append(self._interval_ms(state, now_ms))
         if not times:
             return None
         first_ms = min(at_ms for at_ms, _slots in times)
@@ -161,13 +167,17 @@
             first_ms, len(simultaneous), min(simultaneous), interval_ms
         )
 
-    def _interval_ms(self, server, now_ms):
+    def _interval_ms(self, state, now_ms):
         """Return the mean time between two permits, ``None`` if unlimited."""
+        server = state.incarnation
         start_ms = self.cold.interval_ms(server, now_ms)
         if start_ms is None:
             start_ms = self.pace.interval_ms(server)
         limit_ms = self.limits.interval_ms(server)
-        return max((start_ms, limit_ms), key=lambda item: item or 0)
+        brittle_ms = self.brittle.interval_ms(state, now_ms)
+        return max(
+            (start_ms, limit_ms, brittle_ms), key=lambda item: item or 0
+        )
 
     def is_quiet(self, state, now_ms):
         """Whether the server is in a quiet period.
--- /dev/null
+++ b/packages/router/src/paddle_router/policy/_brittle_servers.py
@@ -0,0 +1,256 @@
+"""Places of the gateways at servers that fall over after many rejections.
+
+A service that is brittle queues little or nothing, and a server of it that
+rejects more than some requests a second for want of room falls over. The
+rejections of all gateways count together, and the sums of their requests are
+older than most responses take. So every place of a brittle service belongs to
+one gateway at a time, and a gateway sends no more requests to a server than it
+has places there. Requests without a place wait at the gateway.
+
+All places of a service are numbered and belong to the gateways in turn. If
+each gateway has few of them, the places also move from gateway to gateway
+with time, so that none depends on a single server and gateways without a place
+get one soon. Numbers and times are the same at all gateways, so this needs no
+message.
+"""
+
+import attrs
+
+# From this many places for each gateway on, places do not move: one server
+# that is down leaves each gateway others.
+STATIC_PLACES = 2
+# Shortest and longest time that a place stays with a gateway while places
+# move. It is at least this multiple of a response, since no request is sent
+# near the end, and a power of two times the shortest one, so that gateways
+# with slightly different measured times use the same. With a multiple of 2,
+# two servers fell in the replay of 60 gateways over the capacity, none with 4.
+MIN_SLICE_MS = 250
+MAX_SLICE_MS = 8_000
+SLICE_RESPONSES = 4
+# Part of a slice at its end in which no request is sent, in responses. Most
+# responses take less than this multiple of the median time.
+END_RESPONSES = 1.5
+# Assumed time of a response until the service's own time is known; the slower
+# services of the users take 80 ms.
+DEFAULT_RESPONSE_MS = 80
+# Usual duration of a stream, whose measured pace is the time between events.
+STREAM_MS = 1_500
+# Places gained by a change of the gateways or servers are used after this
+# time: the gateways that had them hear of the change within two exchanges of
+# 250 ms, and their requests end.
+GAIN_DELAY_MS = 1_000
+# Bounds of the pause of one gateway at a server that rejected its request. In
+# between, all gateways together cause at most the allowed rejections a second.
+MIN_PAUSE_MS = 500
+MAX_PAUSE_MS = 2_000
+MS_PER_KILO_S = 1_000_000
+# Slices that are searched for the next own place.
+MAX_SEARCH = 128
+
+
+@attrs.frozen
+class _Share:
+    """Which of ``count`` gateways this is, and ``(server, slots)`` pairs."""
+
+    index: int
+    count: int
+    servers: tuple
+    total: int = attrs.field(init=False, eq=False)
+
+    @total.default
+    def _count_slots(self):
+        return sum(slots for _server, slots in self.servers)
+
+    @property
+    def moves(self):
+        return self.total < STATIC_PLACES * self.count
+
+    def places(self, number):
+        """Return ``{server: own places}`` in slice ``number``."""
+        step = self.total % self.count or 1
+        shift = number * step if self.moves else 0
+        owned, first = {}, 0
+        for server, slots in self.servers:
+            turn = (self.index - first - shift) % self.count
+            owned[server] = (slots - turn + self.count - 1) // self.count
+            first += slots
+        return owned
+
+
+class BrittlePlaces:
+    """This gateway's places at the servers of one service.
+
+    ``limits`` is the :class:`ServerLimits` that knows what servers said and
+    which of the gateways this one is.
+    """
+
+    def __init__(self, limits):
+        self._limits = limits
+        self._share = _Share(0, 1, ())
+        self._former = None
+        self._changed_ms = 0
+        self._cached = (None, {})
+        self._paused_until_ms = {}
+        self._lost_until_ms = {}
+        self.response_ms = DEFAULT_RESPONSE_MS
+
+    def set_servers(self, servers, now_ms):
+        """Set the ``(server, slots)`` pairs of the servers in use."""
+        self._set_share(
+            attrs.evolve(
+                self._share,
+                servers=tuple(
+                    (server, max(1, slots))
+                    for server, slots in sorted(
+                        servers, key=lambda item: item[0].id
+                    )
+                ),
+            ),
+            now_ms,
+        )
+        known = {server for server, _slots in self._share.servers}
+        for times in (self._paused_until_ms, self._lost_until_ms):
+            for server in set(times) - known:
+                del times[server]
+
+    def milli_per_s(self, now_ms):
+        """Return how many rejections a server bears in 1,000 s.
+
+        ``None`` if the service is not brittle.
+        """
+        return self._limits.brittle_milli_per_s(
+            (server for server, _slots in self._share.servers), now_ms
+        )
+
+    def with_place(self, states, now_ms):
+        """Return those of ``states`` to which a request may be sent now."""
+        if not self._is_brittle(now_ms):
+            return states
+        return [state for state in states if self._is_open(state, now_ms)]
+
+    def next_place_ms(self, state, now_ms):
+        """Return when a place at a server is expected to be free.
+
+        ``None`` if this gateway has none there.
+        """
+        if not self._is_brittle(now_ms) or self._is_open(state, now_ms):
+            return now_ms
+        server = state.incarnation
+        at_ms = max(now_ms, self._paused_until_ms.get(server, now_ms))
+        if not self._share.moves:
+            if not self._share.places(0).get(server):
+                return None
+            return max(at_ms, now_ms + self.response_ms // 2)
+        number, _passed_ms = self._slice(at_ms)
+        for later in range(number, number + MAX_SEARCH):
+            start_ms = later * self._slice_ms() - self._limits.wall_offset_ms
+            if start_ms > now_ms and self._share.places(later).get(server):
+                return start_ms
+        return None
+
+    def interval_ms(self, state, now_ms):
+        """Return the mean time between this gateway's requests to a server.
+
+        ``None`` if the service is not brittle.
+        """
+        if not self._is_brittle(now_ms):
+            return None
+        slots = max(1, state.engine.slots)
+        return self._share.count * self.response_ms / slots
+
+    def record_rejection(self, server, now_ms):
+        """Record that ``server`` had no room for a request."""
+        milli_per_s = self.milli_per_s(now_ms)
+        if milli_per_s is None:
+            return
+        pause_ms = self._share.count * MS_PER_KILO_S // milli_per_s
+        self._paused_until_ms[server] = now_ms + min(
+            max(pause_ms, MIN_PAUSE_MS), MAX_PAUSE_MS
+        )
+
+    def record_lost(self, server, now_ms):
+        """Record a request without an answer; the server may still run it."""
+        if self._is_brittle(now_ms):
+            lost = self._live_lost(server, now_ms)
+            lost.append(now_ms + self.response_ms)
+            self._lost_until_ms[server] = lost
+
+    def dump(self, now_ms):
+        """Return plain data for the state dump."""
+        milli_per_s = self.milli_per_s(now_ms)
+        if milli_per_s is None:
+            return {}
+        return {
+            'rejections_per_s': milli_per_s / 1_000,
+            'moves': self._share.moves,
+            'slice_ms': self._slice_ms(),
+            'places': {
+                server.id: places
+                for server, places in self._places(now_ms).items()
+            },
+        }
+
+    def _is_brittle(self, now_ms):
+        return self.milli_per_s(now_ms) is not None
+
+    def _is_open(self, state, now_ms):
+        server = state.incarnation
+        if self._paused_until_ms.get(server, now_ms) > now_ms:
+            return False
+        if self._share.moves:
+            _number, passed_ms = self._slice(now_ms)
+            if passed_ms > self._slice_ms() - END_RESPONSES * self.response_ms:
+                return False
+        used = len(state.flights) + len(self._live_lost(server, now_ms))
+        return used < self._places(now_ms).get(server, 0)
+
+    def _places(self, now_ms):
+        """Return ``{server: own places}`` that may be used now."""
+        index, count = self._limits.index, self._limits.gateway_count
+        if (index, count) != (self._share.index, self._share.count):
+            self._set_share(
+                attrs.evolve(self._share, index=index, count=count), now_ms
+            )
+        if self._former and now_ms - self._changed_ms >= GAIN_DELAY_MS:
+            self._former = None
+            self._cached = None, {}
+        number, _passed_ms = self._slice(now_ms)
+        if self._cached[0] != number:
+            places = self._share.places(number)
+            if self._former is not None:
+                former = self._former.places(number)
+                places = {
+                    server: min(count, former.get(server, count))
+                    for server, count in places.items()
+                }
+            self._cached = number, places
+        return self._cached[1]
+
+    def _set_share(self, share, now_ms):
+        if share == self._share:
+            return
+        if self._share.servers:
+            self._former = self._share
+            self._changed_ms = now_ms
+        self._share = share
+        self._cached = None, {}
+
+    def _slice(self, now_ms):
+        """Return the number of the slice, and how long it has lasted."""
+        return divmod(now_ms + self._limits.wall_offset_ms, self._slice_ms())
+
+    def _slice_ms(self):
+        slice_ms = MIN_SLICE_MS
+        while (
+            slice_ms < MAX_SLICE_MS
+            and slice_ms < SLICE_RESPONSES * self.response_ms
+        ):
+            slice_ms *= 2
+        return slice_ms
+
+    def _live_lost(self, server, now_ms):
+        return [
+            until_ms
+            for until_ms in self._lost_until_ms.get(server, ())
+            if until_ms > now_ms
+        ]
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -27,6 +27,7 @@
 import attrs
 
 from paddle_router.policy import _availability
+from paddle_router.policy import _brittle_servers
 from paddle_router.policy import _cold_rate
 from paddle_router.policy import _held_work
 from paddle_router.policy import _hooks
@@ -186,8 +187,13 @@
             self._turns, overage=cold_overage, slack=cold_slack
         )
         self._start_pace = _start_pace.StartPace(self._turns)
+        self._brittle = _brittle_servers.BrittlePlaces(self._limits)
         self._availability = _availability.Availability(
-            self._notices, self._limits, self._cold, self._start_pace
+            self._notices,
+            self._limits,
+            self._cold,
+            self._start_pace,
+            self._brittle,
         )
         self._has_list = False
         self._states = {}
@@ -236,6 +242,14 @@
             elif state.listed_leaving_since_ms is None:
                 state.listed_leaving_since_ms = now_ms
         self._has_list = True
+        self._brittle.set_servers(
+            [
+                (state.incarnation, state.engine.slots)
+                for state in self._states.values()
+                if not state.engine.evacuated
+            ],
+            now_ms,
+        )
         self._start_pace.retain(
             state.incarnation for state in self._states.values()
         )
@@ -258,6 +272,7 @@
             ):
                 self._record_failure(state, now_ms)
         self._update_paces(now_ms)
+        self._update_response_time(now_ms)
 
     def report(self, engine_id, report, now_ms):
         """Record a load report of a server."""
@@ -311,7 +326,7 @@
         )
         states = self.held_work.with_room(states, work, now_ms)
         ready = [state for state in states if state.hold_until_ms <= now_ms]
-        states = ready or states
+        states = self._brittle.with_place(ready or states, now_ms)
         if not states:
             return None
         # A slow pace or idle slots say little about a server that starts; its
@@ -456,7 +471,8 @@
         states, _last = self._availability.usable(
             self._states_except(avoid), now_ms
         )
-        return bool(self.held_work.with_room(states, work, now_ms))
+        states = self.held_work.with_room(states, work, now_ms)
+        return bool(self._brittle.with_place(states, now_ms))
 
     def record_crash(self, held_bytes, now_ms):
         """Record that a server crashed; see :meth:`HeldWork.record_crash`."""
@@ -510,6 +526,7 @@
             state.window.add(now_ms, failures=1)
             if not flight.is_rejected:
                 self._record_failure(state, now_ms)
+                self._brittle.record_lost(state.incarnation, now_ms)
             return
         state.backoff_ms = _shared_server.BACKOFF_MIN_MS
         if not flight.started:
@@ -562,6 +579,7 @@
         state = self._state_of(flight)
         if state is not None:
             state.window.add(now_ms, rejections=1)
+            self._brittle.record_rejection(state.incarnation, now_ms)
 
     def start_phases(self, now_ms):
         """Return ``{server id: reason}`` of servers that are cold or start."""
@@ -657,6 +675,10 @@
             for server_id, state in self._states.items()
         }
 
+    def brittle_state(self, now_ms):
+        """Return the places at brittle servers as plain data."""
+        return self._brittle.dump(now_ms)
+
     def segments(self):
         """Return ``{allowed pause in ms: end of its part of the servers}``."""
         return self._segments.ends()
@@ -994,6 +1016,17 @@
         self._is_prefill_rate_measured = True
         self._prefill_rate += PREFILL_RATE_GAIN * (sample - self._prefill_rate)
 
+    def _update_response_time(self, now_ms):
+        """Pass the time of a response to the places at brittle servers."""
+        if self._gaps_ms:
+            response_ms = _brittle_servers.STREAM_MS
+        else:
+            response_ms = int(
+                self._median_pace_ms(now_ms)
+                or _brittle_servers.DEFAULT_RESPONSE_MS
+            )
+        self._brittle.response_ms = max(1, response_ms)
+
     def _median_pace_ms(self, now_ms):
         paces_ms = [state.pace_ms(now_ms) for state in self._states.values()]
         paces_ms = [pace_ms for pace_ms in paces_ms if pace_ms]
--- a/packages/router/tests/test_policy_brittle_servers.py
+++ b/packages/router/tests/test_policy_brittle_servers.py
@@ -129,6 +129,12 @@
 
     def hear(self, server_id, rejections_per_s):
         """Record what an answer of a server says."""
+        self.limits.record(
+            policy.Incarnation(server_id),
+            None,
+            self.replay.now_ms + WALL_OFFSET_MS,
+            rejections_per_s,
+        )
 
     def receive(self, caller, *, is_retry=False):
         now_ms = self.replay.now_ms
@@ -381,3 +387,109 @@
         f'served {replay.served_ratio():.2f}',
     )
     assert replay.falls <= ALLOWED_FALLS
+
+
+# Places
+
+
+# How long places stay with a gateway before a response has been measured.
+SLICE_MS = 500
+
+
+def make_balancers(count, servers=SERVERS):
+    """Return the balancers and limits of gateways of a brittle service."""
+    balancers = []
+    for index in range(count):
+        limits = policy.ServerLimits()
+        limits.set_share(index, count)
+        limits.record(policy.Incarnation('s0'), None, 0, 2.0)
+        balancer = policy.SharedLoadBalancer(
+            rng=random.Random(index), limits=limits
+        )
+        balancer.sync(
+            [
+                policy.Engine(id=f's{number}', slots=SLOTS)
+                for number in range(servers)
+            ],
+            0,
+        )
+        balancers.append((balancer, limits))
+    return balancers
+
+
+def fill(balancers, now_ms):
+    """Send as many requests as the gateways may; count them by server."""
+    sent = collections.Counter()
+    for balancer, _limits in balancers:
+        while (flight := balancer.choose(policy.EngineWork(), now_ms)) and (
+            sent.total() < 1_000
+        ):
+            sent[flight.server_id] += 1
+    return sent
+
+
+@pytest.mark.parametrize('gateway_count', [1, 5, 24, 60, 300])
+@pytest.mark.parametrize('now_ms', [0, 1_000, 7_500])
+def test_the_places_of_all_gateways_are_the_slots(gateway_count, now_ms):
+    # Guards against places that two gateways use, and against ones that none
+    # uses while requests wait.
+    sent = fill(make_balancers(gateway_count), now_ms)
+    assert sent == {f's{number}': SLOTS for number in range(SERVERS)}
+
+
+@pytest.mark.parametrize('gateway_count', [20, 60, 300])
+def test_each_gateway_gets_a_place_in_time(gateway_count):
+    # Guards against gateways whose callers get nothing, since they have no
+    # place.
+    balancers = make_balancers(gateway_count)
+    slices = 2 + gateway_count // (SERVERS * SLOTS)
+    for balancer, _limits in balancers:
+        assert any(
+            balancer.can_place(frozenset(), number * SLICE_MS)
+            for number in range(slices)
+        )
+        available = balancer.next_availability(frozenset(), 0)
+        assert available.at_ms <= slices * SLICE_MS
+        assert balancer.can_place(frozenset(), available.at_ms)
+
+
+def test_gained_places_are_used_after_their_last_requests():
+    # Guards against places that are used by the gateway that had them, which
+    # does not know of a change yet, and by the one that has them now.
+    (balancer, limits), *_others = make_balancers(3)
+    assert fill([(balancer, limits)], 0).total() == 8
+    limits.set_share(0, 2)
+    assert not balancer.can_place(frozenset(), 500)
+    assert not balancer.can_place(frozenset(), 1_000)
+    assert balancer.can_place(frozenset(), 1_600)
+    assert fill([(balancer, limits)], 1_600).total() == 4
+
+
+def test_a_server_that_rejects_gets_nothing_for_a_time():
+    # Guards against repeated rejections while the place is taken by a request
+    # that the gateway does not know.
+    ((balancer, _limits),) = make_balancers(1, servers=1)
+    flight = balancer.choose(policy.EngineWork(), 0)
+    balancer.record_rejection(flight, 10)
+    balancer.finish(flight, 10, False)
+    assert not balancer.can_place(frozenset(), 500)
+    assert balancer.can_place(frozenset(), 600)
+
+
+def test_a_request_without_an_answer_keeps_its_place_for_a_response():
+    # Guards against a place that is used again while the server still runs a
+    # request that the gateway has given up.
+    ((balancer, _limits),) = make_balancers(1, servers=1)
+    flights = [
+        balancer.choose(policy.EngineWork(), 0) for _number in range(SLOTS)
+    ]
+    balancer.finish(flights[0], 10, False)
+    assert not balancer.can_place(frozenset(), 80)
+    assert balancer.can_place(frozenset(), 100)
+
+
+def test_servers_that_are_not_brittle_take_any_number():
+    ((balancer, limits),) = make_balancers(1, servers=1)
+    limits.record(policy.Incarnation('s0'), None, 1)
+    for _number in range(3 * SLOTS):
+        assert balancer.choose(policy.EngineWork(), 2) is not None
