Use places that stay with a gateway until the end of a slice

At brittle servers, gateways sent nothing near the end of each slice, also to places that they keep in the next one, so some requests waited in vain.

--- a/packages/router/src/paddle_router/policy/_brittle_servers.py
+++ b/packages/router/src/paddle_router/policy/_brittle_servers.py
@@ -27,7 +27,8 @@
 MIN_SLICE_MS = 250
 MAX_SLICE_MS = 8_000
 SLICE_RESPONSES = 4
-# Part of a slice at its end in which no request is sent, in responses. Most
+# Part of a slice at its end in which no request is sent to places that move to
+# another gateway, in responses. Most
 # responses take less than this multiple of the median time.
 END_RESPONSES = 1.5
 # Assumed time of a response until the service's own time is known; the slower
@@ -197,12 +198,17 @@
         server = state.incarnation
         if self._paused_until_ms.get(server, now_ms) > now_ms:
             return False
-        if self._share.moves:
-            _number, passed_ms = self._slice(now_ms)
-            if passed_ms > self._slice_ms() - END_RESPONSES * self.response_ms:
-                return False
+        places = self._places(now_ms).get(server, 0)
         used = len(state.flights) + len(self._live_lost(server, now_ms))
-        return used < self._places(now_ms).get(server, 0)
+        if used >= places:
+            return False
+        if not self._share.moves:
+            return True
+        number, passed_ms = self._slice(now_ms)
+        if passed_ms <= self._slice_ms() - END_RESPONSES * self.response_ms:
+            return True
+        # Places that stay with this gateway may be used until the end.
+        return used < self._share.places(number + 1).get(server, 0)
 
     def _places(self, now_ms):
         """Return ``{server: own places}`` that may be used now."""
