Send waiting requests through a peer once the way is lost

Requests that wait for a server, in its quiet time or for a place, slept until their own timer although a peer could serve them as soon as this gateway noticed that it reaches no server. The watch of the reachability now wakes them when the way is lost; they take the relay like new requests.

test_a_lost_way_wakes_the_requests_that_wait timed out before and passes now.

--- a/packages/router/src/paddle_router/gateway/_gateway.py
+++ b/packages/router/src/paddle_router/gateway/_gateway.py
@@ -559,10 +559,15 @@
     def _watch_reach(self):
         while True:
             self.components.reach.wait()
+            was_cut = self.components.reach.is_cut
             try:
                 self.components.reach.step()
             except Exception as exc:
                 _log_failure(exc)
+            if self.components.reach.is_cut and not was_cut:
+                # Those that wait for servers can be sent through a peer.
+                for service in self.components.balancers:
+                    self.components.waiting.wake_all(service)
 
     def _application(self, ready_path):
         app = falcon.App()
--- a/packages/testbed/tests/test_gateway_relay.py
+++ b/packages/testbed/tests/test_gateway_relay.py
@@ -39,6 +39,16 @@
         pass
 
 
+class LosingReach(Reach):
+    """Finds that no server can be reached when it looks."""
+
+    def wait(self):
+        gevent.sleep(0.05)
+
+    def step(self):
+        self.is_cut = True
+
+
 @attrs.define(kw_only=True)
 class Peer:
     name: str
@@ -523,6 +533,25 @@
     assert (len(front.requests), len(peer.requests)) == (1, 1)
 
 
+def test_a_lost_way_wakes_the_requests_that_wait(pair):
+    # Guards against requests that wait for servers until their timer, though
+    # peers could serve them.
+    front, peer = pair
+    front.reach = front.components.reach = LosingReach()
+    front.origins[0].script = lambda req, _sock: fakes.response(
+        req,
+        status=b'503 Busy',
+        extra=(b'Rosemarypaddle-Not-Run: 1', b'Retry-After: 0.9'),
+    )
+    assert exchange(front, request('/book/x'))[0] == 503
+    waiting = gevent.spawn(exchange, front, request('/book/y'))
+    gevent.sleep(0.05)
+    watch = gevent.spawn(front.gateway._watch_reach)
+    assert waiting.get(timeout=0.4)[0] == 200
+    watch.kill()
+    assert (len(front.requests), len(peer.requests)) == (1, 1)
+
+
 def test_a_stream_of_a_peer_without_a_marked_end_is_not_complete(pair):
     # Guards against a peer that stops between two events.
     def script(req, _sock):
