Take a response reset within a long upload as incomplete

A server answered an 8 MB upload at once with a 200 without a length, sent a part and reset the connection, or closed it with the upload unread, 50 or 300 ms later. Callers got the part as a complete response, on safe, unsafe, public and streaming routes.

Cause: the greenlet that writes the rest of the upload got the error of the connection first. The kernel reports it once, so the reader then saw a plain end, which ends a response without a length. The connection now keeps that error, and an end after it is no end of a response. A response with its length or last chunk is complete before that is read.

Connections of callers need a complete request in any case. The chat daemon and the client of the platform write the whole request before they read, in the same greenlet, so a write error ends the exchange (by reading).

Complete as before: a half-close by a server that reads the upload on, a close after the whole upload, a response with a length that is reset.

Calls get a 502 without the server's stamp and one arrival.

--- a/packages/router/src/paddle_router/gateway/_http1.py
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -330,6 +330,8 @@
         self.use_count = 0
         self.owner = None
         self.is_request_sent = True
+        # Why the rest of a long request body could not be sent.
+        self._send_error = None
         # Whether the body of the last response ends with the connection.
         self.is_unframed = False
         self._max_head_bytes = max_head_bytes
@@ -370,6 +372,7 @@
         self.use_count += 1
         self._start_cycle()
         self.is_request_sent = False
+        self._send_error = None
         framing = []
         if body or method in (b'POST', b'PUT', b'PATCH'):
             framing = [(b'Content-Length', str(len(body)).encode())]
@@ -457,8 +460,10 @@
         try:
             for part in parts:
                 self.sock.sendall(part)
-        except OSError:
-            # Reading the response will fail on the same broken connection.
+        except OSError as exc:
+            # The kernel reports an error of the connection once. Reading then
+            # returns what was received and a plain end; see _event().
+            self._send_error = exc
             return
         self.is_request_sent = True
 
@@ -477,6 +482,11 @@
                 data = self.sock.recv(self._receive_bytes)
                 if data:
                     self._on_receive()
+                elif self._send_error is not None:
+                    raise BrokenResponseError(
+                        'connection broken within the request body: '
+                        f'{self._send_error}'
+                    )
                 self._received += len(data)
                 framing = self._received - self._delivered
                 if (
