Take a response with a status code above 599 as broken

A server that answered with the status 600 or 999 got this through to callers, with its stamp. RFC 9110, section 15, calls codes outside 100 to 599 invalid, so these are bytes that are no response of the protocol.

Cause: h11 refuses codes below 100, but none above 599. They are now a broken response: a 502 without the server's stamp, and another attempt where the request may run twice.

Ruled out by the same tests, which passed before: 000, 001, 099, two and four digits, signs, full-width digits, and 100, 101, 103 or 199 as the last response give a 502 already.

--- a/packages/router/src/paddle_router/gateway/_http1.py
+++ b/packages/router/src/paddle_router/gateway/_http1.py
@@ -39,6 +39,9 @@
     }
 )
 FRAMING_HEADERS = frozenset({b'content-length', b'transfer-encoding'})
+# RFC 9110, section 15: codes outside 100 to 599 are invalid. h11 refuses the
+# lower ones only.
+MAX_STATUS = 599
 
 # Bare line feeds and folded lines, which parsers treat differently.
 _AMBIGUOUS_LINE = re.compile(rb'(?<!\r)\n|\n[ \t]')
@@ -401,6 +404,11 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise BrokenResponseError(
+                        f'status code {event.status_code}; the highest of '
+                        f'HTTP is {MAX_STATUS}'
+                    )
                 self.is_unframed = not any(
                     name in FRAMING_HEADERS for name, _value in event.headers
                 )
