Take responses to the daemon without a status code of HTTP as broken

A server or the platform answered the chat daemon, or a controller's client of the platform, with the status 000. The caller waited until its time limit: with an open connection for the next response, and with a closed one in a loop that read the end of the connection again and again, which no receive timeout ends. 600 and 999 were passed on as the server's answer.

Cause: the parser takes any three digits. Codes below 100 counted as an interim response, though the parser has found the message's end. Codes outside 100 to 599 (RFC 9110, section 15) are now a broken response.

Ruled out by tests that passed before: four digits, signs, and a 103 that nothing follows are broken responses already.

--- a/packages/router/src/paddle_router/_http_out.py
+++ b/packages/router/src/paddle_router/_http_out.py
@@ -18,6 +18,9 @@
 MAX_IDLE_MS = 15_000
 MS_PER_S = paddle_kernel.MS_PER_S
 MAX_INTERIM_STATUS = 199
+# RFC 9110, section 15: status codes outside this range are invalid.
+MIN_STATUS = 100
+MAX_STATUS = 599
 # Size of the headers, with those of interim responses.
 MAX_HEAD_BYTES = 65_536
 # Bytes of chunk sizes, extensions and trailers in addition to the size of the
@@ -40,9 +43,14 @@
         self._body_bytes = 0
 
     def read_head(self):
-        """Read until the headers of the final response are complete."""
+        """Read until the headers of the final response are complete.
+
+        :raises BrokenResponseError: if they are truncated, too long or have
+            an invalid status code.
+        """
         while not self._is_head_complete:
             self._receive()
+            self._check_status()
             if (
                 not self._is_head_complete
                 and self._received_bytes > MAX_HEAD_BYTES
@@ -52,6 +60,21 @@
                 )
         return self
 
+    def _check_status(self):
+        """Check the status code, which the parser does not.
+
+        Lower codes would be taken for an interim response, whose end is never
+        followed by another one.
+        """
+        if not self.headers_complete:
+            return
+        code = self.get_code()
+        if not MIN_STATUS <= code <= MAX_STATUS:
+            raise BrokenResponseError(
+                f'status code {code}; those of HTTP are {MIN_STATUS} to '
+                f'{MAX_STATUS}'
+            )
+
     @property
     def _is_head_complete(self):
         return self.headers_complete and self.get_code() > MAX_INTERIM_STATUS
--- a/packages/router/tests/test_http_out.py
+++ b/packages/router/tests/test_http_out.py
@@ -236,3 +236,46 @@
     pool.close()
     server.stop()
     assert answers == [(200, b'1'), (200, b'2')]
+
+
+BODIES = {
+    'length': b'Content-Length: 2\r\n\r\nok',
+    'empty': b'Content-Length: 0\r\n\r\n',
+    'no length': b'\r\nok',
+}
+
+
+@pytest.mark.parametrize('body', BODIES)
+@pytest.mark.parametrize('is_closed', [True, False])
+@pytest.mark.parametrize(
+    'code', [b'000', b'001', b'099', b'600', b'999', b'1000', b'+20']
+)
+def test_a_status_code_that_is_none_is_an_error(
+    scripted_server, code, is_closed, body
+):
+    # Guards against callers that get bytes that are no HTTP response, and
+    # against reading the end of the connection again and again.
+    def script(sock, _number):
+        sock.sendall(b'HTTP/1.1 ' + code + b' X\r\n' + BODIES[body])
+        return not is_closed
+
+    pool = _http_out.ConnectionPool(paddle_kernel.SystemClock())
+    address = scripted_server(script).address
+    with gevent.Timeout(2), pytest.raises(_http_out.BrokenResponseError):
+        _http_out.exchange(
+            pool, address, 'POST', '/', timeout_ms=500, limit=100
+        )
+
+
+def test_an_interim_response_without_another_one_is_an_error(scripted_server):
+    # Guards against reading the end of the connection again and again.
+    def script(sock, _number):
+        sock.sendall(b'HTTP/1.1 103 X\r\nContent-Length: 0\r\n\r\n')
+        return False
+
+    pool = _http_out.ConnectionPool(paddle_kernel.SystemClock())
+    address = scripted_server(script).address
+    with gevent.Timeout(2), pytest.raises(_http_out.BrokenResponseError):
+        _http_out.exchange(
+            pool, address, 'GET', '/', timeout_ms=500, limit=100
+        )
