Share the heads of fake streams and the responses to moves

Two new test files had their own copies of the head of a stream that ends with its connection and of the response to a move.

--- a/packages/testbed/src/paddle_testbed/fakes/__init__.py
+++ b/packages/testbed/src/paddle_testbed/fakes/__init__.py
@@ -11,11 +11,13 @@
 from paddle_testbed.fakes._odd_entries import ODD_ENTRIES
 from paddle_testbed.fakes._origin import event
 from paddle_testbed.fakes._origin import FakeOrigin
+from paddle_testbed.fakes._origin import move_response
 from paddle_testbed.fakes._origin import Received
 from paddle_testbed.fakes._origin import response
 from paddle_testbed.fakes._origin import STAMP
 from paddle_testbed.fakes._origin import STREAM_END
 from paddle_testbed.fakes._origin import stream_head
+from paddle_testbed.fakes._origin import unframed_head
 from paddle_testbed.fakes._platform import FakePlatform
 from paddle_testbed.fakes._service import FakeService
 
@@ -32,6 +34,8 @@
     'STAMP',
     'STREAM_END',
     'event',
+    'move_response',
     'response',
     'stream_head',
+    'unframed_head',
 ]
--- a/packages/testbed/src/paddle_testbed/fakes/_origin.py
+++ b/packages/testbed/src/paddle_testbed/fakes/_origin.py
@@ -4,6 +4,7 @@
 that a script returns, so that tests can answer as a faulty server would.
 """
 
+import json
 import socket as plain_socket
 
 import gevent
@@ -160,13 +161,17 @@
 
 def stream_head(req, *, extra=()):
     """Return the head of a chunked stream of events."""
+    return unframed_head(req, extra=(b'Transfer-Encoding: chunked', *extra))
+
+
+def unframed_head(req, *, extra=()):
+    """Return the head of a stream that ends with its connection."""
     return b'\r\n'.join(
         [
             b'HTTP/1.1 200 OK',
             b'Rosemarypaddle-Request-Id: ' + req.id,
             STAMP,
             b'Content-Type: text/event-stream',
-            b'Transfer-Encoding: chunked',
             *extra,
             b'',
             b'',
@@ -174,6 +179,20 @@
     )
 
 
+def move_response(status, document, *, extra=()):
+    """Return the response to a request to move a run."""
+    body = json.dumps(document).encode()
+    return b'\r\n'.join(
+        [
+            b'HTTP/1.1 %d X' % status,
+            b'Content-Length: %d' % len(body),
+            *extra,
+            b'',
+            body,
+        ]
+    )
+
+
 def event(number, data=b'x'):
     """Return one server-sent event as a chunk of a stream."""
     text = b'id: %d\ndata: %s\n\n' % (number, data)
--- a/packages/testbed/tests/test_gateway_unframed_ends.py
+++ b/packages/testbed/tests/test_gateway_unframed_ends.py
@@ -32,29 +32,7 @@
 STOP_IN_MS = 700
 DEADLINE = b'rosemarypaddle-deadline-milliseconds'
 MS_PER_S = 1_000
-NOT_RUN = b'Rosemarypaddle-Not-Run: 1\r\n'
-
-
-def move_response(status, document, *, extra=b''):
-    body = json.dumps(document).encode()
-    return b'HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s' % (
-        status,
-        extra,
-        len(body),
-        body,
-    )
-
-
-def head(req, *, is_chunked=False):
-    lines = [
-        b'HTTP/1.1 200 OK',
-        b'Rosemarypaddle-Request-Id: ' + req.id,
-        fakes.STAMP,
-        b'Content-Type: text/event-stream',
-    ]
-    if is_chunked:
-        lines.append(b'Transfer-Encoding: chunked')
-    return b'\r\n'.join([*lines, b'', b''])
+NOT_RUN = b'Rosemarypaddle-Not-Run: 1'
 
 
 def event_ids(body):
@@ -95,7 +73,10 @@
     def _run(self, req):
         self.runs.append(req)
         self.stopped.discard(req.id)
-        yield head(req, is_chunked=self.is_chunked)
+        make_head = fakes.stream_head
+        if not self.is_chunked:
+            make_head = fakes.unframed_head
+        yield make_head(req)
         first = int(req.headers.get(b'last-event-id', b'0')) + 1
         for number in range(first, LAST_EVENT + 1):
             if req.id in self.stopped or number == self.ends_at:
@@ -177,7 +158,7 @@
     # Guards against a stopped run that is lost or passed on as complete: a
     # handle is that of a stopped run, also if the server marks its refusal to
     # copy it as not run.
-    steps = [move_response(503, {'handle': 'h7'}, extra=NOT_RUN)]
+    steps = [fakes.move_response(503, {'handle': 'h7'}, extra=(NOT_RUN,))]
     engines = [Engine(steps, is_chunked=is_chunked) for _ in range(2)]
     harness = serve(*engines)
     body, _number = run_until_leaving(harness, engines, path)
@@ -187,7 +168,7 @@
 def test_a_move_that_is_carried_out_late_leaves_the_stream_incomplete(serve):
     # Guards against a part that is passed on as complete when the server
     # stops the run only after the gateway has given up the move.
-    steps = [move_response(200, {'handle': 'h7'})]
+    steps = [fakes.move_response(200, {'handle': 'h7'})]
     engines = [Engine(steps, stops_after_s=2.0) for _ in range(2)]
     for engine in engines:
         engine.pause_s = 4 * PAUSE_S
@@ -209,7 +190,7 @@
 def test_an_http_1_0_caller_sees_that_a_moved_stream_is_cut(serve):
     # Guards against an end of the connection that looks like the end of the
     # response: without chunks only a reset tells them apart.
-    engines = [Engine([move_response(500, {})]) for _ in range(2)]
+    engines = [Engine([fakes.move_response(500, {})]) for _ in range(2)]
     harness = serve(*engines)
     outcomes = []
 
@@ -237,7 +218,7 @@
     # Guards against a continuation that ends early: the response to the move
     # tells how many events the run had made.
     engines = [
-        Engine([move_response(200, {'handle': 'h7', 'made': 9})])
+        Engine([fakes.move_response(200, {'handle': 'h7', 'made': 9})])
         for _ in range(2)
     ]
     harness = serve(*engines)
@@ -252,7 +233,7 @@
             target._run = whole_part
 
     def whole_part(req):
-        yield head(req, is_chunked=True)
+        yield fakes.stream_head(req)
         yield fakes.STREAM_END
         yield None
 
@@ -295,7 +276,9 @@
 def test_a_stream_cut_at_the_time_limit_is_incomplete(serve):
     # Guards against a part that is passed on as complete: the server stops
     # work at the deadline that the gateway itself has passed on.
-    script = limited(lambda req: head(req) + b'id: 1\ndata: x\n\n')
+    script = limited(
+        lambda req: fakes.unframed_head(req) + b'id: 1\ndata: x\n\n'
+    )
     harness = serve(*[script] * 12, timeout_ms=LIMIT_MS)
     results = run_limited(harness, '/report/x')
     streams = [body for status, _text, body in results if status == 200]
@@ -307,7 +290,10 @@
     # The same for a plain response, which is buffered until its end.
     script = limited(
         lambda req: (
-            head(req).replace(b'text/event-stream', b'text/plain') + b'part'
+            fakes.unframed_head(req).replace(
+                b'text/event-stream', b'text/plain'
+            )
+            + b'part'
         )
     )
     harness = serve(*[script] * 12, timeout_ms=LIMIT_MS)
@@ -338,7 +324,9 @@
 
     def script(req, sock):
         del sock
-        text = head(req).replace(b'text/event-stream', b'text/plain')
+        text = fakes.unframed_head(req).replace(
+            b'text/event-stream', b'text/plain'
+        )
         return [text + b'part', stop_s, None]
 
     harness = serve(script)
--- a/packages/testbed/tests/test_gateway_unframed_moves.py
+++ b/packages/testbed/tests/test_gateway_unframed_moves.py
@@ -29,19 +29,9 @@
 LATE_S = 2.0
 
 
-def move_response(status, document, *, extra=b''):
-    body = json.dumps(document).encode()
-    return b'HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s' % (
-        status,
-        extra,
-        len(body),
-        body,
-    )
-
-
-COPIED = move_response(200, {'handle': 'h7', 'made': EVENTS_BEFORE_MOVE})
-NO_ROOM = move_response(503, {'handle': 'h7'})
-NOT_RUN = b'Rosemarypaddle-Not-Run: 1\r\n'
+COPIED = fakes.move_response(200, {'handle': 'h7', 'made': EVENTS_BEFORE_MOVE})
+NO_ROOM = fakes.move_response(503, {'handle': 'h7'})
+NOT_RUN = b'Rosemarypaddle-Not-Run: 1'
 # Responses that name a copy, so that the run can go on.
 COPY_RESPONSES = {
     'copied': [COPIED],
@@ -50,22 +40,22 @@
 }
 # Responses after which the run cannot go on and may have been stopped.
 NO_COPY_RESPONSES = {
-    '500': [move_response(500, {})],
-    '200 without a handle': [move_response(200, {})],
+    '500': [fakes.move_response(500, {})],
+    '200 without a handle': [fakes.move_response(200, {})],
     '200 without JSON': [b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{x'],
-    '503 without a handle': [move_response(503, {})],
+    '503 without a handle': [fakes.move_response(503, {})],
     # Another server responds, so the one with the run has ended.
-    '421': [move_response(421, {})],
+    '421': [fakes.move_response(421, {})],
     'cut': [b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{', None],
     'none': [None],
     'too late': [LATE_S, COPIED],
 }
 # Responses that state that no run was stopped.
 REFUSALS = {
-    '404': [move_response(404, {})],
+    '404': [fakes.move_response(404, {})],
     '404 without JSON': [b'HTTP/1.1 404 X\r\nContent-Length: 4\r\n\r\ngone'],
-    '409': [move_response(409, {})],
-    '503 not run': [move_response(503, {}, extra=NOT_RUN)],
+    '409': [fakes.move_response(409, {})],
+    '503 not run': [fakes.move_response(503, {}, extra=(NOT_RUN,))],
 }
 
 
@@ -103,7 +93,7 @@
     def _run(self, req):
         self.runs.append(req)
         self.stopped.discard(req.id)
-        yield unframed_head(req)
+        yield fakes.unframed_head(req)
         first = int(req.headers.get(b'last-event-id', b'0')) + 1
         for number in range(first, LAST_EVENT + 1):
             if req.id in self.stopped:
@@ -115,20 +105,6 @@
         yield None
 
 
-def unframed_head(req):
-    """Return the head of a stream that ends with its connection."""
-    return b'\r\n'.join(
-        [
-            b'HTTP/1.1 200 OK',
-            b'Rosemarypaddle-Request-Id: ' + req.id,
-            fakes.STAMP,
-            b'Content-Type: text/event-stream',
-            b'',
-            b'',
-        ]
-    )
-
-
 @pytest.fixture
 def serve_unframed(harness):
     """Return a function that starts a gateway with two engines."""
