Count usage over all windows in the test of broken streams

test_usage_is_counted_for_complete_and_broken_streams expected one usage window. The product counts correctly there: the second request belongs to the next window.

Ruled out: a lost or doubled count. With the wall clock moved by one window between the requests the old assertion fails each time, and the sums over both windows are exact.

The test now sets the wall clock and covers both cases, one window and two, with the same exact totals and the number of windows.

--- a/packages/router/tests/test_request_life.py
+++ b/packages/router/tests/test_request_life.py
@@ -5,6 +5,7 @@
 import tracemalloc
 
 import gevent
+import pytest
 
 
 def text_of(data):
@@ -295,21 +296,30 @@
     assert int(replies[-1].headers['retry-after']) >= 1
 
 
-def test_usage_is_counted_for_complete_and_broken_streams(stack):
+@pytest.mark.parametrize('window_count', [1, 2])
+def test_usage_is_counted_for_complete_and_broken_streams(
+    stack, monkeypatch, window_count
+):
     """Guards against unbilled tokens of a stream without a usage chunk."""
     engine = stack.add_engine()
     stack.platform.instances['engine-1']['can_resume'] = False
     daemon = stack.add_daemon()
+    wall_ms = daemon.clock.wall_ms()
+    monkeypatch.setattr(daemon.clock, 'wall_ms', lambda: wall_ms)
     stack.post_chat(daemon, text='one two three', max_tokens=4)
+    wall_ms += (window_count - 1) * daemon.settings.bounds.usage_window_ms
     engine.crash_after_tokens = 3
     _, response = stack.open_stream(daemon, text='one two three', max_tokens=9)
     response.read_all(stack.limit)
     stack.wait_for(lambda: not daemon.core.active)
-    (window,) = daemon.usage.dump()['windows']
-    counts = daemon.usage.counts(window)['acme']['default']
-    assert counts['requests'] == 2
-    assert counts['generated_tokens'] == 4 + 3
-    assert counts['prompt_tokens'] >= 6
+    windows = daemon.usage.dump()['windows']
+    assert len(windows) == window_count
+    counts = [
+        daemon.usage.counts(window)['acme']['default'] for window in windows
+    ]
+    assert sum(item['requests'] for item in counts) == 2
+    assert sum(item['generated_tokens'] for item in counts) == 4 + 3
+    assert sum(item['prompt_tokens'] for item in counts) >= 6
 
 
 def test_stream_of_a_silent_engine_is_resumed_elsewhere(stack):
