Count incomplete events as held for their callers

A gateway with a memory limit holds a bounded number of bytes for callers that do not read.

Now an incomplete event counts like a plain response that waits for its end. The new test failed in all three cases before.

--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -72,6 +72,21 @@
             too long.
         """
         splitter = _sse.EventSplitter()
+        try:
+            self._forward_body(splitter)
+        finally:
+            self._caller.hold(0)
+        if self._is_resumed and splitter.remainder.strip():
+            raise _http1.BrokenResponseError('resumed stream ends in an event')
+        self._check_copied_events()
+        if self._conn.is_unframed:
+            self._check_unframed_end(splitter.remainder)
+        if splitter.remainder or not self._call.response_started:
+            self._forward_events([splitter.remainder])
+        self._caller.end()
+
+    def _forward_body(self, splitter):
+        """Forward the complete events of the response."""
         while (data := self._read_with_timeout()) is not None:
             for start in range(0, len(data), MAX_STEP_BYTES):
                 if start:
@@ -80,16 +95,9 @@
                 if events:
                     self._forward_events(events)
             self._check_idle_bytes(len(data))
+            self._caller.hold(splitter.remainder_size)
             if splitter.remainder_size > _response_limits.MAX_EVENT_BYTES:
                 raise _http1.BrokenResponseError('event too long')
-        if self._is_resumed and splitter.remainder.strip():
-            raise _http1.BrokenResponseError('resumed stream ends in an event')
-        self._check_copied_events()
-        if self._conn.is_unframed:
-            self._check_unframed_end(splitter.remainder)
-        if splitter.remainder or not self._call.response_started:
-            self._forward_events([splitter.remainder])
-        self._caller.end()
 
     def _check_copied_events(self):
         """Check that a run that was moved has brought what it had made.
--- a/packages/testbed/tests/test_gateway_slow_readers.py
+++ b/packages/testbed/tests/test_gateway_slow_readers.py
@@ -8,12 +8,14 @@
 import time
 
 import gevent
+import gevent.event
 import gevent.pool
 import gevent.socket
 import paddle_kernel
 import pytest
 
 from paddle_testbed import fakes
+from paddle_testbed import fleet
 from paddle_testbed import gateway_harness
 from paddle_testbed import gateway_process
 
@@ -211,6 +213,36 @@
     assert bounded.gateway.components.buffers.held_for_callers == 0
 
 
+@pytest.mark.parametrize('end', ['complete', 'closed', 'caller leaves'])
+def test_an_incomplete_event_counts_as_held_for_its_caller(bounded, end):
+    # Guards against streams that together hold more than a gateway has room
+    # for, since only events that were complete were counted.
+    event = fakes.event(1, b'x' * 40_000)
+    was_seen = gevent.event.Event()
+    last_piece = {
+        'complete': event[30_000:] + fakes.STREAM_END,
+        'closed': None,
+        'caller leaves': 30.0,
+    }[end]
+
+    def script(req, _sock):
+        head = fakes.stream_head(req)
+        return [head, event[:30_000], was_seen.wait, last_piece]
+
+    serve_large(bounded, script)
+    buffers = bounded.gateway.components.buffers
+    sock = request(bounded.gateway.entry.address, '/events/x', 65_536)
+    fleet.wait_for(lambda: buffers.held_for_callers > 25_000, 'bytes held')
+    assert buffers.held_for_callers <= 30_000
+    was_seen.set()
+    if end == 'caller leaves':
+        sock.close()
+    else:
+        status, _text, _body = gateway_harness.read_response(sock)
+        assert status == (200 if end == 'complete' else 502)
+    fleet.wait_for(lambda: not buffers.held_for_callers, 'nothing held')
+
+
 def test_a_caller_that_is_ended_gets_no_complete_answer(bounded, events):
     # Guards against an answer that was cut and looks complete, and against a
     # caller that is ended while there is room for it.
