Do not keep the last event of a stream while waiting for the next

A variable of the loop that reads a stream referred to the last events while the next read waited, so each of 400 slow streams with events of 50 kB kept one more event than the room for callers allows.

The new test failed before.

--- a/packages/router/src/paddle_router/gateway/_stream.py
+++ b/packages/router/src/paddle_router/gateway/_stream.py
@@ -91,9 +91,10 @@
             for start in range(0, len(data), MAX_STEP_BYTES):
                 if start:
                     paddle_kernel.yield_if_due()
-                events = splitter.feed(data[start : start + MAX_STEP_BYTES])
-                if events:
-                    self._forward_events(events)
+                # No variable keeps the events while the next read waits.
+                self._forward_events(
+                    splitter.feed(data[start : start + MAX_STEP_BYTES])
+                )
             self._check_idle_bytes(len(data))
             self._caller.hold(splitter.remainder_size)
             if splitter.remainder_size > _response_limits.MAX_EVENT_BYTES:
@@ -192,6 +193,8 @@
                 )
 
     def _forward_events(self, events):
+        if not events:
+            return
         call = self._call
         if self._is_resumed:
             self._check_resumed(events)
--- a/packages/testbed/tests/test_gateway_slow_readers.py
+++ b/packages/testbed/tests/test_gateway_slow_readers.py
@@ -4,14 +4,17 @@
 then, while others need their answers in time.
 """
 
+import contextlib
 import copy
 import time
+import tracemalloc
 
 import gevent
 import gevent.event
 import gevent.pool
 import gevent.socket
 import paddle_kernel
+from paddle_router import _sse
 import pytest
 
 from paddle_testbed import fakes
@@ -243,6 +246,46 @@
     fleet.wait_for(lambda: not buffers.held_for_callers, 'nothing held')
 
 
+@contextlib.contextmanager
+def tracing_events():
+    """Yield a function that returns the bytes of events in memory."""
+    filters = [tracemalloc.Filter(True, _sse.__file__)]
+
+    def kept_bytes():
+        snapshot = tracemalloc.take_snapshot().filter_traces(filters)
+        return sum(item.size for item in snapshot.traces)
+
+    tracemalloc.start()
+    yield kept_bytes
+    tracemalloc.stop()
+
+
+def test_an_event_that_was_passed_on_is_not_kept(bounded):
+    # Guards against a gateway that keeps the last event of each stream in
+    # memory until the next one arrives.
+    was_seen = gevent.event.Event()
+
+    def script(req, _sock):
+        event = fakes.event(1, b'x' * 200_000)
+        head = fakes.stream_head(req)
+        return [head, event, was_seen.wait, fakes.STREAM_END]
+
+    serve_large(bounded, script)
+    with tracing_events() as kept_bytes:
+        sock = request(bounded.gateway.entry.address, '/events/x', 65_536)
+        data = b''
+        while len(data) < 200_000:
+            data += sock.recv(65_536)
+        fleet.wait_for(lambda: kept_bytes() < 20_000, 'no event kept')
+    was_seen.set()
+    # The stream was not ended meanwhile.
+    while more := sock.recv(65_536):
+        data += more
+        if data.endswith(fakes.STREAM_END):
+            break
+    assert data.endswith(fakes.STREAM_END)
+
+
 def test_a_caller_that_is_ended_gets_no_complete_answer(bounded, events):
     # Guards against an answer that was cut and looks complete, and against a
     # caller that is ended while there is room for it.
