Try a peer that does not answer with one request at a time

A gateway that reached no server and also could not connect to peers of its own domain made its callers wait for these peers again each second. A peer that failed is left out for 1 s; then all requests that arrived chose it, peers of the own domain first, and each waited 300 ms for the connection, some twice. With three such peers a request had used up the peers that it may try, and got 503 although others could serve it.

Cause: only the end of the failed attempt renewed the time for which a peer is left out, so the attempt to use it again was made by all requests of these 300 ms, and one request made several. Now the attempt itself renews the time, and a connection ends it, so that a peer that is reached again is used by all requests at once. A request that has tried one peer goes on with those that have not failed before.

Ruled out: a longer time for which peers are left out. It would also delay the use of a peer that is sound again, and all requests would still wait when it ends.

--- a/packages/router/src/paddle_router/gateway/_peer_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_peer_exchange.py
@@ -154,6 +154,8 @@
     def run(self, caller):
         """Return what :meth:`PeerRelays.run` returns, for one peer."""
         call = self._call
+        peers = self._components.peers
+        peers.begin_attempt(self._peer)
         try:
             self._conn = self._relays.pool.acquire(
                 self._peer.address,
@@ -164,6 +166,7 @@
             self._mark_peer_failed()
             self._fail(_call.AttemptOutcome.NOT_SENT, str(exc))
             return NOT_HANDLED
+        peers.mark_connected(self._peer)
         try:
             return self._exchange(caller, had_run_before=call.may_have_run)
         except (_http1.BrokenResponseError, OSError, ValueError) as exc:
--- a/packages/router/src/paddle_router/gateway/_peers.py
+++ b/packages/router/src/paddle_router/gateway/_peers.py
@@ -105,8 +105,8 @@
     def choose(self, excluded_names=()):
         """Return a peer at random, one of the own domain first.
 
-        ``None`` if there is none besides the ``excluded_names`` and those that
-        have failed recently.
+        ``None`` if there is none besides the ``excluded_names``, which the
+        request has tried, and those that have failed recently.
         """
         now_ms = self._clock.now_ms()
         usable = [
@@ -115,9 +115,30 @@
             if item.name not in excluded_names
             and not self._is_failed(item, now_ms)
         ]
+        if excluded_names:
+            # Another peer that failed before may cost as much time again.
+            sound = [
+                item
+                for item in usable
+                if item.incarnation not in self._failed_ms
+            ]
+            usable = sound or usable
         near = [item for item in usable if item.domain == self._own.domain]
         return self._rng.choice(near or usable) if usable else None
 
+    def begin_attempt(self, peer):
+        """Record that a connection to ``peer`` is being opened.
+
+        If it has failed before, other requests leave it out meanwhile: a peer
+        that does not answer would delay all of them by the connect timeout.
+        """
+        if peer.incarnation in self._failed_ms:
+            self._failed_ms[peer.incarnation] = self._clock.now_ms()
+
+    def mark_connected(self, peer):
+        """Use ``peer`` for all requests again: it accepts connections."""
+        self._failed_ms.pop(peer.incarnation, None)
+
     def mark_failed(self, peer):
         """Leave out ``peer`` for ``PEER_RETRY_MS``."""
         now_ms = self._clock.now_ms()
--- a/packages/router/tests/test_gateway_peers.py
+++ b/packages/router/tests/test_gateway_peers.py
@@ -79,6 +79,36 @@
     assert front.choices() == {'g1', 'g2'}
 
 
+def test_one_request_tries_a_peer_that_failed_until_it_accepts(front):
+    # Guards against all requests that wait for the same peer again and again,
+    # and against a peer that stays left out after it has accepted.
+    front.peers.begin_attempt(NEAR[1])
+    assert front.choices() == {'g1', 'g2'}
+    front.peers.mark_failed(NEAR[0])
+    front.clock.advance(_peers.PEER_RETRY_MS)
+    front.peers.begin_attempt(NEAR[0])
+    assert front.choices() == {'g2'}
+    front.peers.mark_connected(NEAR[0])
+    assert front.choices() == {'g1', 'g2'}
+    front.peers.mark_failed(NEAR[0])
+    front.clock.advance(_peers.PEER_RETRY_MS)
+    front.peers.begin_attempt(NEAR[0])
+    front.clock.advance(_peers.PEER_RETRY_MS)
+    # The attempt has ended without an outcome, as its caller has left.
+    assert front.choices() == {'g1', 'g2'}
+
+
+def test_a_request_tries_one_peer_that_failed_before_the_sound_ones(front):
+    # Guards against a request that uses all its attempts at peers that have
+    # not answered before, each of which takes 300 ms.
+    for peer in NEAR:
+        front.peers.mark_failed(peer)
+    front.clock.advance(_peers.PEER_RETRY_MS)
+    assert front.choices() == {'g1', 'g2'}
+    assert front.choices({'g1'}) == {'g3', 'g4'}
+    assert front.choices({'g1', 'g3', 'g4'}) == {'g2'}
+
+
 def test_peers_are_asked_for_only_if_they_are_needed(front):
     # Guards against peers in every reply, which is several times as large.
     def wants():
--- a/packages/testbed/tests/test_gateway_relay.py
+++ b/packages/testbed/tests/test_gateway_relay.py
@@ -1,6 +1,7 @@
 """Tests of requests that a gateway without servers sends through another."""
 
 import copy
+import types
 
 import attrs
 import gevent
@@ -8,6 +9,7 @@
 import gevent.socket
 import paddle_kernel
 from paddle_router import gateway
+from paddle_router.gateway import _peers
 import pytest
 
 from paddle_testbed import fakes
@@ -69,6 +71,12 @@
             None,
         )
 
+    def begin_attempt(self, peer):
+        pass
+
+    def mark_connected(self, peer):
+        pass
+
     def mark_failed(self, peer):
         self.failed.append(peer.name)
 
@@ -86,6 +94,25 @@
         raise gateway.NoConnectionError('no connection')
 
 
+class HangingPool:
+    """Connects to all but some addresses, which do not answer."""
+
+    def __init__(self, pool, addresses):
+        self._pool = pool
+        self._addresses = addresses
+        self.hung = []
+
+    def __getattr__(self, name):
+        return getattr(self._pool, name)
+
+    def acquire(self, address, **options):
+        if address not in self._addresses:
+            return self._pool.acquire(address, **options)
+        self.hung.append(address)
+        gevent.sleep(0.3)
+        raise gateway.NoConnectionError('timed out')
+
+
 class Fleet:
     """A gateway and its peers, each with servers of its own."""
 
@@ -438,6 +465,63 @@
     assert len(peer.requests) == 1
 
 
+def test_one_request_at_a_time_tries_an_unreachable_peer_again(pair):
+    # Guards against all callers that wait, each second anew, for peers of the
+    # own domain that accept no connections.
+    front, peer = pair
+    relays = front.components.relays
+    relays.pool = HangingPool(relays.pool, {'10.0.0.1:80', '10.0.0.2:80'})
+    entries = [
+        gateway.PeerGateway(
+            name=f'p{number}',
+            incarnation=f'p{number}/1',
+            address=address,
+            domain=domain,
+            key=peer.components.peer_key,
+        )
+        for number, (address, domain) in enumerate(
+            [
+                ('10.0.0.1:80', front.gateway.settings.failure_domain),
+                ('10.0.0.2:80', front.gateway.settings.failure_domain),
+                (peer.gateway.peer_entry.address, 'other'),
+            ]
+        )
+    ]
+    front.components.peers = _peers.Peers(
+        front.gateway.settings, front.gateway.clock, front.reach, 'g', 'k'
+    )
+    front.components.peers.apply(types.SimpleNamespace(peers=entries))
+    for item in entries[:2]:
+        front.components.peers.mark_failed(item)
+    gevent.sleep(_peers.PEER_RETRY_MS / 1_000)
+    callers = [
+        gevent.spawn(exchange, front, request('/safe/x')) for _ in range(20)
+    ]
+    assert [item.get(timeout=5)[0] for item in callers] == [200] * 20
+    assert len(relays.pool.hung) <= 2
+
+
+def test_a_peer_that_is_reached_again_is_used_by_all(pair):
+    # Guards against a peer that gets one request a second for ever.
+    front, peer = pair
+    front.components.peers = _peers.Peers(
+        front.gateway.settings, front.gateway.clock, front.reach, 'g', 'k'
+    )
+    entry = gateway.PeerGateway(
+        name='p0',
+        incarnation='p0/1',
+        address=peer.gateway.peer_entry.address,
+        domain='other',
+        key=peer.components.peer_key,
+    )
+    front.components.peers.apply(types.SimpleNamespace(peers=[entry]))
+    front.components.peers.mark_failed(entry)
+    gevent.sleep(_peers.PEER_RETRY_MS / 1_000)
+    for _ in range(5):
+        assert exchange(front, request('/safe/x'))[0] == 200
+    assert len(peer.requests) == 5
+
+
 @pytest.mark.parametrize('kind', PATHS)
 def test_after_a_lost_response_of_a_peer_nothing_is_sent_again(pair, kind):
     # Guards against runs at more servers than the route allows: the peer may
