Keep using a peer whose connections were all in use

A gateway that reached no server, with more than 150 requests in progress through one peer, marked this peer as failed: new callers were not sent there for 1 s, although its connections became free meanwhile. Where it was the only peer, all of them got 503, again after each request above the limit.

Cause: the pool reports its own limit like a connection that the peer does not accept, and both marked the peer. The limit now has an error of its own, after which only the request that met it goes elsewhere.

Ruled out: the pause of relaying, which counts failed peers only, and the peer, which had room and served what it had.

--- a/packages/router/src/paddle_router/gateway/_connections.py
+++ b/packages/router/src/paddle_router/gateway/_connections.py
@@ -31,6 +31,10 @@
     """The server did not accept a connection; nothing was sent."""
 
 
+class ConnectionLimitError(NoConnectionError):
+    """All connections that may be open to the address are in use."""
+
+
 @attrs.define
 class _AddressState:
     """Connections to one address; the last of ``idle`` was used last."""
@@ -86,7 +90,9 @@
         if state.idle and state.open >= limit:
             self.discard(state.idle.popleft())
         if state.open >= limit:
-            raise NoConnectionError(f'{address}: {limit} connections in use')
+            raise ConnectionLimitError(
+                f'{address}: {limit} connections in use'
+            )
         conn = self._open(address, state)
         conn.owner = owner
         return conn
--- a/packages/router/src/paddle_router/gateway/_peer_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_peer_exchange.py
@@ -163,7 +163,8 @@
                 owner=self._peer.incarnation,
             )
         except _connections.NoConnectionError as exc:
-            self._mark_peer_failed()
+            if not isinstance(exc, _connections.ConnectionLimitError):
+                self._mark_peer_failed()
             self._fail(_call.AttemptOutcome.NOT_SENT, str(exc))
             return NOT_HANDLED
         peers.mark_connected(self._peer)
--- a/packages/testbed/tests/test_gateway_relay.py
+++ b/packages/testbed/tests/test_gateway_relay.py
@@ -202,6 +202,31 @@
     return len(found._requests_ms), len(found._retries_ms)
 
 
+def peer_entry(harness, address=None, *, domain='other'):
+    """Return what controllers tell of a gateway."""
+    address = address or harness.gateway.peer_entry.address
+    return gateway.PeerGateway(
+        name=address,
+        incarnation=address,
+        address=address,
+        domain=domain,
+        key=harness.components.peer_key,
+    )
+
+
+def watch_peers(harness, *entries):
+    """Let a gateway itself find out which peers can help; return its list."""
+    harness.components.peers = _peers.Peers(
+        harness.gateway.settings,
+        harness.gateway.clock,
+        harness.reach,
+        'g1/1',
+        'own key',
+    )
+    harness.components.peers.apply(types.SimpleNamespace(peers=entries))
+    return harness.components.peers
+
+
 def relay_headers(harness, **changed):
     fields = {
         'Key': harness.components.peer_key,
@@ -470,29 +495,13 @@
     # own domain that accept no connections.
     front, peer = pair
     relays = front.components.relays
-    relays.pool = HangingPool(relays.pool, {'10.0.0.1:80', '10.0.0.2:80'})
-    entries = [
-        gateway.PeerGateway(
-            name=f'p{number}',
-            incarnation=f'p{number}/1',
-            address=address,
-            domain=domain,
-            key=peer.components.peer_key,
-        )
-        for number, (address, domain) in enumerate(
-            [
-                ('10.0.0.1:80', front.gateway.settings.failure_domain),
-                ('10.0.0.2:80', front.gateway.settings.failure_domain),
-                (peer.gateway.peer_entry.address, 'other'),
-            ]
-        )
-    ]
-    front.components.peers = _peers.Peers(
-        front.gateway.settings, front.gateway.clock, front.reach, 'g', 'k'
-    )
-    front.components.peers.apply(types.SimpleNamespace(peers=entries))
-    for item in entries[:2]:
-        front.components.peers.mark_failed(item)
+    addresses = ['10.0.0.1:80', '10.0.0.2:80']
+    relays.pool = HangingPool(relays.pool, addresses)
+    own_domain = front.gateway.settings.failure_domain
+    near = [peer_entry(peer, item, domain=own_domain) for item in addresses]
+    peers = watch_peers(front, *near, peer_entry(peer))
+    for item in near:
+        peers.mark_failed(item)
     gevent.sleep(_peers.PEER_RETRY_MS / 1_000)
     callers = [
         gevent.spawn(exchange, front, request('/safe/x')) for _ in range(20)
@@ -504,24 +513,41 @@
 def test_a_peer_that_is_reached_again_is_used_by_all(pair):
     # Guards against a peer that gets one request a second for ever.
     front, peer = pair
-    front.components.peers = _peers.Peers(
-        front.gateway.settings, front.gateway.clock, front.reach, 'g', 'k'
-    )
-    entry = gateway.PeerGateway(
-        name='p0',
-        incarnation='p0/1',
-        address=peer.gateway.peer_entry.address,
-        domain='other',
-        key=peer.components.peer_key,
-    )
-    front.components.peers.apply(types.SimpleNamespace(peers=[entry]))
-    front.components.peers.mark_failed(entry)
+    entry = peer_entry(peer)
+    watch_peers(front, entry).mark_failed(entry)
     gevent.sleep(_peers.PEER_RETRY_MS / 1_000)
     for _ in range(5):
         assert exchange(front, request('/safe/x'))[0] == 200
     assert len(peer.requests) == 5
 
 
+def test_a_peer_with_all_connections_in_use_is_used_once_one_is_free(
+    pair, monkeypatch
+):
+    # Guards against a second without the peer, whose callers it could serve,
+    # after each request above the limit of connections.
+    front, peer = pair
+    module = 'paddle_router.gateway._peer_exchange.'
+    monkeypatch.setattr(module + 'MAX_CONNECTIONS_PER_PEER', 2)
+    front.components.pool = CutPool(front.reach, 0.0)
+    watch_peers(front, peer_entry(peer))
+    held = gevent.event.Event()
+    peer.origins[0].script = lambda req, _sock: [
+        held.wait,
+        fakes.response(req, b'done'),
+    ]
+    running = [
+        gevent.spawn(exchange, front, request('/book/x')) for _ in range(2)
+    ]
+    wait_until(lambda: len(peer.requests) == 2)
+    assert exchange(front, request('/book/x'))[0] == 503
+    held.set()
+    assert [item.get(timeout=2)[0] for item in running] == [200] * 2
+    assert [exchange(front, request('/book/x'))[0] for _ in range(5)] == [
+        200
+    ] * 5
+
+
 @pytest.mark.parametrize('kind', PATHS)
 def test_after_a_lost_response_of_a_peer_nothing_is_sent_again(pair, kind):
     # Guards against runs at more servers than the route allows: the peer may
