Do not pass on a peer's 503 after an attempt that may have run

A caller of an idempotent request got 503 although a server may have run it: the own attempt lost its response, the way to all servers was found to be lost, and the peer that the request was sent to had no server for it. 408, 421, 429 and 503 promise that the request has not run and never will.

Cause: a peer knows its own attempts only, and its refusal was passed on as it is. The sender remembered that the request may have run, but looked at that only for its own refusals. Now such a refusal becomes 502 without Retry-After, as where the sender refuses itself.

Ruled out: requests that must not run twice. They are sent to a peer only if nothing may have run.

A safe call whose server closes the connection after 50 ms, then a peer without servers: 503 before, 502 now. A refusal without an earlier attempt keeps its 503 and its Retry-After. test_gateway_relay.py and test_gateways_without_servers.py pass.

--- a/packages/router/src/paddle_router/gateway/_peer_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_peer_exchange.py
@@ -285,14 +285,20 @@
             # The caller has a part of a stream, which nothing else may follow.
             call.attempts += 1
             return outcome
-        call.mark_response_started(head.status_code)
+        status = head.status_code
+        passed_on = OWN_RESPONSE_HEADERS
+        if status in _exchange.NOT_RUN_STATUS_CODES and call.may_have_run:
+            # The peer did not run the request, but another attempt may have.
+            status = 502
+            passed_on = passed_on - {b'retry-after'}
+        call.mark_response_started(status)
         call.reason = f'peer: {detail}'
         caller.refuse(
-            head.status_code,
+            status,
             [
                 (name, value)
                 for name, value in head.headers.raw_items()
-                if name.lower() in OWN_RESPONSE_HEADERS
+                if name.lower() in passed_on
             ],
             body,
         )
--- a/packages/testbed/tests/test_gateway_relay.py
+++ b/packages/testbed/tests/test_gateway_relay.py
@@ -402,6 +402,25 @@
     assert not front.requests
 
 
+def test_a_refusal_of_a_peer_does_not_deny_an_earlier_run(fleet):
+    # Guards against a 503, which promises that nothing ran, for a call that
+    # the own server may have run before the way was lost.
+    def lose(_req, _sock):
+        front.reach.is_cut = True
+        return [0.05, None]
+
+    front = fleet.add(lose)
+    peer = fleet.add(serve_any)
+    fleet.connect()
+    peer.controllers.servers = ()
+    peer.follower.step()
+    status, text, body = exchange(front, request('/safe/x'))
+    assert (status, body) == (502, b'{"error":"no server"}')
+    assert 'retry-after' not in text
+    assert len(front.requests) == 1
+    assert not peer.requests
+
+
 def test_a_caller_that_leaves_ends_the_run_at_the_peers_server(fleet):
     # Guards against work for callers that have gone.
     fleet.add(serve_any)
