--- a/packages/router/src/paddle_router/gateway/_peer_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_peer_exchange.py
@@ -154,6 +154,8 @@
     def run(self, caller):
         """Return what :meth:`PeerRelays.run` returns, for one peer."""
         call = self._call
+        peers = self._components.peers
+        peers.begin_attempt(self._peer)
         try:
             self._conn = self._relays.pool.acquire(
                 self._peer.address,
@@ -161,9 +163,11 @@
                 owner=self._peer.incarnation,
             )
         except _connections.NoConnectionError as exc:
-            self._mark_peer_failed()
+            if not isinstance(exc, _connections.ConnectionLimitError):
+                self._mark_peer_failed()
             self._fail(_call.AttemptOutcome.NOT_SENT, str(exc))
             return NOT_HANDLED
+        peers.mark_connected(self._peer)
         try:
             return self._exchange(caller, had_run_before=call.may_have_run)
         except (_http1.BrokenResponseError, OSError, ValueError) as exc:
@@ -281,14 +285,20 @@
             # The caller has a part of a stream, which nothing else may follow.
             call.attempts += 1
             return outcome
-        call.mark_response_started(head.status_code)
+        status = head.status_code
+        passed_on = OWN_RESPONSE_HEADERS
+        if status in _exchange.NOT_RUN_STATUS_CODES and call.may_have_run:
+            # The peer did not run the request, but another attempt may have.
+            status = 502
+            passed_on = passed_on - {b'retry-after'}
+        call.mark_response_started(status)
         call.reason = f'peer: {detail}'
         caller.refuse(
-            head.status_code,
+            status,
             [
                 (name, value)
                 for name, value in head.headers.raw_items()
-                if name.lower() in OWN_RESPONSE_HEADERS
+                if name.lower() in passed_on
             ],
             body,
         )
--- a/packages/testbed/tests/test_gateway_relay.py
+++ b/packages/testbed/tests/test_gateway_relay.py
@@ -1,6 +1,7 @@
 """Tests of requests that a gateway without servers sends through another."""
 
 import copy
+import types
 
 import attrs
 import gevent
@@ -8,6 +9,7 @@
 import gevent.socket
 import paddle_kernel
 from paddle_router import gateway
+from paddle_router.gateway import _peers
 import pytest
 
 from paddle_testbed import fakes
@@ -69,6 +71,12 @@
             None,
         )
 
+    def begin_attempt(self, peer):
+        pass
+
+    def mark_connected(self, peer):
+        pass
+
     def mark_failed(self, peer):
         self.failed.append(peer.name)
 
@@ -86,6 +94,25 @@
         raise gateway.NoConnectionError('no connection')
 
 
+class HangingPool:
+    """Connects to all but some addresses, which do not answer."""
+
+    def __init__(self, pool, addresses):
+        self._pool = pool
+        self._addresses = addresses
+        self.hung = []
+
+    def __getattr__(self, name):
+        return getattr(self._pool, name)
+
+    def acquire(self, address, **options):
+        if address not in self._addresses:
+            return self._pool.acquire(address, **options)
+        self.hung.append(address)
+        gevent.sleep(0.3)
+        raise gateway.NoConnectionError('timed out')
+
+
 class Fleet:
     """A gateway and its peers, each with servers of its own."""
 
@@ -175,6 +202,31 @@
     return len(found._requests_ms), len(found._retries_ms)
 
 
+def peer_entry(harness, address=None, *, domain='other'):
+    """Return what controllers tell of a gateway."""
+    address = address or harness.gateway.peer_entry.address
+    return gateway.PeerGateway(
+        name=address,
+        incarnation=address,
+        address=address,
+        domain=domain,
+        key=harness.components.peer_key,
+    )
+
+
+def watch_peers(harness, *entries):
+    """Let a gateway itself find out which peers can help; return its list."""
+    harness.components.peers = _peers.Peers(
+        harness.gateway.settings,
+        harness.gateway.clock,
+        harness.reach,
+        'g1/1',
+        'own key',
+    )
+    harness.components.peers.apply(types.SimpleNamespace(peers=entries))
+    return harness.components.peers
+
+
 def relay_headers(harness, **changed):
     fields = {
         'Key': harness.components.peer_key,
@@ -350,6 +402,25 @@
     assert not front.requests
 
 
+def test_a_refusal_of_a_peer_does_not_deny_an_earlier_run(fleet):
+    # Guards against a 503, which promises that nothing ran, for a call that
+    # the own server may have run before the way was lost.
+    def lose(_req, _sock):
+        front.reach.is_cut = True
+        return [0.05, None]
+
+    front = fleet.add(lose)
+    peer = fleet.add(serve_any)
+    fleet.connect()
+    peer.controllers.servers = ()
+    peer.follower.step()
+    status, text, body = exchange(front, request('/safe/x'))
+    assert (status, body) == (502, b'{"error":"no server"}')
+    assert 'retry-after' not in text
+    assert len(front.requests) == 1
+    assert not peer.requests
+
+
 def test_a_caller_that_leaves_ends_the_run_at_the_peers_server(fleet):
     # Guards against work for callers that have gone.
     fleet.add(serve_any)
@@ -438,6 +509,64 @@
     assert len(peer.requests) == 1
 
 
+def test_one_request_at_a_time_tries_an_unreachable_peer_again(pair):
+    # Guards against all callers that wait, each second anew, for peers of the
+    # own domain that accept no connections.
+    front, peer = pair
+    relays = front.components.relays
+    addresses = ['10.0.0.1:80', '10.0.0.2:80']
+    relays.pool = HangingPool(relays.pool, addresses)
+    own_domain = front.gateway.settings.failure_domain
+    near = [peer_entry(peer, item, domain=own_domain) for item in addresses]
+    peers = watch_peers(front, *near, peer_entry(peer))
+    for item in near:
+        peers.mark_failed(item)
+    gevent.sleep(_peers.PEER_RETRY_MS / 1_000)
+    callers = [
+        gevent.spawn(exchange, front, request('/safe/x')) for _ in range(20)
+    ]
+    assert [item.get(timeout=5)[0] for item in callers] == [200] * 20
+    assert len(relays.pool.hung) <= 2
+
+
+def test_a_peer_that_is_reached_again_is_used_by_all(pair):
+    # Guards against a peer that gets one request a second for ever.
+    front, peer = pair
+    entry = peer_entry(peer)
+    watch_peers(front, entry).mark_failed(entry)
+    gevent.sleep(_peers.PEER_RETRY_MS / 1_000)
+    for _ in range(5):
+        assert exchange(front, request('/safe/x'))[0] == 200
+    assert len(peer.requests) == 5
+
+
+def test_a_peer_with_all_connections_in_use_is_used_once_one_is_free(
+    pair, monkeypatch
+):
+    # Guards against a second without the peer, whose callers it could serve,
+    # after each request above the limit of connections.
+    front, peer = pair
+    module = 'paddle_router.gateway._peer_exchange.'
+    monkeypatch.setattr(module + 'MAX_CONNECTIONS_PER_PEER', 2)
+    front.components.pool = CutPool(front.reach, 0.0)
+    watch_peers(front, peer_entry(peer))
+    held = gevent.event.Event()
+    peer.origins[0].script = lambda req, _sock: [
+        held.wait,
+        fakes.response(req, b'done'),
+    ]
+    running = [
+        gevent.spawn(exchange, front, request('/book/x')) for _ in range(2)
+    ]
+    wait_until(lambda: len(peer.requests) == 2)
+    assert exchange(front, request('/book/x'))[0] == 503
+    held.set()
+    assert [item.get(timeout=2)[0] for item in running] == [200] * 2
+    assert [exchange(front, request('/book/x'))[0] for _ in range(5)] == [
+        200
+    ] * 5
+
+
 @pytest.mark.parametrize('kind', PATHS)
 def test_after_a_lost_response_of_a_peer_nothing_is_sent_again(pair, kind):
     # Guards against runs at more servers than the route allows: the peer may
