Write the records of a store anew before they are trusted

A process that is killed, or whose sync fails, may leave records in the page cache that are not on the disk. Opening the store synced the same file. If that sync failed, the kernel may drop the pages and still return them, and the sync of the next try succeeds without writing them. The replica then voted on records that a loss of power removes. A sync that failed in the process before the restart had the same effect.

A store is now opened by writing its state to a new file, as a compaction does: copy, sync, rename, sync of the directory. Until the rename the old file is left as it is, apart from an incomplete last record. If any step fails, the store is not opened, and the next try begins again with a new file and a new rename.

A disk without room for the copy does not stop the start, as before. The bytes that were read are then written once more in place, which takes no new room, and synced. A process killed meanwhile leaves the same bytes. This is not done once the file was renamed, since its bytes are others then. An empty store without room still fails to open.

When the sync of the directory failed, opening closed the descriptor of the old file only; it now closes the one in use.

Ruled out: a marker for a failed sync, which itself needs room and is not written by a process that is killed; dropping the last record, which may have been acknowledged; overwriting in place always, which on a disk that tears pages puts all synced records at risk at each start.

Not checked: a device that really fails to sync.

--- a/packages/coord/src/paddle_coord/_store.py
+++ b/packages/coord/src/paddle_coord/_store.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import errno
 import fcntl
 import functools
 import os
@@ -39,6 +40,8 @@
 COMPACT_MIN_BYTES = 4 * 1024 * 1024
 COMPACT_GROWTH_RATIO = 4
 SNAPSHOT_FRAME_RECORDS = 1_000
+# Errors of a disk, or of a quota, without room for a copy of the file.
+NO_ROOM_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 
 class StoreError(Exception):
@@ -249,6 +252,7 @@
         if result.later_frame_offsets:
             raise DamagedStoreError(path, result.damaged_offset)
         fd = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+        store = cls(path, state, fd, lock_fd, result.end, sync)
         try:
             if result.damaged_offset is not None:
                 kernel.emit(
@@ -258,25 +262,52 @@
                     dropped_bytes=len(data) - result.end,
                 )
                 os.ftruncate(fd, result.end)
-            store = cls(path, state, fd, lock_fd, result.end, sync)
-            store.prepare()
+            store.prepare(data[: result.end])
         except BaseException:
-            os.close(fd)
+            # Not ``fd``, which is closed once the file is replaced.
+            os.close(store._fd)
             raise
         return store
 
-    def prepare(self):
+    def prepare(self, data):
         """Make what was read durable; give an empty store an identity.
 
-        A killed process may have written records that it did not sync.
+        ``data`` are the bytes that the state was read from. A killed process
+        may have written some that it did not sync, or whose sync failed. After
+        a failed sync the kernel may have dropped them, although it still
+        returns them, and the next sync of the same file succeeds. So they are
+        written once more, to a new file.
 
         :raises OSError: if the disk is full or fails.
         """
-        if self.state.identity:
-            self._sync(self._fd)
-        else:
+        is_new = not self.state.identity
+        if is_new:
             self.put(_messages.IdentityRecord(new_identity()))
-            self.write(self.take_frame())
+        fd = self._fd
+        try:
+            self.replace(self.snapshot())
+        except OSError as exc:
+            is_replaced = self._fd != fd
+            if exc.errno not in NO_ROOM_ERRORS or is_replaced or is_new:
+                raise
+            # Without room for a copy the replica can still answer reads.
+            self._write_in_place(data)
+
+    def _write_in_place(self, data):
+        """Write the bytes of the file once more and sync them; blocks.
+
+        This takes no room, and a process that is killed meanwhile leaves the
+        same bytes.
+        """
+        # In append mode Linux ignores the offset of a write.
+        fd = os.open(self.path, os.O_WRONLY)
+        try:
+            view = memoryview(data)
+            while view:
+                view = view[os.pwrite(fd, view, len(data) - len(view)) :]
+            self._sync(fd)
+        finally:
+            os.close(fd)
         sync_directory(self.path.parent)
 
     @property
