Keep bytes after a response to the daemon apart from it

If a server wrote a second response together with the end of the first one, the chat daemon and the clients of the platform joined both: the body had the bytes of both, the status code and headers were those of the second one, and the connection was used again. Three requests to a server that repeats "9" got the bodies "19", "29" and "39". Bytes that are no response, and any bytes after a response with "Connection: close", made a complete response an error.

Cause: the base class of Response restarts its state whenever a message begins, which it needs for the final response after an interim one. A message that begins after the final response now ends the parsing.

Ruled out: bytes that arrive while a connection is idle; the pool finds these and closes the connection.

--- a/packages/router/src/paddle_router/_http_out.py
+++ b/packages/router/src/paddle_router/_http_out.py
@@ -32,16 +32,29 @@
     """The backend server closed the connection or broke the protocol."""
 
 
+class _ExtraResponseError(Exception):
+    """Another response begins after the complete one."""
+
+
 class Response(geventhttpclient.response.HTTPResponse):
-    """An HTTP response that is read incrementally."""
+    """An HTTP response that is read incrementally.
+
+    Bytes after its end belong to no request. They are dropped, and the
+    connection is not reused.
+    """
 
     def __init__(self, sock, method):
         super().__init__(method)
         self._sock = sock
         self.is_cancelled = False
+        self._has_extra_bytes = False
         self._received_bytes = 0
         self._body_bytes = 0
 
+    def should_close(self):
+        """Return whether the connection cannot be used again."""
+        return self._has_extra_bytes or super().should_close()
+
     def read_head(self):
         """Read until the headers of the final response are complete.
 
@@ -79,6 +92,17 @@
     def _is_head_complete(self):
         return self.headers_complete and self.get_code() > MAX_INTERIM_STATUS
 
+    @property
+    def _is_complete(self):
+        return self._is_head_complete and self.message_complete
+
+    def _on_message_begin(self):
+        # The base class would take the body, headers and status code of the
+        # next response for those of this one.
+        if self._is_complete:
+            raise _ExtraResponseError
+        super()._on_message_begin()
+
     def read_some(self):
         """Return the body bytes received so far; ``b''`` at the end.
 
@@ -124,8 +148,15 @@
         self._received_bytes += len(data)
         try:
             self.feed(data)
+        except _ExtraResponseError:
+            self._has_extra_bytes = True
         except geventhttpclient.response.HTTPParseError as exc:
-            raise BrokenResponseError(f'malformed response: {exc}') from exc
+            if not self._is_complete:
+                raise BrokenResponseError(
+                    f'malformed response: {exc}'
+                ) from exc
+            # Bytes after a response with ``Connection: close``.
+            self._has_extra_bytes = True
         if not data and not self.message_complete:
             raise BrokenResponseError('connection closed within the response')
 
--- a/packages/router/tests/test_http_out.py
+++ b/packages/router/tests/test_http_out.py
@@ -238,6 +238,65 @@
     assert answers == [(200, b'1'), (200, b'2')]
 
 
+EXTRA_BYTES = {
+    'a response': (
+        b'HTTP/1.1 503 Full\r\nX-Extra: 1\r\nContent-Length: 1\r\n\r\n9'
+    ),
+    'a head': b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n',
+    'a part of a head': b'HTTP/1.1 200',
+    'an interim response': b'HTTP/1.1 103 Early Hints\r\n\r\n',
+    'after an empty line': b'\r\nHTTP/1.1 200 OK\r\n\r\n',
+    'no response': b'data: [DONE]',
+}
+# Bytes, status code and body.
+COMPLETE_RESPONSES = {
+    'length': (b'HTTP/1.1 201 X\r\nContent-Length: 2\r\n\r\nok', 201, b'ok'),
+    'chunked': (
+        b'HTTP/1.1 201 X\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'2\r\nok\r\n0\r\n\r\n',
+        201,
+        b'ok',
+    ),
+    'empty': (b'HTTP/1.1 201 X\r\nContent-Length: 0\r\n\r\n', 201, b''),
+    'no body': (b'HTTP/1.1 204 X\r\n\r\n', 204, b''),
+    'close': (
+        b'HTTP/1.1 201 X\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok',
+        201,
+        b'ok',
+    ),
+    'after interim': (
+        b'HTTP/1.1 103 X\r\n\r\nHTTP/1.1 201 X\r\nContent-Length: 2\r\n\r\nok',
+        201,
+        b'ok',
+    ),
+}
+
+
+@pytest.mark.parametrize('extra', EXTRA_BYTES)
+@pytest.mark.parametrize('name', COMPLETE_RESPONSES)
+def test_bytes_after_a_response_are_not_a_part_of_it(
+    scripted_server, name, extra
+):
+    # Guards against the body, status or headers of another response that
+    # arrived together with the last bytes of this one, against an error for a
+    # complete response, and against reusing the connection.
+    data, status, body = COMPLETE_RESPONSES[name]
+
+    def script(sock, _number):
+        sock.sendall(data + EXTRA_BYTES[extra])
+        return True
+
+    pool = _http_out.ConnectionPool(paddle_kernel.SystemClock())
+    conn = pool.open(scripted_server(script).address, 1_000)
+    conn.send('GET', '/', (), timeout_ms=1_000)
+    response = conn.read_head(1_000)
+    assert response.read_all(100) == body
+    assert response.get_code() == status
+    assert 'X-Extra' not in response
+    assert not conn.reusable
+    conn.close()
+
+
 BODIES = {
     'length': b'Content-Length: 2\r\n\r\nok',
     'empty': b'Content-Length: 0\r\n\r\n',
