Send each request of the chat daemon on a new connection

The daemon took responses on a kept connection by their order. A response that a faulty server wrote once more, when the next request had been sent, was taken for the response to that request. With such a server a caller got the order, or the answer to the chat, of an earlier caller, or a 503 for a request that ran.

Cause: responses to the daemon have no id (docs/platform.md), so on a kept connection nothing tells whose they are. The gateway sends requests without an id on new connections only; the daemon and its look-ups now do this always, and the pool of idle connections is gone. So is the second send of a chat whose engine had closed an idle connection, which cannot happen any more. Connections are closed with a reset, as those for orders are: a clean end would keep the local port for a minute, which limits the rate of requests to one address.

Ruled out: looking for unread bytes before a request is sent, which the pool did, since the bytes may arrive after that; an id in responses, which the protocol does not have; waiting for a further response after each one, which delays all and has no safe time.

New tests have a server that repeats responses on used connections only, and look at look-ups, services and chats.

Two tests used attributes of kept connections. One now compares the local addresses of the two connections of two orders, the other asks the response itself whether it was complete. Callers in the tests still close cleanly.

--- a/packages/router/src/paddle_router/_core.py
+++ b/packages/router/src/paddle_router/_core.py
@@ -13,7 +13,6 @@
     clock: object
     config: object
     instances: object
-    pool: object
     policies: object
     dispatcher: object
     account: object
--- a/packages/router/src/paddle_router/_daemon.py
+++ b/packages/router/src/paddle_router/_daemon.py
@@ -15,7 +15,6 @@
 from paddle_router import _events
 from paddle_router import _hosting
 from paddle_router import _http_in
-from paddle_router import _http_out
 from paddle_router import _instances
 from paddle_router import _metrics
 from paddle_router import _operator
@@ -143,10 +142,8 @@
         self.operator.stop(timeout=0)
         self.hosting.stop()
         self.transport.close()
-        self.core.pool.close()
 
     def _build_core(self):
-        pool = _http_out.ConnectionPool(self.clock)
         policies = _policies.Policies()
         register = self.register
         core = _core.Core(
@@ -156,9 +153,8 @@
                 register, self.clock, self.settings.data_dir
             ),
             instances=_instances.InstanceList(
-                pool, self.settings.platform, clock=self.clock
+                self.settings.platform, clock=self.clock
             ),
-            pool=pool,
             policies=policies,
             dispatcher=_dispatch.Dispatcher(
                 self.clock, policies, self.metrics
@@ -192,11 +188,6 @@
         self._engine_watch = _engine_watch.EngineWatch(core)
         core.dispatcher.set_probe_sender(self._engine_watch.probe)
         core.instances.on_change(core.dispatcher.sync)
-        core.instances.on_change(
-            lambda items: core.pool.close_all_except(
-                item.address for item in items
-            )
-        )
         core.config.on_change(core.dispatcher.apply)
         core.config.on_change(
             _config_polling.RevokedKeyHandler(core).on_config_change
--- a/packages/router/src/paddle_router/_engine_watch.py
+++ b/packages/router/src/paddle_router/_engine_watch.py
@@ -56,7 +56,6 @@
         core = self._core
         try:
             status, _ = _http_out.exchange(
-                core.pool,
                 instance.address,
                 'POST',
                 '/v1/chat/completions',
@@ -76,7 +75,6 @@
     def _read_report(self, engine):
         try:
             status, body = _http_out.exchange(
-                self._core.pool,
                 engine.address,
                 'GET',
                 '/load',
--- a/packages/router/src/paddle_router/_instances.py
+++ b/packages/router/src/paddle_router/_instances.py
@@ -130,8 +130,7 @@
     are being drained have the state ``leaving``.
     """
 
-    def __init__(self, pool, platform, *, clock):
-        self._pool = pool
+    def __init__(self, platform, *, clock):
         self._platform = platform
         self._clock = clock
         self._reachable = None
@@ -150,7 +149,6 @@
         """Read the list once; keep the old one on failure."""
         try:
             status, body = _http_out.exchange(
-                self._pool,
                 self._platform,
                 'GET',
                 '/instances',
--- a/packages/router/src/paddle_router/_platform.py
+++ b/packages/router/src/paddle_router/_platform.py
@@ -8,7 +8,6 @@
 
 import json
 import socket as plain_socket
-import struct
 
 import gevent.socket
 
@@ -24,9 +23,6 @@
 REFUSED = 'refused'
 STALE_NUMBER = 'stale_number'
 CONFLICT = 'conflict'
-# Value of SO_LINGER with which closing a socket discards unsent bytes, so that
-# an aborted request cannot arrive after the in-flight bound.
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class UnclearAnswerError(ConnectionError):
@@ -48,7 +44,10 @@
     )
     sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
     sock.setsockopt(
-        plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, RESET_ON_CLOSE
+        plain_socket.SOL_SOCKET,
+        plain_socket.SO_LINGER,
+        # An aborted request must not arrive after the in-flight bound.
+        _http_out.RESET_ON_CLOSE,
     )
     return _http_out.Connection(address, sock)
 
--- a/packages/router/src/paddle_router/_relay.py
+++ b/packages/router/src/paddle_router/_relay.py
@@ -163,8 +163,7 @@
         self._core.active.discard(self)
         if not self.request.is_ended:
             self.request.advance(State.CANCELLED)
-        is_finished = self.request.state is State.FINISHED
-        self._close_upstream(reusable=is_finished)
+        self._close_upstream()
         if self._usage_event is not None:
             self._usage = _parse_usage(self._usage_event)
         self._core.account.record_end(self.request, self._usage)
@@ -324,13 +323,11 @@
 
     def _finish(self):
         self.request.advance(State.FINISHED)
-        self._close_upstream(reusable=True)
+        self._close_upstream()
 
-    def _close_upstream(self, *, ok=True, reusable=False):
+    def _close_upstream(self, *, ok=True):
         if self._upstream is not None:
-            self._upstream.close(
-                ok=ok, tokens=self.request.chunks, reusable=reusable
-            )
+            self._upstream.close(ok=ok, tokens=self.request.chunks)
             self._upstream = None
 
 
--- a/packages/router/src/paddle_router/_services.py
+++ b/packages/router/src/paddle_router/_services.py
@@ -10,6 +10,7 @@
 from paddle_router import _errors
 from paddle_router import _headers
 from paddle_router import _http_in
+from paddle_router import _http_out
 from paddle_router import _request
 from paddle_router import policy
 
@@ -127,10 +128,8 @@
         :raises OSError: if that fails; nothing was sent.
         """
         self.request.advance(State.CONNECTING)
-        self.conn = self._core.pool.open(
-            instance.address,
-            self._core.bounds.connect_ms,
-            fresh=not self.request.idempotent,
+        self.conn = _http_out.connect(
+            instance.address, self._core.bounds.connect_ms
         )
 
     def send(self, timeout_ms):
@@ -151,8 +150,7 @@
         self.status = response.get_code()
         self.response_headers = tuple(_headers.headers_for_caller(response))
         self.request.advance(State.FINISHED)
-        conn, self.conn = self.conn, None
-        self._core.pool.release(conn)
+        self.close()
 
     def close(self):
         """Close the connection if it is open."""
