Hand a relayed request back once the peer is cut off too

A gateway that was cut off from all servers sent a request through a peer that lost the way to its servers a moment later. The peer went on to its other servers, 300 ms each, until the time of the request was over, although nothing had run and a third gateway could have served it. Callers got a 504 after 1.5 s.

Cause: the request was handed back only when no server was left to try, and the test for it has a peer with a single server.

Ruled out: the sender, which asks the next peer as soon as it hears that nothing ran. Requests that wait in the peer's queue are not covered; they stay there until their time limit.

The new test, with a peer of five servers, failed for all four kinds of routes before (504 twice, 5 servers tried instead of 1 twice) and passes now, as do the other 72 tests of the file.

--- a/packages/router/src/paddle_router/gateway/_forward.py
+++ b/packages/router/src/paddle_router/gateway/_forward.py
@@ -237,6 +237,8 @@
         ):
             # It may crash the next server too.
             return False
+        if self._can_return_to_sender(call):
+            return False
         if call.response_started and call.relayed is not None:
             # The sender resumes the stream, so that attempts count once.
             return False
@@ -259,6 +261,18 @@
             and budget.take(self._clock.now_ms())
         )
 
+    def _can_return_to_sender(self, call):
+        """Return whether the peer that sent ``call`` can try another peer.
+
+        This gateway has lost the way to its servers too, and nothing ran.
+        """
+        return (
+            call.relayed is not None
+            and not call.response_started
+            and not call.may_have_run
+            and self._components.reach.is_cut
+        )
+
     def _resume_at_source(self, call, outcome):
         """Redirect a moved run to its source if the target rejected the copy.
 
@@ -306,11 +320,7 @@
         if call.response_started:
             # The response stays without its end.
             return
-        if (
-            call.relayed is not None
-            and not call.may_have_run
-            and self._components.reach.is_cut
-        ):
+        if self._can_return_to_sender(call):
             self._refuse_relay(conn, _peer_headers.REFUSED_CUT, call)
             call.status = 503
             return
--- a/packages/testbed/tests/test_gateway_relay.py
+++ b/packages/testbed/tests/test_gateway_relay.py
@@ -87,8 +87,10 @@
     def __init__(self, reach, pause_s):
         self._reach = reach
         self._pause_s = pause_s
+        self.tries = 0
 
     def acquire(self, *_args, **_options):
+        self.tries += 1
         gevent.sleep(self._pause_s)
         self._reach.is_cut = True
         raise gateway.NoConnectionError('no connection')
@@ -472,6 +474,23 @@
     assert len(sound.requests) == 1
 
 
+@pytest.mark.parametrize('kind', PATHS)
+def test_a_peer_that_loses_one_of_many_servers_hands_the_request_back(
+    fleet, kind
+):
+    # Guards against a peer that is cut off too and tries one server after the
+    # other, 300 ms each, while a third gateway could help.
+    fleet.add(serve_any)
+    losing = fleet.add(*[serve_any] * 5)
+    sound = fleet.add(serve_any)
+    front = fleet.connect()
+    front.reach.is_cut = True
+    losing.components.pool = CutPool(losing.reach, 0.3)
+    assert is_complete(kind, exchange(front, request(PATHS[kind])))
+    assert losing.components.pool.tries == 1
+    assert len(sound.requests) == 1
+
+
 def test_without_help_a_request_takes_the_local_path_and_relays_pause(
     fleet, events
 ):
