--- a/packages/router/tests/test_http_out.py
+++ b/packages/router/tests/test_http_out.py
@@ -203,33 +203,6 @@
     assert 'other' not in seen
 
 
-def test_a_repeated_answer_is_not_taken_for_the_next_one():
-    # Guards against a probe, a report or a list that is an earlier answer
-    # which the server wrote once more on a kept connection.
-    requests = 0
-
-    def serve(sock, _peer):
-        nonlocal requests
-        while sock.recv(65_536):
-            requests += 1
-            if requests > 1:
-                sock.sendall(b'HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n')
-                gevent.sleep(0.02)
-            sock.sendall(
-                b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d' % requests
-            )
-
-    server = gevent.server.StreamServer(('127.0.0.1', 0), serve)
-    server.start()
-    address = f'127.0.0.1:{server.server_port}'
-    answers = [
-        _http_out.exchange(address, 'GET', '/', timeout_ms=500, limit=100)
-        for _ in range(2)
-    ]
-    server.stop()
-    assert answers == [(200, b'1'), (200, b'2')]
-
-
 class RepeatingServer:
     """Writes ``stale`` before each response on a connection used before.
 
