Expect a taken place at a brittle server within a response

Callers with little time left got 503 "no server" although their gateway had a place that was free again within a response: the next place was expected at the start of the next slice with one, 0.25 to some seconds later, as long as places move. In the trace of the test with processes, callers with a deadline of 1,500 ms were refused after about 900 ms, at the start of a slice; a caller with 400 ms would be refused at once whenever the place is taken.

A place that stays with the gateway long enough is now expected after half a response, as one that does not move is. Near the end of a slice, the next place is at the start of a later one as before.

--- a/packages/router/src/paddle_router/policy/_brittle_servers.py
+++ b/packages/router/src/paddle_router/policy/_brittle_servers.py
@@ -157,16 +157,19 @@
         if not self._is_brittle(now_ms) or self._is_open(state, now_ms):
             return now_ms
         server = state.incarnation
-        at_ms = max(now_ms, self._paused_until_ms.get(server, now_ms))
+        open_ms = max(now_ms, self._paused_until_ms.get(server, now_ms))
+        free_ms = max(open_ms, now_ms + self.response_ms // 2)
+        number, _passed_ms = self._slice(open_ms)
+        places = self._share.places(number).get(server, 0)
         if not self._share.moves:
-            if not self._share.places(0).get(server):
-                return None
-            return max(at_ms, now_ms + self.response_ms // 2)
-        number, _passed_ms = self._slice(at_ms)
-        for later in range(number, number + MAX_SEARCH):
-            start_ms = later * self._slice_ms() - self._limits.wall_offset_ms
-            if start_ms > now_ms and self._share.places(later).get(server):
-                return start_ms
+            return free_ms if places else None
+        if places and self._slice(free_ms)[0] == number:
+            kept = self._share.places(number + 1).get(server, 0)
+            if kept >= places or not self._is_near_end(free_ms):
+                return free_ms
+        for later in range(number + 1, number + MAX_SEARCH):
+            if self._share.places(later).get(server):
+                return later * self._slice_ms() - self._limits.wall_offset_ms
         return None
 
     def interval_ms(self, state, now_ms):
@@ -222,12 +225,10 @@
         used = len(state.flights) + len(self._live_lost(server, now_ms))
         if used >= places:
             return False
-        if not self._share.moves:
-            return True
-        number, passed_ms = self._slice(now_ms)
-        if passed_ms <= self._slice_ms() - END_RESPONSES * self.response_ms:
+        if not self._share.moves or not self._is_near_end(now_ms):
             return True
         # Places that stay with this gateway may be used until the end.
+        number, _passed_ms = self._slice(now_ms)
         return used < self._share.places(number + 1).get(server, 0)
 
     def _places(self, now_ms):
@@ -265,6 +266,11 @@
         """Return the number of the slice, and how long it has lasted."""
         return divmod(now_ms + self._limits.wall_offset_ms, self._slice_ms())
 
+    def _is_near_end(self, now_ms):
+        """Whether a response would end close to the end of the slice."""
+        _number, passed_ms = self._slice(now_ms)
+        return passed_ms > self._slice_ms() - END_RESPONSES * self.response_ms
+
     def _slice_ms(self):
         slice_ms = MIN_SLICE_MS
         while (
--- a/packages/router/tests/test_policy_brittle_servers.py
+++ b/packages/router/tests/test_policy_brittle_servers.py
@@ -478,6 +478,29 @@
         assert balancer.can_place(frozenset(), available.at_ms)
 
 
+@pytest.mark.parametrize('gateway_count', [20, 60])
+def test_a_taken_place_is_expected_to_be_free_within_a_response(gateway_count):
+    # Guards against requests with little time left that are refused, since
+    # only a place of a later slice is expected for them.
+    (balancer, limits), *_others = make_balancers(gateway_count)
+    assert fill([(balancer, limits)], 0)
+    assert not balancer.can_place(frozenset(), 10)
+    assert balancer.next_availability(frozenset(), 10).at_ms <= 10 + 80
+
+
+def test_a_place_that_moves_is_not_expected_again_near_the_end():
+    # Guards against requests that wait for a place which another gateway has
+    # before they can be sent.
+    (balancer, limits), *_others = make_balancers(60)
+    assert fill([(balancer, limits)], 0).total() == 1
+    available = balancer.next_availability(frozenset(), SLICE_MS - 120)
+    assert available.at_ms >= SLICE_MS
+    # At the start of its slice, not later.
+    at_ms = available.at_ms
+    assert at_ms % SLICE_MS == 0
+    assert balancer.next_availability(frozenset(), at_ms - 10).at_ms == at_ms
+
+
 def test_gained_places_are_used_after_their_last_requests():
     # Guards against places that are used by the gateway that had them, which
     # does not know of a change yet, and by the one that has them now.
