Delay gained places after each of several quick changes

A gateway used places of a brittle service at once if two changes of the gateways or servers came within a second, as in a restart of several gateways: the places gained by the first change, which wait for 1 s, counted as former ones at the second. The gateway that had them may not know yet, and both send to the same place.

Only the share before the last change was kept. Now all shares of the last second bound the places that may be used.

Unit test, one of three gateways, then two at 100 ms, then one at 300 ms: it had a place for another request at 300 ms before; now four places from 1,100 ms and the rest from 1,300 ms on.

Found by reading.

--- a/packages/router/src/paddle_router/policy/_brittle_servers.py
+++ b/packages/router/src/paddle_router/policy/_brittle_servers.py
@@ -108,8 +108,8 @@
     def __init__(self, limits):
         self._limits = limits
         self._share = _Share(0, 1, ())
-        self._former = None
-        self._changed_ms = 0
+        # Shares before the last changes, and until when they count.
+        self._former = []
         self._cached = (None, {})
         self._paused_until_ms = {}
         self._lost_until_ms = {}
@@ -238,14 +238,14 @@
             self._set_share(
                 attrs.evolve(self._share, index=index, count=count), now_ms
             )
-        if self._former and now_ms - self._changed_ms >= GAIN_DELAY_MS:
-            self._former = None
+        while self._former and self._former[0][1] <= now_ms:
+            del self._former[0]
             self._cached = None, {}
         number, _passed_ms = self._slice(now_ms)
         if self._cached[0] != number:
             places = self._share.places(number)
-            if self._former is not None:
-                former = self._former.places(number)
+            for share, _until_ms in self._former:
+                former = share.places(number)
                 places = {
                     server: min(count, former.get(server, count))
                     for server, count in places.items()
@@ -257,8 +257,7 @@
         if share == self._share:
             return
         if self._share.servers:
-            self._former = self._share
-            self._changed_ms = now_ms
+            self._former.append((self._share, now_ms + GAIN_DELAY_MS))
         self._share = share
         self._cached = None, {}
 
--- a/packages/router/tests/test_policy_brittle_servers.py
+++ b/packages/router/tests/test_policy_brittle_servers.py
@@ -523,6 +523,19 @@
     assert fill([(balancer, limits)], 1_600).total() == 4
 
 
+def test_places_of_quick_changes_are_used_a_time_after_each():
+    # Guards against places that the first change has added and that are used
+    # at the second one, before the gateway that had them knows of it.
+    (balancer, limits), *_others = make_balancers(3)
+    assert fill([(balancer, limits)], 0).total() == 8
+    limits.set_share(0, 2)
+    assert not balancer.can_place(frozenset(), 100)
+    limits.set_share(0, 1)
+    assert not balancer.can_place(frozenset(), 300)
+    assert fill([(balancer, limits)], 1_200).total() == 4
+    assert fill([(balancer, limits)], 1_400).total() == 12
+
+
 def test_a_server_that_rejects_gets_nothing_for_a_time():
     # Guards against repeated rejections while the place is taken by a request
     # that the gateway does not know.
