Keep the place of a request whose caller has left

A caller that closed its connection before the answer freed its place at a brittle server at once, while the server still ran the request. The gateway then sent one more request than the server had room for, which counts as a rejection there.

Requests without an answer keep their place for the time of a response, but one whose caller leaves ended as if it was answered. It now keeps the place if it was sent and no answer has begun; a server notices a broken stream when it sends its next event.

--- a/packages/router/src/paddle_router/gateway/_exchange.py
+++ b/packages/router/src/paddle_router/gateway/_exchange.py
@@ -95,6 +95,8 @@
             return outcome
         except _call.CallerDisconnected:
             self._is_server_at_fault = False
+            if self._flight.is_sent and not self._is_head_read:
+                balancer.record_abandoned(self._flight, self._clock.now_ms())
             raise
         finally:
             self._components.reach.end_exchange()
--- a/packages/router/src/paddle_router/policy/_shared_load.py
+++ b/packages/router/src/paddle_router/policy/_shared_load.py
@@ -581,6 +581,12 @@
             state.window.add(now_ms, rejections=1)
             self._brittle.record_rejection(state.incarnation, now_ms)
 
+    def record_abandoned(self, flight, now_ms):
+        """Record that the caller has left; the server may still run it."""
+        state = self._state_of(flight)
+        if state is not None:
+            self._brittle.record_lost(state.incarnation, now_ms)
+
     def start_phases(self, now_ms):
         """Return ``{server id: reason}`` of servers that are cold or start."""
         return {
--- a/packages/testbed/tests/test_brittle_servers.py
+++ b/packages/testbed/tests/test_brittle_servers.py
@@ -207,3 +207,33 @@
     gevent.joinall(requests)
     assert [item.value[0] for item in requests] == [200] * (slots + 4)
     assert max(most) <= slots
+
+
+def test_a_caller_that_leaves_does_not_free_the_place(harness):
+    # Guards against a place that is used again at once while the server still
+    # runs a request whose caller has closed the connection.
+    most = []
+    running = []
+
+    def respond(req, _sock):
+        running.append(req)
+        most.append(len(running))
+        return [0.06, running.pop, fakes.response(req, extra=(BRITTLE,))]
+
+    harness.serve(respond)
+    (listed,) = harness.controllers.servers
+    raw = gateway_harness.request('/safe/first')
+    assert gateway_harness.exchange(harness, raw)[0] == 200
+    callers = []
+    for number in range(listed.slots):
+        callers.append(harness.connect())
+        callers[-1].sendall(gateway_harness.request(f'/safe/left-{number}'))
+    with gevent.Timeout(5):
+        while len(most) < 1 + listed.slots:
+            gevent.sleep(0.002)
+    for sock in callers:
+        sock.close()
+    gevent.sleep(0.005)
+    raw = gateway_harness.request('/safe/last')
+    assert gateway_harness.exchange(harness, raw)[0] == 200
+    assert max(most) <= listed.slots
