--- a/packages/router/src/paddle_router/policy/_brittle_servers.py
+++ b/packages/router/src/paddle_router/policy/_brittle_servers.py
@@ -10,7 +10,8 @@
 All places of a service are numbered and belong to the gateways in turn. If
 each gateway has few of them, the places also move from gateway to gateway
 with time, so that none depends on a single server and gateways without a place
-get one soon. Numbers and times are the same at all gateways, so this needs no
+get one soon. If there is a place for each gateway, those move less often than
+the rest. Numbers and times are the same at all gateways, so this needs no
 message.
 """
 
@@ -27,6 +28,12 @@
 MIN_SLICE_MS = 250
 MAX_SLICE_MS = 8_000
 SLICE_RESPONSES = 4
+# Slices for which a gateway keeps the places of which each gateway has as
+# many. A place that moves is unused for up to END_RESPONSES: in the replay of
+# 4 gateways at 6 places that respond in 108 to 116 ms, 0.72 to 0.80 of the
+# requests are served if all places move with every slice, 0.90 to 0.95 with 4.
+# With 8, fewer are served while a server is down.
+KEPT_SLICES = 4
 # Part of a slice at its end in which no request is sent to places that move to
 # another gateway, in responses. Most responses take less than this multiple of
 # the median time.
@@ -68,15 +75,28 @@
 
     def places(self, number):
         """Return ``{server: own places}`` in slice ``number``."""
-        step = self.total % self.count or 1
-        shift = number * step if self.moves else 0
+        rest = self.total % self.count
+        kept_end = self.total - rest
+        kept_shift = shift = 0
+        if self.moves:
+            kept_shift = number // KEPT_SLICES
+            shift = number * (rest or 1)
         owned, first = {}, 0
         for server, slots in self.servers:
-            turn = (self.index - first - shift) % self.count
-            owned[server] = (slots - turn + self.count - 1) // self.count
-            first += slots
+            end = first + slots
+            owned[server] = self._count(
+                first, min(end, kept_end), kept_shift
+            ) + self._count(max(first, kept_end), end, shift)
+            first = end
         return owned
 
+    def _count(self, first, end, shift):
+        """Return how many of the places from ``first`` to ``end`` are own."""
+        if first >= end:
+            return 0
+        turn = (self.index - first - shift) % self.count
+        return (end - first - turn + self.count - 1) // self.count
+
 
 class BrittlePlaces:
     """This gateway's places at the servers of one service.
@@ -88,8 +108,8 @@
     def __init__(self, limits):
         self._limits = limits
         self._share = _Share(0, 1, ())
-        self._former = None
-        self._changed_ms = 0
+        # Shares before the last changes, and until when they count.
+        self._former = []
         self._cached = (None, {})
         self._paused_until_ms = {}
         self._lost_until_ms = {}
@@ -137,16 +157,19 @@
         if not self._is_brittle(now_ms) or self._is_open(state, now_ms):
             return now_ms
         server = state.incarnation
-        at_ms = max(now_ms, self._paused_until_ms.get(server, now_ms))
+        open_ms = max(now_ms, self._paused_until_ms.get(server, now_ms))
+        free_ms = max(open_ms, now_ms + self.response_ms // 2)
+        number, _passed_ms = self._slice(open_ms)
+        places = self._share.places(number).get(server, 0)
         if not self._share.moves:
-            if not self._share.places(0).get(server):
-                return None
-            return max(at_ms, now_ms + self.response_ms // 2)
-        number, _passed_ms = self._slice(at_ms)
-        for later in range(number, number + MAX_SEARCH):
-            start_ms = later * self._slice_ms() - self._limits.wall_offset_ms
-            if start_ms > now_ms and self._share.places(later).get(server):
-                return start_ms
+            return free_ms if places else None
+        if places and self._slice(free_ms)[0] == number:
+            kept = self._share.places(number + 1).get(server, 0)
+            if kept >= places or not self._is_near_end(free_ms):
+                return free_ms
+        for later in range(number + 1, number + MAX_SEARCH):
+            if self._share.places(later).get(server):
+                return later * self._slice_ms() - self._limits.wall_offset_ms
         return None
 
     def interval_ms(self, state, now_ms):
@@ -202,12 +225,10 @@
         used = len(state.flights) + len(self._live_lost(server, now_ms))
         if used >= places:
             return False
-        if not self._share.moves:
-            return True
-        number, passed_ms = self._slice(now_ms)
-        if passed_ms <= self._slice_ms() - END_RESPONSES * self.response_ms:
+        if not self._share.moves or not self._is_near_end(now_ms):
             return True
         # Places that stay with this gateway may be used until the end.
+        number, _passed_ms = self._slice(now_ms)
         return used < self._share.places(number + 1).get(server, 0)
 
     def _places(self, now_ms):
@@ -217,14 +238,14 @@
             self._set_share(
                 attrs.evolve(self._share, index=index, count=count), now_ms
             )
-        if self._former and now_ms - self._changed_ms >= GAIN_DELAY_MS:
-            self._former = None
+        while self._former and self._former[0][1] <= now_ms:
+            del self._former[0]
             self._cached = None, {}
         number, _passed_ms = self._slice(now_ms)
         if self._cached[0] != number:
             places = self._share.places(number)
-            if self._former is not None:
-                former = self._former.places(number)
+            for share, _until_ms in self._former:
+                former = share.places(number)
                 places = {
                     server: min(count, former.get(server, count))
                     for server, count in places.items()
@@ -236,8 +257,7 @@
         if share == self._share:
             return
         if self._share.servers:
-            self._former = self._share
-            self._changed_ms = now_ms
+            self._former.append((self._share, now_ms + GAIN_DELAY_MS))
         self._share = share
         self._cached = None, {}
 
@@ -245,6 +265,11 @@
         """Return the number of the slice, and how long it has lasted."""
         return divmod(now_ms + self._limits.wall_offset_ms, self._slice_ms())
 
+    def _is_near_end(self, now_ms):
+        """Whether a response would end close to the end of the slice."""
+        _number, passed_ms = self._slice(now_ms)
+        return passed_ms > self._slice_ms() - END_RESPONSES * self.response_ms
+
     def _slice_ms(self):
         slice_ms = MIN_SLICE_MS
         while (
