Forget former shares of places also while no server is brittle

No request looks there while the service is not brittle, so the list grew with each change of its servers, and the first look went through all of it.

Ruled out: changes of the gateways, which are seen only in that look.

Expired shares are now removed with each change as well.

--- a/packages/router/src/paddle_router/policy/_brittle_servers.py
+++ b/packages/router/src/paddle_router/policy/_brittle_servers.py
@@ -238,9 +238,7 @@
             self._set_share(
                 attrs.evolve(self._share, index=index, count=count), now_ms
             )
-        while self._former and self._former[0][1] <= now_ms:
-            del self._former[0]
-            self._cached = None, {}
+        self._forget_former(now_ms)
         number, _passed_ms = self._slice(now_ms)
         if self._cached[0] != number:
             places = self._share.places(number)
@@ -257,10 +255,17 @@
         if share == self._share:
             return
         if self._share.servers:
+            # Also while the service is not brittle, when nothing reads them.
+            self._forget_former(now_ms)
             self._former.append((self._share, now_ms + GAIN_DELAY_MS))
         self._share = share
         self._cached = None, {}
 
+    def _forget_former(self, now_ms):
+        while self._former and self._former[0][1] <= now_ms:
+            del self._former[0]
+            self._cached = None, {}
+
     def _slice(self, now_ms):
         """Return the number of the slice, and how long it has lasted."""
         return divmod(now_ms + self._limits.wall_offset_ms, self._slice_ms())
--- a/packages/router/tests/test_policy_brittle_servers.py
+++ b/packages/router/tests/test_policy_brittle_servers.py
@@ -15,6 +15,7 @@
 import pytest
 
 from paddle_router import policy
+from paddle_router.policy import _brittle_servers
 
 SLOTS = 6
 SERVERS = 4
@@ -536,6 +537,15 @@
     assert fill([(balancer, limits)], 1_400).total() == 12
 
 
+def test_former_places_are_forgotten_while_no_server_is_brittle():
+    # Guards against memory that grows with each change of the servers.
+    places = _brittle_servers.BrittlePlaces(policy.ServerLimits())
+    server = policy.Incarnation('s0')
+    for number in range(100):
+        places.set_servers([(server, 1 + number % 2)], 1_000 * number)
+    assert len(places._former) <= 2
+
+
 def test_a_server_that_rejects_gets_nothing_for_a_time():
     # Guards against repeated rejections while the place is taken by a request
     # that the gateway does not know.
