--- a/packages/testbed/tests/test_fleet_adapter.py
+++ b/packages/testbed/tests/test_fleet_adapter.py
@@ -1,6 +1,7 @@
 """Tests of the adapter: the platform's documents, headers and lists."""
 
 import copy
+import io
 import json
 import math
 import random
@@ -17,6 +18,7 @@
 from fleet_adapter import gateway_role
 from fleet_adapter import settings
 import paddle_kernel
+from paddle_router import controller
 from paddle_router.controller import _fleet
 from paddle_router import gateway
 from paddle_router.gateway import _routes
@@ -738,6 +740,56 @@
         assert len(item.entry) <= 70 and item.reason.encode()
 
 
+def list_pages(pages, monkeypatch):
+    """Return what the client lists if the platform responds with ``pages``."""
+    targets = []
+
+    def exchange(_conn, _method, target, *_args, **_options):
+        targets.append(target)
+        return 200, pages[len(targets) - 1]
+
+    monkeypatch.setattr(cloud.transport, 'exchange', exchange)
+    client = cloud.PlatformClient('', 'test')
+    client.connect = io.BytesIO
+    return client.list_servers(), targets
+
+
+def test_a_damaged_entry_costs_no_other_server_and_no_page(monkeypatch):
+    # Guards against a list that stays as it was, so that streams go on to a
+    # draining server, while one entry has a byte that cannot be read.
+    texts = [
+        json.dumps({**LIST_ENTRY, 'identifier': f'i-{number}'}).encode()
+        for number in range(6)
+    ]
+    for number in range(3):
+        for place, byte in enumerate(texts[number]):
+            if byte not in b'"[]{},:':
+                continue
+            damaged = list(texts)
+            damaged[number] = (
+                texts[number][:place] + b'\xff' + texts[number][place + 1 :]
+            )
+            pages = [
+                b'{"instances":[%s],"next":"p-3"}' % b','.join(damaged[:3]),
+                b'{"instances":[%s],"next":null}' % b','.join(damaged[3:]),
+            ]
+            listing, targets = list_pages(pages, monkeypatch)
+            assert targets == ['/instances', '/instances?pageToken=p-3']
+            assert [server.id for server in listing.servers] == [
+                f'i-{other}' for other in range(6) if other != number
+            ]
+            assert len(listing.rejected) == 1
+
+
+def test_a_damaged_page_without_a_token_is_not_a_whole_one(monkeypatch):
+    # Guards against servers that vanish since a part was taken for the list.
+    entry = json.dumps(LIST_ENTRY).encode()
+    damaged = entry.replace(b'"', b'\xff', 1)
+    page = b'{"instances":[%s,%s]}' % (damaged, entry)
+    with pytest.raises(controller.PlatformError):
+        list_pages([page], monkeypatch)
+
+
 def test_a_draining_entry_is_leaving():
     assert cloud._decode_server({**LIST_ENTRY, 'state': 'draining'}).leaving
     assert not cloud._decode_server(LIST_ENTRY).leaving
