Compare the times of hostile pages of two lengths

The test of hostile pages had a bound of 4 s of processor time, which follows no stated target and depends on the machine: the slowest of eleven pages took 2.4 s here. It guards against a reader that tries each place anew, whose time grows with the square of the length.

Ruled out: a target to derive a time from; the pages name none.

It now compares pages of 250 kB and 1 MB. The ratio is 1.2 to 4.0 for the eight kinds of pages that take over 0.05 s at 250 kB, and 8 is allowed; the square would be 16.

--- a/packages/kernel/tests/test_kernel_json_list.py
+++ b/packages/kernel/tests/test_kernel_json_list.py
@@ -1,5 +1,6 @@
 """Tests of reading a JSON array entry by entry."""
 
+import contextlib
 import json
 import time
 
@@ -10,6 +11,8 @@
 import paddle_kernel as kernel
 
 DEPTH = 100_000
+# Shorter times are not compared; the clock of the process is too coarse.
+SHORTEST_S = 0.05
 JSON = st.recursive(
     st.none()
     | st.booleans()
@@ -281,14 +284,16 @@
         ',{"a":1' + ' ' * 2_000,
     ],
 )
-def test_a_hostile_page_is_read_in_bounded_time(text):
+def test_the_time_of_a_hostile_page_grows_with_its_length(text):
     # Guards against a reader that tries each place of a page anew: a
     # controller serves no gateway meanwhile.
-    page = '{"instances":[{"a":"\ufffd,' + text * (1_000_000 // len(text))
-    began_s = time.process_time()
-    for end in ('', '],"next":null}'):
-        try:
-            kernel.read_entries(page + end, 'instances')
-        except ValueError:
-            pass
-    assert time.process_time() - began_s < 4
+    def measure(length):
+        page = '{"instances":[{"a":"\ufffd,' + text * (length // len(text))
+        began_s = time.process_time()
+        for end in ('', '],"next":null}'):
+            with contextlib.suppress(ValueError):
+                kernel.read_entries(page + end, 'instances')
+        return time.process_time() - began_s
+
+    # Trying each place anew takes sixteen times as long.
+    assert measure(1_000_000) < 8 * max(measure(250_000), SHORTEST_S)
