--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -10,11 +10,14 @@
 import pathlib
 import random
 import shutil
+import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 CONTROL_PORT, FRONT_PORT, READY_PORT = 8229, 8227, 8220
@@ -58,6 +61,19 @@
                 print(line, flush=True)
 
 
+def exit_code(main):
+    """Return what ``main()`` returns, 2 if it cannot finish.
+
+    A signal to stop also ends what the case has started.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        return main()
+    except Exception:
+        traceback.print_exc()
+        return 2
+
+
 def new_net():
     """Return the first three numbers of a free part of 127/8."""
     rng = random.SystemRandom()
