--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -23,6 +23,7 @@
 CONTROL_PORT, FRONT_PORT, READY_PORT = 8229, 8227, 8220
 PEER_PORTS = [7340, 7355]
 HOST = 'ficu95.example'
+LIMIT_S = 112
 KEY = 'n2ctnfzs989anu6wsjnb'
 BOUNDS = {
     'seedLagS': 3, 'reuseAfterS': 2, 'contactMs': 3000,
@@ -64,9 +65,11 @@
 def exit_code(main):
     """Return what ``main()`` returns, 2 if it cannot finish.
 
-    A signal to stop also ends what the case has started.
+    A signal to stop, or the time limit, also ends what the case has started.
     """
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(2))
+    signal.alarm(LIMIT_S)
     try:
         return main()
     except Exception:
